Thin whole path: entry host, stand-ins, make run

Cause: the repository was empty; a request has to go from a caller through an entry host to an engine and back, across separate processes.

Change: schema with generated code; configuration folded from the log; membership by heartbeats over drpc; prefix index; routing pipeline; dispatch with attempt IDs, resume and failover; claims for non-repeatable requests; callers' HTTP; operators' RPCs and command line; checked settings; stand-ins for platform, engine and service. Ruled out on the way: tally's cardinality metrics (Prometheus refuses their names, the process panicked), and rate buckets created empty (the first request of an organisation was refused as rate limited).

A repeat that comes before the outcome is recorded is answered "in doubt"; no promise is proved yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Developer commands. `make run` and `make test` are the two that matter.
+export GOFLAGS := -mod=readonly
+BIN := bin
+PROTO := $(wildcard api/briarlink/v1/*.proto)
+GEN := $(BIN)/gen
+
+.PHONY: build run up test faults fuzz bench bench-policy capacity generate check-generated lint
+
+build:
+	go build -o $(BIN)/briarlink ./cmd/briarlink
+	go build -o $(BIN)/standin ./test/standin
+
+run: build
+	bash test/run.sh
+
+up: build
+	bash test/run.sh --keep
+
+test:
+	go test -race -count=1 ./...
+
+generate:
+	mkdir -p $(GEN)
+	go build -o $(GEN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH=$(CURDIR)/$(GEN):$$PATH protoc -I api --go_out=api --go_opt=paths=source_relative $(PROTO:api/%=%)
+	PATH=$(CURDIR)/$(GEN):$$PATH protoc -I api --connect-go_out=api --connect-go_opt=paths=source_relative briarlink/v1/admin.proto briarlink/v1/platform.proto briarlink/v1/engine.proto
+	PATH=$(CURDIR)/$(GEN):$$PATH protoc -I api --go-drpc_out=api --go-drpc_opt=paths=source_relative briarlink/v1/peer.proto
+
+# Generated code must be the schema's.
+check-generated: generate
+	@git diff --exit-code --stat -- api || { echo "generated code differs from the schema: run make generate"; exit 1; }
+
+lint:
+	@test -z "$$(go tool gofumpt -l $$(git ls-files '*.go' | grep -v -e '\.pb\.go' -e '\.connect\.go'))" || { go tool gofumpt -l .; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,244 @@
+// Package node wires one entry host together and runs it.
+//
+// Lock order, for the whole program: replica.Table, then prefix.Index. Every
+// other table (member.Table, limit.Limiter, limit.RetryBudget, once.Claimer,
+// state.Store, peer.Client) is locked alone, and no lock is held over a call to
+// another process.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/admin"
+	"github.com/briarlink/briarlink/internal/dispatch"
+	"github.com/briarlink/briarlink/internal/entry"
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/limit"
+	"github.com/briarlink/briarlink/internal/member"
+	"github.com/briarlink/briarlink/internal/obs"
+	"github.com/briarlink/briarlink/internal/once"
+	"github.com/briarlink/briarlink/internal/peer"
+	"github.com/briarlink/briarlink/internal/platform"
+	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/state"
+)
+
+const (
+	// claimAppendsPerSecond is the part of the log's rate that claims of all
+	// hosts together may use.
+	claimAppendsPerSecond = 200
+	// beliefLife is the age at which a belief about a cached piece is worth 1/e.
+	beliefLife = 30 * time.Second
+)
+
+// Node is one entry host.
+type Node struct {
+	settings *pb.Settings
+	log      *logrus.Logger
+	rng      *rand.Rand
+
+	platform platform.Log
+	list     platform.HostList
+	store    *state.Store
+	tailer   *state.Tailer
+	members  *member.Table
+	index    *prefix.Index
+	replicas *replica.Table
+	limiter  *limit.Limiter
+	claimer  *once.Claimer
+	peers    *peer.Client
+	metrics  *obs.Metrics
+	entry    *entry.Server
+	admin    *admin.Server
+
+	started   time.Time
+	touch     *touch
+	stopping  atomic.Bool
+	transfers chan struct{}
+}
+
+// New returns a host that is not running yet.
+func New(s *pb.Settings, log *logrus.Logger) *Node {
+	client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout.AsDuration())
+	n := &Node{
+		settings:  s,
+		log:       log,
+		rng:       rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
+		platform:  client,
+		list:      client,
+		store:     state.NewStore(),
+		index:     prefix.NewIndex(int(s.Prefix.MaxPieces)),
+		limiter:   limit.NewLimiter(),
+		peers:     peer.NewClient(),
+		started:   time.Now(),
+		transfers: make(chan struct{}, maxTransfers),
+	}
+	n.tailer = state.NewTailer(n.store, n.platform)
+	n.members = member.NewTable(&pb.HostEntry{
+		Id:               s.Host.Id,
+		Incarnation:      uint64(n.started.UnixNano()),
+		AvailabilityZone: s.Host.AvailabilityZone,
+		CallerAddress:    s.Listen.Caller,
+		PeerAddress:      s.Listen.Peer,
+	}, s.Member.DeadAfter.AsDuration())
+	n.touch = newTouch(n.started, s.Member.OutOfTouchAfter.AsDuration())
+	n.replicas = replica.NewTable(n.index, s.Route.DownAfter.AsDuration())
+	n.claimer = once.NewClaimer(n.platform, s.Claim.MaxKeyAge.AsDuration(), s.Claim.Wait.AsDuration(), n.claimInterval)
+	return n
+}
+
+// claimInterval keeps the appends of all hosts together within the log's rate.
+func (n *Node) claimInterval() time.Duration {
+	hosts := len(n.members.Serving(time.Now()))
+	return max(n.settings.Claim.GroupInterval.AsDuration(), time.Duration(hosts)*time.Second/claimAppendsPerSecond)
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	metrics, metricsHandler, closer := obs.NewMetrics()
+	defer closer.Close()
+	n.metrics = metrics
+	n.buildServers()
+	// Background work outlives ctx: a graceful stop still needs it.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer n.peers.Close()
+	defer cancel()
+	callers, operators, err := n.listen(work, &wg, metricsHandler)
+	if err != nil {
+		return err
+	}
+	for _, loop := range []func(context.Context){
+		n.tailer.Run, n.claimer.Run, n.applyConfig, n.heartbeats, n.catchUp, n.watchList, n.checkpoints,
+		replica.NewPoller(n.replicas, n.settings.Route.PollInterval.AsDuration()).Run,
+	} {
+		wg.Go(func() { loop(work) })
+	}
+	n.log.WithField("caller", n.settings.Listen.Caller).Info("entry host started")
+	<-ctx.Done()
+	err = n.stop(callers)
+	operators.Close()
+	return err
+}
+
+func (n *Node) buildServers() {
+	s := n.settings
+	retries := limit.NewRetryBudget(s.Request.RetryRatio)
+	pipeline := route.NewPipeline(route.Policy{RecomputeWeight: s.Route.RecomputeWeight, BeliefLife: beliefLife})
+	n.entry = entry.New(entry.Deps{
+		Settings:   s,
+		Store:      n.store,
+		Members:    n.members,
+		Limiter:    n.limiter,
+		Dispatcher: dispatch.New(dispatch.NewHTTPEngine(), n.replicas, n.index, pipeline, retries, s.Request.IdleTimeout.AsDuration()),
+		Services:   dispatch.NewServices(retries),
+		Claimer:    n.claimer,
+		Metrics:    n.metrics,
+		Log:        n.log,
+		Gate:       n.gate,
+		Stopping:   n.stopping.Load,
+	})
+	settle := s.Platform.CallTimeout.AsDuration() + s.Claim.Wait.AsDuration()
+	n.admin = admin.New(n.store, state.NewSubmitter(n.store, n.platform, settle), n.members, n.replicas, n.log)
+}
+
+// listen opens the three listeners and serves on them.
+func (n *Node) listen(ctx context.Context, wg *sync.WaitGroup, metrics http.Handler) (callers, operators *http.Server, err error) {
+	l := n.settings.Listen
+	callerListener, err := net.Listen("tcp", l.Caller)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for callers")
+	}
+	operatorListener, err := net.Listen("tcp", l.Operator)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for operators")
+	}
+	peerListener, err := net.Listen("tcp", l.Peer)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for peers")
+	}
+	maxHeader := int(n.settings.Request.MaxHeaderBytes)
+	callers = &http.Server{
+		Handler:           n.entry.Handler(),
+		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       n.settings.Member.AnswerTtl.AsDuration(),
+	}
+	operators = &http.Server{Handler: n.operatorHandler(metrics), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout}
+	n.serve(wg, "callers", func() error { return callers.Serve(callerListener) })
+	n.serve(wg, "operators", func() error { return operators.Serve(operatorListener) })
+	n.serve(wg, "peers", func() error { return peer.Serve(ctx, peerListener, &peerService{n}) })
+	return callers, operators, nil
+}
+
+const headerTimeout = 10 * time.Second
+
+func (n *Node) serve(wg *sync.WaitGroup, name string, f func() error) {
+	wg.Go(func() {
+		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled) {
+			n.log.WithError(err).WithField("listener", name).Error("listener ended")
+		}
+	})
+}
+
+// operatorHandler serves operators' calls, metrics and health.
+func (n *Node) operatorHandler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(n.admin.Handler(n.settings.Operators.Tokens))
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := n.gate(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// gate returns an error while this host must not take new work.
+func (n *Node) gate() error {
+	switch {
+	case n.store.Current() == nil:
+		return errkind.New(errkind.NotReady, "this host has no configuration yet")
+	case n.members.Superseded():
+		return errkind.New(errkind.OutOfTouch, "another process has taken this host's place")
+	case n.outOfTouch(time.Now()):
+		return errkind.New(errkind.OutOfTouch, "this host reaches neither the log nor most other hosts")
+	default:
+		return nil
+	}
+}
+
+// stop leaves without cutting a request: other hosts stop naming this one, the
+// answers that did name it run out, then open requests finish.
+func (n *Node) stop(callers *http.Server) error {
+	n.stopping.Store(true)
+	n.members.Leave()
+	m := n.settings.Member
+	wait := m.AnswerTtl.AsDuration() + leaveMargin*m.HeartbeatInterval.AsDuration()
+	n.log.WithField("wait_ms", wait.Milliseconds()).Info("stopping: still serving callers that were sent here")
+	time.Sleep(wait)
+	ctx, cancel := context.WithTimeout(context.Background(), m.StopTimeout.AsDuration())
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	n.log.WithField("open_requests", n.entry.Open()).Info("stopped")
+	return errors.Wrap(err, "requests were still open at the stop timeout")
+}
+
+// leaveMargin is in heartbeats: how long until every peer knows of the leave.
+const leaveMargin = 4
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,115 @@
+// Package peer carries messages between entry hosts over drpc.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+)
+
+const dialTimeout = time.Second
+
+// Serve answers peers on listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, service pb.DRPCPeerServiceServer) error {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterPeerService(mux, service); err != nil {
+		return errors.Wrap(err, "register peer service")
+	}
+	return errors.Wrap(drpcserver.New(mux).Serve(ctx, listener), "serve peers")
+}
+
+// Client calls other entry hosts, over one connection to each. It is safe for
+// concurrent use.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*drpcconn.Conn
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{conns: map[string]*drpcconn.Conn{}} }
+
+// Heartbeat sends a heartbeat to the peer at address.
+func (c *Client) Heartbeat(ctx context.Context, address string, in *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.HeartbeatResponse, error) {
+		return p.Heartbeat(ctx, in)
+	})
+}
+
+// FetchState asks the peer at address for its configuration state.
+func (c *Client) FetchState(ctx context.Context, address string, in *pb.FetchStateRequest) (*pb.FetchStateResponse, error) {
+	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchStateResponse, error) {
+		return p.FetchState(ctx, in)
+	})
+}
+
+// FetchIndex asks the peer at address for its prefix index.
+func (c *Client) FetchIndex(ctx context.Context, address string, in *pb.FetchIndexRequest) (*pb.FetchIndexResponse, error) {
+	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchIndexResponse, error) {
+		return p.FetchIndex(ctx, in)
+	})
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// call runs f on the connection to address and drops the connection on failure.
+func call[T any](ctx context.Context, c *Client, address string, f func(pb.DRPCPeerServiceClient) (T, error)) (T, error) {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	out, err := f(pb.NewDRPCPeerServiceClient(conn))
+	if err != nil {
+		c.drop(address, conn)
+	}
+	return out, errors.Wrapf(err, "call peer %s", address)
+}
+
+func (c *Client) conn(ctx context.Context, address string) (drpc.Conn, error) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial peer %s", address)
+	}
+	fresh := drpcconn.New(raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		fresh.Close()
+		return other, nil
+	}
+	c.conns[address] = fresh
+	return fresh, nil
+}
+
+func (c *Client) drop(address string, conn drpc.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/replica/table.go
@@ -0,0 +1,326 @@
+// Package replica keeps the table of backend servers: their configuration, the
+// state each is in, the load each reported, and what this host sent since. It
+// builds the immutable snapshots on which routing decides.
+package replica
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/route"
+)
+
+// States of a backend server.
+const (
+	StateUnknown = "unknown"
+	StateServing = "serving"
+	StateLoading = "loading"
+	StateLeaving = "leaving"
+	StateDown    = "down"
+)
+
+// Events of a backend server.
+const (
+	eventServe   = "serve"
+	eventLoad    = "load"
+	eventLeave   = "leave"
+	eventSilent  = "silent"
+	eventRestart = "restart"
+)
+
+// newMachine returns the state machine of one backend server. Leaving ends
+// only with a new incarnation.
+func newMachine() *fsm.FSM {
+	alive := []string{StateUnknown, StateServing, StateLoading, StateDown}
+	return fsm.NewFSM(StateUnknown, fsm.Events{
+		{Name: eventServe, Src: alive, Dst: StateServing},
+		{Name: eventLoad, Src: alive, Dst: StateLoading},
+		{Name: eventLeave, Src: append(alive, StateLeaving), Dst: StateLeaving},
+		{Name: eventSilent, Src: append(alive, StateLeaving), Dst: StateDown},
+		{Name: eventRestart, Src: append(alive, StateLeaving), Dst: StateUnknown},
+	}, fsm.Callbacks{})
+}
+
+// Table is the table of backend servers of one host. Lock order: Table.mu, then
+// the prefix index's lock.
+type Table struct {
+	mu        sync.Mutex
+	entries   map[string]*entry
+	index     *prefix.Index
+	downAfter time.Duration
+}
+
+type entry struct {
+	id       string
+	spec     *pb.BackendServer
+	machine  *fsm.FSM
+	reason   string
+	status   *pb.PollResponse
+	polled   time.Time
+	number   prefix.Replica
+	sequence uint64
+	sent     []sentWork
+	// barred is the incarnation that a peer or a refusal said is leaving.
+	barred uint64
+}
+
+// sentWork is work this host sent to a replica whose load report may not show it yet.
+type sentWork struct {
+	at     time.Time
+	pieces float64
+}
+
+// NewTable returns an empty table over index. A backend server that is not
+// polled for downAfter counts as down.
+func NewTable(index *prefix.Index, downAfter time.Duration) *Table {
+	return &Table{entries: map[string]*entry{}, index: index, downAfter: downAfter}
+}
+
+// Configure takes the backend servers of the configuration in force.
+func (t *Table) Configure(specs map[string]*pb.BackendServer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		spec := specs[id]
+		if spec == nil || spec.Address != e.spec.Address {
+			t.index.Clear(e.number)
+			delete(t.entries, id)
+		}
+	}
+	for id, spec := range specs {
+		if e := t.entries[id]; e != nil {
+			e.spec = spec
+			continue
+		}
+		t.entries[id] = &entry{id: id, spec: spec, machine: newMachine(), number: t.index.Reset(id, 0)}
+	}
+}
+
+// Target is a backend server to poll.
+type Target struct {
+	ID       string
+	Address  string
+	Sequence uint64
+}
+
+// Targets returns every configured backend server, by ID.
+func (t *Table) Targets() []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Target, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, Target{e.id, e.spec.Address, e.sequence})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Report takes a poll's answer: state, load and cache events.
+func (t *Table) Report(id string, status *pb.PollResponse, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	if e.status == nil || e.status.Incarnation != status.Incarnation {
+		t.restart(e, status.Incarnation)
+	}
+	e.status = status
+	e.polled = now
+	e.dropSentBefore(now.Add(-time.Duration(status.LoadAgeMs) * time.Millisecond))
+	t.events(e, status, now)
+	e.advance()
+}
+
+func (t *Table) restart(e *entry, incarnation uint64) {
+	e.number = t.index.Reset(e.id, incarnation)
+	e.sequence = 0
+	e.sent = nil
+	e.fire(eventRestart, "new incarnation")
+}
+
+// events folds cache events. A gap loses removals: what this host believes is
+// then kept, since routing decays it and each answer corrects it.
+func (t *Table) events(e *entry, status *pb.PollResponse, now time.Time) {
+	for _, ev := range status.Events {
+		if ev.Sequence < e.sequence {
+			continue
+		}
+		e.sequence = ev.Sequence + 1
+		if ev.Removed {
+			t.index.Remove(e.number, status.Incarnation, prefix.Hash(ev.Hash))
+		} else {
+			t.index.Add(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
+		}
+	}
+	e.sequence = max(e.sequence, status.NextSequence)
+}
+
+func (e *entry) advance() {
+	switch {
+	case e.spec.Draining:
+		e.fire(eventLeave, "draining by operator")
+	case e.status.Leaving:
+		e.fire(eventLeave, "says it is leaving")
+	case e.barred == e.status.Incarnation:
+		e.fire(eventLeave, "refused new work")
+	case e.machine.Is(StateLeaving):
+		// An operator ended the draining; the engine itself is not leaving.
+		e.fire(eventRestart, "draining ended")
+		e.fire(eventServe, "")
+	case e.status.Loading:
+		e.fire(eventLoad, "loading weights")
+	default:
+		e.fire(eventServe, "")
+	}
+}
+
+func (e *entry) fire(event, reason string) {
+	if e.machine.Can(event) {
+		e.reason = reason
+		// The only error left is that the state did not change.
+		_ = e.machine.Event(context.Background(), event)
+	}
+}
+
+func (e *entry) dropSentBefore(t time.Time) {
+	keep := e.sent[:0]
+	for _, s := range e.sent {
+		if s.at.After(t) {
+			keep = append(keep, s)
+		}
+	}
+	e.sent = keep
+}
+
+// Polled reports whether most backend servers have answered a poll.
+func (t *Table) Polled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	polled := 0
+	for _, e := range t.entries {
+		if e.status != nil {
+			polled++
+		}
+	}
+	return 2*polled > len(t.entries)
+}
+
+// Sent records that this host sent work of so many uncached pieces.
+func (t *Table) Sent(id string, pieces float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		e.sent = append(e.sent, sentWork{now, pieces})
+	}
+}
+
+// Bar marks an incarnation as leaving, from its own refusal or a peer's word.
+func (t *Table) Bar(id string, incarnation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.status == nil || e.status.Incarnation != incarnation {
+		return
+	}
+	e.barred = incarnation
+	e.advance()
+}
+
+// Failed records that a backend server could not be reached.
+func (t *Table) Failed(id, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		e.fire(eventSilent, reason)
+	}
+}
+
+// Expire marks backend servers as down that were silent for too long.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.status != nil && now.Sub(e.polled) > t.downAfter {
+			e.fire(eventSilent, "no answer to polls")
+		}
+	}
+}
+
+// Hints returns the incarnations known to be leaving, for peers.
+func (t *Table) Hints() []*pb.ReplicaHint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*pb.ReplicaHint
+	for _, e := range t.entries {
+		if e.status != nil && (e.barred == e.status.Incarnation || e.status.Leaving) {
+			out = append(out, &pb.ReplicaHint{BackendServer: e.id, Incarnation: e.status.Incarnation, Leaving: true})
+		}
+	}
+	return out
+}
+
+// Snapshot returns the replicas of one model, by ID.
+func (t *Table) Snapshot(model string, now time.Time) route.Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var snap route.Snapshot
+	for _, e := range t.entries {
+		if e.spec.Model == model && e.status != nil {
+			snap.Replicas = append(snap.Replicas, e.replica(now))
+		}
+	}
+	sort.Slice(snap.Replicas, func(i, j int) bool { return snap.Replicas[i].ID < snap.Replicas[j].ID })
+	return snap
+}
+
+func (e *entry) replica(now time.Time) route.Replica {
+	r := route.Replica{
+		ID:          e.id,
+		Number:      e.number,
+		Address:     e.spec.Address,
+		Incarnation: e.status.Incarnation,
+		Zone:        e.spec.AvailabilityZone,
+		Model:       e.status.Model,
+		Version:     e.status.Version,
+		Serving:     e.machine.Is(StateServing),
+		Reported:    float64(e.status.QueuedPieces),
+		Running:     int(e.status.Running),
+		Prefill:     time.Duration(e.status.PrefillUsPerPiece) * time.Microsecond,
+		Decode:      time.Duration(e.status.DecodeUsPerToken) * time.Microsecond,
+		LoadAge:     now.Sub(e.polled) + time.Duration(e.status.LoadAgeMs)*time.Millisecond,
+	}
+	for _, s := range e.sent {
+		r.SentSince += s.pieces
+	}
+	return r
+}
+
+// Status returns every backend server for operators, by ID.
+func (t *Table) Status() []*pb.ReplicaStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*pb.ReplicaStatus
+	for _, e := range t.entries {
+		out = append(out, &pb.ReplicaStatus{
+			Id:            e.id,
+			Address:       e.spec.Address,
+			State:         e.machine.Current(),
+			Incarnation:   e.status.GetIncarnation(),
+			Model:         e.spec.Model,
+			Version:       e.status.GetVersion(),
+			QueuedPieces:  e.status.GetQueuedPieces(),
+			IndexedPieces: int64(t.index.Count(e.number)),
+			Reason:        e.reason,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,227 @@
+// Package route decides which replica serves a request. The decision is a pure
+// function of a request and a snapshot: replicas are filtered, scored, and the
+// best is picked.
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/prefix"
+)
+
+// Replica is one backend server in a snapshot.
+type Replica struct {
+	ID          string
+	Number      prefix.Replica
+	Address     string
+	Incarnation uint64
+	Zone        string
+	// Model and Version are what the engine itself reports to run.
+	Model   string
+	Version string
+	// Serving is false when the replica takes no new work.
+	Serving bool
+	// Reported is the number of pieces queued for prefill at the last report.
+	Reported float64
+	// SentSince is what this host sent after that report, in uncached pieces.
+	SentSince float64
+	// Running is the number of streams at the last report.
+	Running int
+	// Prefill is the time to compute one uncached piece.
+	Prefill time.Duration
+	// Decode is the time between tokens.
+	Decode time.Duration
+	// LoadAge is the age of Reported and Running.
+	LoadAge time.Duration
+}
+
+// Snapshot is the immutable set of replicas a decision is made on.
+type Snapshot struct {
+	Replicas []Replica
+}
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	Model   string
+	Version string
+	// Pieces is the length of the prompt in pieces, the incomplete last one included.
+	Pieces float64
+	// Matches tells which replicas are believed to hold the prompt's beginning.
+	Matches []prefix.Match
+	// Affinity breaks ties, alike on every host.
+	Affinity uint64
+	// Exclude lists replicas already tried.
+	Exclude []string
+	// Budget is the time left for the first token; 0 means no bound.
+	Budget time.Duration
+}
+
+// Decision names the replica and what is expected of it.
+type Decision struct {
+	Replica Replica
+	// Cached is the number of leading pieces expected in its cache.
+	Cached float64
+	// FirstToken is the expected time to first token.
+	FirstToken time.Duration
+}
+
+// Policy weighs the parts of the decision.
+type Policy struct {
+	// RecomputeWeight moves from latency alone (0) to recomputation alone (1).
+	RecomputeWeight float64
+	// BeliefLife is the age at which a belief is worth 1/e of a fresh one; 0
+	// means beliefs do not age.
+	BeliefLife time.Duration
+}
+
+// Candidate is a replica under consideration.
+type Candidate struct {
+	Replica *Replica
+	Cached  float64
+	Wait    time.Duration
+	Prefill time.Duration
+}
+
+// Filter removes candidates.
+type Filter interface {
+	Name() string
+	Keep(req *Request, c *Candidate) bool
+}
+
+// Scorer prices a candidate in seconds; lower is better.
+type Scorer interface {
+	Name() string
+	Score(req *Request, c *Candidate) float64
+}
+
+// Pipeline is filters, then scorers, then the pick of the lowest sum.
+type Pipeline struct {
+	policy  Policy
+	filters []Filter
+	scorers []Scorer
+}
+
+// NewPipeline returns the pipeline of the policy.
+func NewPipeline(p Policy) *Pipeline {
+	return &Pipeline{
+		policy:  p,
+		filters: []Filter{servingFilter{}, weightsFilter{}, excludeFilter{}},
+		scorers: []Scorer{waitScorer{1 - p.RecomputeWeight}, prefillScorer{}},
+	}
+}
+
+// Decide picks a replica. It fails with NoBackend when none can take the
+// request, and with Overloaded when none is expected to meet the budget.
+func (p *Pipeline) Decide(req *Request, snap Snapshot) (Decision, error) {
+	var best *Candidate
+	bestScore := math.Inf(1)
+	soonest := time.Duration(math.MaxInt64)
+	for i := range snap.Replicas {
+		c := p.candidate(req, &snap.Replicas[i])
+		if !p.keep(req, &c) {
+			continue
+		}
+		soonest = min(soonest, c.Wait+c.Prefill)
+		if req.Budget > 0 && c.Wait+c.Prefill > req.Budget {
+			continue
+		}
+		score := p.score(req, &c)
+		if best == nil || score < bestScore || score == bestScore && p.prefer(req, &c, best) {
+			best, bestScore = &c, score
+		}
+	}
+	if best != nil {
+		return Decision{*best.Replica, best.Cached, best.Wait + best.Prefill}, nil
+	}
+	if soonest == math.MaxInt64 {
+		return Decision{}, errkind.New(errkind.NoBackend, "no backend server serves this model version")
+	}
+	return Decision{}, errkind.New(errkind.Overloaded, "the first token is expected later than the deadline").
+		After(soonest - req.Budget + time.Second)
+}
+
+func (p *Pipeline) candidate(req *Request, r *Replica) Candidate {
+	c := Candidate{Replica: r}
+	for _, m := range req.Matches {
+		if m.Replica == r.Number {
+			c.Cached = float64(m.Depth) * p.confidence(m.Oldest)
+		}
+	}
+	c.Wait = time.Duration((r.Reported + r.SentSince) * float64(r.Prefill))
+	c.Prefill = time.Duration(max(0, req.Pieces-c.Cached) * float64(r.Prefill))
+	return c
+}
+
+func (p *Pipeline) confidence(age time.Duration) float64 {
+	if p.policy.BeliefLife <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(p.policy.BeliefLife))
+}
+
+func (p *Pipeline) keep(req *Request, c *Candidate) bool {
+	for _, f := range p.filters {
+		if !f.Keep(req, c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pipeline) score(req *Request, c *Candidate) float64 {
+	sum := 0.0
+	for _, s := range p.scorers {
+		sum += s.Score(req, c)
+	}
+	return sum
+}
+
+// prefer orders candidates of equal score by rendezvous hashing.
+func (p *Pipeline) prefer(req *Request, a, b *Candidate) bool {
+	return xxh3.HashStringSeed(a.Replica.ID, req.Affinity) > xxh3.HashStringSeed(b.Replica.ID, req.Affinity)
+}
+
+type servingFilter struct{}
+
+func (servingFilter) Name() string                       { return "serving" }
+func (servingFilter) Keep(_ *Request, c *Candidate) bool { return c.Replica.Serving }
+
+// weightsFilter trusts only the version that the engine itself reports.
+type weightsFilter struct{}
+
+func (weightsFilter) Name() string { return "weights" }
+
+func (weightsFilter) Keep(req *Request, c *Candidate) bool {
+	return c.Replica.Model == req.Model && c.Replica.Version == req.Version
+}
+
+type excludeFilter struct{}
+
+func (excludeFilter) Name() string { return "exclude" }
+
+func (excludeFilter) Keep(req *Request, c *Candidate) bool {
+	for _, id := range req.Exclude {
+		if id == c.Replica.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// waitScorer prices the queue ahead of the request.
+type waitScorer struct{ weight float64 }
+
+func (waitScorer) Name() string { return "wait" }
+
+func (s waitScorer) Score(_ *Request, c *Candidate) float64 { return s.weight * c.Wait.Seconds() }
+
+// prefillScorer prices the pieces that would be computed again.
+type prefillScorer struct{}
+
+func (prefillScorer) Name() string { return "prefill" }
+
+func (prefillScorer) Score(_ *Request, c *Candidate) float64 { return c.Prefill.Seconds() }
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,189 @@
+// Package settings reads an entry host's settings: JSON with comments, checked
+// whole against the schema, every mistake reported at once with its line.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+)
+
+// Mistake is one thing wrong with a settings file.
+type Mistake struct {
+	// Line counts from 1.
+	Line int
+	// Path names the setting, such as "member.dead_after".
+	Path    string
+	Message string
+}
+
+// String returns "line N: path: message".
+func (m Mistake) String() string {
+	return fmt.Sprintf("line %d: %s: %s", m.Line, m.Path, m.Message)
+}
+
+// Mistakes is everything wrong with a settings file, in line order.
+type Mistakes []Mistake
+
+// Error implements error with one line per mistake.
+func (ms Mistakes) Error() string {
+	lines := make([]string, len(ms))
+	for i, m := range ms {
+		lines[i] = m.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks the file. An error of type Mistakes lists all mistakes.
+func Load(file string) (*pb.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(data)
+}
+
+// Parse checks data and returns the settings with every default filled in.
+func Parse(data []byte) (*pb.Settings, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings are not JSON with comments")
+	}
+	s := Defaults()
+	r := &reader{data: data, lines: map[string]int{}}
+	r.message(s.ProtoReflect(), root, "")
+	r.mistakes = append(r.mistakes, check(s, r)...)
+	if len(r.mistakes) > 0 {
+		sort.SliceStable(r.mistakes, func(i, j int) bool { return r.mistakes[i].Line < r.mistakes[j].Line })
+		return nil, r.mistakes
+	}
+	return s, nil
+}
+
+// reader walks a JSON value beside the schema.
+type reader struct {
+	data     []byte
+	lines    map[string]int
+	mistakes Mistakes
+}
+
+func (r *reader) lineAt(offset int) int { return 1 + bytes.Count(r.data[:offset], []byte("\n")) }
+
+// line returns the line of a path, or of its nearest parent that is present.
+func (r *reader) line(path string) int {
+	for path != "" {
+		if n, ok := r.lines[path]; ok {
+			return n
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return 1
+}
+
+func (r *reader) wrong(v hujson.Value, path, format string, args ...any) {
+	r.mistakes = append(r.mistakes, Mistake{r.lineAt(v.StartOffset), path, fmt.Sprintf(format, args...)})
+}
+
+func (r *reader) message(m protoreflect.Message, v hujson.Value, path string) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		r.wrong(v, path, "want an object")
+		return
+	}
+	seen := map[string]bool{}
+	for _, member := range obj.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		child := strings.TrimPrefix(path+"."+name, ".")
+		if seen[name] {
+			r.wrong(member.Name, child, "set twice")
+			continue
+		}
+		seen[name] = true
+		r.lines[child] = r.lineAt(member.Name.StartOffset)
+		field := m.Descriptor().Fields().ByName(protoreflect.Name(name))
+		if field == nil {
+			r.wrong(member.Name, child, "unknown setting")
+			continue
+		}
+		r.field(m, field, member.Value, child)
+	}
+}
+
+func (r *reader) field(m protoreflect.Message, field protoreflect.FieldDescriptor, v hujson.Value, path string) {
+	if !field.IsList() {
+		if value, ok := r.value(m.NewField(field), field, v, path); ok {
+			m.Set(field, value)
+		}
+		return
+	}
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		r.wrong(v, path, "want a list")
+		return
+	}
+	list := m.Mutable(field).List()
+	for i, element := range array.Elements {
+		child := fmt.Sprintf("%s[%d]", path, i)
+		r.lines[child] = r.lineAt(element.StartOffset)
+		if value, ok := r.value(list.NewElement(), field, element, child); ok {
+			list.Append(value)
+		}
+	}
+}
+
+// value reads one value of the field's type.
+func (r *reader) value(empty protoreflect.Value, field protoreflect.FieldDescriptor, v hujson.Value, path string) (protoreflect.Value, bool) {
+	if field.Kind() == protoreflect.MessageKind {
+		if field.Message().FullName() == "google.protobuf.Duration" {
+			return r.duration(v, path)
+		}
+		r.message(empty.Message(), v, path)
+		return empty, true
+	}
+	lit, _ := v.Value.(hujson.Literal)
+	switch kind := field.Kind(); {
+	case kind == protoreflect.StringKind && lit.Kind() == '"':
+		return protoreflect.ValueOfString(lit.String()), true
+	case kind == protoreflect.DoubleKind && lit.Kind() == '0':
+		return protoreflect.ValueOfFloat64(lit.Float()), true
+	case kind == protoreflect.Int64Kind && isInteger(lit):
+		return protoreflect.ValueOfInt64(lit.Int()), true
+	case kind == protoreflect.Int32Kind && isInteger(lit):
+		return protoreflect.ValueOfInt32(int32(lit.Int())), true
+	default:
+		r.wrong(v, path, "want a %s without a unit", kind)
+		return empty, false
+	}
+}
+
+func isInteger(lit hujson.Literal) bool {
+	return lit.Kind() == '0' && lit.Float() == float64(lit.Int())
+}
+
+func (r *reader) duration(v hujson.Value, path string) (protoreflect.Value, bool) {
+	lit, _ := v.Value.(hujson.Literal)
+	if lit.Kind() != '"' {
+		r.wrong(v, path, `want a duration with its unit, such as "500ms" or "2s"`)
+		return protoreflect.Value{}, false
+	}
+	d, err := time.ParseDuration(lit.String())
+	if err != nil {
+		r.wrong(v, path, `%q is not a duration such as "500ms" or "2s"`, lit.String())
+		return protoreflect.Value{}, false
+	}
+	return protoreflect.ValueOfMessage(durationpb.New(d).ProtoReflect()), true
+}
