--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,6 +215,8 @@
 	switch {
 	case n.store.Current() == nil:
 		return errkind.New(errkind.NotReady, "this host has no configuration yet")
+	case n.tailer.Gap():
+		return errkind.New(errkind.OutOfTouch, "the log has forgotten records that this host lacks")
 	case n.members.Superseded():
 		return errkind.New(errkind.OutOfTouch, "another process has taken this host's place")
 	case n.outOfTouch(time.Now()):
--- a/internal/state/checkpoint.go
+++ b/internal/state/checkpoint.go
@@ -10,20 +10,22 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
 
-// ChunkBytes is the size of a checkpoint chunk on the log.
-const ChunkBytes = 128 << 10
+// chunkBytes is the size of a checkpoint chunk on the log.
+const chunkBytes = 128 << 10
 
 const maxChunks = 4096
 
 // Checkpoint returns the encoded records that hold s, in the order in which
 // they are to be appended.
-func Checkpoint(s *State) ([][]byte, error) {
+func Checkpoint(s *State) ([][]byte, error) { return checkpoint(s, chunkBytes) }
+
+func checkpoint(s *State, chunkBytes int) ([][]byte, error) {
 	data, err := marshal(s)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode checkpoint")
 	}
 	sum := xxh3.Hash128(data).Bytes()
-	total := (len(data) + ChunkBytes - 1) / ChunkBytes
+	total := (len(data) + chunkBytes - 1) / chunkBytes
 	total = max(total, 1)
 	var records [][]byte
 	for i := range total {
@@ -32,7 +34,7 @@
 			Index:       uint32(i),
 			Count:       uint32(total),
 			Hash:        sum[:],
-			Data:        data[i*ChunkBytes : min(len(data), (i+1)*ChunkBytes)],
+			Data:        data[i*chunkBytes : min(len(data), (i+1)*chunkBytes)],
 		}
 		rec, err := proto.Marshal(&pb.ConfigRecord{Kind: &pb.ConfigRecord_Checkpoint{Checkpoint: chunk}})
 		if err != nil {
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -16,11 +16,13 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
 
-// Window is how many log offsets a change may lie behind its author's read
+// window is how many log offsets a change may lie behind its author's read
 // offset, and so how long outcomes are remembered for de-duplication. Two
 // records with one change ID share one read offset, so the second is either
 // within the window of the first, and recognised, or stale.
-const Window = 16384
+//
+// It is the same on every host; only tests change it.
+var window uint64 = 16384
 
 // State is the fold of the configuration stream up to an offset. It is
 // immutable once published by a Store.
@@ -29,7 +31,7 @@
 	Next uint64
 	// Objects in force.
 	Objects map[Ref]*pb.Object
-	// Outcomes in offset order, within Window of Next.
+	// Outcomes in offset order, within window of Next.
 	Outcomes []*pb.ChangeOutcome
 	byID     map[string]*pb.ChangeOutcome
 
@@ -108,7 +110,7 @@
 		out.Reason = reason
 		return
 	}
-	if change.ReadOffset > out.Offset || out.Offset-change.ReadOffset > Window {
+	if change.ReadOffset > out.Offset || out.Offset-change.ReadOffset > window {
 		out.Verdict = pb.Verdict_VERDICT_STALE
 		out.Reason = "the change was written too long before it reached the log"
 		return
@@ -135,7 +137,7 @@
 // forget drops outcomes that have left the window.
 func (s *State) forget() {
 	drop := 0
-	for drop < len(s.Outcomes) && s.Outcomes[drop].Offset+Window < s.Next {
+	for drop < len(s.Outcomes) && s.Outcomes[drop].Offset+window < s.Next {
 		delete(s.byID, s.Outcomes[drop].ChangeId)
 		drop++
 	}
