--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -183,6 +183,7 @@
 		_, err := dispatch()
 		return err
 	}
+	ex.claimed = true
 	ticket, outcome, err := s.Claimer.Claim(ctx, ex.organisation, key, requestHash(ex.r, body))
 	if err != nil {
 		return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/dispatch"
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/limit"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
@@ -70,6 +71,8 @@
 	started      time.Time
 	// wroteStream is true once a stream's header was written.
 	wroteStream bool
+	// claimed is true once the request's idempotency key was looked up.
+	claimed bool
 	// kind and run are what is counted and logged.
 	kind, run string
 }
@@ -85,12 +88,31 @@
 			err = h(ex)
 		}
 		if err != nil {
+			err = s.beforeClaim(ex, err)
 			ex.fail(err)
 		}
 		s.record(ex, err)
 	}
 }
 
+// beforeClaim corrects a refusal of a request with an idempotency key that came
+// before its claim: "not run" is true of this attempt, but an earlier one with
+// the same key may have run.
+func (s *Server) beforeClaim(ex *exchange, err error) error {
+	e := errkind.From(err)
+	key := ex.r.Header.Get(HeaderKey)
+	if key == "" || ex.claimed || e.Kind.Answer().Run != errkind.NotRun {
+		return err
+	}
+	if e.Kind == errkind.NotReady || e.Kind == errkind.OutOfTouch {
+		return errkind.Wrap(errkind.Undecided, err, "this host cannot tell whether the key was used; ask another")
+	}
+	if s.Claimer.Known(ex.organisation, key) {
+		return errkind.Wrap(errkind.InDoubt, err, "a request with this key was sent before")
+	}
+	return err
+}
+
 func (s *Server) record(ex *exchange, err error) {
 	s.Metrics.Answered(ex.kind, ex.run)
 	entry := s.Log.WithFields(logrus.Fields{
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -45,6 +45,9 @@
 	KeyReused
 	// InDoubt means an earlier request with this key may have run.
 	InDoubt
+	// Undecided means this host cannot tell whether an earlier request with the
+	// same key ran; this one was not sent.
+	Undecided
 	// NoBackend means no backend server can take the request.
 	NoBackend
 	// BackendUnreachable means nothing was sent to the backend server.
@@ -106,6 +109,7 @@
 	KeyRejected:        {"key_rejected", http.StatusUnprocessableEntity, connect.CodeFailedPrecondition, NotRun, 0},
 	KeyReused:          {"key_reused", http.StatusConflict, connect.CodeAlreadyExists, NotRun, 0},
 	InDoubt:            {"in_doubt", http.StatusConflict, connect.CodeUnknown, MayHaveRun, 0},
+	Undecided:          {"undecided", http.StatusServiceUnavailable, connect.CodeUnavailable, MayHaveRun, time.Second},
 	NoBackend:          {"no_backend", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 2 * time.Second},
 	BackendUnreachable: {"backend_unreachable", http.StatusBadGateway, connect.CodeUnavailable, NotRun, time.Second},
 	BackendRefused:     {"backend_refused", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, time.Second},
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -51,13 +51,14 @@
 	return clone(t.self)
 }
 
-// Beat advances this host's heartbeat and its configuration offsets.
-func (t *Table) Beat(applied, known uint64) {
+// Beat advances this host's heartbeat and its log offsets.
+func (t *Table) Beat(applied, known, claims uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Beat++
 	t.self.AppliedOffset = applied
 	t.self.KnownOffset = known
+	t.self.ClaimsOffset = claims
 }
 
 // Leave marks this host as leaving; it stays so.
@@ -223,4 +224,16 @@
 	return known, best
 }
 
+// ClaimsAhead reports whether a live host has folded claims beyond offset.
+func (t *Table) ClaimsAhead(now time.Time, offset uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.hosts {
+		if t.alive(h, now) && h.entry.ClaimsOffset > offset {
+			return true
+		}
+	}
+	return false
+}
+
 func clone(e *pb.HostEntry) *pb.HostEntry { return proto.Clone(e).(*pb.HostEntry) }
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -78,7 +78,7 @@
 func (n *Node) heartbeats(ctx context.Context) {
 	every(ctx, n.settings.Member.HeartbeatInterval.AsDuration(), func() {
 		now := time.Now()
-		n.members.Beat(n.store.Next(), n.store.Known())
+		n.members.Beat(n.store.Next(), n.store.Known(), n.claimer.Next())
 		n.outOfTouch(now)
 		n.limiter.SetHosts(len(n.members.Serving(now)))
 		for _, h := range n.members.Hosts(now) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,10 +95,17 @@
 	}, s.Member.DeadAfter.AsDuration())
 	n.touch = newTouch(n.started, s.Member.OutOfTouchAfter.AsDuration())
 	n.replicas = replica.NewTable(n.index, s.Route.DownAfter.AsDuration())
-	n.claimer = once.NewClaimer(n.platform, s.Claim.MaxKeyAge.AsDuration(), s.Claim.Wait.AsDuration(), n.claimInterval)
+	n.claimer = once.NewClaimer(n.platform, s.Claim.MaxKeyAge.AsDuration(), s.Claim.Wait.AsDuration(), n.claimInterval, n.claimsBehind)
 	return n
 }
 
+// claimsBehind reports whether claims may exist that this host cannot see: it
+// is out of touch, or a peer has read further.
+func (n *Node) claimsBehind() bool {
+	now := time.Now()
+	return n.outOfTouch(now) || n.members.ClaimsAhead(now, n.claimer.Next())
+}
+
 // claimInterval keeps the appends of all hosts together within the log's rate.
 func (n *Node) claimInterval() time.Duration {
 	hosts := len(n.members.Serving(time.Now()))
--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -63,12 +63,15 @@
 	follower *platform.Follower
 	wait     time.Duration
 	group    func() time.Duration
+	behind   func() bool
 
 	mu      sync.Mutex
 	table   *Table
 	waiting map[string]*waiter
 	queue   []*queued
 	wake    chan struct{}
+	// folded is closed at the next change of the table.
+	folded chan struct{}
 }
 
 type waiter struct {
@@ -84,16 +87,19 @@
 }
 
 // NewClaimer returns a claimer over log's claims stream. maxAge bounds a key's
-// age, wait the time a claim may take, and group returns the interval at which
-// claims are put together into one append.
-func NewClaimer(log platform.Log, maxAge, wait time.Duration, group func() time.Duration) *Claimer {
+// age, wait the time a claim may take, group returns the interval at which claims
+// are put together into one append, and behind reports whether other hosts may
+// know of claims that this one cannot read.
+func NewClaimer(log platform.Log, maxAge, wait time.Duration, group func() time.Duration, behind func() bool) *Claimer {
 	c := &Claimer{
 		log:     log,
 		wait:    wait,
 		group:   group,
+		behind:  behind,
 		table:   NewTable(maxAge),
 		waiting: map[string]*waiter{},
 		wake:    make(chan struct{}, 1),
+		folded:  make(chan struct{}),
 	}
 	c.follower = platform.NewFollower(log, platform.ClaimStream, c.position, c.ingest)
 	return c
@@ -120,23 +126,74 @@
 	if _, ok := KeyTime(key); !ok {
 		return nil, nil, errkind.New(errkind.KeyRejected, "the idempotency key is not a UUIDv7")
 	}
-	w, known := c.enter(organisation, key, hash)
-	if known != nil {
-		return nil, known.Outcome, known.err()
-	}
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
+	w, known := c.enter(organisation, key, hash)
+	if known == nil {
+		j, err := c.await(ctx, w)
+		if err != nil {
+			return nil, nil, err
+		}
+		if j.Verdict == Won {
+			return &Ticket{c, w}, nil, nil
+		}
+		known = &j
+	}
+	if known.Verdict == Held {
+		known = c.awaitOutcome(ctx, organisation, key, hash)
+	}
+	return nil, known.Outcome, known.err()
+}
+
+// await returns the judgement on a claim, or gives the claim up.
+func (c *Claimer) await(ctx context.Context, w *waiter) (Judgement, error) {
 	select {
 	case j := <-w.judgement:
-		return c.decided(w, j)
+		return j, nil
 	case <-ctx.Done():
 	}
-	if c.abandon(w) {
-		return nil, nil, errkind.New(errkind.LogUnavailable, "the log did not confirm the claim in time; the request was not sent")
+	if !c.abandon(w) {
+		return <-w.judgement, nil
+	}
+	if c.behind() {
+		return Judgement{}, errkind.New(errkind.Undecided, "this host cannot read the claims that other hosts have read")
+	}
+	return Judgement{}, errkind.New(errkind.LogUnavailable, "the log did not confirm the claim in time; the request was not sent")
+}
+
+// awaitOutcome waits for the outcome of the claim that came first.
+func (c *Claimer) awaitOutcome(ctx context.Context, organisation, key string, hash []byte) *Judgement {
+	for {
+		c.mu.Lock()
+		j, ok := c.table.Peek(organisation, key, hash)
+		folded := c.folded
+		c.mu.Unlock()
+		if !ok {
+			// Released meanwhile: the caller may ask again.
+			return &Judgement{Verdict: Untrusted}
+		}
+		if j.Verdict != Held {
+			return &j
+		}
+		select {
+		case <-ctx.Done():
+			return &j
+		case <-folded:
+		}
 	}
-	return c.decided(w, <-w.judgement)
 }
 
+// Known reports whether the claims stream as read so far knows the key.
+func (c *Claimer) Known(organisation, key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.table.Peek(organisation, key, nil)
+	return ok
+}
+
+// Next returns the first claims offset not yet folded.
+func (c *Claimer) Next() uint64 { return c.position() }
+
 // enter queues a claim unless the table already knows the answer.
 func (c *Claimer) enter(organisation, key string, hash []byte) (*waiter, *Judgement) {
 	c.mu.Lock()
@@ -165,13 +222,6 @@
 	return fire(w.machine, eventAbandon)
 }
 
-func (c *Claimer) decided(w *waiter, j Judgement) (*Ticket, *pb.OutcomeStep, error) {
-	if j.Verdict == Won {
-		return &Ticket{c, w}, nil, nil
-	}
-	return nil, j.Outcome, j.err()
-}
-
 func (j Judgement) err() error {
 	switch j.Verdict {
 	case Won, Settled:
@@ -183,7 +233,7 @@
 	case BadKey:
 		return errkind.New(errkind.KeyRejected, "the idempotency key is too old or from the future")
 	default:
-		return errkind.New(errkind.LogUnavailable, "this host has not read enough of the log yet")
+		return errkind.New(errkind.Undecided, "this host cannot tell yet whether the key was used; ask again")
 	}
 }
 
@@ -345,6 +395,10 @@
 		verdicts := c.table.Fold(batch, rec.Time)
 		c.seen(batch, verdicts)
 	}
+	if len(page.Records) > 0 {
+		close(c.folded)
+		c.folded = make(chan struct{})
+	}
 }
 
 // forget drops abandoned claims whose key can no longer be claimed.
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -86,7 +86,9 @@
 
 func (s *site) step(i int) { _ = s.tailers[i].Follower().Step(context.Background(), 0) }
 
-func (s *site) append(payload []byte) { _, _ = s.log.Append(context.Background(), platform.ConfigStream, payload) }
+func (s *site) append(payload []byte) {
+	_, _ = s.log.Append(context.Background(), platform.ConfigStream, payload)
+}
 
 func (s *site) submit(c *pb.Change) {
 	payload, err := proto.Marshal(&pb.ConfigRecord{Kind: &pb.ConfigRecord_Change{Change: c}})
@@ -213,8 +215,7 @@
 // settle ends every fault and checks that hosts catch up where they can: from
 // the log alone after a fresh checkpoint, once one host knows the state.
 func (s *site) settle(t *rapid.T) {
-	s.log.SetDown(false)
-	s.log.Inject()
+	s.log.Heal()
 	end := uint64(len(s.log.All(platform.ConfigStream)))
 	for range int(end) + 2 {
 		for i := range s.stores {
--- a/test/standin/fakelog/fakelog.go
+++ b/test/standin/fakelog/fakelog.go
@@ -70,6 +70,14 @@
 	l.down = down
 }
 
+// Heal ends an outage and drops the faults still queued.
+func (l *Log) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
+	l.faults = nil
+}
+
 // Inject queues faults for the next appends.
 func (l *Log) Inject(faults ...AppendFault) {
 	l.mu.Lock()
