--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -143,15 +143,15 @@
 }
 
 // events checks each event's attempt and number. Whatever is amiss ends the
-// stream with BackendLost; only [DONE] ends it as complete.
+// stream with BackendLost; only [DONE] after a finish reason ends it as complete.
 func events(body io.Reader, attemptID string, from int) iter.Seq2[EngineEvent, error] {
 	return func(yield func(EngineEvent, error) bool) {
-		next := from
+		next, finished := from, false
 		for ev, err := range sse.Read(body, nil) {
 			if err != nil {
 				break
 			}
-			if ev.Data == oai.Done {
+			if ev.Data == oai.Done && finished {
 				yield(EngineEvent{Index: next, Done: true}, nil)
 				return
 			}
@@ -160,6 +160,7 @@
 				yield(EngineEvent{}, err)
 				return
 			}
+			finished = event.Chunk.Choices[0].FinishReason != nil
 			if !yield(event, nil) {
 				return
 			}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -223,7 +223,7 @@
 			return err
 		}
 		if ev.Done {
-			return r.complete()
+			return nil
 		}
 		// A slow caller holds the engine back; that silence is not the engine's.
 		watchdog.Stop()
@@ -235,14 +235,6 @@
 	return errkind.New(errkind.BackendLost, "the engine's stream was cut")
 }
 
-// complete accepts the end of a stream only after a finish reason.
-func (r *run) complete() error {
-	if r.result.FinishReason == "" {
-		return errkind.New(errkind.BackendLost, "the engine ended the stream without a finish reason")
-	}
-	return nil
-}
-
 // take passes one event on and learns from its usage.
 func (r *run) take(rep route.Replica, incarnation uint64, ev EngineEvent) error {
 	choice := ev.Chunk.Choices[0]
