--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,7 @@
 # Each mechanism broken once: the named test must notice.
 mutations:
 	go run ./test/mutate
+
+# make bench-policy SEED=101,102 SHAPE=taller CASE=steady ARGS=--others
+bench-policy:
+	@go run ./test/policybench $(if $(SEED),--seed $(SEED)) $(if $(SHAPE),--shape $(SHAPE)) $(if $(CASE),--case $(CASE)) $(ARGS)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,9 +11,8 @@
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/limit"
 	"github.com/briarlink/briarlink/internal/oai"
-	"github.com/briarlink/briarlink/internal/prefix"
-	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
 )
 
 // States of a request while it is dispatched.
@@ -58,10 +57,7 @@
 	Organisation string
 	// Engine is what is sent; AttemptID and Generated are filled in per attempt.
 	Engine oai.EngineRequest
-	// Chain names the prompt's whole pieces.
-	Chain []prefix.Hash
-	// Pieces is the prompt's length in pieces, the incomplete last one included.
-	Pieces float64
+	Prompt schedule.Prompt
 	// Repeatable allows another attempt after one may have run.
 	Repeatable bool
 	// FirstToken bounds the expected time to first token; 0 means no bound.
@@ -85,17 +81,15 @@
 
 // Dispatcher runs jobs. It is safe for concurrent use.
 type Dispatcher struct {
-	engine   Engine
-	replicas *replica.Table
-	index    *prefix.Index
-	pipeline *route.Pipeline
-	retries  *limit.RetryBudget
-	idle     time.Duration
+	engine    Engine
+	scheduler *schedule.Scheduler
+	retries   *limit.RetryBudget
+	idle      time.Duration
 }
 
 // New returns a dispatcher; idle is the longest silence of an engine.
-func New(engine Engine, replicas *replica.Table, index *prefix.Index, pipeline *route.Pipeline, retries *limit.RetryBudget, idle time.Duration) *Dispatcher {
-	return &Dispatcher{engine, replicas, index, pipeline, retries, idle}
+func New(engine Engine, scheduler *schedule.Scheduler, retries *limit.RetryBudget, idle time.Duration) *Dispatcher {
+	return &Dispatcher{engine, scheduler, retries, idle}
 }
 
 // run is the state of one job.
@@ -137,8 +131,7 @@
 
 // attempt picks a replica and runs the job there, resuming after a cut.
 func (r *run) attempt(ctx context.Context) error {
-	now := time.Now()
-	decision, err := r.decide(now)
+	decision, err := r.decide()
 	if err != nil {
 		return err
 	}
@@ -146,10 +139,6 @@
 	r.result.Replica = decision.Replica.ID
 	r.result.ExpectedPieces = decision.Cached
 	r.exclude = append(r.exclude, decision.Replica.ID)
-	r.d.replicas.Sent(decision.Replica.ID, r.job.Pieces-decision.Cached, now)
-	// Pieces about to be computed count as held, so that the next request with
-	// the same prompt follows this one.
-	r.d.index.Add(decision.Replica.Number, decision.Replica.Incarnation, now, r.job.Chain...)
 	r.fire(eventSend)
 	req := r.job.Engine
 	req.AttemptID = uuid.NewString()
@@ -165,21 +154,13 @@
 	return err
 }
 
-func (r *run) decide(now time.Time) (route.Decision, error) {
-	req := route.Request{
-		Model:   r.job.Engine.Model,
-		Version: r.job.Engine.Version,
-		Pieces:  r.job.Pieces,
-		Matches: r.d.index.Lookup(r.job.Chain, now),
-		Exclude: r.exclude,
+// decide picks a replica; an answer that has begun is continued at any price.
+func (r *run) decide() (route.Decision, error) {
+	budget := r.job.FirstToken
+	if r.sent {
+		budget = 0
 	}
-	if !r.sent {
-		req.Budget = r.job.FirstToken
-	}
-	if len(r.job.Chain) > 0 {
-		req.Affinity = uint64(r.job.Chain[0])
-	}
-	return r.d.pipeline.Decide(&req, r.d.replicas.Snapshot(req.Model, now))
+	return r.d.scheduler.Pick(&r.job.Prompt, r.exclude, budget, time.Now())
 }
 
 // resume asks the same engine for the rest of the attempt: the same execution,
@@ -265,8 +246,8 @@
 	if u.PromptTokens == 0 {
 		return
 	}
-	r.result.CachedPieces = r.job.Pieces * float64(u.Details.CachedTokens) / float64(u.PromptTokens)
-	r.d.index.Add(rep.Number, incarnation, time.Now(), r.job.Chain...)
+	r.result.CachedPieces = r.job.Prompt.Pieces * float64(u.Details.CachedTokens) / float64(u.PromptTokens)
+	r.d.scheduler.Learn(&r.job.Prompt, rep.Number, incarnation, time.Now())
 }
 
 // note tells the replica table what the attempt's end says about the replica,
@@ -275,9 +256,9 @@
 	switch {
 	case err == nil:
 	case errkind.Is(err, errkind.BackendRefused):
-		r.d.replicas.Bar(rep.ID, rep.Incarnation)
+		r.d.scheduler.Replicas().Bar(rep.ID, rep.Incarnation)
 	case errkind.Is(err, errkind.BackendUnreachable):
-		r.d.replicas.Failed(rep.ID, "connection failed")
+		r.d.scheduler.Replicas().Failed(rep.ID, "connection failed")
 	default:
 		go r.d.engine.Cancel(rep.Address, attemptID)
 	}
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -18,6 +18,7 @@
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
 	_ "github.com/briarlink/briarlink/test/fixedseed"
 )
 
@@ -168,7 +169,7 @@
 	for id := range specs {
 		table.Report(id, &pb.PollResponse{Incarnation: 1, Model: "m", Version: testVersion, PrefillUsPerPiece: 1000}, time.Now())
 	}
-	return New(engine, table, index, route.NewPipeline(route.Policy{}), limit.NewRetryBudget(1), time.Second)
+	return New(engine, schedule.New(table, index, route.NewPipeline(route.Policy{})), limit.NewRetryBudget(1), time.Second)
 }
 
 func TestAnswersAgainstExecutions(t *testing.T) {
@@ -182,7 +183,7 @@
 		var err error
 		var result Result
 		synctest.Test(t, func(t *testing.T) {
-			job := &Job{Organisation: "o", Engine: oai.EngineRequest{Model: "m", Version: testVersion, MaxTokens: testTokens}, Repeatable: repeatable}
+			job := &Job{Organisation: "o", Engine: oai.EngineRequest{MaxTokens: testTokens, Version: testVersion}, Prompt: schedule.Prompt{Model: "m", Version: testVersion}, Repeatable: repeatable}
 			result, err = newTestDispatcher(engine).Run(t.Context(), job, sink)
 		})
 		judge(rt, engine, sink, repeatable, result, err)
@@ -216,7 +217,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			started := time.Now()
-			job := &Job{Engine: oai.EngineRequest{Model: "m", Version: testVersion, MaxTokens: testTokens}}
+			job := &Job{Engine: oai.EngineRequest{MaxTokens: testTokens, Version: testVersion}, Prompt: schedule.Prompt{Model: "m", Version: testVersion}}
 			_, err := newTestDispatcher(engine).Run(ctx, job, &recorder{})
 			if err == nil {
 				t.Fatal("no error")
@@ -235,7 +236,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 		started := time.Now()
-		job := &Job{Engine: oai.EngineRequest{Model: "m", Version: testVersion, MaxTokens: testTokens}, Repeatable: true}
+		job := &Job{Engine: oai.EngineRequest{MaxTokens: testTokens, Version: testVersion}, Prompt: schedule.Prompt{Model: "m", Version: testVersion}, Repeatable: true}
 		_, err := newTestDispatcher(engine).Run(ctx, job, &recorder{})
 		if !errkind.Is(err, errkind.DeadlineExceeded) || time.Since(started) != 300*time.Millisecond {
 			t.Errorf("%v after %s", err, time.Since(started))
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return
 	}
-	s.Metrics.PromptPieces.Inc(int64(math.Round(job.Pieces)))
+	s.Metrics.PromptPieces.Inc(int64(math.Round(job.Prompt.Pieces)))
 	s.Metrics.CachedPieces.Inc(int64(math.Round(result.CachedPieces)))
 	s.Metrics.WastedPieces.Inc(int64(math.Round(max(0, result.ExpectedPieces-result.CachedPieces))))
 	s.Metrics.BeliefError.Inc(int64(math.Round(math.Abs(result.ExpectedPieces - result.CachedPieces))))
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -20,6 +20,7 @@
 	"github.com/briarlink/briarlink/internal/oai"
 	"github.com/briarlink/briarlink/internal/once"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/schedule"
 )
 
 const (
@@ -147,15 +148,19 @@
 			CacheSalt: scope.Salt(),
 			Version:   spec.Version,
 		},
-		Chain:  prefix.Chain(scope.Salt(), prompt, pieceBytes, 0),
-		Pieces: float64(len(prompt)) / float64(pieceBytes),
+		Prompt: schedule.Prompt{
+			Model:   model,
+			Version: spec.Version,
+			Chain:   prefix.Chain(scope.Salt(), prompt, pieceBytes, 0),
+			Pieces:  float64(len(prompt)) / float64(pieceBytes),
+		},
 	}, nil
 }
 
 // admitCost applies the organisation's limits. A request beyond the guarantee
 // is sent only where its first token is expected soon.
 func (s *Server) admitCost(ctx context.Context, ex *exchange, job *dispatch.Job) error {
-	class, err := s.Limiter.Admit(ex.organisation, job.Pieces+1, time.Now())
+	class, err := s.Limiter.Admit(ex.organisation, job.Prompt.Pieces+1, time.Now())
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,16 +32,13 @@
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/internal/state"
 )
 
-const (
-	// claimAppendsPerSecond is the part of the log's rate that claims of all
-	// hosts together may use.
-	claimAppendsPerSecond = 200
-	// beliefLife is the age at which a belief about a cached piece is worth 1/e.
-	beliefLife = 30 * time.Second
-)
+// claimAppendsPerSecond is the part of the log's rate that claims of all hosts
+// together may use.
+const claimAppendsPerSecond = 200
 
 // Node is one entry host.
 type Node struct {
@@ -150,13 +147,15 @@
 func (n *Node) buildServers() {
 	s := n.settings
 	retries := limit.NewRetryBudget(s.Request.RetryRatio)
-	pipeline := route.NewPipeline(route.Policy{RecomputeWeight: s.Route.RecomputeWeight, BeliefLife: beliefLife})
+	policy := route.DefaultPolicy()
+	policy.RecomputeWeight = s.Route.RecomputeWeight
+	pipeline := route.NewPipeline(policy)
 	n.entry = entry.New(entry.Deps{
 		Settings:   s,
 		Store:      n.store,
 		Members:    n.members,
 		Limiter:    n.limiter,
-		Dispatcher: dispatch.New(dispatch.NewHTTPEngine(), n.replicas, n.index, pipeline, retries, s.Request.IdleTimeout.AsDuration()),
+		Dispatcher: dispatch.New(dispatch.NewHTTPEngine(), schedule.New(n.replicas, n.index, pipeline), retries, s.Request.IdleTimeout.AsDuration()),
 		Services:   dispatch.NewServices(retries),
 		Claimer:    n.claimer,
 		Metrics:    n.metrics,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -78,6 +78,14 @@
 	BeliefLife time.Duration
 }
 
+// DefaultPolicy is the policy of a host whose settings say nothing else.
+func DefaultPolicy() Policy {
+	return Policy{RecomputeWeight: 0.3, BeliefLife: beliefLife}
+}
+
+// beliefLife is the age at which a belief is worth 1/e of a fresh one.
+const beliefLife = 30 * time.Second
+
 // Candidate is a replica under consideration.
 type Candidate struct {
 	Replica *Replica
