Policy bench: hosts exchange demand, and each deployment its own borrow wait

Change: the hosts' heartbeats carry demand, as in the product; the wait up to which a request beyond the guarantee is admitted follows the deployment (4 s for long reports, 1 s for desk queries).

--- a/test/policybench/policies.go
+++ b/test/policybench/policies.go
@@ -20,9 +20,8 @@
 	benchModel   = "m"
 	benchVersion = "v1"
 	indexSize    = 1_000_000
-	// borrowWait and deadline are what a host's settings would say.
-	borrowWait = time.Second
-	deadline   = 60 * time.Second
+	// deadline is what a host's settings would say.
+	deadline = 60 * time.Second
 )
 
 // work is a request on its way.
@@ -46,6 +45,7 @@
 	answered(w *work, cached int)
 	unreachable(replica int)
 	poll()
+	heartbeat()
 	restart()
 }
 
@@ -120,6 +120,7 @@
 
 func (b *simple) answered(*work, int) {}
 func (b *simple) restart()            {}
+func (b *simple) heartbeat()          {}
 
 func (b *simple) unreachable(i int) { b.down[i] = b.sim.now + time.Second }
 
@@ -137,10 +138,11 @@
 	table    *replica.Table
 	schedule *schedule.Scheduler
 	limited  bool
+	name     string
 }
 
 func newProduct(s *sim, policy route.Policy, limited bool) *product {
-	p := &product{sim: s, policy: policy, limited: limited}
+	p := &product{sim: s, policy: policy, limited: limited, name: fmt.Sprint(len(s.routers))}
 	p.restart()
 	return p
 }
@@ -174,6 +176,16 @@
 	p.table.Expire(now)
 }
 
+// heartbeat tells the other hosts the demand seen here.
+func (p *product) heartbeat() {
+	demand := p.limiter.Demand(p.sim.clock())
+	for _, r := range p.sim.routers {
+		if other := r.(*product); other != p {
+			other.limiter.Heard(p.name, demand)
+		}
+	}
+}
+
 func (p *product) prompt(w *work) *schedule.Prompt {
 	return &schedule.Prompt{Model: benchModel, Version: benchVersion, Chain: w.chain, Pieces: w.pieces}
 }
@@ -188,7 +200,7 @@
 		}
 		budget = deadline
 		if class == limit.Borrowed {
-			budget = borrowWait
+			budget = p.sim.shape.BorrowWait
 		}
 	}
 	var exclude []string
@@ -239,6 +251,7 @@
 func (o *oracle) answered(*work, int) {}
 func (o *oracle) unreachable(int)     {}
 func (o *oracle) poll()               {}
+func (o *oracle) heartbeat()          {}
 func (o *oracle) restart()            {}
 
 // willHold returns the leading pieces held now or computed by what is queued.
--- a/test/policybench/sim.go
+++ b/test/policybench/sim.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	pollInterval = 200 * time.Millisecond
-	loadLag      = 200 * time.Millisecond
-	eventLag     = 100 * time.Millisecond
+	pollInterval      = 200 * time.Millisecond
+	heartbeatInterval = 500 * time.Millisecond
+	loadLag           = 200 * time.Millisecond
+	eventLag          = 100 * time.Millisecond
 	// keptEvents is how many cache events an engine keeps for polls.
 	keptEvents = 4000
 	crashDown  = 2 * time.Second
@@ -273,7 +274,9 @@
 		})
 	}
 	for i, r := range s.routers {
-		s.pollFrom(r, time.Duration(i)*pollInterval/time.Duration(len(s.routers)))
+		first := time.Duration(i) * pollInterval / time.Duration(len(s.routers))
+		s.every(pollInterval, first, r.poll)
+		s.every(heartbeatInterval, first, r.heartbeat)
 	}
 	s.run(length)
 }
@@ -289,11 +292,11 @@
 	s.after(start, next)
 }
 
-func (s *sim) pollFrom(r router, first time.Duration) {
+func (s *sim) every(interval, first time.Duration, do func()) {
 	var round func()
 	round = func() {
-		r.poll()
-		s.after(pollInterval, round)
+		do()
+		s.after(interval, round)
 	}
 	s.after(first, round)
 }
--- a/test/policybench/workload.go
+++ b/test/policybench/workload.go
@@ -25,6 +25,8 @@
 	Quick float64
 	// RecomputeWeight is the deployment's setting.
 	RecomputeWeight float64
+	// BorrowWait is the deployment's setting.
+	BorrowWait time.Duration
 	// Load is the offered load as a share of what the replicas carry in the
 	// steady case under the oracle.
 	Load float64
@@ -33,11 +35,11 @@
 var shapes = []Shape{
 	{
 		Name: "taller", Replicas: 12, Routers: 8, CachePieces: 300, Prefill: 40 * time.Millisecond,
-		Levels: [3]int{6, 12, 24}, Cases: 60, Quick: 0.4, RecomputeWeight: 0.6, Load: 0.65,
+		Levels: [3]int{6, 12, 24}, Cases: 60, Quick: 0.4, RecomputeWeight: 0.6, BorrowWait: 4 * time.Second, Load: 0.65,
 	},
 	{
 		Name: "utility", Replicas: 9, Routers: 8, CachePieces: 200, Prefill: 25 * time.Millisecond,
-		Levels: [3]int{3, 6, 10}, Cases: 80, Quick: 0.7, RecomputeWeight: 0, Load: 0.6,
+		Levels: [3]int{3, 6, 10}, Cases: 80, Quick: 0.7, RecomputeWeight: 0, BorrowWait: time.Second, Load: 0.6,
 	},
 }
 
