Routing: the reported queue drains while the report ages

Cause: a load report is 200 to 400 ms old; routing took it as the queue of now and so shunned replicas whose queue had long drained, the holders of hot prefixes among them. Ruled out as the cause: event loss (its case was no worse than steady).

Change: the expected queue is a fluid queue: what was reported drains at the replica's own speed, what this host sent since joins at its time.

--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -137,7 +137,7 @@
 	}
 	e.status = status
 	e.polled = now
-	e.dropSentBefore(now.Add(-time.Duration(status.LoadAgeMs) * time.Millisecond))
+	e.dropSentBefore(e.loadTime())
 	t.events(e, status, now)
 	e.advance()
 }
@@ -294,16 +294,35 @@
 		Model:       e.status.Model,
 		Version:     e.status.Version,
 		Serving:     e.machine.Is(StateServing),
-		Reported:    float64(e.status.QueuedPieces),
+		Queued:      e.queuedAt(now),
 		Running:     int(e.status.Running),
 		Prefill:     time.Duration(e.status.PrefillUsPerPiece) * time.Microsecond,
 		Decode:      time.Duration(e.status.DecodeUsPerToken) * time.Microsecond,
-		LoadAge:     now.Sub(e.polled) + time.Duration(e.status.LoadAgeMs)*time.Millisecond,
+	}
+	return r
+}
+
+// queuedAt estimates the queue at now: what was reported drains at the replica's
+// own speed, and what was sent since joins it at its time (a fluid queue).
+func (e *entry) queuedAt(now time.Time) float64 {
+	queued, at := float64(e.status.QueuedPieces), e.loadTime()
+	drain := func(until time.Time) {
+		if d := until.Sub(at); d > 0 && e.status.PrefillUsPerPiece > 0 {
+			queued = max(0, queued-float64(d.Microseconds())/float64(e.status.PrefillUsPerPiece))
+			at = until
+		}
 	}
 	for _, s := range e.sent {
-		r.SentSince += s.pieces
+		drain(s.at)
+		queued += s.pieces
 	}
-	return r
+	drain(now)
+	return queued
+}
+
+// loadTime is the time of the last load report.
+func (e *entry) loadTime() time.Time {
+	return e.polled.Add(-time.Duration(e.status.LoadAgeMs) * time.Millisecond)
 }
 
 // Status returns every backend server for operators, by ID.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -25,18 +25,14 @@
 	Version string
 	// Serving is false when the replica takes no new work.
 	Serving bool
-	// Reported is the number of pieces queued for prefill at the last report.
-	Reported float64
-	// SentSince is what this host sent after that report, in uncached pieces.
-	SentSince float64
+	// Queued is the number of uncached pieces expected to wait for prefill now.
+	Queued float64
 	// Running is the number of streams at the last report.
 	Running int
 	// Prefill is the time to compute one uncached piece.
 	Prefill time.Duration
 	// Decode is the time between tokens.
 	Decode time.Duration
-	// LoadAge is the age of Reported and Running.
-	LoadAge time.Duration
 }
 
 // Snapshot is the immutable set of replicas a decision is made on.
@@ -159,7 +155,7 @@
 			c.Cached = float64(m.Depth) * p.confidence(m.Oldest)
 		}
 	}
-	c.Wait = time.Duration((r.Reported + r.SentSince) * float64(r.Prefill))
+	c.Wait = time.Duration(r.Queued * float64(r.Prefill))
 	c.Prefill = time.Duration(max(0, req.Pieces-c.Cached) * float64(r.Prefill))
 	return c
 }
--- a/test/policybench/policies.go
+++ b/test/policybench/policies.go
@@ -235,7 +235,7 @@
 	for i, r := range o.sim.replicas {
 		snap.Replicas = append(snap.Replicas, route.Replica{
 			ID: replicaID(i), Number: prefix.Replica(i), Model: benchModel, Version: benchVersion,
-			Serving: !r.down, Reported: r.queued, Prefill: o.sim.shape.Prefill,
+			Serving: !r.down, Queued: r.queued, Prefill: o.sim.shape.Prefill,
 		})
 		if depth := r.willHold(w.chain); depth > 0 {
 			req.Matches = append(req.Matches, prefix.Match{Replica: prefix.Replica(i), Depth: depth})
