Routing: hosts tell each other what they just sent

Cause: eight hosts see the same load report, 200 to 400 ms old, and choose the same replica at once; what a host sent itself since is an eighth of what was sent.

Change: every 50 ms a host tells its peers (at most fan_out of them) the work it sent; it joins their fluid queues. Ruled out: shorter polls alone, since the engines' own report lags.

--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -13,6 +13,7 @@
 
 const (
 	listInterval     = time.Second
+	workInterval     = 50 * time.Millisecond
 	catchUpInterval  = 200 * time.Millisecond
 	checkInterval    = time.Second
 	warmUpPieces     = 200_000
@@ -115,6 +116,25 @@
 	n.members.Merge(resp.Hosts, time.Now())
 }
 
+// tellWork passes on to some peers what this host just sent, since their load
+// reports are older than that.
+func (n *Node) tellWork(ctx context.Context) {
+	every(ctx, workInterval, func() {
+		work := n.replicas.TakeSent()
+		if len(work) == 0 {
+			return
+		}
+		for _, p := range n.members.Targets(time.Now(), int(n.settings.Member.FanOut), n.rng) {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+				defer cancel()
+				// Best effort: the next load report shows the work as well.
+				_, _ = n.peers.TellWork(ctx, p.Address, &pb.TellWorkRequest{Work: work})
+			}()
+		}
+	})
+}
+
 // catchUp fetches the configuration from a peer that has applied more, and
 // warms the prefix index once after the start.
 func (n *Node) catchUp(ctx context.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 	}
 	for _, loop := range []func(context.Context){
 		n.tailer.Run, n.claimer.Run, n.applyConfig, n.heartbeats, n.catchUp, n.watchList, n.checkpoints,
-		n.poller.Run, n.awaitReady,
+		n.poller.Run, n.awaitReady, n.tellWork,
 	} {
 		wg.Go(func() { loop(work) })
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -29,6 +29,12 @@
 	return &pb.HeartbeatResponse{Hosts: p.n.members.Entries(now)}, nil
 }
 
+// TellWork implements PeerService.
+func (p *peerService) TellWork(_ context.Context, req *pb.TellWorkRequest) (*pb.TellWorkResponse, error) {
+	p.n.replicas.SentByPeer(req.Work, time.Now())
+	return &pb.TellWorkResponse{}, nil
+}
+
 // begin takes a transfer slot; done gives it back.
 func (p *peerService) begin() (done func(), ok bool) {
 	select {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,6 +44,13 @@
 	})
 }
 
+// TellWork tells the peer at address what was sent to backend servers.
+func (c *Client) TellWork(ctx context.Context, address string, in *pb.TellWorkRequest) (*pb.TellWorkResponse, error) {
+	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.TellWorkResponse, error) {
+		return p.TellWork(ctx, in)
+	})
+}
+
 // FetchState asks the peer at address for its configuration state.
 func (c *Client) FetchState(ctx context.Context, address string, in *pb.FetchStateRequest) (*pb.FetchStateResponse, error) {
 	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchStateResponse, error) {
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -56,6 +56,8 @@
 	downAfter time.Duration
 	// configured is true once a configuration was taken.
 	configured bool
+	// untold is work sent since the last TakeSent.
+	untold []*pb.WorkItem
 }
 
 type entry struct {
@@ -222,6 +224,27 @@
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
 		e.sent = append(e.sent, sentWork{now, pieces})
+		t.untold = append(t.untold, &pb.WorkItem{BackendServer: id, Pieces: float32(pieces)})
+	}
+}
+
+// TakeSent returns what this host sent since the last call, to tell its peers.
+func (t *Table) TakeSent() []*pb.WorkItem {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	work := t.untold
+	t.untold = nil
+	return work
+}
+
+// SentByPeer takes what another host sent a moment ago.
+func (t *Table) SentByPeer(work []*pb.WorkItem, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, item := range work {
+		if e := t.entries[item.BackendServer]; e != nil {
+			e.sent = append(e.sent, sentWork{now, float64(item.Pieces)})
+		}
 	}
 }
 
--- a/test/policybench/policies.go
+++ b/test/policybench/policies.go
@@ -46,6 +46,7 @@
 	unreachable(replica int)
 	poll()
 	heartbeat()
+	tellWork()
 	restart()
 }
 
@@ -121,6 +122,7 @@
 func (b *simple) answered(*work, int) {}
 func (b *simple) restart()            {}
 func (b *simple) heartbeat()          {}
+func (b *simple) tellWork()           {}
 
 func (b *simple) unreachable(i int) { b.down[i] = b.sim.now + time.Second }
 
@@ -186,6 +188,20 @@
 	}
 }
 
+// tellWork tells the other hosts what was sent since the last time.
+func (p *product) tellWork() {
+	work := p.table.TakeSent()
+	if !p.limited {
+		return
+	}
+	now := p.sim.clock()
+	for _, r := range p.sim.routers {
+		if other := r.(*product); other != p {
+			other.table.SentByPeer(work, now)
+		}
+	}
+}
+
 func (p *product) prompt(w *work) *schedule.Prompt {
 	return &schedule.Prompt{Model: benchModel, Version: benchVersion, Chain: w.chain, Pieces: w.pieces}
 }
@@ -235,7 +251,7 @@
 	for i, r := range o.sim.replicas {
 		snap.Replicas = append(snap.Replicas, route.Replica{
 			ID: replicaID(i), Number: prefix.Replica(i), Model: benchModel, Version: benchVersion,
-			Serving: !r.down, Queued: r.queued, Prefill: o.sim.shape.Prefill,
+			Serving: !r.down, Queued: r.ahead(), Prefill: o.sim.shape.Prefill,
 		})
 		if depth := r.willHold(w.chain); depth > 0 {
 			req.Matches = append(req.Matches, prefix.Match{Replica: prefix.Replica(i), Depth: depth})
@@ -252,12 +268,34 @@
 func (o *oracle) unreachable(int)     {}
 func (o *oracle) poll()               {}
 func (o *oracle) heartbeat()          {}
+func (o *oracle) tellWork()           {}
 func (o *oracle) restart()            {}
 
+// ahead returns the exact work before a request that comes now, in pieces.
+func (r *fakeReplica) ahead() float64 {
+	sum := 0.0
+	if r.current != nil {
+		sum = float64(r.until-r.sim.now) / float64(r.sim.shape.Prefill)
+	}
+	for i, w := range r.queue {
+		sum += w.pieces - float64(r.willHoldBefore(i, w.chain))
+	}
+	return sum
+}
+
 // willHold returns the leading pieces held now or computed by what is queued.
 func (r *fakeReplica) willHold(chain []prefix.Hash) int {
+	return r.willHoldBefore(len(r.queue), chain)
+}
+
+// willHoldBefore looks no further than the first n of the queue.
+func (r *fakeReplica) willHoldBefore(n int, chain []prefix.Hash) int {
 	best := r.cached(chain)
-	for _, w := range r.queue {
+	before := r.queue[:n]
+	if r.current != nil {
+		before = append([]*work{r.current}, before...)
+	}
+	for _, w := range before {
 		n := 0
 		for n < len(chain) && n < len(w.chain) && chain[n] == w.chain[n] {
 			n++
--- a/test/policybench/sim.go
+++ b/test/policybench/sim.go
@@ -13,6 +13,7 @@
 const (
 	pollInterval      = 200 * time.Millisecond
 	heartbeatInterval = 500 * time.Millisecond
+	workInterval      = 50 * time.Millisecond
 	loadLag           = 200 * time.Millisecond
 	eventLag          = 100 * time.Millisecond
 	// keptEvents is how many cache events an engine keeps for polls.
@@ -83,12 +84,15 @@
 	order       *list.List
 	held        map[prefix.Hash]*list.Element
 	queue       []*work
-	busy        bool
+	// current is the request in prefill.
+	current *work
 	// queued is the uncached pieces of the queue and of the prefill at work.
 	queued float64
-	log    []loggedEvent
-	next   uint64
-	loads  []loadReport
+	// until is when the prefill at work ends.
+	until time.Duration
+	log   []loggedEvent
+	next  uint64
+	loads []loadReport
 }
 
 type loggedEvent struct {
@@ -110,7 +114,7 @@
 func (r *fakeReplica) reset() {
 	r.incarnation++
 	r.order, r.held = list.New(), map[prefix.Hash]*list.Element{}
-	r.queue, r.busy, r.queued = nil, false, 0
+	r.queue, r.current, r.queued = nil, nil, 0
 	r.log, r.next, r.loads = nil, 0, nil
 }
 
@@ -128,7 +132,7 @@
 	r.queue = append(r.queue, w)
 	r.queued += w.pieces - float64(r.cached(w.chain))
 	r.changed()
-	if !r.busy {
+	if r.current == nil {
 		r.begin()
 	}
 }
@@ -145,14 +149,16 @@
 		return
 	}
 	w := r.queue[0]
-	r.queue, r.busy = r.queue[1:], true
+	r.queue, r.current = r.queue[1:], w
 	hit := r.cached(w.chain)
 	for _, h := range w.chain[:hit] {
 		r.order.MoveToFront(r.held[h])
 	}
 	missing := w.pieces - float64(hit)
 	incarnation := r.incarnation
-	r.sim.after(time.Duration(missing*float64(r.sim.shape.Prefill)), func() {
+	length := time.Duration(missing * float64(r.sim.shape.Prefill))
+	r.until = r.sim.now + length
+	r.sim.after(length, func() {
 		if r.incarnation == incarnation {
 			r.finish(w, hit, missing)
 		}
@@ -166,7 +172,7 @@
 	r.sim.stats.computed(r.sim, w, hit)
 	r.queued = max(0, r.queued-missing)
 	r.changed()
-	r.busy = false
+	r.current = nil
 	r.sim.after(firstToken, func() {
 		r.sim.stats.answered(r.sim.now-w.at, w)
 		w.router.answered(w, hit)
@@ -277,6 +283,7 @@
 		first := time.Duration(i) * pollInterval / time.Duration(len(s.routers))
 		s.every(pollInterval, first, r.poll)
 		s.every(heartbeatInterval, first, r.heartbeat)
+		s.every(workInterval, first, r.tellWork)
 	}
 	s.run(length)
 }
