Prefix index: cache events are dated by a learnt lag

Change: the index learns how late a replica's events come, from the time between its own confirmation of a piece and the event that says it is stored. An eviction older than the belief's confirmation is ignored; a stored piece is dated back.

--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -36,6 +36,8 @@
 	id          string
 	incarnation uint64
 	count       int
+	// lag estimates how late the replica's cache events come, in ticks.
+	lag float64
 }
 
 // NewIndex returns an index of at most maxBeliefs (piece, replica) pairs.
@@ -123,6 +125,65 @@
 	x.size++
 }
 
+// Weights of one sample in the estimate of the events' lag. A sample is too
+// large where an eviction was lost and the piece is stored anew, so the estimate
+// falls faster than it rises.
+const (
+	lagRise = 1.0 / 256
+	lagFall = 1.0 / 32
+)
+
+// sample takes the time between a piece's confirmation and its event.
+func (t *table) sample(ticks uint32) {
+	diff := float64(ticks) - t.lag
+	if diff > 0 {
+		t.lag += diff * lagRise
+	} else {
+		t.lag += diff * lagFall
+	}
+}
+
+// Stored takes a cache event that says r holds a piece. The piece may be older
+// than the event's arrival: a piece known before tells how late events come.
+func (x *Index) Stored(r Replica, incarnation uint64, at time.Time, h Hash) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	t := x.tables[r]
+	if t.incarnation != incarnation {
+		return
+	}
+	now := x.stamp(at)
+	for _, known := range x.pieces[h] {
+		if known.replica == r {
+			t.sample(now - min(now, known.seen))
+			return
+		}
+	}
+	x.add(r, h, now-min(now, uint32(t.lag)))
+	if x.size > x.max {
+		x.sweep(now)
+	}
+}
+
+// Evicted takes a cache event that says r dropped a piece. It does nothing when
+// the piece was confirmed after the time at which the event is thought to have
+// happened.
+func (x *Index) Evicted(r Replica, incarnation uint64, at time.Time, h Hash) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	t := x.tables[r]
+	if t.incarnation != incarnation {
+		return
+	}
+	happened := float64(x.stamp(at)) - t.lag
+	for _, known := range x.pieces[h] {
+		if known.replica == r && float64(known.seen) > happened {
+			return
+		}
+	}
+	x.remove(r, h)
+}
+
 // Remove records that incarnation of r no longer holds the pieces.
 func (x *Index) Remove(r Replica, incarnation uint64, pieces ...Hash) {
 	x.mu.Lock()
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -160,9 +160,9 @@
 		}
 		e.sequence = ev.Sequence + 1
 		if ev.Removed {
-			t.index.Remove(e.number, status.Incarnation, prefix.Hash(ev.Hash))
+			t.index.Evicted(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
 		} else {
-			t.index.Add(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
+			t.index.Stored(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
 		}
 	}
 	e.sequence = max(e.sequence, status.NextSequence)
