--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -51,7 +52,8 @@
 // NewMetrics returns the metrics and the handler that exposes them to
 // Prometheus. Close the closer to stop reporting.
 func NewMetrics() (*Metrics, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "briarlink",
 		Separator:      prometheus.DefaultSeparator,
--- a/test/mutate/main.go
+++ b/test/mutate/main.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "test", "-count=1", "-overlay="+overlay, "-run=^"+m.Test+"$", m.Package).CombinedOutput()
+	out, err := exec.Command("go", "test", "-count=1", "-timeout=40s", "-overlay="+overlay, "-run=^"+m.Test+"$", m.Package).CombinedOutput()
 	switch {
 	case err == nil:
 		return "survived", nil
