Weight loading under a lease, and benchmarks of every part

Change: a lease on the log (fencing number: offset of its first record), renewed by the holder and checked by the monotonic clock right before each order; at most two replicas load; orders state the wanted end and are repeated until the engine reports it; a new holder waits out the longest order. Requests go to the version that most serving replicas report until the wanted one has as many. Ruled out: skipping the wait before engines that check fencing numbers, since the check bites only after the new holder's first order there. Benchmarks; candidates of a decision live outside its loop.

Conclusion: proved by tests that fail without the bound, the exclusion, the wait and the repetition; one mutation (an order not yet visible does not count) is not noticed by any test yet.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,13 @@
 # make bench-policy SEED=101,102 SHAPE=taller CASE=steady ARGS=--others
 bench-policy:
 	@go run ./test/policybench $(if $(SEED),--seed $(SEED)) $(if $(SHAPE),--shape $(SHAPE)) $(if $(CASE),--case $(CASE)) $(ARGS)
+
+# Speeds, for docs/MEASUREMENTS.md.
+bench:
+	go test -run '^$$' -bench . -benchtime 200ms -timeout 300s $$(go list ./internal/... | grep -v internal/node)
+	go test -run '^$$' -bench Stream -benchtime 100x -timeout 300s ./internal/node
+	go test -run '^$$' -bench Tokens -benchtime 4000x -timeout 300s ./internal/node
+
+# Long runs with fresh seeds, which are printed on failure.
+fuzz:
+	for p in state once dispatch settings rollout; do go test -count=1 -timeout 30m ./internal/$$p -rapid.seed=0 -rapid.checks=20000 || exit 1; done
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -92,6 +92,16 @@
 	_, _ = client.Cancel(ctx, connect.NewRequest(&pb.CancelRequest{AttemptId: attemptID}))
 }
 
+// Order tells the engine which weights version is wanted.
+func (e *HTTPEngine) Order(ctx context.Context, address string, fencing uint64, model, version string) (bool, error) {
+	client := briarlinkv1connect.NewEngineServiceClient(e.client, "http://"+address)
+	resp, err := client.Order(ctx, connect.NewRequest(&pb.OrderRequest{FencingNumber: fencing, Model: model, Version: version}))
+	if err != nil {
+		return false, errors.Wrap(err, "order weights")
+	}
+	return resp.Msg.Accepted, nil
+}
+
 func (e *HTTPEngine) open(ctx context.Context, method, target string, body []byte, attemptID string, from int) (*EngineStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	mark := &sendMark{}
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -165,7 +165,7 @@
 	for i := range testReplicas {
 		specs[fmt.Sprintf("r%d", i)] = &pb.BackendServer{Address: "127.0.0.1:1", Model: "m"}
 	}
-	table.Configure(specs)
+	table.Configure(specs, nil)
 	for id := range specs {
 		table.Report(id, &pb.PollResponse{Incarnation: 1, Model: "m", Version: testVersion, PrefillUsPerPiece: 1000}, time.Now())
 	}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -134,7 +134,8 @@
 		return nil, errkind.New(errkind.PermissionDenied, "the organisation may not use model "+req.Model)
 	}
 	prompt := req.Render()
-	scope := prefix.Scope{Organisation: ex.organisation, Model: model, Version: spec.Version, Adapter: adapter}
+	version := s.Replicas.ServingVersion(model, spec.Version)
+	scope := prefix.Scope{Organisation: ex.organisation, Model: model, Version: version, Adapter: adapter}
 	pieceBytes := int(s.Settings.Prefix.PieceBytes)
 	return &dispatch.Job{
 		Organisation: ex.organisation,
@@ -146,11 +147,11 @@
 			Stream:    true,
 			Priority:  ex.view.Organisations[ex.organisation].Priority,
 			CacheSalt: scope.Salt(),
-			Version:   spec.Version,
+			Version:   version,
 		},
 		Prompt: schedule.Prompt{
 			Model:   model,
-			Version: spec.Version,
+			Version: version,
 			Chain:   prefix.Chain(scope.Salt(), prompt, pieceBytes, 0),
 			Pieces:  float64(len(prompt)) / float64(pieceBytes),
 		},
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/once"
+	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/state"
 )
 
@@ -25,6 +26,7 @@
 	Settings   *pb.Settings
 	Store      *state.Store
 	Members    *member.Table
+	Replicas   *replica.Table
 	Limiter    *limit.Limiter
 	Dispatcher *dispatch.Dispatcher
 	Services   *dispatch.Services
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -49,7 +49,7 @@
 		changed := n.store.Changed()
 		if cur := n.store.Current(); cur != nil {
 			view := cur.View()
-			n.replicas.Configure(view.BackendServers)
+			n.replicas.Configure(view.BackendServers, view.Models)
 			n.poller.Kick()
 			for id, o := range view.Organisations {
 				n.limiter.Configure(id, o.Limit)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/briarlink/briarlink/internal/platform"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/rollout"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/internal/state"
@@ -40,6 +41,9 @@
 // together may use.
 const claimAppendsPerSecond = 200
 
+// weightsDuty is the duty of ordering weights, held by one host at a time.
+const weightsDuty = "weights"
+
 // Node is one entry host.
 type Node struct {
 	settings *pb.Settings
@@ -54,6 +58,7 @@
 	index    *prefix.Index
 	replicas *replica.Table
 	poller   *replica.Poller
+	keeper   *rollout.Keeper
 	limiter  *limit.Limiter
 	claimer  *once.Claimer
 	peers    *peer.Client
@@ -97,6 +102,7 @@
 	}, s.Member.DeadAfter.AsDuration())
 	n.touch = newTouch(n.started, s.Member.OutOfTouchAfter.AsDuration())
 	n.replicas = replica.NewTable(n.index, s.Route.DownAfter.AsDuration())
+	n.keeper = rollout.NewKeeper(n.platform, weightsDuty, rollout.Holder{Host: s.Host.Id, Incarnation: uint64(n.started.UnixNano())})
 	n.poller = replica.NewPoller(n.replicas, s.Route.PollInterval.AsDuration())
 	n.claimer = once.NewClaimer(n.platform, s.Claim.MaxKeyAge.AsDuration(), s.Claim.Wait.AsDuration(), n.claimInterval, n.claimsRead)
 	return n
@@ -133,7 +139,8 @@
 	}
 	for _, loop := range []func(context.Context){
 		n.tailer.Run, n.claimer.Run, n.applyConfig, n.heartbeats, n.catchUp, n.watchList, n.checkpoints,
-		n.poller.Run, n.awaitReady, n.tellWork,
+		n.poller.Run, n.awaitReady, n.tellWork, n.keeper.Run,
+		rollout.NewLoader(n.keeper, n.replicas, dispatch.NewHTTPEngine(), n.log).Run,
 	} {
 		wg.Go(func() { loop(work) })
 	}
@@ -154,6 +161,7 @@
 		Settings:   s,
 		Store:      n.store,
 		Members:    n.members,
+		Replicas:   n.replicas,
 		Limiter:    n.limiter,
 		Dispatcher: dispatch.New(dispatch.NewHTTPEngine(), schedule.New(n.replicas, n.index, pipeline), retries, s.Request.IdleTimeout.AsDuration()),
 		Services:   dispatch.NewServices(retries),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -36,7 +36,7 @@
 
 // rig is a platform, two engines and some hosts in one process, over loopback.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Server
 	address  string
 	hosts    []*testHost
@@ -49,7 +49,7 @@
 	done chan error
 }
 
-func newRig(t *testing.T, hosts int) *rig {
+func newRig(t testing.TB, hosts int) *rig {
 	r := &rig{t: t, platform: platform.New(fault.NewSwitch(1), time.Hour, 0)}
 	r.address = r.serve(r.platform.Handler())
 	for range 2 {
@@ -71,7 +71,7 @@
 }
 
 // freeAddress returns an address nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/rollout"
 	"github.com/briarlink/briarlink/internal/route"
 )
 
@@ -56,6 +57,8 @@
 	downAfter time.Duration
 	// configured is true once a configuration was taken.
 	configured bool
+	// wanted is the version configured for each model.
+	wanted map[string]string
 	// untold is work sent since the last TakeSent.
 	untold []*pb.WorkItem
 }
@@ -86,11 +89,15 @@
 	return &Table{entries: map[string]*entry{}, index: index, downAfter: downAfter}
 }
 
-// Configure takes the backend servers of the configuration in force.
-func (t *Table) Configure(specs map[string]*pb.BackendServer) {
+// Configure takes the backend servers and models of the configuration in force.
+func (t *Table) Configure(specs map[string]*pb.BackendServer, models map[string]*pb.Model) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.configured = true
+	t.wanted = map[string]string{}
+	for id, m := range models {
+		t.wanted[id] = m.Version
+	}
 	for id, e := range t.entries {
 		spec := specs[id]
 		if spec == nil || spec.Address != e.spec.Address {
@@ -348,6 +355,48 @@
 	return e.polled.Add(-time.Duration(e.status.LoadAgeMs) * time.Millisecond)
 }
 
+// ServingVersion returns the weights version to route a model's requests for:
+// the wanted one once it has as many serving replicas as any other, and until
+// then the one that most of them report.
+func (t *Table) ServingVersion(model, wanted string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := map[string]int{}
+	for _, e := range t.entries {
+		if e.status != nil && e.status.Model == model && e.machine.Is(StateServing) {
+			counts[e.status.Version]++
+		}
+	}
+	best := wanted
+	for version, n := range counts {
+		if n > counts[best] || n == counts[best] && best != wanted && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// Rollout returns every backend server with the version its model's
+// configuration wants, by ID.
+func (t *Table) Rollout() []rollout.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []rollout.Replica
+	for _, e := range t.entries {
+		wanted, configured := t.wanted[e.spec.Model]
+		if !configured {
+			continue
+		}
+		out = append(out, rollout.Replica{
+			ID: e.id, Address: e.spec.Address, Model: e.spec.Model, Wanted: wanted,
+			Version: e.status.GetVersion(), Loading: e.status.GetLoading(),
+			Known: e.status != nil && !e.machine.Is(StateDown),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // Status returns every backend server for operators, by ID.
 func (t *Table) Status() []*pb.ReplicaStatus {
 	t.mu.Lock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -130,12 +130,14 @@
 // Decide picks a replica. It fails with NoBackend when none can take the
 // request, and with Overloaded when none is expected to meet the budget.
 func (p *Pipeline) Decide(req *Request, snap Snapshot) (Decision, error) {
-	var best *Candidate
+	// Both live outside the loop, so that a decision allocates twice and not once
+	// a replica.
+	var best, c Candidate
 	bestScore := math.Inf(1)
 	soonest := time.Duration(math.MaxInt64)
 	var waits, kept time.Duration
 	for i := range snap.Replicas {
-		c := p.candidate(req, &snap.Replicas[i])
+		c = p.candidate(req, &snap.Replicas[i])
 		if !p.keep(req, &c) {
 			continue
 		}
@@ -146,14 +148,14 @@
 			continue
 		}
 		score := p.score(req, &c)
-		if best == nil || score < bestScore || score == bestScore && p.prefer(req, &c, best) {
-			best, bestScore = &c, score
+		if score < bestScore || score == bestScore && p.prefer(req, &c, &best) {
+			best, bestScore = c, score
 		}
 	}
 	switch {
-	case best == nil && soonest == math.MaxInt64:
+	case best.Replica == nil && soonest == math.MaxInt64:
 		return Decision{}, errkind.New(errkind.NoBackend, "no backend server serves this model version")
-	case best == nil:
+	case best.Replica == nil:
 		return Decision{}, errkind.New(errkind.Overloaded, "the first token is expected later than the deadline").
 			After(soonest + time.Second)
 	case req.Bounds.Wait > 0 && waits/kept > req.Bounds.Wait:
--- a/test/policybench/policies.go
+++ b/test/policybench/policies.go
@@ -84,7 +84,6 @@
 	turn  int
 	down  map[int]time.Duration
 	loads []float64
-	ids   []string
 }
 
 func (b *simple) pick(w *work) (choice, bool) {
@@ -162,7 +161,7 @@
 	for i := range p.sim.replicas {
 		specs[replicaID(i)] = &pb.BackendServer{Address: fmt.Sprintf("127.0.0.1:%d", i+1), Model: benchModel}
 	}
-	p.table.Configure(specs)
+	p.table.Configure(specs, nil)
 	for i := range organisations {
 		p.limiter.Configure(fmt.Sprint(i), &pb.RateLimit{GuaranteedPerSecond: p.sim.guarantee(i)})
 	}
