--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,8 @@
 # Long runs with fresh seeds, which are printed on failure.
 fuzz:
 	for p in state once dispatch settings rollout; do go test -count=1 -timeout 30m ./internal/$$p -rapid.seed=0 -rapid.checks=20000 || exit 1; done
+
+# Renews the generated documents: error table, state machines, capacity tables.
+capacity:
+	go test -count=1 -run 'Table|State' ./internal/doccheck -update
+	cat docs/CAPACITY-TABLES.md
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -294,3 +294,12 @@
 	}
 	return e
 }
+
+// Diagram returns the state machine as a Mermaid diagram.
+func Diagram() string {
+	diagram, err := fsm.VisualizeForMermaidWithGraphType(newMachine(), fsm.StateDiagram)
+	if err != nil {
+		return err.Error()
+	}
+	return diagram
+}
--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -488,3 +488,12 @@
 	return (a.GetClaim() != nil) == (b.GetClaim() != nil) &&
 		(a.GetRelease() != nil) == (b.GetRelease() != nil)
 }
+
+// Diagram returns the state machine as a Mermaid diagram.
+func Diagram() string {
+	diagram, err := fsm.VisualizeForMermaidWithGraphType(newMachine(), fsm.StateDiagram)
+	if err != nil {
+		return err.Error()
+	}
+	return diagram
+}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/prefix"
 )
@@ -40,7 +42,7 @@
 	for _, events := range []int{1, 10, 100, 1000} {
 		b.Run(fmt.Sprint(events), func(b *testing.B) {
 			t, _ := benchTable(1)
-			sequence, now := uint64(0), time.Now()
+			sequence, now, size := uint64(0), time.Now(), 0
 			for b.Loop() {
 				resp := &pb.PollResponse{Incarnation: 1, Model: "m", Version: "v"}
 				for range events {
@@ -49,7 +51,9 @@
 				}
 				now = now.Add(time.Second)
 				t.Report("r00000", resp, now)
+				size = proto.Size(resp)
 			}
+			b.ReportMetric(float64(size)/float64(events), "B/event")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
 		})
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -418,3 +418,12 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
 	return out
 }
+
+// Diagram returns the state machine as a Mermaid diagram.
+func Diagram() string {
+	diagram, err := fsm.VisualizeForMermaidWithGraphType(newMachine(), fsm.StateDiagram)
+	if err != nil {
+		return err.Error()
+	}
+	return diagram
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -118,10 +118,17 @@
 	mu    sync.Mutex
 	next  []time.Duration
 	wg    *sync.WaitGroup
+	// lose is how many orders are lost on the way, from the first.
+	lose int
 }
 
 func (o *slowOrders) Order(ctx context.Context, address string, fencing uint64, _, version string) (bool, error) {
 	o.mu.Lock()
+	if o.lose > 0 {
+		o.lose--
+		o.mu.Unlock()
+		return false, errors.New("lost")
+	}
 	delay := time.Duration(0)
 	if len(o.next) > 0 {
 		delay, o.next = o.next[0], o.next[1:]
@@ -327,16 +334,48 @@
 
 func (l fixedLease) Held() (Grant, bool) { return Grant{1, l.since}, true }
 
-func TestNewHolderWaitsForOldOrders(t *testing.T) {
+// withLoader runs f beside one loader whose lease began just now.
+func withLoader(t *testing.T, lose int, f func(t *testing.T, fleet *fakeFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(make([]bool, testEngines))
 		fleet.want("v2")
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		var wg sync.WaitGroup
-		loader := NewLoader(fixedLease{time.Now()}, fleet, &slowOrders{fleet: fleet, wg: &wg}, logger)
+		loader := NewLoader(fixedLease{time.Now()}, fleet, &slowOrders{fleet: fleet, wg: &wg, lose: lose}, logger)
 		ctx, cancel := context.WithCancel(t.Context())
 		wg.Go(func() { loader.Run(ctx) })
+		f(t, fleet)
+		cancel()
+		wg.Wait()
+	})
+}
+
+func TestLostOrderIsGivenAgain(t *testing.T) {
+	withLoader(t, 3, func(t *testing.T, fleet *fakeFleet) {
+		time.Sleep(2 * time.Minute)
+		if !fleet.converged() {
+			t.Error("an engine does not run the version wanted")
+		}
+	})
+}
+
+func TestOrdersNotYetVisibleCount(t *testing.T) {
+	withLoader(t, 0, func(t *testing.T, fleet *fakeFleet) {
+		fleet.Rollout()
+		fleet.mu.Lock()
+		// No poll comes through for a while.
+		fleet.seenTime = time.Now().Add(time.Hour)
+		fleet.mu.Unlock()
+		time.Sleep(handover + OrderTimeout)
+		if fleet.mostLoading() != maxLoading {
+			t.Errorf("%d replicas load", fleet.mostLoading())
+		}
+	})
+}
+
+func TestNewHolderWaitsForOldOrders(t *testing.T) {
+	withLoader(t, 0, func(t *testing.T, fleet *fakeFleet) {
 		time.Sleep(handover - time.Millisecond)
 		if fleet.mostLoading() != 0 {
 			t.Error("an order before the last holder's can have arrived")
@@ -345,7 +384,5 @@
 		if fleet.mostLoading() != maxLoading {
 			t.Errorf("%d replicas load", fleet.mostLoading())
 		}
-		cancel()
-		wg.Wait()
 	})
 }
