--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -108,6 +108,9 @@
 	for id, spec := range specs {
 		if e := t.entries[id]; e != nil {
 			e.spec = spec
+			if e.status != nil && !e.machine.Is(StateDown) {
+				e.advance()
+			}
 			continue
 		}
 		t.entries[id] = &entry{id: id, spec: spec, machine: newMachine(), number: t.index.Reset(id, 0)}
@@ -175,22 +178,34 @@
 	e.sequence = max(e.sequence, status.NextSequence)
 }
 
+// advance moves the state machine to what is known of the server.
 func (e *entry) advance() {
+	if reason := e.leavingReason(); reason != "" {
+		e.fire(eventLeave, reason)
+		return
+	}
+	if e.machine.Is(StateLeaving) {
+		// An operator ended the draining; the engine itself is not leaving.
+		e.fire(eventRestart, "draining ended")
+	}
+	if e.status.Loading {
+		e.fire(eventLoad, "loading weights")
+		return
+	}
+	e.fire(eventServe, "")
+}
+
+// leavingReason returns why the server takes no new work, or "".
+func (e *entry) leavingReason() string {
 	switch {
 	case e.spec.Draining:
-		e.fire(eventLeave, "draining by operator")
+		return "draining by operator"
 	case e.status.Leaving:
-		e.fire(eventLeave, "says it is leaving")
+		return "says it is leaving"
 	case e.barred == e.status.Incarnation:
-		e.fire(eventLeave, "refused new work")
-	case e.machine.Is(StateLeaving):
-		// An operator ended the draining; the engine itself is not leaving.
-		e.fire(eventRestart, "draining ended")
-		e.fire(eventServe, "")
-	case e.status.Loading:
-		e.fire(eventLoad, "loading weights")
+		return "refused new work"
 	default:
-		e.fire(eventServe, "")
+		return ""
 	}
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -47,6 +47,8 @@
 	stale    int
 	seen     []Replica
 	seenTime time.Time
+	// silent is how many engines, from the first, answer no polls.
+	silent int
 }
 
 func newFleet(checks []bool) *fakeFleet {
@@ -65,6 +67,9 @@
 		f.seen, f.seenTime = nil, time.Now()
 		for i, e := range f.engines {
 			f.seen = append(f.seen, Replica{ID: fmt.Sprint(i), Address: fmt.Sprint(i), Version: e.version, Loading: time.Now().Before(e.until), Known: true})
+			if i < f.silent {
+				f.seen[i].Known, f.seen[i].Loading = false, false
+			}
 		}
 	}
 	out := append([]Replica(nil), f.seen...)
@@ -362,12 +367,12 @@
 
 func TestOrdersNotYetVisibleCount(t *testing.T) {
 	withLoader(t, 0, func(t *testing.T, fleet *fakeFleet) {
-		fleet.Rollout()
+		time.Sleep(handover + pollLag/2)
 		fleet.mu.Lock()
-		// No poll comes through for a while.
-		fleet.seenTime = time.Now().Add(time.Hour)
+		// The first engine answers no poll while it loads.
+		fleet.silent = 1
 		fleet.mu.Unlock()
-		time.Sleep(handover + OrderTimeout)
+		time.Sleep(OrderTimeout)
 		if fleet.mostLoading() != maxLoading {
 			t.Errorf("%d replicas load", fleet.mostLoading())
 		}
