--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -129,8 +129,9 @@
 }
 
 func (s *Server) applied(offset uint64) (done, pending []string) {
-	self := s.members.Self().Id
-	for _, h := range s.members.Hosts(time.Now()) {
+	self, now := s.members.Self().Id, time.Now()
+	pending = s.members.Unheard(now)
+	for _, h := range s.members.Hosts(now) {
 		switch {
 		case h.Entry.Id == self || h.Entry.AppliedOffset > offset:
 			done = append(done, h.Entry.Id)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -23,6 +23,8 @@
 	hosts     map[string]*host
 	listed    map[string]platform.ListedHost
 	deadAfter time.Duration
+	// started is when the table was made.
+	started time.Time
 	// superseded: another process with this host's ID started later.
 	superseded bool
 }
@@ -41,9 +43,28 @@
 		hosts:     map[string]*host{},
 		listed:    map[string]platform.ListedHost{},
 		deadAfter: deadAfter,
+		started:   time.Now(),
 	}
 }
 
+// Unheard returns the listed hosts that a host which just started has not heard
+// of yet. Once it had time to, they count as dead.
+func (t *Table) Unheard(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.started) > t.deadAfter {
+		return nil
+	}
+	var out []string
+	for id := range t.listed {
+		if id != t.self.Id && t.hosts[id] == nil {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Self returns a copy of this host's own entry.
 func (t *Table) Self() *pb.HostEntry {
 	t.mu.Lock()
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -92,6 +92,21 @@
 	})
 }
 
+// TestUnheardOnlyAtTheStart checks that a host which just started waits for the
+// listed ones, and not for ever for the dead.
+func TestUnheardOnlyAtTheStart(t *testing.T) {
+	table := NewTable(&pb.HostEntry{Id: "self"}, testDeadAfter)
+	now := time.Now()
+	table.SetListed([]platform.ListedHost{{ID: "self"}, {ID: "a"}, {ID: "b"}})
+	table.Merge([]*pb.HostEntry{{Id: "a", Incarnation: 1}}, now)
+	if got := fmt.Sprint(table.Unheard(now)); got != "[b]" {
+		t.Errorf("at the start: %s", got)
+	}
+	if got := table.Unheard(now.Add(2 * testDeadAfter)); got != nil {
+		t.Errorf("later: %v", got)
+	}
+}
+
 // TestRankMovesLittle checks that a lost host moves only its own keys.
 func TestRankMovesLittle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -29,12 +29,16 @@
 	return &Follower{log: log, stream: stream, position: position, handle: handle}
 }
 
-// Run follows the stream until ctx ends.
+// Run follows the stream until ctx ends. The first read does not wait, so that a
+// host that starts before an empty stream knows so at once.
 func (f *Follower) Run(ctx context.Context) {
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		if err := f.Step(ctx, followWait); err != nil {
+		if err := f.Step(ctx, wait); err != nil {
 			sleep(ctx, followBackoff)
+			continue
 		}
+		wait = followWait
 	}
 }
 
