Configuration: a copy of a change at the window's edge; old change IDs

The generator drew one ID for two different changes (the test's fault). And an outcome was forgotten one record too early: a copy exactly as old as the window was neither recognised nor stale (the product's).

Change: outcomes are forgotten by the record about to be folded; a change ID that tells its time (UUIDv7, which the command line now makes) is stale after an hour; the reason of a stale verdict and the command's exit code say that an earlier record may have been accepted. The test draws unique IDs, as the contract has it. Its check of verdicts leaves a stale one out of the comparison with the oracle's acceptance, since it says nothing of an earlier record, and in place of that checks that it is true of its own record. Two direct tests: the edge and beyond it, the old ID.

--- a/cmd/briarlink/admin.go
+++ b/cmd/briarlink/admin.go
@@ -124,7 +124,11 @@
 // submit sends one change and prints its outcome.
 func (s *session) submit(change *pb.Change, expected int64, wait bool) error {
 	if change.ChangeId == "" {
-		change.ChangeId = uuid.NewString()
+		id, err := uuid.NewV7()
+		if err != nil {
+			return errors.Wrap(err, "make a change ID")
+		}
+		change.ChangeId = id.String()
 	}
 	if expected < 0 {
 		version, err := s.versionOf(change.Ref)
@@ -140,6 +144,9 @@
 	}
 	out := resp.Msg.Outcome
 	s.print(resp.Msg, outcomeHeader, outcomeRows([]*pb.ChangeOutcome{out}))
+	if out.Verdict == pb.Verdict_VERDICT_STALE {
+		return &exitError{exitUnknown, errors.Errorf("change %s: %s", out.ChangeId, out.Reason)}
+	}
 	if out.Verdict != pb.Verdict_VERDICT_ACCEPTED {
 		return &exitError{exitRefused, errors.Errorf("change %s refused: %s", out.ChangeId, out.Reason)}
 	}
--- a/internal/once/claimer.go
+++ b/internal/once/claimer.go
@@ -12,6 +12,7 @@
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/platform"
 	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/internal/uuid7"
 )
 
 const (
@@ -78,7 +79,7 @@
 // the request that had the key before, or an error whose kind tells truly
 // whether a request with this key may have run.
 func (c *Claimer) Claim(ctx context.Context, organisation, key string, hash []byte) (*Ticket, *pb.OutcomeStep, error) {
-	if _, ok := KeyTime(key); !ok {
+	if _, ok := uuid7.Time(key); !ok {
 		return nil, nil, errkind.New(errkind.KeyRejected, "the idempotency key is not a UUIDv7")
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
@@ -128,7 +129,7 @@
 		return page.End <= c.position() && !c.Known(rec.Organisation, rec.Key)
 	}
 	others, ok := c.others()
-	made, _ := KeyTime(rec.Key)
+	made, _ := uuid7.Time(rec.Key)
 	return ok && !c.Known(rec.Organisation, rec.Key) &&
 		made.After(others.Add(keyMargin)) && made.After(c.follower.Touched().Add(keyMargin))
 }
--- a/internal/once/follow.go
+++ b/internal/once/follow.go
@@ -8,6 +8,7 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/platform"
 	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/internal/uuid7"
 )
 
 func (c *Claimer) position() uint64 {
@@ -48,7 +49,7 @@
 // forget drops abandoned claims whose key can no longer be claimed.
 func (c *Claimer) forget(now time.Time) {
 	for id, w := range c.waiting {
-		made, _ := KeyTime(w.rec.Key)
+		made, _ := uuid7.Time(w.rec.Key)
 		if w.machine.Is(StateAbandoned) && now.Sub(made) > c.table.horizon {
 			delete(c.waiting, id)
 		}
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -8,9 +8,8 @@
 	"bytes"
 	"time"
 
-	"github.com/google/uuid"
-
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/uuid7"
 )
 
 // maxSkew is how far a key's time may lie ahead of the platform's clock.
@@ -169,20 +168,10 @@
 // keyInRange judges the key's own time by the platform's clock, so every host
 // judges alike.
 func (t *Table) keyInRange(key string, at time.Time) bool {
-	made, ok := KeyTime(key)
+	made, ok := uuid7.Time(key)
 	return ok && at.Sub(made) <= t.maxAge && made.Sub(at) <= maxSkew
 }
 
-// KeyTime returns the time in a UUIDv7.
-func KeyTime(key string) (time.Time, bool) {
-	id, err := uuid.Parse(key)
-	if err != nil || id.Version() != 7 {
-		return time.Time{}, false
-	}
-	sec, nsec := id.Time().UnixTime()
-	return time.Unix(sec, nsec), true
-}
-
 // forget drops claims whose key can no longer be claimed.
 func (t *Table) forget(now time.Time) {
 	drop := 0
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/uuid7"
 )
 
 // window is how many log offsets a change may lie behind its author's read
@@ -24,6 +25,11 @@
 // It is the same on every host; only tests change it.
 var window uint64 = 16384
 
+// maxChangeAge is how old a change ID that tells its time (UUIDv7) may be. It
+// catches a change that is submitted again, with a fresh read offset, after its
+// first outcome was forgotten.
+const maxChangeAge = time.Hour
+
 // State is the fold of the configuration stream up to an offset. It is
 // immutable once published by a Store.
 type State struct {
@@ -78,8 +84,8 @@
 // moves the offset.
 func (s *State) fold(rec *pb.ConfigRecord, at time.Time) *pb.ChangeOutcome {
 	offset := s.Next
-	s.Next++
 	s.forget()
+	s.Next++
 	change := rec.GetChange()
 	if change == nil {
 		return nil
@@ -112,7 +118,12 @@
 	}
 	if change.ReadOffset > out.Offset || out.Offset-change.ReadOffset > window {
 		out.Verdict = pb.Verdict_VERDICT_STALE
-		out.Reason = "the change was written too long before it reached the log"
+		out.Reason = "the change was written too long before it reached the log; an earlier record of it may have been accepted"
+		return
+	}
+	if made, ok := uuid7.Time(change.ChangeId); ok && time.UnixMilli(out.TimeMs).Sub(made) > maxChangeAge {
+		out.Verdict = pb.Verdict_VERDICT_STALE
+		out.Reason = "the change ID was made too long before it reached the log; an earlier record of it may have been accepted"
 		return
 	}
 	if current.GetVersion() != change.ExpectedVersion {
@@ -134,7 +145,9 @@
 	s.Objects[ref] = &pb.Object{Ref: change.Ref, Spec: change.Spec, Version: out.ToVersion}
 }
 
-// forget drops outcomes that have left the window.
+// forget drops outcomes that have left the window of the record about to be
+// folded. One just as old as the window is still needed: a copy of its change may
+// be that old and not stale.
 func (s *State) forget() {
 	drop := 0
 	for drop < len(s.Outcomes) && s.Outcomes[drop].Offset+window < s.Next {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -98,6 +98,16 @@
 	s.append(payload)
 }
 
+// readOffset returns what the author of a change had read.
+func (s *site) readOffset(changeID string) uint64 {
+	for _, c := range s.sent {
+		if c.ChangeId == changeID {
+			return c.ReadOffset
+		}
+	}
+	panic("unknown change " + changeID)
+}
+
 func modelChange(id string, object int, expected, read uint64, remove bool) *pb.Change {
 	c := &pb.Change{
 		ChangeId:        id,
@@ -115,11 +125,6 @@
 // actions returns what may happen, in any order.
 func (s *site) actions() map[string]func(*rapid.T) {
 	host := rapid.IntRange(0, len(s.stores)-1)
-	changeID := rapid.Custom(func(t *rapid.T) string {
-		var b [16]byte
-		copy(b[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "id"))
-		return uuid.UUID(b).String()
-	})
 	return map[string]func(*rapid.T){
 		"change": func(t *rapid.T) {
 			i, object := host.Draw(t, "host"), rapid.IntRange(0, 2).Draw(t, "object")
@@ -128,7 +133,9 @@
 				t.Skip("no state")
 			}
 			ref := Ref{pb.ObjectKind_OBJECT_KIND_MODEL, fmt.Sprintf("model-%d", object)}
-			c := modelChange(changeID.Draw(t, "change"), object, cur.Objects[ref].GetVersion(), cur.Next, rapid.IntRange(0, 3).Draw(t, "remove") == 0)
+			// Two changes never share an ID; a repeat is the same change.
+			id := uuid.UUID{15: byte(len(s.sent)), 14: byte(len(s.sent) >> 8)}.String()
+			c := modelChange(id, object, cur.Objects[ref].GetVersion(), cur.Next, rapid.IntRange(0, 3).Draw(t, "remove") == 0)
 			s.sent = append(s.sent, c)
 			s.submit(c)
 		},
@@ -205,6 +212,13 @@
 			}
 		}
 		for _, out := range cur.Outcomes {
+			if out.Verdict == pb.Verdict_VERDICT_STALE {
+				// Says nothing about an earlier record, but must be true of this one.
+				if out.Offset-s.readOffset(out.ChangeId) <= window {
+					t.Fatalf("host %d calls change %s stale", i, out.ChangeId)
+				}
+				continue
+			}
 			if (out.Verdict == pb.Verdict_VERDICT_ACCEPTED) != o.accepted[out.ChangeId] {
 				t.Fatalf("host %d reports %v for change %s", i, out.Verdict, out.ChangeId)
 			}
@@ -264,6 +278,47 @@
 	}
 }
 
+// TestCopyAtTheWindowsEdge folds a change again just before it would be stale.
+func TestCopyAtTheWindowsEdge(t *testing.T) {
+	s, now := NewState(), time.Now()
+	create := &pb.ConfigRecord{Kind: &pb.ConfigRecord_Change{Change: modelChange(uuid.NewString(), 0, 0, 0, false)}}
+	s.fold(create, now)
+	s.fold(&pb.ConfigRecord{Kind: &pb.ConfigRecord_Change{Change: modelChange(uuid.NewString(), 0, 1, 1, true)}}, now)
+	for s.Next < window {
+		s.fold(&pb.ConfigRecord{}, now)
+	}
+	if out := s.fold(create, now); out.Offset != 0 || len(s.Objects) != 0 {
+		t.Errorf("a copy at offset %d counts again: %v", window, out)
+	}
+	s.fold(&pb.ConfigRecord{}, now)
+	if out := s.fold(create, now); out.Verdict != pb.Verdict_VERDICT_STALE || len(s.Objects) != 0 {
+		t.Errorf("a copy beyond the window counts again: %v", out)
+	}
+}
+
+// TestOldChangeIDIsStale submits a creation again, with a fresh read offset, when
+// its outcome was forgotten and its object deleted.
+func TestOldChangeIDIsStale(t *testing.T) {
+	defer func(old uint64) { window = old }(window)
+	window = 3
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, now := NewState(), time.Now()
+	fold := func(c *pb.Change, at time.Time) pb.Verdict {
+		return s.fold(&pb.ConfigRecord{Kind: &pb.ConfigRecord_Change{Change: c}}, at).Verdict
+	}
+	fold(modelChange(id.String(), 0, 0, s.Next, false), now)
+	fold(modelChange(uuid.NewString(), 0, 1, s.Next, true), now)
+	for range 2 * window {
+		s.fold(&pb.ConfigRecord{}, now)
+	}
+	if got := fold(modelChange(id.String(), 0, 0, s.Next, false), now.Add(maxChangeAge+time.Second)); got != pb.Verdict_VERDICT_STALE {
+		t.Errorf("verdict is %v", got)
+	}
+}
+
 func TestCheckReportsEveryMistake(t *testing.T) {
 	got := Check(&pb.Change{Ref: &pb.ObjectRef{Id: "A b"}, Spec: &pb.Spec{Kind: &pb.Spec_BackendServer{BackendServer: &pb.BackendServer{Address: "localhost:1"}}}})
 	want := "change_id is not a UUID; ref.id must be 1 to 63 characters of a-z, 0-9, '-', '.', '_'; author is missing; " +
