--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -266,9 +266,11 @@
 // comes while the host starts waits a little: callers keep an answer that names
 // a host over its restart.
 func (n *Node) gate() error {
-	select {
-	case <-n.ready:
-	case <-time.After(startWait):
+	if !n.isReady() {
+		select {
+		case <-n.ready:
+		case <-time.After(startWait):
+		}
 	}
 	switch {
 	case !n.isReady():
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -153,11 +153,9 @@
 		return
 	}
 	now := x.stamp(at)
-	for _, known := range x.pieces[h] {
-		if known.replica == r {
-			t.sample(now - min(now, known.seen))
-			return
-		}
+	if seen, known := x.confirmed(r, h); known {
+		t.sample(now - min(now, seen))
+		return
 	}
 	x.add(r, h, now-min(now, uint32(t.lag)))
 	if x.size > x.max {
@@ -176,24 +174,20 @@
 		return
 	}
 	happened := float64(x.stamp(at)) - t.lag
-	for _, known := range x.pieces[h] {
-		if known.replica == r && float64(known.seen) > happened {
-			return
-		}
+	if seen, known := x.confirmed(r, h); known && float64(seen) > happened {
+		return
 	}
 	x.remove(r, h)
 }
 
-// Remove records that incarnation of r no longer holds the pieces.
-func (x *Index) Remove(r Replica, incarnation uint64, pieces ...Hash) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.tables[r].incarnation != incarnation {
-		return
-	}
-	for _, h := range pieces {
-		x.remove(r, h)
+// confirmed returns the tick at which r was last confirmed to hold a piece.
+func (x *Index) confirmed(r Replica, h Hash) (seen uint32, known bool) {
+	for _, holder := range x.pieces[h] {
+		if holder.replica == r {
+			return holder.seen, true
+		}
 	}
+	return 0, false
 }
 
 func (x *Index) remove(r Replica, h Hash) {
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -344,9 +344,7 @@
 		Version:     e.status.Version,
 		Serving:     e.machine.Is(StateServing),
 		Queued:      e.queuedAt(now),
-		Running:     int(e.status.Running),
 		Prefill:     time.Duration(e.status.PrefillUsPerPiece) * time.Microsecond,
-		Decode:      time.Duration(e.status.DecodeUsPerToken) * time.Microsecond,
 	}
 	return r
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,12 +27,8 @@
 	Serving bool
 	// Queued is the number of uncached pieces expected to wait for prefill now.
 	Queued float64
-	// Running is the number of streams at the last report.
-	Running int
 	// Prefill is the time to compute one uncached piece.
 	Prefill time.Duration
-	// Decode is the time between tokens.
-	Decode time.Duration
 }
 
 // Snapshot is the immutable set of replicas a decision is made on.
@@ -128,10 +124,10 @@
 }
 
 // Decide picks a replica. It fails with NoBackend when none can take the
-// request, and with Overloaded when none is expected to meet the budget.
+// request, and with Overloaded when its bounds cannot be met.
 func (p *Pipeline) Decide(req *Request, snap Snapshot) (Decision, error) {
-	// Both live outside the loop, so that a decision allocates twice and not once
-	// a replica.
+	// Both live outside the loop, so that a decision does not allocate once a
+	// replica.
 	var best, c Candidate
 	bestScore := math.Inf(1)
 	soonest := time.Duration(math.MaxInt64)
