--- a/api/briarlink/v1/briarlinkv1connect/admin.connect.go
+++ b/api/briarlink/v1/briarlinkv1connect/admin.connect.go
@@ -34,39 +34,13 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// AdminServiceApplyChangeProcedure is the fully-qualified name of the AdminService's ApplyChange
-	// RPC.
-	AdminServiceApplyChangeProcedure = "/briarlink.v1.AdminService/ApplyChange"
-	// AdminServiceGetChangeProcedure is the fully-qualified name of the AdminService's GetChange RPC.
-	AdminServiceGetChangeProcedure = "/briarlink.v1.AdminService/GetChange"
-	// AdminServiceGetObjectProcedure is the fully-qualified name of the AdminService's GetObject RPC.
-	AdminServiceGetObjectProcedure = "/briarlink.v1.AdminService/GetObject"
-	// AdminServiceListObjectsProcedure is the fully-qualified name of the AdminService's ListObjects
-	// RPC.
-	AdminServiceListObjectsProcedure = "/briarlink.v1.AdminService/ListObjects"
-	// AdminServiceListAuditProcedure is the fully-qualified name of the AdminService's ListAudit RPC.
-	AdminServiceListAuditProcedure = "/briarlink.v1.AdminService/ListAudit"
-	// AdminServiceListHostsProcedure is the fully-qualified name of the AdminService's ListHosts RPC.
-	AdminServiceListHostsProcedure = "/briarlink.v1.AdminService/ListHosts"
-	// AdminServiceListReplicasProcedure is the fully-qualified name of the AdminService's ListReplicas
-	// RPC.
-	AdminServiceListReplicasProcedure = "/briarlink.v1.AdminService/ListReplicas"
+	// AdminServiceStatusProcedure is the fully-qualified name of the AdminService's Status RPC.
+	AdminServiceStatusProcedure = "/briarlink.v1.AdminService/Status"
 )
 
 // AdminServiceClient is a client for the briarlink.v1.AdminService service.
 type AdminServiceClient interface {
-	// ApplyChange writes or deletes one object and answers with its outcome.
-	ApplyChange(context.Context, *connect.Request[v1.ApplyChangeRequest]) (*connect.Response[v1.ApplyChangeResponse], error)
-	// GetChange reports what became of a change ID.
-	GetChange(context.Context, *connect.Request[v1.GetChangeRequest]) (*connect.Response[v1.GetChangeResponse], error)
-	GetObject(context.Context, *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error)
-	ListObjects(context.Context, *connect.Request[v1.ListObjectsRequest]) (*connect.Response[v1.ListObjectsResponse], error)
-	// ListAudit returns outcomes of changes, newest last.
-	ListAudit(context.Context, *connect.Request[v1.ListAuditRequest]) (*connect.Response[v1.ListAuditResponse], error)
-	// ListHosts returns the entry hosts as this host sees them.
-	ListHosts(context.Context, *connect.Request[v1.ListHostsRequest]) (*connect.Response[v1.ListHostsResponse], error)
-	// ListReplicas returns the backend servers as this host sees them.
-	ListReplicas(context.Context, *connect.Request[v1.ListReplicasRequest]) (*connect.Response[v1.ListReplicasResponse], error)
+	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the briarlink.v1.AdminService service. By default,
@@ -80,46 +54,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	adminServiceMethods := v1.File_briarlink_v1_admin_proto.Services().ByName("AdminService").Methods()
 	return &adminServiceClient{
-		applyChange: connect.NewClient[v1.ApplyChangeRequest, v1.ApplyChangeResponse](
+		status: connect.NewClient[v1.StatusRequest, v1.StatusResponse](
 			httpClient,
-			baseURL+AdminServiceApplyChangeProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("ApplyChange")),
-			connect.WithClientOptions(opts...),
-		),
-		getChange: connect.NewClient[v1.GetChangeRequest, v1.GetChangeResponse](
-			httpClient,
-			baseURL+AdminServiceGetChangeProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("GetChange")),
-			connect.WithClientOptions(opts...),
-		),
-		getObject: connect.NewClient[v1.GetObjectRequest, v1.GetObjectResponse](
-			httpClient,
-			baseURL+AdminServiceGetObjectProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("GetObject")),
-			connect.WithClientOptions(opts...),
-		),
-		listObjects: connect.NewClient[v1.ListObjectsRequest, v1.ListObjectsResponse](
-			httpClient,
-			baseURL+AdminServiceListObjectsProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("ListObjects")),
-			connect.WithClientOptions(opts...),
-		),
-		listAudit: connect.NewClient[v1.ListAuditRequest, v1.ListAuditResponse](
-			httpClient,
-			baseURL+AdminServiceListAuditProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("ListAudit")),
-			connect.WithClientOptions(opts...),
-		),
-		listHosts: connect.NewClient[v1.ListHostsRequest, v1.ListHostsResponse](
-			httpClient,
-			baseURL+AdminServiceListHostsProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("ListHosts")),
-			connect.WithClientOptions(opts...),
-		),
-		listReplicas: connect.NewClient[v1.ListReplicasRequest, v1.ListReplicasResponse](
-			httpClient,
-			baseURL+AdminServiceListReplicasProcedure,
-			connect.WithSchema(adminServiceMethods.ByName("ListReplicas")),
+			baseURL+AdminServiceStatusProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -127,64 +65,17 @@
 
 // adminServiceClient implements AdminServiceClient.
 type adminServiceClient struct {
-	applyChange  *connect.Client[v1.ApplyChangeRequest, v1.ApplyChangeResponse]
-	getChange    *connect.Client[v1.GetChangeRequest, v1.GetChangeResponse]
-	getObject    *connect.Client[v1.GetObjectRequest, v1.GetObjectResponse]
-	listObjects  *connect.Client[v1.ListObjectsRequest, v1.ListObjectsResponse]
-	listAudit    *connect.Client[v1.ListAuditRequest, v1.ListAuditResponse]
-	listHosts    *connect.Client[v1.ListHostsRequest, v1.ListHostsResponse]
-	listReplicas *connect.Client[v1.ListReplicasRequest, v1.ListReplicasResponse]
-}
-
-// ApplyChange calls briarlink.v1.AdminService.ApplyChange.
-func (c *adminServiceClient) ApplyChange(ctx context.Context, req *connect.Request[v1.ApplyChangeRequest]) (*connect.Response[v1.ApplyChangeResponse], error) {
-	return c.applyChange.CallUnary(ctx, req)
-}
-
-// GetChange calls briarlink.v1.AdminService.GetChange.
-func (c *adminServiceClient) GetChange(ctx context.Context, req *connect.Request[v1.GetChangeRequest]) (*connect.Response[v1.GetChangeResponse], error) {
-	return c.getChange.CallUnary(ctx, req)
-}
-
-// GetObject calls briarlink.v1.AdminService.GetObject.
-func (c *adminServiceClient) GetObject(ctx context.Context, req *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error) {
-	return c.getObject.CallUnary(ctx, req)
-}
-
-// ListObjects calls briarlink.v1.AdminService.ListObjects.
-func (c *adminServiceClient) ListObjects(ctx context.Context, req *connect.Request[v1.ListObjectsRequest]) (*connect.Response[v1.ListObjectsResponse], error) {
-	return c.listObjects.CallUnary(ctx, req)
-}
-
-// ListAudit calls briarlink.v1.AdminService.ListAudit.
-func (c *adminServiceClient) ListAudit(ctx context.Context, req *connect.Request[v1.ListAuditRequest]) (*connect.Response[v1.ListAuditResponse], error) {
-	return c.listAudit.CallUnary(ctx, req)
-}
-
-// ListHosts calls briarlink.v1.AdminService.ListHosts.
-func (c *adminServiceClient) ListHosts(ctx context.Context, req *connect.Request[v1.ListHostsRequest]) (*connect.Response[v1.ListHostsResponse], error) {
-	return c.listHosts.CallUnary(ctx, req)
+	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
-// ListReplicas calls briarlink.v1.AdminService.ListReplicas.
-func (c *adminServiceClient) ListReplicas(ctx context.Context, req *connect.Request[v1.ListReplicasRequest]) (*connect.Response[v1.ListReplicasResponse], error) {
-	return c.listReplicas.CallUnary(ctx, req)
+// Status calls briarlink.v1.AdminService.Status.
+func (c *adminServiceClient) Status(ctx context.Context, req *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
+	return c.status.CallUnary(ctx, req)
 }
 
 // AdminServiceHandler is an implementation of the briarlink.v1.AdminService service.
 type AdminServiceHandler interface {
-	// ApplyChange writes or deletes one object and answers with its outcome.
-	ApplyChange(context.Context, *connect.Request[v1.ApplyChangeRequest]) (*connect.Response[v1.ApplyChangeResponse], error)
-	// GetChange reports what became of a change ID.
-	GetChange(context.Context, *connect.Request[v1.GetChangeRequest]) (*connect.Response[v1.GetChangeResponse], error)
-	GetObject(context.Context, *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error)
-	ListObjects(context.Context, *connect.Request[v1.ListObjectsRequest]) (*connect.Response[v1.ListObjectsResponse], error)
-	// ListAudit returns outcomes of changes, newest last.
-	ListAudit(context.Context, *connect.Request[v1.ListAuditRequest]) (*connect.Response[v1.ListAuditResponse], error)
-	// ListHosts returns the entry hosts as this host sees them.
-	ListHosts(context.Context, *connect.Request[v1.ListHostsRequest]) (*connect.Response[v1.ListHostsResponse], error)
-	// ListReplicas returns the backend servers as this host sees them.
-	ListReplicas(context.Context, *connect.Request[v1.ListReplicasRequest]) (*connect.Response[v1.ListReplicasResponse], error)
+	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -194,64 +85,16 @@
 // and JSON codecs. They also support gzip compression.
 func NewAdminServiceHandler(svc AdminServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	adminServiceMethods := v1.File_briarlink_v1_admin_proto.Services().ByName("AdminService").Methods()
-	adminServiceApplyChangeHandler := connect.NewUnaryHandler(
-		AdminServiceApplyChangeProcedure,
-		svc.ApplyChange,
-		connect.WithSchema(adminServiceMethods.ByName("ApplyChange")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceGetChangeHandler := connect.NewUnaryHandler(
-		AdminServiceGetChangeProcedure,
-		svc.GetChange,
-		connect.WithSchema(adminServiceMethods.ByName("GetChange")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceGetObjectHandler := connect.NewUnaryHandler(
-		AdminServiceGetObjectProcedure,
-		svc.GetObject,
-		connect.WithSchema(adminServiceMethods.ByName("GetObject")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceListObjectsHandler := connect.NewUnaryHandler(
-		AdminServiceListObjectsProcedure,
-		svc.ListObjects,
-		connect.WithSchema(adminServiceMethods.ByName("ListObjects")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceListAuditHandler := connect.NewUnaryHandler(
-		AdminServiceListAuditProcedure,
-		svc.ListAudit,
-		connect.WithSchema(adminServiceMethods.ByName("ListAudit")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceListHostsHandler := connect.NewUnaryHandler(
-		AdminServiceListHostsProcedure,
-		svc.ListHosts,
-		connect.WithSchema(adminServiceMethods.ByName("ListHosts")),
-		connect.WithHandlerOptions(opts...),
-	)
-	adminServiceListReplicasHandler := connect.NewUnaryHandler(
-		AdminServiceListReplicasProcedure,
-		svc.ListReplicas,
-		connect.WithSchema(adminServiceMethods.ByName("ListReplicas")),
+	adminServiceStatusHandler := connect.NewUnaryHandler(
+		AdminServiceStatusProcedure,
+		svc.Status,
+		connect.WithSchema(adminServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/briarlink.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case AdminServiceApplyChangeProcedure:
-			adminServiceApplyChangeHandler.ServeHTTP(w, r)
-		case AdminServiceGetChangeProcedure:
-			adminServiceGetChangeHandler.ServeHTTP(w, r)
-		case AdminServiceGetObjectProcedure:
-			adminServiceGetObjectHandler.ServeHTTP(w, r)
-		case AdminServiceListObjectsProcedure:
-			adminServiceListObjectsHandler.ServeHTTP(w, r)
-		case AdminServiceListAuditProcedure:
-			adminServiceListAuditHandler.ServeHTTP(w, r)
-		case AdminServiceListHostsProcedure:
-			adminServiceListHostsHandler.ServeHTTP(w, r)
-		case AdminServiceListReplicasProcedure:
-			adminServiceListReplicasHandler.ServeHTTP(w, r)
+		case AdminServiceStatusProcedure:
+			adminServiceStatusHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -261,30 +104,6 @@
 // UnimplementedAdminServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedAdminServiceHandler struct{}
 
-func (UnimplementedAdminServiceHandler) ApplyChange(context.Context, *connect.Request[v1.ApplyChangeRequest]) (*connect.Response[v1.ApplyChangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.ApplyChange is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) GetChange(context.Context, *connect.Request[v1.GetChangeRequest]) (*connect.Response[v1.GetChangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.GetChange is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) GetObject(context.Context, *connect.Request[v1.GetObjectRequest]) (*connect.Response[v1.GetObjectResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.GetObject is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) ListObjects(context.Context, *connect.Request[v1.ListObjectsRequest]) (*connect.Response[v1.ListObjectsResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.ListObjects is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) ListAudit(context.Context, *connect.Request[v1.ListAuditRequest]) (*connect.Response[v1.ListAuditResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.ListAudit is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) ListHosts(context.Context, *connect.Request[v1.ListHostsRequest]) (*connect.Response[v1.ListHostsResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.ListHosts is not implemented"))
-}
-
-func (UnimplementedAdminServiceHandler) ListReplicas(context.Context, *connect.Request[v1.ListReplicasRequest]) (*connect.Response[v1.ListReplicasResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.ListReplicas is not implemented"))
+func (UnimplementedAdminServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("briarlink.v1.AdminService.Status is not implemented"))
 }
--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -12,9 +12,10 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/node"
 	"github.com/briarlink/briarlink/internal/obs"
-	"github.com/briarlink/briarlink/internal/settings"
+	"github.com/briarlink/briarlink/platform"
 )
 
 // version is set at build time.
@@ -27,33 +28,60 @@
 	exitFailed
 	// exitUsage means the command line or a file is wrong.
 	exitUsage
-	// exitRefused means a change was refused; nothing changed.
-	exitRefused
-	// exitUnknown means a change may or may not take effect.
-	exitUnknown
 )
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run an entry host until SIGTERM or SIGINT, then stop without cutting a request."`
 	Settings settingsCmd `cmd:"" help:"Work with settings files."`
-	Admin    adminCmd    `cmd:"" help:"Operators' calls. Exit codes: 0 done, 1 failed, 2 usage, 3 change refused, 4 outcome unknown."`
-	Hash     hashCmd     `cmd:"" help:"Print the SHA-256 of a key or token read from standard input."`
+	Admin    adminCmd    `cmd:"" help:"Operators' calls."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type serveCmd struct {
-	Settings string `required:"" type:"existingfile" help:"Settings file: JSON with comments."`
+	Settings string `env:"BRIARLINK_SETTINGS" required:"" help:"Settings file: JSON with comments, or the platform's format."`
 }
 
 // Run implements the serve command.
 func (c *serveCmd) Run() error {
-	s, err := settings.Load(c.Settings)
+	s, err := load(c.Settings)
 	if err != nil {
 		return usage(err)
 	}
+	log, lines := obs.NewLogger(s.Log, os.Stdout)
+	defer lines.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return node.New(s, obs.NewLogger(s.Log, os.Stderr)).Run(ctx)
+	n := node.New(s, log, lines)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			if err := c.reload(n); err != nil {
+				log.WithError(err).Error("settings not reloaded; those in force stay")
+			}
+		}
+	}()
+	if err := n.Run(ctx); err != nil {
+		log.WithError(err).Error("ended")
+		return err
+	}
+	return nil
+}
+
+func (c *serveCmd) reload(n *node.Node) error {
+	s, err := load(c.Settings)
+	if err != nil {
+		return err
+	}
+	return n.Reload(s)
+}
+
+func load(file string) (*pb.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return platform.LoadSettings(data)
 }
 
 type settingsCmd struct {
@@ -66,7 +94,7 @@
 
 // Run implements the settings check command.
 func (c *settingsCheckCmd) Run() error {
-	if _, err := settings.Load(c.File); err != nil {
+	if _, err := load(c.File); err != nil {
 		return usage(err)
 	}
 	fmt.Println("ok")
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,147 +1,131 @@
 package entry
 
 import (
-	"context"
-	"fmt"
-	"math"
+	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
-	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
-	"github.com/briarlink/briarlink/internal/oai"
 )
 
-const (
-	contentSSE  = "text/event-stream"
-	contentJSON = "application/json"
-)
-
-var errCallerWrite = errors.New("write to caller")
-
-// shape builds the caller's form of an answer, chat or completion.
-type shape struct {
-	id    string
-	model string
-	chat  bool
-}
-
-// answer dispatches the job and writes the caller's answer.
-func (s *Server) answer(ctx context.Context, ex *exchange, req *oai.Request, job *dispatch.Job) (*settled, error) {
-	form := shape{id: "cmpl-" + ex.id, model: req.Model, chat: strings.HasPrefix(ex.r.URL.Path, "/v1/chat/")}
-	sink := dispatch.Sink(discard{})
-	if req.Stream {
-		sink = &streamSink{ex: ex, form: form}
-	}
-	result, err := s.Dispatcher.Run(ctx, job, sink)
-	s.measure(job, &result, err)
-	if err != nil {
-		return nil, err
+// copyHeaders sets a replica's headers, and keeps net/http from adding a type.
+func (ex *exchange) copyHeaders(h http.Header) {
+	out := ex.w.Header()
+	for name, values := range h {
+		out[name] = values
 	}
-	body := oai.Encode(form.whole(&result))
-	if req.Stream {
-		ex.finishStream(form, &result)
-	} else {
-		ex.writeWhole(body, &result)
+	if h.Get("Content-Type") == "" {
+		out["Content-Type"] = nil
 	}
-	return &settled{http.StatusOK, contentJSON, body}, nil
 }
 
-func (s *Server) measure(job *dispatch.Job, result *dispatch.Result, err error) {
-	if result.FirstToken > 0 {
-		s.Metrics.FirstToken.RecordDuration(result.FirstToken)
-	}
-	if err != nil {
-		return
-	}
-	s.Metrics.PromptPieces.Inc(int64(math.Round(job.Prompt.Pieces)))
-	s.Metrics.CachedPieces.Inc(int64(math.Round(result.CachedPieces)))
-	s.Metrics.WastedPieces.Inc(int64(math.Round(max(0, result.ExpectedPieces-result.CachedPieces))))
-	s.Metrics.BeliefError.Inc(int64(math.Round(math.Abs(result.ExpectedPieces - result.CachedPieces))))
+// Whole implements dispatch.Answer.
+func (ex *exchange) Whole(status int, h http.Header, body []byte) error {
+	ex.copyHeaders(h)
+	ex.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	ex.answered = true
+	ex.w.WriteHeader(status)
+	_, err := ex.w.Write(body)
+	return errors.Wrap(err, "write an answer")
 }
 
-// discard is the sink of an answer that is sent whole.
-type discard struct{}
-
-func (discard) Token(int, string) error { return nil }
-
-// streamSink writes tokens as server-sent events. A slow caller blocks it, and
-// with it the engine's stream.
-type streamSink struct {
-	ex   *exchange
-	form shape
+// Start implements dispatch.Answer.
+func (ex *exchange) Start(status int, h http.Header) error {
+	ex.copyHeaders(h)
+	ex.answered = true
+	ex.w.WriteHeader(status)
+	return nil
 }
 
-// Token implements dispatch.Sink.
-func (k *streamSink) Token(index int, text string) error {
-	if !k.ex.wroteStream {
-		k.ex.startStream()
+// Event implements dispatch.Answer.
+func (ex *exchange) Event(data []byte) error {
+	if _, err := ex.w.Write(data); err != nil {
+		return errors.Wrap(err, "write an event")
 	}
-	event := fmt.Sprintf("id: %d\ndata: %s\n\n", index, oai.Encode(k.form.chunk(text)))
-	if !writeEvent(k.ex.w, event) {
-		return errCallerWrite
-	}
-	return nil
+	return errors.Wrap(http.NewResponseController(ex.w).Flush(), "flush an event")
 }
 
-func (ex *exchange) startStream() {
-	ex.wroteStream = true
-	h := ex.w.Header()
-	h.Set("Content-Type", contentSSE)
-	h.Set("Cache-Control", "no-store")
-	h.Set(HeaderRunState, string(errkind.Ran))
-	ex.w.WriteHeader(http.StatusOK)
+type errorBody struct {
+	Error errorDetail `json:"error"`
 }
 
-// writeEvent writes and flushes; it reports whether the caller is still there.
-func writeEvent(w http.ResponseWriter, event string) bool {
-	if _, err := w.Write([]byte(event)); err != nil {
-		return false
-	}
-	return http.NewResponseController(w).Flush() == nil
+type errorDetail struct {
+	Type     string `json:"type"`
+	Message  string `json:"message"`
+	RunState string `json:"run_state"`
 }
 
-// finishStream writes the last chunk and [DONE].
-func (ex *exchange) finishStream(form shape, result *dispatch.Result) {
-	if !ex.wroteStream {
-		ex.startStream()
+// writeError answers with an error of the host's own.
+func writeError(w http.ResponseWriter, err error) {
+	e := errkind.From(err)
+	answer := e.Kind.Answer()
+	body, err := json.Marshal(errorBody{errorDetail{answer.Name, e.Reason, string(answer.Run)}})
+	if err != nil {
+		body = []byte("{}")
 	}
-	last := form.chunk("")
-	last.Choices[0].FinishReason = &result.FinishReason
-	last.Usage = &result.Usage
-	writeEvent(ex.w, fmt.Sprintf("id: %d\ndata: %s\n\n", result.Tokens, oai.Encode(last)))
-	writeEvent(ex.w, "data: "+oai.Done+"\n\n")
-}
-
-func (ex *exchange) writeWhole(body []byte, result *dispatch.Result) {
-	h := ex.w.Header()
-	h.Set("Content-Type", contentJSON)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	h.Set(HeaderRunState, string(errkind.Ran))
-	h.Set("Briarlink-Backend-Server", result.Replica)
-	ex.w.WriteHeader(http.StatusOK)
-	_, _ = ex.w.Write(body)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if after := e.Retry(); after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(answer.Status)
+	// The connection's own failure is the caller's to see.
+	_, _ = w.Write(body)
 }
 
-func (f shape) chunk(text string) oai.Chunk {
-	c := oai.Chunk{ID: f.id, Model: f.model, Object: "text_completion", Choices: []oai.Choice{{Text: text}}}
-	if f.chat {
-		c.Object = "chat.completion.chunk"
-		c.Choices[0] = oai.Choice{Delta: &oai.Message{Role: "assistant", Content: text}}
+// log writes the request's one line, and counts it.
+func (ex *exchange) log(err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = errkind.From(err).Kind.String()
+	}
+	took := time.Since(ex.arrived)
+	ex.s.Metrics.Answered(outcome)
+	ex.measure(took)
+	fields := logrus.Fields{
+		"request": ex.caller.ID, "outcome": outcome, "ms": took.Milliseconds(),
+		"state": ex.report.State, "replica": ex.report.Replica, "status": ex.report.Status,
+		"sends": ex.report.Sends, "ran": ex.report.Ran,
+	}
+	if ex.view.Config != nil {
+		fields["config"] = ex.view.Config.Version
+		fields["config_age_ms"] = ex.view.Age.Milliseconds()
+	}
+	if ex.route != nil {
+		fields["route"] = ex.route.Name
+	}
+	if ex.org != nil {
+		fields["organisation"] = ex.org.Name
+	}
+	if ex.report.Prompt > 0 {
+		fields["prompt"], fields["cached"], fields["fetched"] = ex.report.Prompt, ex.report.Cached, ex.report.Fetched
+		fields["weights"] = ex.report.Weights
+		fields["first_ms"], fields["expected_ms"] = ex.report.First.Milliseconds(), ex.report.Expected.Milliseconds()
+	}
+	if len(ex.report.Tries) > 1 || err != nil {
+		fields["tries"] = ex.report.Tries
+	}
+	line := ex.s.Log.WithFields(fields)
+	if err != nil {
+		line.WithError(err).Warn("request")
+		return
 	}
-	return c
+	line.Info("request")
 }
 
-func (f shape) whole(result *dispatch.Result) oai.Chunk {
-	c := f.chunk(result.Text)
-	if f.chat {
-		c.Object = "chat.completion"
-		c.Choices[0] = oai.Choice{Message: &oai.Message{Role: "assistant", Content: result.Text}}
+func (ex *exchange) measure(took time.Duration) {
+	m, r := ex.s.Metrics, &ex.report
+	m.Whole.RecordDuration(took)
+	if r.First > 0 {
+		m.First.RecordDuration(r.First)
 	}
-	c.Choices[0].FinishReason = &result.FinishReason
-	c.Usage = &result.Usage
-	return c
+	m.PromptTokens.Inc(int64(r.Prompt))
+	m.CachedTokens.Inc(int64(r.Cached))
+	m.FetchedTokens.Inc(int64(r.Fetched))
+	m.Repeats.Inc(int64(max(0, r.Sends-1)))
+	m.Resumed.Inc(int64(r.Resumed))
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -19,16 +19,12 @@
 	Internal Kind = iota
 	// InvalidRequest means the request is malformed.
 	InvalidRequest
-	// Unauthenticated means the key or token is missing or unknown.
+	// Unauthenticated means the API key is missing or unknown.
 	Unauthenticated
-	// PermissionDenied means the organisation may not use what it asked for.
-	PermissionDenied
-	// NotFound means the object, route or model does not exist.
+	// NotFound means no route matches.
 	NotFound
 	// TooLarge means a size limit is exceeded.
 	TooLarge
-	// RateLimited means the organisation is over its ceiling.
-	RateLimited
 	// Overloaded means the deadline cannot be met with the present load.
 	Overloaded
 	// NotReady means this host has no configuration yet.
@@ -37,17 +33,6 @@
 	OutOfTouch
 	// Stopping means this host is shutting down.
 	Stopping
-	// LogUnavailable means the platform's log did not answer in time.
-	LogUnavailable
-	// KeyRejected means the idempotency key is not a UUIDv7 or its time is out of range.
-	KeyRejected
-	// KeyReused means the idempotency key belongs to another request.
-	KeyReused
-	// InDoubt means an earlier request with this key may have run.
-	InDoubt
-	// Undecided means this host cannot tell whether an earlier request with the
-	// same key ran; this one was not sent.
-	Undecided
 	// NoBackend means no backend server can take the request.
 	NoBackend
 	// BackendUnreachable means nothing was sent to the backend server.
@@ -60,12 +45,8 @@
 	BackendError
 	// DeadlineExceeded means the deadline passed after the request was sent.
 	DeadlineExceeded
-	// Conflict means the object changed since the version that was edited.
-	Conflict
-	// Stale means the change was read too long ago to be folded safely.
-	Stale
-	// OutcomeUnknown means a change may or may not be on the log.
-	OutcomeUnknown
+	// CallerGone means the caller closed its connection.
+	CallerGone
 	count
 )
 
@@ -97,30 +78,24 @@
 	Internal:           {"internal", http.StatusInternalServerError, connect.CodeInternal, MayHaveRun, 0},
 	InvalidRequest:     {"invalid_request", http.StatusBadRequest, connect.CodeInvalidArgument, NotRun, 0},
 	Unauthenticated:    {"unauthenticated", http.StatusUnauthorized, connect.CodeUnauthenticated, NotRun, 0},
-	PermissionDenied:   {"permission_denied", http.StatusForbidden, connect.CodePermissionDenied, NotRun, 0},
 	NotFound:           {"not_found", http.StatusNotFound, connect.CodeNotFound, NotRun, 0},
 	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, connect.CodeInvalidArgument, NotRun, 0},
-	RateLimited:        {"rate_limited", http.StatusTooManyRequests, connect.CodeResourceExhausted, NotRun, time.Second},
-	Overloaded:         {"overloaded", http.StatusServiceUnavailable, connect.CodeResourceExhausted, NotRun, 2 * time.Second},
-	NotReady:           {"not_ready", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, time.Second},
-	OutOfTouch:         {"out_of_touch", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 5 * time.Second},
-	Stopping:           {"stopping", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, time.Second},
-	LogUnavailable:     {"log_unavailable", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 5 * time.Second},
-	KeyRejected:        {"key_rejected", http.StatusUnprocessableEntity, connect.CodeFailedPrecondition, NotRun, 0},
-	KeyReused:          {"key_reused", http.StatusConflict, connect.CodeAlreadyExists, NotRun, 0},
-	InDoubt:            {"in_doubt", http.StatusConflict, connect.CodeUnknown, MayHaveRun, 0},
-	Undecided:          {"undecided", http.StatusServiceUnavailable, connect.CodeUnavailable, MayHaveRun, time.Second},
-	NoBackend:          {"no_backend", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 2 * time.Second},
-	BackendUnreachable: {"backend_unreachable", http.StatusBadGateway, connect.CodeUnavailable, NotRun, time.Second},
-	BackendRefused:     {"backend_refused", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, time.Second},
+	Overloaded:         {"overloaded", http.StatusServiceUnavailable, connect.CodeResourceExhausted, NotRun, 500 * time.Millisecond},
+	NotReady:           {"not_ready", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 300 * time.Millisecond},
+	OutOfTouch:         {"out_of_touch", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 300 * time.Millisecond},
+	Stopping:           {"stopping", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 50 * time.Millisecond},
+	NoBackend:          {"no_backend", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 300 * time.Millisecond},
+	BackendUnreachable: {"backend_unreachable", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 300 * time.Millisecond},
+	BackendRefused:     {"backend_refused", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 200 * time.Millisecond},
 	BackendLost:        {"backend_lost", http.StatusBadGateway, connect.CodeUnknown, MayHaveRun, 0},
 	BackendError:       {"backend_error", http.StatusBadGateway, connect.CodeUnknown, MayHaveRun, 0},
 	DeadlineExceeded:   {"deadline_exceeded", http.StatusGatewayTimeout, connect.CodeDeadlineExceeded, MayHaveRun, 0},
-	Conflict:           {"conflict", http.StatusConflict, connect.CodeAborted, NotRun, 0},
-	Stale:              {"stale", http.StatusConflict, connect.CodeAborted, NotRun, 0},
-	OutcomeUnknown:     {"outcome_unknown", http.StatusServiceUnavailable, connect.CodeUnknown, MayHaveRun, time.Second},
+	CallerGone:         {"caller_gone", statusCallerGone, connect.CodeCanceled, MayHaveRun, 0},
 }
 
+// statusCallerGone stands in logs for an answer that nobody waits for.
+const statusCallerGone = 499
+
 // All returns every kind in the order of the list.
 func All() []Kind {
 	kinds := make([]Kind, count)
--- /dev/null
+++ b/internal/node/beliefs.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/entry"
+	"github.com/briarlink/briarlink/platform"
+)
+
+// operatorRecord takes a record that operators wrote.
+func (n *Node) operatorRecord(rec platform.Record, _ bool) {
+	if c, ok, err := platform.DecodeConfig(rec); ok {
+		if err != nil {
+			n.log.WithError(err).WithField("offset", rec.Offset).Error("configuration not taken")
+			return
+		}
+		old := n.config.Load()
+		if old != nil && old.Version >= c.Version {
+			n.log.WithFields(logrus.Fields{"version": c.Version, "in_force": old.Version}).Info("older configuration ignored")
+			return
+		}
+		n.config.Store(c)
+		n.log.WithFields(logrus.Fields{"version": c.Version, "offset": rec.Offset, "routes": len(c.Routes), "organisations": len(c.Organisations)}).Info("configuration in force")
+		n.beatNow()
+		return
+	}
+	w, ok, err := platform.DecodeWeights(rec)
+	if err != nil {
+		n.log.WithError(err).WithField("offset", rec.Offset).Error("wanted weights not taken")
+		return
+	}
+	if ok && n.replicas.Want(w.Model, w.Version, time.Now()) {
+		n.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version, "offset": rec.Offset}).Info("weights wanted")
+		n.beatNow()
+	}
+}
+
+// replicaRecord takes a backend server's entry.
+func (n *Node) replicaRecord(rec platform.Record, trusted bool) {
+	if rec.Removed {
+		n.replicas.Remove(rec.Key, trusted)
+		return
+	}
+	reg, err := platform.DecodeReplica(rec)
+	if err != nil {
+		n.log.WithError(err).WithField("offset", rec.Offset).Error("backend server's entry not taken")
+		return
+	}
+	n.replicas.Register(reg, rec.Offset)
+}
+
+// hostRecord takes an entry host's address.
+func (n *Node) hostRecord(rec platform.Record, _ bool) {
+	if rec.Removed || rec.Key == n.settings.Host.Id {
+		return
+	}
+	h, err := platform.DecodeHost(rec)
+	if err != nil {
+		n.log.WithError(err).Error("host's record not taken")
+		return
+	}
+	n.members.Learn(h.PeerAddress, time.Now())
+}
+
+// view returns the configuration with the time in which a newer one could have
+// been missed: since the store answered this host, or another host that has
+// applied no more than this one.
+func (n *Node) view() entry.View {
+	now := time.Now()
+	v := entry.View{Config: n.config.Load(), Age: n.access.Age(now)}
+	end := n.operators.End()
+	for _, h := range n.members.Hosts(now) {
+		if h.Alive && position(h.Beat, platform.OperatorTopic) <= end {
+			v.Age = min(v.Age, h.Age+time.Duration(h.Beat.StoreAgeMs)*time.Millisecond)
+		}
+	}
+	return v
+}
+
+func position(b *pb.Heartbeat, topic string) int64 {
+	for _, p := range b.Positions {
+		if p.Topic == topic {
+			return p.End
+		}
+	}
+	return 0
+}
+
+// rank returns this host's place among the live ones in the order in which they
+// would take the lease: the same on all of them.
+func (n *Node) rank() int {
+	ids := []string{n.settings.Host.Id}
+	for _, h := range n.members.Hosts(time.Now()) {
+		if h.Alive && !h.Beat.Leaving {
+			ids = append(ids, h.Beat.Host)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return xxh3.HashString(ids[i]) < xxh3.HashString(ids[j]) })
+	for i, id := range ids {
+		if id == n.settings.Host.Id {
+			return i
+		}
+	}
+	return 0
+}
+
+// status is what operators are told.
+func (n *Node) status() *pb.StatusResponse {
+	now := time.Now()
+	out := &pb.StatusResponse{Host: n.settings.Host.Id, State: n.machine.Current(), Replicas: n.replicas.Status(now), Lease: &pb.LeaseStatus{}}
+	if c := n.config.Load(); c != nil {
+		out.ConfigVersion = c.Version
+	}
+	for _, h := range n.members.Hosts(now) {
+		out.Hosts = append(out.Hosts, &pb.HostStatus{
+			Id: h.Beat.Host, AvailabilityZone: h.Beat.AvailabilityZone, CallerAddress: h.Beat.CallerAddress,
+			Alive: h.Alive, Ready: h.Beat.Ready, Leaving: h.Beat.Leaving, AgeMs: h.Age.Milliseconds(),
+		})
+	}
+	out.Lease.Holder, out.Lease.FencingToken, out.Lease.HeldHere = n.lease.Holder()
+	return out
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/topic"
+	"github.com/briarlink/briarlink/platform"
+)
+
+const (
+	// fetchTimeout bounds a fetch of records from another host.
+	fetchTimeout = 800 * time.Millisecond
+	// staleAccess is the time without an answer of the store from which backend
+	// servers' entries are taken from other hosts too.
+	staleAccess = 800 * time.Millisecond
+	// toldAddresses bounds the peer addresses in a heartbeat.
+	toldAddresses = 12
+	// loadingHold is how long a replica that another host orders gets no requests
+	// unless the next heartbeat says so again.
+	loadingHold = 600 * time.Millisecond
+	// leastKick is the shortest pause between two heartbeats.
+	leastKick = 5 * time.Millisecond
+)
+
+// beatNow asks for a heartbeat at once.
+func (n *Node) beatNow() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// heartbeats tells the other hosts, each interval and when asked to.
+func (n *Node) heartbeats(ctx context.Context) {
+	ticker := time.NewTicker(n.settings.Member.HeartbeatInterval.AsDuration())
+	defer ticker.Stop()
+	now := time.Now()
+	for _, seed := range n.settings.Member.Seeds {
+		n.members.Learn(n.peerAt(seed), now)
+	}
+	for {
+		n.beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-n.kick:
+			time.Sleep(leastKick)
+		}
+	}
+}
+
+func (n *Node) beat() {
+	now := time.Now()
+	b := &pb.Heartbeat{
+		Host:             n.settings.Host.Id,
+		Incarnation:      n.incarnation,
+		Sequence:         n.sequence.Add(1),
+		AvailabilityZone: n.settings.Host.AvailabilityZone,
+		CallerAddress:    n.settings.Listen.Caller,
+		PeerAddress:      n.settings.Listen.Peer,
+		Ready:            n.machine.Is(StateReady),
+		Leaving:          n.machine.Is(StateLeaving) || n.machine.Is(StateClosing),
+		Loads:            n.replicas.Loads(),
+		Sent:             n.scheduler.TakeSent(),
+		Loading:          n.loader.Busy(),
+		Known:            n.members.Addresses(now, toldAddresses),
+		StoreAgeMs:       n.access.Age(now).Milliseconds(),
+	}
+	for _, t := range n.shared() {
+		if t.Synced() {
+			b.Positions = append(b.Positions, &pb.TopicPosition{Topic: t.Name(), End: t.End()})
+		}
+	}
+	n.loader.Recent(now, func(id, model string, version int64) {
+		b.Weights = append(b.Weights, &pb.ReplicaWeights{Replica: id, Model: model, Version: version})
+	})
+	n.gossip.Send(b, n.members.Targets(now))
+}
+
+// shared returns the topics that hosts pass on to each other.
+func (n *Node) shared() []*topic.Table { return []*topic.Table{n.operators, n.servers} }
+
+// heard takes another host's heartbeat.
+func (n *Node) heard(b *pb.Heartbeat) {
+	if b.Host == n.settings.Host.Id {
+		return
+	}
+	now := time.Now()
+	before, fresh := n.members.Heard(b, now)
+	if !fresh {
+		return
+	}
+	n.noteHost(before, b)
+	for _, known := range b.Known {
+		if known != n.settings.Listen.Peer {
+			n.members.Learn(known, now)
+		}
+	}
+	n.replicas.SetLoads(b.Host, b.Loads)
+	for _, id := range b.Loading {
+		n.replicas.Loading(id, now.Add(loadingHold))
+	}
+	for _, w := range b.Weights {
+		if n.replicas.Holds(w.Replica, w.Model, w.Version) {
+			n.index.Clear(w.Replica)
+		}
+	}
+	n.heardSent(b)
+	n.catchUp(b, now)
+}
+
+func (n *Node) heardSent(b *pb.Heartbeat) {
+	c := n.config.Load()
+	if c == nil || len(b.Sent) == 0 {
+		return
+	}
+	for _, s := range c.Services {
+		if s.Engine != nil {
+			n.scheduler.Heard(b.Sent, s.Engine.CacheTokens)
+			return
+		}
+	}
+}
+
+// noteHost logs what changed about another host.
+func (n *Node) noteHost(before, now *pb.Heartbeat) {
+	changed := before == nil || before.Incarnation != now.Incarnation || before.Ready != now.Ready || before.Leaving != now.Leaving
+	if !changed {
+		return
+	}
+	n.log.WithFields(logrus.Fields{
+		"host": now.Host, "ready": now.Ready, "leaving": now.Leaving, "incarnation": now.Incarnation, "known_before": before != nil,
+	}).Info("host changed")
+}
+
+// catchUp fetches records that another host has applied and this one lacks.
+func (n *Node) catchUp(b *pb.Heartbeat, now time.Time) {
+	for _, t := range n.shared() {
+		ahead := position(b, t.Name()) > t.End() || !t.Synced() && position(b, t.Name()) > 0
+		if t == n.servers && t.Synced() && n.access.Age(now) < staleAccess {
+			// This host reads them itself a moment later.
+			ahead = false
+		}
+		if !ahead {
+			continue
+		}
+		if _, busy := n.fetching.LoadOrStore(t.Name(), true); busy {
+			continue
+		}
+		go func() {
+			defer n.fetching.Delete(t.Name())
+			n.fetch(t, b.Host, b.PeerAddress)
+		}()
+	}
+}
+
+func (n *Node) fetch(t *topic.Table, host, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	from := t.End()
+	if !t.Synced() {
+		from = 0
+	}
+	resp, err := n.peers.FetchRecords(ctx, address, &pb.FetchRecordsRequest{Topic: t.Name(), From: from})
+	if err != nil {
+		n.log.WithError(err).WithFields(logrus.Fields{"host": host, "topic": t.Name()}).Info("records not fetched from another host")
+		return
+	}
+	records := make([]platform.Record, 0, len(resp.Records))
+	for _, r := range resp.Records {
+		records = append(records, platform.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed})
+	}
+	if taken := t.MergeAll(records, resp.End, resp.Trusted); taken > 0 {
+		n.log.WithFields(logrus.Fields{"host": host, "topic": t.Name(), "records": taken, "end": resp.End}).Info("records taken from another host")
+	}
+}
+
+// peerService answers other hosts.
+type peerService struct {
+	n *Node
+}
+
+var errNoTopic = errors.New("this host does not have the topic")
+
+// FetchRecords implements the peer service.
+func (p *peerService) FetchRecords(_ context.Context, in *pb.FetchRecordsRequest) (*pb.FetchRecordsResponse, error) {
+	for _, t := range p.n.shared() {
+		if t.Name() != in.Topic || !t.Synced() {
+			continue
+		}
+		records, end := t.From(in.From)
+		out := &pb.FetchRecordsResponse{End: end, Trusted: p.n.access.Stable(time.Now())}
+		for _, r := range records {
+			out.Records = append(out.Records, &pb.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed})
+		}
+		return out, nil
+	}
+	return nil, errNoTopic
+}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -4,31 +4,33 @@
 	"context"
 	"time"
 
-	pb "github.com/briarlink/briarlink/api/briarlink/v1"
-	"github.com/briarlink/briarlink/internal/member"
-	"github.com/briarlink/briarlink/internal/platform"
+	"github.com/sirupsen/logrus"
+
 	"github.com/briarlink/briarlink/internal/prefix"
-	"github.com/briarlink/briarlink/internal/state"
+	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/internal/topic"
+	"github.com/briarlink/briarlink/platform"
 )
 
 const (
-	listInterval = time.Second
-	workInterval = 10 * time.Millisecond
-	// workTimeout keeps work from being told when it is no longer new.
-	workTimeout      = 100 * time.Millisecond
-	catchUpInterval  = 200 * time.Millisecond
-	checkInterval    = time.Second
-	warmUpPieces     = 200_000
-	warmUpPeers      = 2
-	peerCallTimeout  = 2 * time.Second
-	stateCallTimeout = 10 * time.Second
-	// checkpointRecords is how many records may follow the newest checkpoint.
-	checkpointRecords = 500
-	// checkpointParts: a checkpoint is written when this part of the retention
-	// has passed, so that several always lie within it.
-	checkpointParts = 8
-	// checkpointStagger separates hosts that could all write the next one.
-	checkpointStagger = 5 * time.Second
+	// configWait is how long a read of the configuration waits at the store: the
+	// price of a call against the time until a silent store is noticed.
+	configWait = 8 * time.Second
+	// hostWait is the same for hosts' addresses, which heartbeats tell as well.
+	hostWait = 25 * time.Second
+	// configGap bounds the reads in a storm of configurations.
+	configGap = 30 * time.Millisecond
+	// sweepInterval is how often idle connections and dead hosts are looked for.
+	sweepInterval = 250 * time.Millisecond
+	// announceRetry is the pause before a host writes its address again.
+	announceRetry = time.Second
+	// cacheWait is how long a call for cache events waits; calls under 200 ms are
+	// dear.
+	cacheWait = 900 * time.Millisecond
+	// cacheGap bounds those calls while many prompts are saved.
+	cacheGap = 60 * time.Millisecond
+	// cacheRetry follows a failed call for cache events.
+	cacheRetry = 400 * time.Millisecond
 )
 
 // every calls f at once and then each interval until ctx ends.
@@ -45,219 +47,164 @@
 	}
 }
 
-// applyConfig hands each new configuration to the tables that enforce it.
-func (n *Node) applyConfig(ctx context.Context) {
-	for {
-		changed := n.store.Changed()
-		if cur := n.store.Current(); cur != nil {
-			view := cur.View()
-			n.replicas.Configure(view.BackendServers, view.Models)
-			n.poller.Kick()
-			for id, o := range view.Organisations {
-				n.limiter.Configure(id, o.Limit)
-			}
-		}
-		n.metrics.ConfigLag.Update(float64(n.store.Known() - n.store.Next()))
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
+// loops returns the host's background work.
+func (n *Node) loops() []func(context.Context) {
+	follow := func(t *topic.Table, wait, gap time.Duration) func(context.Context) {
+		f := &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Log: n.log}
+		return f.Run
 	}
-}
-
-// watchList follows the platform's list of hosts.
-func (n *Node) watchList(ctx context.Context) {
-	every(ctx, listInterval, func() {
-		listed, err := n.list.Live(ctx)
-		if err != nil {
-			n.log.WithError(err).Debug("host list not read")
-			return
-		}
-		n.members.SetListed(listed)
-	})
-}
-
-// heartbeats exchanges membership, replica hints and demand with some peers.
-func (n *Node) heartbeats(ctx context.Context) {
-	every(ctx, n.settings.Member.HeartbeatInterval.AsDuration(), func() {
-		now := time.Now()
-		n.members.Beat(member.Progress{
-			Applied:    n.store.Next(),
-			Known:      n.store.Known(),
-			ClaimsRead: n.claimer.Touched(),
-			Ready:      n.isReady(),
-		})
-		n.outOfTouch(now)
-		n.limiter.SetHosts(len(n.members.Serving(now)))
-		for _, h := range n.members.Hosts(now) {
-			if !h.Alive {
-				n.limiter.Forget(h.Entry.Id)
-			}
-		}
-		req := &pb.HeartbeatRequest{
-			From:     n.settings.Host.Id,
-			Hosts:    n.members.Entries(now),
-			Replicas: n.replicas.Hints(),
-			Demand:   n.limiter.Demand(now),
-		}
-		for _, p := range n.members.Targets(now, int(n.settings.Member.FanOut), n.rng) {
-			go n.heartbeat(ctx, p, req)
-		}
-	})
-}
-
-func (n *Node) heartbeat(ctx context.Context, p member.Peer, req *pb.HeartbeatRequest) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-	defer cancel()
-	resp, err := n.peers.Heartbeat(ctx, p.Address, req)
-	if err != nil {
-		n.log.WithError(err).WithField("peer", p.ID).Debug("heartbeat failed")
-		return
+	return []func(context.Context){
+		follow(n.operators, configWait, configGap),
+		follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration()),
+		follow(n.hosts, hostWait, configGap),
+		n.announce,
+		n.heartbeats,
+		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
+		n.sweep,
+		n.lease.Follow,
+		n.loader.Run,
+		n.cacheEvents,
 	}
-	n.members.Merge(resp.Hosts, time.Now())
 }
 
-// tellWork passes on to some peers what this host just sent, since their load
-// reports are older than that.
-func (n *Node) tellWork(ctx context.Context) {
-	every(ctx, workInterval, func() {
-		work := n.replicas.TakeSent()
-		if len(work) == 0 {
+// announce writes this host's address to the store once.
+func (n *Node) announce(ctx context.Context) {
+	value := platform.HostRecord{PeerAddress: n.settings.Listen.Peer}.Encode()
+	for ctx.Err() == nil {
+		_, err := n.store.Append(ctx, platform.HostTopic, platform.Record{Key: n.settings.Host.Id, Value: value}, -1)
+		if err == nil {
 			return
 		}
-		for _, p := range n.members.Targets(time.Now(), int(n.settings.Member.FanOut), n.rng) {
-			go func() {
-				ctx, cancel := context.WithTimeout(ctx, workTimeout)
-				defer cancel()
-				// Best effort: the next load report shows the work as well.
-				_, _ = n.workPeers.TellWork(ctx, p.Address, &pb.TellWorkRequest{Work: work})
-			}()
+		n.log.WithError(err).Info("this host's address was not written; trying again")
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
 		}
-	})
+	}
 }
 
-// catchUp fetches the configuration from a peer that has applied more, and
-// warms the prefix index once after the start.
-func (n *Node) catchUp(ctx context.Context) {
-	warm := 0
-	every(ctx, catchUpInterval, func() {
+// sweep does what is due now and then.
+func (n *Node) sweep(ctx context.Context) {
+	every(ctx, sweepInterval, func() {
 		now := time.Now()
-		known, best := n.members.NewestKnown(now)
-		n.store.SetKnown(known)
-		if best.Address != "" && (n.store.Current() == nil || n.behind(now)) {
-			n.fetchState(ctx, best)
+		n.pool.Sweep(now)
+		for _, id := range n.members.Expire(now) {
+			n.replicas.SetLoads(id, nil)
+			n.log.WithField("host", id).Warn("host lost: no heartbeats")
 		}
-		if warm < warmUpPeers && best.Address != "" && n.replicas.Polled() && n.fetchIndex(ctx, best) {
-			warm++
+		if n.access.Stable(now) {
+			n.replicas.Settle()
 		}
+		n.budget.SetHosts(float64(n.settings.Retry.Slack)*slackShare, 1+len(n.members.Hosts(now)))
+		n.becomeReady()
+		n.gauges(now)
 	})
 }
 
-// behind reports whether peers know of records that the log does not give us.
-func (n *Node) behind(now time.Time) bool {
-	return n.store.Known() > n.store.Next() && !n.touch.log(now, n.tailer.Follower().Touched())
-}
-
-func (n *Node) fetchState(ctx context.Context, p member.Peer) {
-	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
-	defer cancel()
-	resp, err := n.peers.FetchState(ctx, p.Address, &pb.FetchStateRequest{HaveOffset: n.store.Next()})
-	if err != nil || resp.State == nil {
+func (n *Node) becomeReady() {
+	if n.config.Load() == nil || !n.servers.Synced() {
 		return
 	}
-	if n.store.Offer(state.Decode(resp.State)) {
-		n.log.WithField("peer", p.ID).WithField("next_offset", resp.State.NextOffset).Info("configuration taken from a peer")
+	if statemachine.Fire(n.machine, eventKnow) {
+		n.log.WithFields(logrus.Fields{"config": n.config.Load().Version, "replicas": n.replicas.Count()}).Info("ready")
+		n.beatNow()
 	}
 }
 
-// fetchIndex merges a peer's prefix index. Beliefs about an incarnation other
-// than the one this host polled are dropped by the index itself.
-func (n *Node) fetchIndex(ctx context.Context, p member.Peer) bool {
-	ctx, cancel := context.WithTimeout(ctx, stateCallTimeout)
-	defer cancel()
-	resp, err := n.peers.FetchIndex(ctx, p.Address, &pb.FetchIndexRequest{Limit: warmUpPieces})
-	if err != nil || resp.Busy {
-		return false
+func (n *Node) gauges(now time.Time) {
+	m := n.metrics
+	if c := n.config.Load(); c != nil {
+		m.ConfigVersion.Update(float64(c.Version))
 	}
-	now := time.Now()
-	for _, run := range resp.Runs {
-		pieces := make([]prefix.Hash, len(run.Hashes))
-		for i, h := range run.Hashes {
-			pieces[i] = prefix.Hash(h)
-		}
-		n.index.Adopt(run.BackendServer, run.Incarnation, now, pieces)
+	m.StoreAge.Update(n.access.Age(now).Seconds())
+	m.Hosts.Update(float64(1 + len(n.members.Serving(now))))
+	m.Replicas.Update(float64(n.replicas.Count()))
+	_, _, here := n.lease.Holder()
+	held := 0.0
+	if here {
+		held = 1
 	}
-	return true
+	m.LeaseHeld.Update(held)
+	m.Connections.Update(float64(n.pool.Opened()))
+	m.DroppedLines.Update(float64(n.lines.Dropped()))
 }
 
-// checkpoints writes the state to the log when the newest checkpoint there is
-// old. No host is in charge: each waits in its own rank's turn, and two
-// checkpoints of one state are equal.
-func (n *Node) checkpoints(ctx context.Context) {
-	due := checkpointClock{}
-	every(ctx, checkInterval, func() {
-		cur := n.store.Current()
-		if cur == nil || n.tailer.Gap() {
-			return
-		}
-		now := time.Now()
-		if !due.due(cur.Next, n.tailer.LastCheckpoint(), now, n.settings.Platform.Retention.AsDuration(), n.rank(now)) {
-			return
-		}
-		if err := n.writeCheckpoint(ctx, cur); err != nil {
-			n.log.WithError(err).Warn("checkpoint not written")
+// cacheEvents follows what the store of kept KV cache holds.
+func (n *Node) cacheEvents(ctx context.Context) {
+	f := &cacheFollower{n: n}
+	for ctx.Err() == nil {
+		pause := f.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
 		}
-	})
+	}
 }
 
-// rank is this host's place in the order in which hosts write checkpoints.
-func (n *Node) rank(now time.Time) int {
-	var ids []string
-	for _, h := range n.members.Serving(now) {
-		ids = append(ids, h.Id)
-	}
-	for i, id := range member.Rank("checkpoint", ids) {
-		if id == n.settings.Host.Id {
-			return i
-		}
-	}
-	return len(ids)
+// cacheFollower reads the cache events of the configured store.
+type cacheFollower struct {
+	n       *Node
+	address string
+	epoch   int64
+	next    int64
 }
 
-func (n *Node) writeCheckpoint(ctx context.Context, s *state.State) error {
-	records, err := state.Checkpoint(s)
-	if err != nil {
-		return err
+// step reads once and returns how long to wait before the next read.
+func (f *cacheFollower) step(ctx context.Context) time.Duration {
+	c := f.n.config.Load()
+	if c == nil || c.Store() == nil {
+		return cacheRetry
+	}
+	store := c.Store()
+	if store.Address != f.address {
+		f.reset(store.Address, 0)
 	}
-	for _, rec := range records {
-		if _, err := n.platform.Append(ctx, platform.ConfigStream, rec); err != nil {
-			return err
+	events, err := f.n.engines.CacheEvents(ctx, store.Address, f.next, cacheWait)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.up(false, err)
 		}
+		return cacheRetry
+	}
+	f.up(true, nil)
+	if f.epoch != 0 && events.Epoch != f.epoch {
+		f.reset(store.Address, events.Epoch)
+		return 0
+	}
+	f.epoch = events.Epoch
+	if events.Lost {
+		f.n.log.WithField("store", store.Address).Info("cache events of the store were lost")
 	}
-	n.log.WithField("next_offset", s.Next).Info("checkpoint written")
-	return nil
+	for _, ev := range events.Events {
+		f.take(store.Address, store.CacheTokens, ev)
+	}
+	f.next = events.Next
+	return cacheGap
 }
 
-// checkpointClock decides when a checkpoint is due.
-type checkpointClock struct {
-	seen  uint64
-	since time.Time
+func (f *cacheFollower) reset(address string, epoch int64) {
+	f.n.index.Clear(f.address)
+	f.address, f.epoch, f.next = address, epoch, 0
 }
 
-// due reports whether this host should write a checkpoint of a state that
-// reaches to next, when the newest on the log reaches to last.
-func (c *checkpointClock) due(next, last uint64, now time.Time, retention time.Duration, rank int) bool {
-	if c.since.IsZero() || last != c.seen {
-		c.seen, c.since = last, now
+func (f *cacheFollower) take(address string, capacity int, ev platform.CacheEvent) {
+	part := prefix.HashOf(ev.Salt, ev.Part)
+	if ev.Removed {
+		f.n.index.Remove(address, part)
+		return
 	}
-	wait := retention / checkpointParts
-	if next-last >= checkpointRecords {
-		wait = 0
+	f.n.index.Add(address, prefix.Prompt{Parts: []prefix.Hash{part}, Tokens: []int{ev.Tokens}}, capacity)
+}
+
+func (f *cacheFollower) up(up bool, err error) {
+	if f.n.scheduler.StoreUp() == up {
+		return
 	}
-	if now.Sub(c.since) < wait+time.Duration(rank)*checkpointStagger || next == last {
-		return false
+	f.n.scheduler.SetStoreUp(up)
+	line := f.n.log.WithField("store", f.address)
+	if up {
+		line.Info("store of KV cache reached")
+		return
 	}
-	c.since = now
-	return true
+	line.WithError(err).Warn("store of KV cache lost")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,306 +1,305 @@
 // Package node wires one entry host together and runs it.
 //
-// Lock order, for the whole program: replica.Table, then prefix.Index. Every
-// other table (member.Table, limit.Limiter, limit.RetryBudget, once.Claimer,
-// state.Store, peer.Client) is locked alone, and no lock is held over a call to
-// another process.
+// Lock order: every table (topic.Table, member.Table, replica.Table,
+// prefix.Index, retry.Budget, rollout.Lease, rollout.Loader) is locked alone; no
+// lock is held over a call to another table or process.
 package node
 
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/looplab/fsm"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
-	"github.com/briarlink/briarlink/internal/admin"
+	"github.com/briarlink/briarlink/internal/addr"
+	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/entry"
 	"github.com/briarlink/briarlink/internal/errkind"
-	"github.com/briarlink/briarlink/internal/limit"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
-	"github.com/briarlink/briarlink/internal/once"
 	"github.com/briarlink/briarlink/internal/peer"
-	"github.com/briarlink/briarlink/internal/platform"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/rollout"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/internal/schedule"
-	"github.com/briarlink/briarlink/internal/state"
+	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/internal/topic"
+	"github.com/briarlink/briarlink/internal/upstream"
+	"github.com/briarlink/briarlink/platform"
 )
 
-// claimAppendsPerSecond is the part of the log's rate that claims of all hosts
-// together may use.
-const claimAppendsPerSecond = 200
+// States of a host.
+const (
+	StateStarting = "starting"
+	StateReady    = "ready"
+	// StateLeaving hosts are named to no caller, and serve those that come.
+	StateLeaving = "leaving"
+	// StateClosing hosts refuse new requests and finish those they have.
+	StateClosing = "closing"
+)
+
+const (
+	eventKnow  = "configuration and replicas known"
+	eventTerm  = "stop asked for"
+	eventClose = "callers had time to go elsewhere"
+)
+
+func newMachine() *fsm.FSM {
+	return fsm.NewFSM(StateStarting, fsm.Events{
+		{Name: eventKnow, Src: []string{StateStarting}, Dst: StateReady},
+		{Name: eventTerm, Src: []string{StateStarting, StateReady}, Dst: StateLeaving},
+		{Name: eventClose, Src: []string{StateLeaving}, Dst: StateClosing},
+	}, fsm.Callbacks{})
+}
+
+// Diagram returns the host's state machine as a Mermaid diagram.
+func Diagram() string { return statemachine.Diagram(newMachine()) }
 
-// weightsDuty is the duty of ordering weights, held by one host at a time.
-const weightsDuty = "weights"
+// memoryShare of the process's memory is where the garbage collector works
+// harder; the rest is for sockets and for what the runtime does not count.
+const memoryShare = 0.6
 
 // Node is one entry host.
 type Node struct {
-	settings *pb.Settings
-	log      *logrus.Logger
-	rng      *rand.Rand
+	settings    *pb.Settings
+	log         *logrus.Logger
+	lines       *obs.Writer
+	incarnation uint64
+	machine     *fsm.FSM
 
-	platform platform.Log
-	list     platform.HostList
-	store    *state.Store
-	tailer   *state.Tailer
-	members  *member.Table
-	index    *prefix.Index
-	replicas *replica.Table
-	poller   *replica.Poller
-	keeper   *rollout.Keeper
-	limiter  *limit.Limiter
-	claimer  *once.Claimer
-	peers    *peer.Client
-	// workPeers has connections of its own: its short timeouts close them.
-	workPeers *peer.Client
+	store     *platform.Store
+	engines   *platform.Engines
+	access    *topic.Access
+	operators *topic.Table
+	servers   *topic.Table
+	hosts     *topic.Table
+	config    atomic.Pointer[config.Config]
+
+	members   *member.Table
+	gossip    *member.Gossip
+	peers     *peer.Client
+	replicas  *replica.Table
+	index     *prefix.Index
+	scheduler *schedule.Scheduler
+	pool      *upstream.Pool
+	budget    *retry.Budget
+	lease     *rollout.Lease
+	loader    *rollout.Loader
 	metrics   *obs.Metrics
 	entry     *entry.Server
-	admin     *admin.Server
 
-	started time.Time
-	// ready is closed once the host has a configuration and has heard from the
-	// backend servers.
-	ready     chan struct{}
-	touch     *touch
-	stopping  atomic.Bool
-	transfers chan struct{}
+	sequence atomic.Uint64
+	// kick asks for a heartbeat at once.
+	kick chan struct{}
+	// fetching holds the topics that are being fetched from a peer.
+	fetching sync.Map
 }
 
-// New returns a host that is not running yet.
-func New(s *pb.Settings, log *logrus.Logger) *Node {
-	client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout.AsDuration())
+// New returns a host that is not running yet. lines is the log's writer.
+func New(s *pb.Settings, log *logrus.Logger, lines *obs.Writer) *Node {
 	n := &Node{
-		settings:  s,
-		log:       log,
-		rng:       rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
-		platform:  client,
-		list:      client,
-		store:     state.NewStore(),
-		index:     prefix.NewIndex(int(s.Prefix.MaxPieces)),
-		limiter:   limit.NewLimiter(),
-		peers:     peer.NewClient(),
-		workPeers: peer.NewClient(),
-		started:   time.Now(),
-		ready:     make(chan struct{}),
-		transfers: make(chan struct{}, maxTransfers),
+		settings:    s,
+		log:         log,
+		lines:       lines,
+		incarnation: rand.Uint64(),
+		machine:     newMachine(),
+		store:       platform.NewStore(s.Platform.Address, s.Platform.CallTimeout.AsDuration()),
+		engines:     platform.NewEngines(),
+		access:      topic.NewAccess(s.Replica.OutageGrace.AsDuration(), log),
+		members:     member.NewTable(s.Member.DeadAfter.AsDuration()),
+		peers:       peer.NewClient(),
+		index:       prefix.NewIndex(),
+		pool:        upstream.NewPool(),
+		kick:        make(chan struct{}, 1),
 	}
-	n.tailer = state.NewTailer(n.store, n.platform)
-	n.members = member.NewTable(&pb.HostEntry{
-		Id:               s.Host.Id,
-		Incarnation:      uint64(n.started.UnixNano()),
-		AvailabilityZone: s.Host.AvailabilityZone,
-		CallerAddress:    s.Listen.Caller,
-		PeerAddress:      s.Listen.Peer,
-	}, s.Member.DeadAfter.AsDuration())
-	n.touch = newTouch(n.started, s.Member.OutOfTouchAfter.AsDuration())
-	n.replicas = replica.NewTable(n.index, s.Route.DownAfter.AsDuration())
-	n.keeper = rollout.NewKeeper(n.platform, weightsDuty, rollout.Holder{Host: s.Host.Id, Incarnation: uint64(n.started.UnixNano())})
-	n.poller = replica.NewPoller(n.replicas, s.Route.PollInterval.AsDuration())
-	n.claimer = once.NewClaimer(n.platform, s.Claim.MaxKeyAge.AsDuration(), s.Claim.Wait.AsDuration(), n.claimInterval, n.claimsRead)
+	n.operators = topic.NewTable(platform.OperatorTopic, n.operatorRecord)
+	n.servers = topic.NewTable(platform.ReplicaTopic, n.replicaRecord)
+	n.hosts = topic.NewTable(platform.HostTopic, n.hostRecord)
+	n.replicas = replica.NewTable(log, func(id, address string) {
+		n.index.Clear(id)
+		n.pool.Forget(address)
+	})
+	policy := route.DefaultPolicy()
+	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
+	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
+	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), float64(s.Retry.Slack)*slackShare, 1, time.Now())
+	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
+	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
+	n.loader.Rank = n.rank
+	n.loader.Changed = n.beatNow
+	n.loader.Loaded = n.index.Clear
+	n.loader.Ordered = func() { n.metrics.Orders.Inc(1) }
 	return n
 }
 
-// claimsRead returns when any other live host last read the claims; ok is false
-// when this host is not in touch with most hosts and so cannot tell.
-func (n *Node) claimsRead() (at time.Time, ok bool) {
-	now := time.Now()
-	return n.members.ClaimsRead(now), n.members.InTouchWithMost(now, n.settings.Member.DeadAfter.AsDuration())
-}
-
-// claimInterval keeps the appends of all hosts together within the log's rate.
-func (n *Node) claimInterval() time.Duration {
-	hosts := len(n.members.Serving(time.Now()))
-	return max(n.settings.Claim.GroupInterval.AsDuration(), time.Duration(hosts)*time.Second/claimAppendsPerSecond)
-}
+// slackShare of the budget's slack is spent: other hosts may count a window that
+// begins a little earlier or later.
+const slackShare = 0.7
 
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
+	if mb := n.settings.Host.MemoryMb; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
+	}
 	metrics, metricsHandler, closer := obs.NewMetrics()
 	defer closer.Close()
 	n.metrics = metrics
-	n.buildServers()
+	n.buildEntry()
+	gossip, err := member.Listen(n.settings.Listen.Peer, n.log)
+	if err != nil {
+		return err
+	}
+	n.gossip = gossip
 	// Background work outlives ctx: a graceful stop still needs it.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	defer n.peers.Close()
-	defer n.workPeers.Close()
+	defer n.closeClients()
 	defer cancel()
-	callers, operators, err := n.listen(work, &wg, metricsHandler)
+	servers, err := n.listen(work, &wg, metricsHandler)
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(context.Context){
-		n.tailer.Run, n.claimer.Run, n.applyConfig, n.heartbeats, n.catchUp, n.watchList, n.checkpoints,
-		n.poller.Run, n.awaitReady, n.tellWork, n.keeper.Run,
-		rollout.NewLoader(n.keeper, n.replicas, dispatch.NewHTTPEngine(), n.log).Run,
-	} {
+	for _, loop := range n.loops() {
 		wg.Go(func() { loop(work) })
 	}
-	n.log.WithField("caller", n.settings.Listen.Caller).Info("entry host started")
+	n.log.WithFields(logrus.Fields{
+		"host": n.settings.Host.Id, "zone": n.settings.Host.AvailabilityZone, "caller": n.settings.Listen.Caller,
+		"incarnation": n.incarnation, "pid": os.Getpid(),
+	}).Info("started")
 	<-ctx.Done()
-	err = n.stop(callers)
-	operators.Close()
-	return err
+	n.stop(servers)
+	return nil
 }
 
-func (n *Node) buildServers() {
+func (n *Node) closeClients() {
+	if err := n.gossip.Close(); err != nil {
+		n.log.WithError(err).Debug("heartbeat socket")
+	}
+	n.peers.Close()
+	n.store.Close()
+	n.engines.Close()
+	n.pool.Close()
+}
+
+func (n *Node) buildEntry() {
 	s := n.settings
-	retries := limit.NewRetryBudget(s.Request.RetryRatio)
-	policy := route.DefaultPolicy()
-	policy.RecomputeWeight = s.Route.RecomputeWeight
-	pipeline := route.NewPipeline(policy)
 	n.entry = entry.New(entry.Deps{
-		Settings:   s,
-		Store:      n.store,
-		Members:    n.members,
-		Replicas:   n.replicas,
-		Limiter:    n.limiter,
-		Dispatcher: dispatch.New(dispatch.NewHTTPEngine(), schedule.New(n.replicas, n.index, pipeline), retries, s.Request.IdleTimeout.AsDuration()),
-		Services:   dispatch.NewServices(retries),
-		Claimer:    n.claimer,
-		Metrics:    n.metrics,
-		Log:        n.log,
-		Gate:       n.gate,
-		Stopping:   n.stopping.Load,
+		View:            n.view,
+		Refuse:          n.refuse,
+		Ready:           func() bool { return n.machine.Is(StateReady) },
+		Closing:         func() bool { return n.machine.Is(StateLeaving) || n.machine.Is(StateClosing) },
+		Directory:       n.directory,
+		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
+		Dispatcher:      dispatch.New(n.scheduler, n.replicas, n.pool, n.budget),
+		Metrics:         n.metrics,
+		Log:             n.log,
+		MaxBodyBytes:    s.Request.MaxBodyBytes,
+		DefaultDeadline: s.Request.DefaultDeadline.AsDuration(),
 	})
-	settle := s.Platform.CallTimeout.AsDuration() + s.Claim.Wait.AsDuration()
-	n.admin = admin.New(n.store, state.NewSubmitter(n.store, n.platform, settle), n.members, n.replicas, n.log)
 }
 
-// listen opens the three listeners and serves on them.
-func (n *Node) listen(ctx context.Context, wg *sync.WaitGroup, metrics http.Handler) (callers, operators *http.Server, err error) {
-	l := n.settings.Listen
-	callerListener, err := net.Listen("tcp", l.Caller)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen for callers")
-	}
-	operatorListener, err := net.Listen("tcp", l.Operator)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen for operators")
-	}
-	peerListener, err := net.Listen("tcp", l.Peer)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen for peers")
-	}
-	maxHeader := int(n.settings.Request.MaxHeaderBytes)
-	callers = &http.Server{
-		Handler:           n.entry.Handler(),
-		MaxHeaderBytes:    maxHeader,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       n.settings.Member.AnswerTtl.AsDuration(),
+// refuse returns an error while the host takes no new requests.
+func (n *Node) refuse() error {
+	switch {
+	case n.machine.Is(StateClosing):
+		return errkind.New(errkind.Stopping, "this host is stopping")
+	case n.config.Load() == nil || !n.servers.Synced():
+		return errkind.New(errkind.NotReady, "this host has no configuration yet")
+	default:
+		return nil
 	}
-	operators = &http.Server{Handler: n.operatorHandler(metrics), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout}
-	n.serve(wg, "callers", func() error { return callers.Serve(callerListener) })
-	n.serve(wg, "operators", func() error { return operators.Serve(operatorListener) })
-	n.serve(wg, "peers", func() error { return peer.Serve(ctx, peerListener, &peerService{n}) })
-	return callers, operators, nil
 }
 
-const (
-	headerTimeout = 10 * time.Second
-	// startWait is how long a request waits for a host that is starting.
-	startWait     = time.Second
-	readyInterval = 10 * time.Millisecond
-)
-
-func (n *Node) serve(wg *sync.WaitGroup, name string, f func() error) {
-	wg.Go(func() {
-		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled) {
-			n.log.WithError(err).WithField("listener", name).Error("listener ended")
+// directory returns the hosts that callers in an availability zone should use:
+// those of the zone, so that little crosses zones, or all where the zone has
+// fewer than two.
+func (n *Node) directory(zone string) []string {
+	var all, near []string
+	add := func(hostZone, address string) {
+		all = append(all, address)
+		if hostZone == zone {
+			near = append(near, address)
 		}
-	})
+	}
+	if n.machine.Is(StateReady) {
+		add(n.settings.Host.AvailabilityZone, n.settings.Listen.Caller)
+	}
+	for _, h := range n.members.Serving(time.Now()) {
+		add(h.AvailabilityZone, h.CallerAddress)
+	}
+	if len(near) >= 2 {
+		all = near
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), maxDirectory)]
 }
 
-// operatorHandler serves operators' calls, metrics and health.
-func (n *Node) operatorHandler(metrics http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(n.admin.Handler(n.settings.Operators.Tokens))
-	mux.Handle("GET /metrics", metrics)
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if err := n.gate(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	return mux
-}
+// maxDirectory is the largest number of addresses that callers take.
+const maxDirectory = 64
 
-// isReady reports whether the start is over.
-func (n *Node) isReady() bool {
-	select {
-	case <-n.ready:
-		return true
-	default:
-		return false
+// stop leaves without cutting a request. Other hosts stop naming this one at
+// once; callers that hold an older answer are still served until closeAfter of
+// the grace time; then open requests finish.
+func (n *Node) stop(servers []*server) {
+	began := time.Now()
+	grace := n.settings.Stop.Grace.AsDuration()
+	statemachine.Fire(n.machine, eventTerm)
+	n.beatNow()
+	n.log.WithField("open", n.entry.Open()).Info("stopping: callers are sent elsewhere")
+	time.Sleep(part(grace, closeAfter))
+	statemachine.Fire(n.machine, eventClose)
+	for n.entry.Open() > 0 && time.Since(began) < part(grace, endAfter) {
+		time.Sleep(stopPoll)
 	}
+	for _, s := range servers {
+		s.close(part(grace, shutdownTime))
+	}
+	n.log.WithFields(logrus.Fields{"open": n.entry.Open(), "ms": time.Since(began).Milliseconds()}).Info("stopped")
 }
 
-// awaitReady ends the start once there is a configuration and most backend
-// servers have been heard from, or have had their time.
-func (n *Node) awaitReady(ctx context.Context) {
-	if n.store.Await(ctx, func(s *state.State) bool { return s != nil }) != nil {
-		return
-	}
-	limit := time.Now().Add(n.settings.Route.DownAfter.AsDuration())
-	for ctx.Err() == nil && !n.replicas.Polled() && time.Now().Before(limit) {
-		time.Sleep(readyInterval)
-	}
-	close(n.ready)
+const (
+	// closeAfter of the grace time new requests are refused: callers had three
+	// times an answer's lifetime to go elsewhere.
+	closeAfter = 0.42
+	// endAfter of the grace time open requests are given up.
+	endAfter = 0.9
+	// shutdownTime of the grace time is left for connections to close.
+	shutdownTime = 0.02
+	stopPoll     = 20 * time.Millisecond
+)
+
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * share)
 }
 
-// gate returns an error while this host must not take new work. A request that
-// comes while the host starts waits a little: callers keep an answer that names
-// a host over its restart.
-func (n *Node) gate() error {
-	if !n.isReady() {
-		select {
-		case <-n.ready:
-		case <-time.After(startWait):
-		}
+// Reload takes the settings that may change while the host runs.
+func (n *Node) Reload(s *pb.Settings) error {
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return errors.Wrap(err, "log level")
 	}
-	switch {
-	case !n.isReady():
-		return errkind.New(errkind.NotReady, "this host has no configuration yet")
-	case n.tailer.Gap():
-		return errkind.New(errkind.OutOfTouch, "the log has forgotten records that this host lacks")
-	case n.members.Superseded():
-		return errkind.New(errkind.OutOfTouch, "another process has taken this host's place")
-	case n.outOfTouch(time.Now()):
-		return errkind.New(errkind.OutOfTouch, "this host reaches neither the log nor most other hosts")
-	default:
-		return nil
+	n.log.SetLevel(level)
+	now := time.Now()
+	for _, seed := range s.Member.Seeds {
+		n.members.Learn(n.peerAt(seed), now)
 	}
+	n.log.Info("settings reloaded")
+	return nil
 }
 
-// stop leaves without cutting a request: other hosts stop naming this one, the
-// answers that did name it run out, then open requests finish.
-func (n *Node) stop(callers *http.Server) error {
-	n.stopping.Store(true)
-	n.members.Leave()
-	m := n.settings.Member
-	wait := m.AnswerTtl.AsDuration() + leaveMargin*m.HeartbeatInterval.AsDuration()
-	n.log.WithField("wait_ms", wait.Milliseconds()).Info("stopping: still serving callers that were sent here")
-	time.Sleep(wait)
-	ctx, cancel := context.WithTimeout(context.Background(), m.StopTimeout.AsDuration())
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	n.log.WithField("open_requests", n.entry.Open()).Info("stopped")
-	return errors.Wrap(err, "requests were still open at the stop timeout")
+// peerAt returns the peer address of a host: ports are the same on all hosts.
+func (n *Node) peerAt(ip string) string {
+	return addr.OnHost(ip, n.settings.Listen.Peer)
 }
-
-// leaveMargin is in heartbeats: how long until every peer knows of the leave.
-const leaveMargin = 4
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,31 +37,10 @@
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{conns: map[string]*drpcconn.Conn{}} }
 
-// Heartbeat sends a heartbeat to the peer at address.
-func (c *Client) Heartbeat(ctx context.Context, address string, in *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
-	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.HeartbeatResponse, error) {
-		return p.Heartbeat(ctx, in)
-	})
-}
-
-// TellWork tells the peer at address what was sent to backend servers.
-func (c *Client) TellWork(ctx context.Context, address string, in *pb.TellWorkRequest) (*pb.TellWorkResponse, error) {
-	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.TellWorkResponse, error) {
-		return p.TellWork(ctx, in)
-	})
-}
-
-// FetchState asks the peer at address for its configuration state.
-func (c *Client) FetchState(ctx context.Context, address string, in *pb.FetchStateRequest) (*pb.FetchStateResponse, error) {
-	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchStateResponse, error) {
-		return p.FetchState(ctx, in)
-	})
-}
-
-// FetchIndex asks the peer at address for its prefix index.
-func (c *Client) FetchIndex(ctx context.Context, address string, in *pb.FetchIndexRequest) (*pb.FetchIndexResponse, error) {
-	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchIndexResponse, error) {
-		return p.FetchIndex(ctx, in)
+// FetchRecords asks the peer at address for records of a topic.
+func (c *Client) FetchRecords(ctx context.Context, address string, in *pb.FetchRecordsRequest) (*pb.FetchRecordsResponse, error) {
+	return call(ctx, c, address, func(p pb.DRPCPeerServiceClient) (*pb.FetchRecordsResponse, error) {
+		return p.FetchRecords(ctx, in)
 	})
 }
 
--- /dev/null
+++ b/internal/replica/health.go
@@ -0,0 +1,192 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+)
+
+// Result is how an exchange with a server ended.
+type Result int
+
+// Results of an exchange.
+const (
+	// Answered is a whole answer of the server.
+	Answered Result = iota
+	// Failed is an answer that reports a failure of the server's own.
+	Failed
+	// Refused is a true "not run" of a server that is full.
+	Refused
+	// Lost is a connection that broke, or an answer that made no sense.
+	Lost
+	// Unreachable is a server to which nothing could be sent.
+	Unreachable
+	// Cancelled is an exchange that the caller or the deadline ended.
+	Cancelled
+)
+
+// String returns the result's name for logs.
+func (r Result) String() string {
+	return [...]string{"answered", "failed", "refused", "lost", "unreachable", "cancelled"}[r]
+}
+
+const (
+	// errorWeight is the weight of one answer in the share of failures: about the
+	// last ten answers count.
+	errorWeight = 0.1
+	// slowWeight is the weight of one answer in the slowness.
+	slowWeight = 0.15
+	// downFirst and downMost bound how long an unreachable server gets no
+	// requests. The first pause is a little longer than a crash takes to show in
+	// other servers' load; the longest lets a restarted one be found.
+	downFirst = 300 * time.Millisecond
+	downMost  = 2 * time.Second
+	// maxSlow bounds what one answer can say of a server's speed.
+	maxSlow = 12.0
+)
+
+// health is what a server's answers say of it. Checks of the server's own are
+// dear and may lie, so that none are made.
+type health struct {
+	errors    float64
+	slowness  float64
+	downUntil time.Time
+	pause     time.Duration
+	// trying is true while one request tries a server that was down.
+	trying bool
+}
+
+// state returns whether the server is down, or due for a trial.
+func (h *health) state(now time.Time) (down, trial bool) {
+	if h.pause == 0 {
+		return false, false
+	}
+	if now.Before(h.downUntil) || h.trying {
+		return true, false
+	}
+	return false, true
+}
+
+func (h *health) slow() float64 {
+	if h.slowness == 0 {
+		return 1
+	}
+	return h.slowness
+}
+
+// took records the time an answer took against what was expected.
+func (h *health) took(actual, expected time.Duration) {
+	ratio := min(maxSlow, float64(actual)/float64(max(expected, time.Millisecond)))
+	if h.slowness == 0 {
+		h.slowness = 1
+	}
+	h.slowness += slowWeight * (ratio - h.slowness)
+}
+
+func (h *health) ended(r Result, now time.Time) {
+	h.trying = false
+	switch r {
+	case Answered:
+		h.errors -= errorWeight * h.errors
+		h.pause = 0
+	case Refused:
+		h.pause = 0
+	case Failed:
+		h.errors += errorWeight * (1 - h.errors)
+		h.pause = 0
+	case Lost:
+		h.errors += errorWeight * (1 - h.errors)
+	case Unreachable:
+		h.errors += errorWeight * (1 - h.errors)
+		h.pause = min(max(2*h.pause, downFirst), downMost)
+		h.downUntil = now.Add(h.pause)
+	case Cancelled:
+	}
+}
+
+// Flight is a request at a server. It is safe for concurrent use.
+type Flight struct {
+	table    *Table
+	entry    *entry
+	began    time.Time
+	expected time.Duration
+	prefill  int
+	memory   int
+	answered bool
+	over     bool
+}
+
+// Begin records a request that is about to be sent. It returns nil when the
+// server may no longer be given requests.
+func (t *Table) Begin(id string, prefill, memory int, expected time.Duration, now time.Time) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.machine.Is(StateDraining) {
+		return nil
+	}
+	if _, trial := e.health.state(now); trial {
+		e.health.trying = true
+	}
+	f := &Flight{table: t, entry: e, began: now, expected: expected, prefill: prefill, memory: memory}
+	e.flights[f] = true
+	return f
+}
+
+// First records the head of the answer, or a stream's first event: the prompt
+// has been read.
+func (f *Flight) First(now time.Time) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	if f.answered {
+		return
+	}
+	f.answered = true
+	f.prefill = 0
+	f.entry.health.took(now.Sub(f.began), f.expected)
+	f.entry.heard(now)
+}
+
+// End records the end of the exchange; only the first call counts.
+func (f *Flight) End(r Result, now time.Time) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	if f.over {
+		return
+	}
+	f.over = true
+	delete(f.entry.flights, f)
+	f.entry.health.ended(r, now)
+	if r == Answered || r == Failed || r == Refused {
+		f.entry.heard(now)
+	}
+}
+
+// Silence returns how long the flight's server has owed an answer without any
+// sign of life.
+func (f *Flight) Silence(now time.Time) time.Duration {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	return f.entry.silence(now)
+}
+
+// heard records a sign of life: the silence of every flight starts again.
+func (e *entry) heard(now time.Time) { e.lastHeard = now }
+
+// silence is how long the oldest unanswered flight has waited beyond what was
+// expected of it.
+func (e *entry) silence(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for f := range e.flights {
+		if f.answered {
+			continue
+		}
+		due := f.began.Add(f.expected)
+		if e.lastHeard.After(due) {
+			due = e.lastHeard
+		}
+		longest = max(longest, now.Sub(due))
+	}
+	return longest
+}
+
+func weightsText(model string, version int64) string { return fmt.Sprintf("%s=%d", model, version) }
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -1,6 +1,6 @@
-// Package replica keeps the table of backend servers: their configuration, the
-// state each is in, the load each reported, and what this host sent since. It
-// builds the immutable snapshots on which routing decides.
+// Package replica keeps the table of backend servers: what each registered of
+// itself, the work that all hosts have sent it, and how its answers went. It
+// builds the snapshots on which routing decides.
 package replica
 
 import (
@@ -9,432 +9,349 @@
 	"time"
 
 	"github.com/looplab/fsm"
+	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
-	"github.com/briarlink/briarlink/internal/prefix"
-	"github.com/briarlink/briarlink/internal/rollout"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/platform"
 )
 
 // States of a backend server.
 const (
-	StateUnknown = "unknown"
-	StateServing = "serving"
-	StateLoading = "loading"
-	StateLeaving = "leaving"
-	StateDown    = "down"
+	StateServing  = "serving"
+	StateDraining = "draining"
+	// StateLapsed servers lost their entry while the store was in an outage.
+	StateLapsed = "lapsed"
+	StateGone   = "gone"
 )
 
-// Events of a backend server.
 const (
-	eventServe   = "serve"
-	eventLoad    = "load"
-	eventLeave   = "leave"
-	eventSilent  = "silent"
-	eventRestart = "restart"
+	eventRegister = "register"
+	eventDrain    = "drain"
+	eventLapse    = "lapse"
+	eventRemove   = "remove"
 )
 
-// newMachine returns the state machine of one backend server. Leaving ends
-// only with a new incarnation.
+// newMachine returns the state machine of one start of a backend server. A
+// drained or removed server does not serve again under the same ID.
 func newMachine() *fsm.FSM {
-	alive := []string{StateUnknown, StateServing, StateLoading, StateDown}
-	return fsm.NewFSM(StateUnknown, fsm.Events{
-		{Name: eventServe, Src: alive, Dst: StateServing},
-		{Name: eventLoad, Src: alive, Dst: StateLoading},
-		{Name: eventLeave, Src: append(alive, StateLeaving), Dst: StateLeaving},
-		{Name: eventSilent, Src: append(alive, StateLeaving), Dst: StateDown},
-		{Name: eventRestart, Src: append(alive, StateLeaving), Dst: StateUnknown},
+	return fsm.NewFSM(StateServing, fsm.Events{
+		{Name: eventRegister, Src: []string{StateLapsed}, Dst: StateServing},
+		{Name: eventDrain, Src: []string{StateServing, StateLapsed}, Dst: StateDraining},
+		{Name: eventLapse, Src: []string{StateServing}, Dst: StateLapsed},
+		{Name: eventRemove, Src: []string{StateServing, StateDraining, StateLapsed}, Dst: StateGone},
 	}, fsm.Callbacks{})
 }
 
-// Table is the table of backend servers of one host. Lock order: Table.mu, then
-// the prefix index's lock.
+// Diagram returns the state machine as a Mermaid diagram.
+func Diagram() string { return statemachine.Diagram(newMachine()) }
+
+// Table is the table of backend servers of one host. It is safe for concurrent
+// use; mu is its only lock.
 type Table struct {
-	mu        sync.Mutex
-	entries   map[string]*entry
-	index     *prefix.Index
-	downAfter time.Duration
-	// configured is true once a configuration was taken.
-	configured bool
-	// wanted is the version configured for each model.
-	wanted map[string]string
-	// untold is work sent since the last TakeSent.
-	untold []*pb.WorkItem
+	log *logrus.Logger
+	// gone is told of servers that left, without the lock.
+	gone func(id, address string)
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	wanted  map[string]Wanted
+	// loads is the work of other hosts, by host and server.
+	loads map[string]map[string]*pb.ReplicaLoad
 }
 
-type entry struct {
-	id       string
-	spec     *pb.BackendServer
-	machine  *fsm.FSM
-	reason   string
-	status   *pb.PollResponse
-	polled   time.Time
-	number   prefix.Replica
-	sequence uint64
-	sent     []sentWork
-	// barred is the incarnation that a peer or a refusal said is leaving.
-	barred uint64
+// Wanted is the weights version that operators want of a model.
+type Wanted struct {
+	Version int64
+	// Since is when this host learned of it.
+	Since time.Time
 }
 
-// sentWork is work this host sent to a replica whose load report may not show it yet.
-type sentWork struct {
-	at     time.Time
-	pieces float64
+type entry struct {
+	reg     platform.Registration
+	machine *fsm.FSM
+	reason  string
+	weights map[string]int64
+	// loadingUntil is when an order that was told of is given up on.
+	loadingUntil time.Time
+	flights      map[*Flight]bool
+	health       health
+	// lastHeard is the last sign of life in any answer.
+	lastHeard time.Time
 }
 
-// NewTable returns an empty table over index. A backend server that is not
-// polled for downAfter counts as down.
-func NewTable(index *prefix.Index, downAfter time.Duration) *Table {
-	return &Table{entries: map[string]*entry{}, index: index, downAfter: downAfter}
+// NewTable returns an empty table. gone is called for each server that left.
+func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
+	return &Table{
+		log: log, gone: gone,
+		entries: map[string]*entry{}, wanted: map[string]Wanted{}, loads: map[string]map[string]*pb.ReplicaLoad{},
+	}
 }
 
-// Configure takes the backend servers and models of the configuration in force.
-func (t *Table) Configure(specs map[string]*pb.BackendServer, models map[string]*pb.Model) {
+// Register takes a server's own entry of the store.
+func (t *Table) Register(reg platform.Registration, offset int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.configured = true
-	t.wanted = map[string]string{}
-	for id, m := range models {
-		t.wanted[id] = m.Version
+	e := t.entries[reg.ID]
+	if e == nil {
+		e = &entry{machine: newMachine(), weights: map[string]int64{}, flights: map[*Flight]bool{}}
+		t.entries[reg.ID] = e
+		t.log.WithFields(logrus.Fields{"replica": reg.ID, "service": reg.Service, "address": reg.Address, "offset": offset}).Info("replica registered")
 	}
-	for id, e := range t.entries {
-		spec := specs[id]
-		if spec == nil || spec.Address != e.spec.Address {
-			t.index.Clear(e.number)
-			delete(t.entries, id)
-		}
+	e.reg = reg
+	for model, version := range reg.Weights {
+		e.weights[model] = max(e.weights[model], version)
 	}
-	for id, spec := range specs {
-		if e := t.entries[id]; e != nil {
-			e.spec = spec
-			if e.status != nil && !e.machine.Is(StateDown) {
-				e.advance()
-			}
-			continue
-		}
-		t.entries[id] = &entry{id: id, spec: spec, machine: newMachine(), number: t.index.Reset(id, 0)}
+	if reg.Draining {
+		t.fire(e, eventDrain, "registered as draining")
+	} else {
+		t.fire(e, eventRegister, "registered again")
 	}
 }
 
-// Target is a backend server to poll.
-type Target struct {
-	ID       string
-	Address  string
-	Sequence uint64
-}
-
-// Targets returns every configured backend server, by ID.
-func (t *Table) Targets() []Target {
+// Remove takes the removal of a server's entry. One that is not trusted may be
+// the trace of an outage of the store: the server goes on serving until Settle.
+func (t *Table) Remove(id string, trusted bool) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make([]Target, 0, len(t.entries))
-	for _, e := range t.entries {
-		out = append(out, Target{e.id, e.spec.Address, e.sequence})
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
-// Report takes a poll's answer: state, load and cache events.
-func (t *Table) Report(id string, status *pb.PollResponse, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	e := t.entries[id]
 	if e == nil {
+		t.mu.Unlock()
 		return
 	}
-	if e.status == nil || e.status.Incarnation != status.Incarnation {
-		t.restart(e, status.Incarnation)
+	if !trusted && e.machine.Is(StateServing) {
+		t.fire(e, eventLapse, "entry missing after an outage of the store")
+		t.mu.Unlock()
+		return
 	}
-	e.status = status
-	e.polled = now
-	e.dropSentBefore(e.loadTime())
-	t.events(e, status, now)
-	e.advance()
-}
-
-func (t *Table) restart(e *entry, incarnation uint64) {
-	e.number = t.index.Reset(e.id, incarnation)
-	e.sequence = 0
-	e.sent = nil
-	e.fire(eventRestart, "new incarnation")
+	address := t.remove(id, e, "entry removed")
+	t.mu.Unlock()
+	t.gone(id, address)
 }
 
-// events folds cache events. A gap loses removals: what this host believes is
-// then kept, since routing decays it and each answer corrects it.
-func (t *Table) events(e *entry, status *pb.PollResponse, now time.Time) {
-	for _, ev := range status.Events {
-		if ev.Sequence < e.sequence {
-			continue
-		}
-		e.sequence = ev.Sequence + 1
-		if ev.Removed {
-			t.index.Evicted(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
-		} else {
-			t.index.Stored(e.number, status.Incarnation, now, prefix.Hash(ev.Hash))
+// Settle removes the servers whose entries are still missing after an outage.
+func (t *Table) Settle() {
+	t.mu.Lock()
+	removed := map[string]string{}
+	for id, e := range t.entries {
+		if e.machine.Is(StateLapsed) {
+			removed[id] = t.remove(id, e, "entry still missing after an outage")
 		}
 	}
-	e.sequence = max(e.sequence, status.NextSequence)
-}
-
-// advance moves the state machine to what is known of the server.
-func (e *entry) advance() {
-	if reason := e.leavingReason(); reason != "" {
-		e.fire(eventLeave, reason)
-		return
-	}
-	if e.machine.Is(StateLeaving) {
-		// An operator ended the draining; the engine itself is not leaving.
-		e.fire(eventRestart, "draining ended")
+	t.mu.Unlock()
+	for id, address := range removed {
+		t.gone(id, address)
 	}
-	if e.status.Loading {
-		e.fire(eventLoad, "loading weights")
-		return
-	}
-	e.fire(eventServe, "")
 }
 
-// leavingReason returns why the server takes no new work, or "".
-func (e *entry) leavingReason() string {
-	switch {
-	case e.spec.Draining:
-		return "draining by operator"
-	case e.status.Leaving:
-		return "says it is leaving"
-	case e.barred == e.status.Incarnation:
-		return "refused new work"
-	default:
-		return ""
-	}
+func (t *Table) remove(id string, e *entry, reason string) string {
+	t.fire(e, eventRemove, reason)
+	delete(t.entries, id)
+	return e.reg.Address
 }
 
-func (e *entry) fire(event, reason string) {
-	if e.machine.Can(event) {
-		e.reason = reason
-		statemachine.Fire(e.machine, event)
-	}
-}
-
-func (e *entry) dropSentBefore(t time.Time) {
-	keep := e.sent[:0]
-	for _, s := range e.sent {
-		if s.at.After(t) {
-			keep = append(keep, s)
-		}
+func (t *Table) fire(e *entry, event, reason string) {
+	if !statemachine.Fire(e.machine, event) {
+		return
 	}
-	e.sent = keep
+	e.reason = reason
+	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "state": e.machine.Current(), "reason": reason}).Info("replica changed state")
 }
 
-// Polled reports whether most backend servers have answered a poll.
-func (t *Table) Polled() bool {
+// Want takes the weights version that operators want of a model. Versions never
+// go back. It reports whether the version is new.
+func (t *Table) Want(model string, version int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	polled := 0
-	for _, e := range t.entries {
-		if e.status != nil {
-			polled++
-		}
+	if t.wanted[model].Version >= version {
+		return false
 	}
-	return t.configured && 2*polled >= len(t.entries)
+	t.wanted[model] = Wanted{version, now}
+	return true
 }
 
-// Sent records that this host sent work of so many uncached pieces.
-func (t *Table) Sent(id string, pieces float64, now time.Time) {
+// Wanted returns the wanted version of a model.
+func (t *Table) Wanted(model string) Wanted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil {
-		e.sent = append(e.sent, sentWork{now, pieces})
-		t.untold = append(t.untold, &pb.WorkItem{BackendServer: id, Pieces: float32(pieces)})
-	}
+	return t.wanted[model]
 }
 
-// TakeSent returns what this host sent since the last call, to tell its peers.
-func (t *Table) TakeSent() []*pb.WorkItem {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	work := t.untold
-	t.untold = nil
-	return work
-}
-
-// staleReport is the age of a load report from which on peers' work is ignored:
-// a host that was paused finds old messages waiting, and cannot tell them from
-// new ones before its next poll.
-const staleReport = time.Second
-
-// SentByPeer takes what another host sent a moment ago.
-func (t *Table) SentByPeer(work []*pb.WorkItem, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, item := range work {
-		if e := t.entries[item.BackendServer]; e != nil && now.Sub(e.polled) < staleReport {
-			e.sent = append(e.sent, sentWork{now, float64(item.Pieces)})
-		}
-	}
-}
-
-// Bar marks an incarnation as leaving, from its own refusal or a peer's word.
-func (t *Table) Bar(id string, incarnation uint64) {
+// Holds records weights that a server was seen to hold; they never go back
+// within a start. It reports whether they are new.
+func (t *Table) Holds(id, model string, version int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
-	if e == nil || e.status == nil || e.status.Incarnation != incarnation {
-		return
+	if e == nil || e.weights[model] >= version {
+		return false
 	}
-	e.barred = incarnation
-	e.advance()
+	e.weights[model] = version
+	e.loadingUntil = time.Time{}
+	return true
 }
 
-// Failed records that a backend server could not be reached.
-func (t *Table) Failed(id, reason string) {
+// Loading records that a server is being ordered to load weights. Until then it
+// is given no requests, unless it is seen to hold the weights before.
+func (t *Table) Loading(id string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
-		e.fire(eventSilent, reason)
+		e.loadingUntil = until
 	}
 }
 
-// Expire marks backend servers as down that were silent for too long.
-func (t *Table) Expire(now time.Time) {
+// SetLoads takes the work of another host in place of what it said before.
+func (t *Table) SetLoads(host string, loads []*pb.ReplicaLoad) {
+	byReplica := make(map[string]*pb.ReplicaLoad, len(loads))
+	for _, l := range loads {
+		byReplica[l.Replica] = l
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.entries {
-		if e.status != nil && now.Sub(e.polled) > t.downAfter {
-			e.fire(eventSilent, "no answer to polls")
-		}
+	if len(byReplica) == 0 {
+		delete(t.loads, host)
+		return
 	}
+	t.loads[host] = byReplica
 }
 
-// Hints returns the incarnations known to be leaving, for peers.
-func (t *Table) Hints() []*pb.ReplicaHint {
+// Loads returns this host's own work, for the others.
+func (t *Table) Loads() []*pb.ReplicaLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []*pb.ReplicaHint
-	for _, e := range t.entries {
-		if e.status != nil && (e.barred == e.status.Incarnation || e.status.Leaving) {
-			out = append(out, &pb.ReplicaHint{BackendServer: e.id, Incarnation: e.status.Incarnation, Leaving: true})
+	var out []*pb.ReplicaLoad
+	for id, e := range t.entries {
+		if len(e.flights) > 0 {
+			l := e.load()
+			l.Replica = id
+			out = append(out, l)
 		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Replica < out[j].Replica })
 	return out
 }
 
-// Snapshot returns the replicas of one model, by ID.
-func (t *Table) Snapshot(model string, now time.Time) route.Snapshot {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var snap route.Snapshot
-	for _, e := range t.entries {
-		if e.spec.Model == model && e.status != nil {
-			snap.Replicas = append(snap.Replicas, e.replica(now))
-		}
+func (e *entry) load() *pb.ReplicaLoad {
+	l := &pb.ReplicaLoad{}
+	for f := range e.flights {
+		l.Requests++
+		l.PrefillTokens += int32(f.prefill)
+		l.MemoryTokens += int32(f.memory)
 	}
-	sort.Slice(snap.Replicas, func(i, j int) bool { return snap.Replicas[i].ID < snap.Replicas[j].ID })
-	return snap
+	return l
 }
 
-func (e *entry) replica(now time.Time) route.Replica {
-	r := route.Replica{
-		ID:          e.id,
-		Number:      e.number,
-		Address:     e.spec.Address,
-		Incarnation: e.status.Incarnation,
-		Zone:        e.spec.AvailabilityZone,
-		Model:       e.status.Model,
-		Version:     e.status.Version,
-		Serving:     e.machine.Is(StateServing),
-		Queued:      e.queuedAt(now),
-		Prefill:     time.Duration(e.status.PrefillUsPerPiece) * time.Microsecond,
+// Snapshot returns the servers of one service at a moment, by ID.
+func (t *Table) Snapshot(service, model string, cacheTokens int, now time.Time) []route.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []route.Replica
+	for id, e := range t.entries {
+		if e.reg.Service == service {
+			out = append(out, t.replica(id, e, model, cacheTokens, now))
+		}
 	}
-	return r
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
 }
 
-// queuedAt estimates the queue at now: what was reported drains at the replica's
-// own speed, and what was sent since joins it at its time (a fluid queue).
-func (e *entry) queuedAt(now time.Time) float64 {
-	queued, at := float64(e.status.QueuedPieces), e.loadTime()
-	drain := func(until time.Time) {
-		if d := until.Sub(at); d > 0 && e.status.PrefillUsPerPiece > 0 {
-			queued = max(0, queued-float64(d.Microseconds())/float64(e.status.PrefillUsPerPiece))
-			at = until
+func (t *Table) replica(id string, e *entry, model string, cacheTokens int, now time.Time) route.Replica {
+	load := e.load()
+	for _, loads := range t.loads {
+		if l := loads[id]; l != nil {
+			load.Requests += l.Requests
+			load.PrefillTokens += l.PrefillTokens
+			load.MemoryTokens += l.MemoryTokens
 		}
 	}
-	for _, s := range e.sent {
-		drain(s.at)
-		queued += s.pieces
+	serving := e.machine.Is(StateServing) || e.machine.Is(StateLapsed)
+	down, trial := e.health.state(now)
+	return route.Replica{
+		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
+		Usable: serving && !down, Trial: trial, Loading: now.Before(e.loadingUntil),
+		Weights: e.weights[model], Slots: e.reg.Slots,
+		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
+		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
+		Slow: e.health.slow(), Errors: e.health.errors, Silence: e.silence(now),
 	}
-	drain(now)
-	return queued
 }
 
-// loadTime is the time of the last load report.
-func (e *entry) loadTime() time.Time {
-	return e.polled.Add(-time.Duration(e.status.LoadAgeMs) * time.Millisecond)
+// Server is a server that may be ordered to load weights.
+type Server struct {
+	ID      string
+	Address string
+	Service string
+	Weights map[string]int64
+	// Requests of all hosts are not finished.
+	Requests int
 }
 
-// ServingVersion returns the weights version to route a model's requests for:
-// the wanted one once it has as many serving replicas as any other, and until
-// then the one that most of them report.
-func (t *Table) ServingVersion(model, wanted string) string {
+// Servers returns the servers that are neither leaving nor gone and hold
+// weights of some model, by ID.
+func (t *Table) Servers() []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := map[string]int{}
-	for _, e := range t.entries {
-		if e.status != nil && e.status.Model == model && e.machine.Is(StateServing) {
-			counts[e.status.Version]++
+	var out []Server
+	for id, e := range t.entries {
+		if len(e.weights) == 0 || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
+			continue
 		}
-	}
-	best := wanted
-	for version, n := range counts {
-		if n > counts[best] || n == counts[best] && best != wanted && version < best {
-			best = version
+		s := Server{ID: id, Address: e.reg.Address, Service: e.reg.Service, Weights: map[string]int64{}, Requests: len(e.flights)}
+		for model, version := range e.weights {
+			s.Weights[model] = version
+		}
+		for _, loads := range t.loads {
+			s.Requests += int(loads[id].GetRequests())
 		}
+		out = append(out, s)
 	}
-	return best
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
 }
 
-// Rollout returns every backend server with the version its model's
-// configuration wants, by ID.
-func (t *Table) Rollout() []rollout.Replica {
+// Count returns the number of known servers.
+func (t *Table) Count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []rollout.Replica
-	for _, e := range t.entries {
-		wanted, configured := t.wanted[e.spec.Model]
-		if !configured {
-			continue
-		}
-		out = append(out, rollout.Replica{
-			ID: e.id, Address: e.spec.Address, Model: e.spec.Model, Wanted: wanted,
-			Version: e.status.GetVersion(), Loading: e.status.GetLoading(),
-			Known: e.status != nil && !e.machine.Is(StateDown),
-		})
+	return len(t.entries)
+}
+
+// Alive reports whether a server is registered and not thought down, so that
+// others may fetch from it.
+func (t *Table) Alive(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return false
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	down, trial := e.health.state(now)
+	return !down && !trial && e.silence(now) < silentSource
 }
 
-// Status returns every backend server for operators, by ID.
-func (t *Table) Status() []*pb.ReplicaStatus {
+// silentSource is the silence from which nothing is fetched from a server: a
+// dead source delays a request by some hundred milliseconds.
+const silentSource = 300 * time.Millisecond
+
+// Status returns every server for operators, by ID.
+func (t *Table) Status(now time.Time) []*pb.ReplicaStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*pb.ReplicaStatus
-	for _, e := range t.entries {
-		out = append(out, &pb.ReplicaStatus{
-			Id:            e.id,
-			Address:       e.spec.Address,
-			State:         e.machine.Current(),
-			Incarnation:   e.status.GetIncarnation(),
-			Model:         e.spec.Model,
-			Version:       e.status.GetVersion(),
-			QueuedPieces:  e.status.GetQueuedPieces(),
-			IndexedPieces: int64(t.index.Count(e.number)),
-			Reason:        e.reason,
-		})
+	for id, e := range t.entries {
+		r := t.replica(id, e, "", 0, now)
+		s := &pb.ReplicaStatus{
+			Id: id, Service: e.reg.Service, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
+			State: e.machine.Current(), Reason: e.reason,
+			Requests: int32(r.Requests), PrefillTokens: int32(r.PrefillTokens),
+		}
+		for model, version := range e.weights {
+			s.Weights = append(s.Weights, weightsText(model, version))
+		}
+		sort.Strings(s.Weights)
+		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
 	return out
 }
-
-// Diagram returns the state machine as a Mermaid diagram.
-func Diagram() string { return statemachine.Diagram(newMachine()) }
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -1,207 +1,281 @@
-// Package rollout moves replicas to the weights version that the configuration
-// names. One host at a time has the duty, by a lease on the platform's log; the
-// offset of the lease's first record is the fencing number of its orders.
+// Package rollout moves replicas to the weights version that operators want. One
+// host at a time gives the orders, by a lease on the platform's store; the offset
+// of the lease's first record is the fencing token of its orders.
 package rollout
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/looplab/fsm"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
-	pb "github.com/briarlink/briarlink/api/briarlink/v1"
-	"github.com/briarlink/briarlink/internal/platform"
+	"github.com/briarlink/briarlink/internal/statemachine"
+	"github.com/briarlink/briarlink/platform"
 )
 
+// Log is what the lease needs of the store.
+type Log interface {
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
+	Append(ctx context.Context, topic string, rec platform.Record, at int64) (int64, error)
+}
+
+// States of the lease as one host sees it.
 const (
-	// LeaseDuration is how long a lease lasts without renewal.
-	LeaseDuration = 10 * time.Second
-	// renewInterval leaves room for two renewals to fail.
-	renewInterval = LeaseDuration / 4
-	// leaseMargin is kept between the last order under a lease and its end.
-	leaseMargin = time.Second
+	// StateUnknown: the log has not been read to its end.
+	StateUnknown = "unknown"
+	// StateFree: nobody holds the lease.
+	StateFree = "free"
+	// StateOther: another host holds it.
+	StateOther = "other"
+	// StateHeld: this host holds it.
+	StateHeld = "held"
 )
 
-// Holder is a host's process.
-type Holder struct {
-	Host        string
-	Incarnation uint64
-}
+const (
+	eventRead  = "read"
+	eventOther = "granted to another"
+	eventGrant = "granted"
+	eventEnd   = "ended"
+)
 
-// Lease is the state of one duty on the log.
-type Lease struct {
-	Holder Holder
-	// Fencing grows with each new holder: the offset of its first record, plus one.
-	Fencing uint64
-	// Expires is by the platform's clock.
-	Expires time.Time
+func newLeaseMachine() *fsm.FSM {
+	return fsm.NewFSM(StateUnknown, fsm.Events{
+		{Name: eventRead, Src: []string{StateUnknown}, Dst: StateFree},
+		{Name: eventOther, Src: []string{StateUnknown, StateFree, StateOther, StateHeld}, Dst: StateOther},
+		{Name: eventGrant, Src: []string{StateFree}, Dst: StateHeld},
+		{Name: eventEnd, Src: []string{StateOther, StateHeld}, Dst: StateFree},
+	}, fsm.Callbacks{})
 }
 
-// Table is the fold of the leases stream. It is not safe for concurrent use.
-type Table struct {
-	next   uint64
-	leases map[string]*Lease
-}
+// Diagram returns the lease's state machine as a Mermaid diagram.
+func Diagram() string { return statemachine.Diagram(newLeaseMachine()) }
 
-// NewTable returns the fold before the first record.
-func NewTable() *Table { return &Table{leases: map[string]*Lease{}} }
-
-// Fold applies the record at offset Next, appended at time at, and reports
-// whether it granted or renewed a lease. Every host judges alike, by the
-// platform's clock.
-func (t *Table) Fold(rec *pb.LeaseRecord, at time.Time) bool {
-	offset := t.next
-	t.next++
-	who := Holder{rec.Holder, rec.Incarnation}
-	held := t.leases[rec.Duty]
-	mine := held != nil && held.Holder == who && at.Before(held.Expires)
-	switch {
-	case rec.Release && mine:
-		held.Expires = at
-		return false
-	case rec.Release:
-		return false
-	case mine:
-		held.Expires = at.Add(time.Duration(rec.DurationMs) * time.Millisecond)
-		return true
-	case held != nil && at.Before(held.Expires):
-		return false
-	default:
-		t.leases[rec.Duty] = &Lease{who, offset + 1, at.Add(time.Duration(rec.DurationMs) * time.Millisecond)}
-		return true
-	}
-}
+const (
+	// orderShare of the lease's time after a renewal is when orders are given, so
+	// that the last order of a holder lies well before its successor's first.
+	orderShare = 0.5
+	// renewShare of the lease's time is when it is renewed: two renewals may fail
+	// before orders stop.
+	renewShare = 0.2
+	// takeOverMargin is kept after another holder's lease has ended, for orders
+	// that are on their way.
+	takeOverMargin = 300 * time.Millisecond
+	// readWait is how long a read waits for a record at the store.
+	readWait = 15 * time.Second
+	// readPause follows a failed read.
+	readPause = 300 * time.Millisecond
+)
 
-// Keeper tries to hold one duty for this host. It is safe for concurrent use;
-// mu is its only lock.
-type Keeper struct {
-	log      platform.Log
-	duty     string
-	self     Holder
-	follower *platform.Follower
-
-	mu       sync.Mutex
-	table    *Table
-	sequence uint64
-	// sent holds when each record was handed to the log, by the monotonic clock.
-	sent map[uint64]time.Time
-	// until is when the lease ends for this host, by the monotonic clock.
-	until time.Time
-	since time.Time
-	// now is the platform's time of the last page.
-	now time.Time
-}
+// Lease is the lease for weights. Every host follows its log, and judges by its
+// own monotonic clock. It is safe for concurrent use; mu is its only lock and is
+// not held over a call.
+type Lease struct {
+	store       Log
+	log         *logrus.Logger
+	holder      string
+	incarnation uint64
+	ttl         time.Duration
 
-// NewKeeper returns a keeper of duty for self.
-func NewKeeper(log platform.Log, duty string, self Holder) *Keeper {
-	k := &Keeper{log: log, duty: duty, self: self, table: NewTable(), sent: map[uint64]time.Time{}}
-	k.follower = platform.NewFollower(log, platform.LeaseStream, k.position, k.ingest)
-	return k
+	mu      sync.Mutex
+	machine *fsm.FSM
+	// end is the first offset not read.
+	end int64
+	// last is the newest record, first seen at seen.
+	last platform.LeaseRecord
+	seen time.Time
+	// renewed is when the last successful grant or renewal was sent.
+	renewed time.Time
+	fencing int64
+	// uncertain is set while an append without an answer may yet show on the log.
+	uncertain time.Time
 }
 
-// Run holds the duty whenever it can, until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
-	var wg sync.WaitGroup
-	wg.Go(func() { k.follower.Run(ctx) })
-	wg.Go(func() { k.renew(ctx) })
-	wg.Wait()
+// NewLease returns the lease for one process of a host.
+func NewLease(store Log, log *logrus.Logger, holder string, incarnation uint64, ttl time.Duration) *Lease {
+	return &Lease{store: store, log: log, holder: holder, incarnation: incarnation, ttl: ttl, machine: newLeaseMachine()}
 }
 
-func (k *Keeper) renew(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		if rec := k.request(); rec != nil {
-			// A lost answer shows when the record is read back, or not.
-			_, _ = k.log.Append(ctx, platform.LeaseStream, rec)
+// Follow reads the lease's log until ctx ends.
+func (l *Lease) Follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		from := l.end
+		wait := readWait
+		if l.machine.Is(StateUnknown) {
+			wait = 0
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		l.mu.Unlock()
+		page, err := l.store.Read(ctx, platform.LeaseTopic, from, wait)
+		if !l.took(page, from, err) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(readPause):
+			}
 		}
 	}
 }
 
-// request returns the record to append, or nil while another host's lease runs.
-func (k *Keeper) request() []byte {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	held := k.table.leases[k.duty]
-	if k.now.IsZero() || held != nil && held.Holder != k.self && k.now.Before(held.Expires) {
-		return nil
-	}
-	k.sequence++
-	k.sent[k.sequence] = time.Now()
-	payload, err := proto.Marshal(&pb.LeaseRecord{
-		Duty: k.duty, Holder: k.self.Host, Incarnation: k.self.Incarnation,
-		DurationMs: LeaseDuration.Milliseconds(), Sequence: k.sequence,
-	})
+// took takes the result of a read and reports whether to read on at once.
+func (l *Lease) took(page platform.Page, from int64, err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var trimmed *platform.TrimmedError
+	var status *platform.StatusError
+	switch {
+	case errors.As(err, &trimmed):
+		l.end = max(l.end+1, trimmed.First)
+		return true
+	case errors.As(err, &status) && status.Status == http.StatusNotFound:
+		// Nobody has held the lease yet.
+		statemachine.Fire(l.machine, eventRead)
+		return false
+	case err != nil:
+		return false
+	}
+	for _, rec := range page.Records {
+		l.observe(rec)
+	}
+	if l.end >= page.End {
+		statemachine.Fire(l.machine, eventRead)
+	}
+	return len(page.Records) > 0 || page.End > from || !l.machine.Is(StateUnknown)
+}
+
+// observe takes the next record of the log.
+func (l *Lease) observe(rec platform.Record) {
+	if rec.Offset < l.end {
+		return
+	}
+	l.end = rec.Offset + 1
+	lease, err := platform.DecodeLease(rec)
 	if err != nil {
-		return nil
+		l.log.WithError(err).WithField("offset", rec.Offset).Error("malformed lease record skipped")
+		return
+	}
+	l.last = lease
+	l.seen = time.Now()
+	if lease.Holder == l.holder && lease.Incarnation == l.incarnation {
+		l.uncertain = time.Time{}
+		return
+	}
+	held := l.machine.Is(StateHeld)
+	before := l.machine.Current()
+	statemachine.Fire(l.machine, eventOther)
+	if held || before != l.machine.Current() {
+		l.log.WithFields(logrus.Fields{"holder": lease.Holder, "offset": rec.Offset, "held_here_before": held}).Info("lease for weights granted to another host")
 	}
-	return payload
 }
 
-func (k *Keeper) position() uint64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.next
+// Try takes or renews the lease where that may be done now, and reports whether
+// orders may be given. It costs at most one call to the store.
+func (l *Lease) Try(ctx context.Context) bool {
+	now := time.Now()
+	rec, at, ok := l.due(now)
+	if !ok {
+		return l.Valid()
+	}
+	offset, err := l.store.Append(ctx, platform.LeaseTopic, platform.Record{Value: rec.Encode()}, at)
+	l.appended(rec, offset, at, now, err)
+	return l.Valid()
 }
 
-func (k *Keeper) ingest(page platform.Page) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.now = page.Now
-	if page.First > k.table.next {
-		// Every lease in the forgotten records has run out.
-		k.table.next = page.First
-	}
-	for _, r := range page.Records {
-		if r.Offset == k.table.next {
-			k.fold(r)
-		}
+// due returns the record to append now, and where.
+func (l *Lease) due(now time.Time) (platform.LeaseRecord, int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	rec := platform.LeaseRecord{Holder: l.holder, Incarnation: l.incarnation}
+	if !l.uncertain.IsZero() && now.Sub(l.uncertain) < l.ttl {
+		// The last append may still take effect; another one at the same place
+		// would be refused then, and would show nothing.
+		return rec, 0, false
+	}
+	switch {
+	case l.machine.Is(StateFree):
+		return rec, l.end, true
+	case l.machine.Is(StateHeld) && now.Sub(l.renewed) > scale(l.ttl, renewShare):
+		rec.Fencing = l.fencing
+		return rec, l.end, true
+	default:
+		return rec, 0, false
 	}
 }
 
-func (k *Keeper) fold(r platform.Record) {
-	rec := &pb.LeaseRecord{}
-	if err := proto.Unmarshal(r.Payload, rec); err != nil {
-		rec = &pb.LeaseRecord{}
+// expire ends a lease that was not renewed.
+func (l *Lease) expire(now time.Time) {
+	switch {
+	case l.machine.Is(StateHeld) && now.Sub(l.renewed) > l.ttl:
+		l.log.WithField("fencing", l.fencing).Warn("lease for weights ended without a renewal")
+		statemachine.Fire(l.machine, eventEnd)
+	case l.machine.Is(StateOther) && now.Sub(l.seen) > l.ttl+takeOverMargin:
+		statemachine.Fire(l.machine, eventEnd)
 	}
-	granted := k.table.Fold(rec, r.Time)
-	if rec.Duty != k.duty || rec.Holder != k.self.Host || rec.Incarnation != k.self.Incarnation {
+}
+
+func (l *Lease) appended(rec platform.LeaseRecord, offset, at int64, sent time.Time, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.appendFailed(err, sent)
 		return
 	}
-	// The platform dated the record after it was sent, so counting from then can
-	// only end the lease too early.
-	sent, known := k.sent[rec.Sequence]
-	delete(k.sent, rec.Sequence)
-	if !granted || !known {
+	l.uncertain = time.Time{}
+	if l.machine.Is(StateOther) || offset != at {
+		// Another record was read meanwhile: the grant is behind it.
 		return
 	}
-	if now := time.Now(); now.After(k.until) {
-		k.since = now
+	l.end = max(l.end, offset+1)
+	l.last, l.seen, l.renewed = rec, time.Now(), sent
+	if rec.Fencing == 0 {
+		// Offsets begin at 0, fencing tokens at 1.
+		l.fencing = offset + 1
+		statemachine.Fire(l.machine, eventGrant)
+		l.log.WithFields(logrus.Fields{"fencing": l.fencing}).Info("lease for weights taken")
 	}
-	k.until = sent.Add(LeaseDuration - leaseMargin)
 }
 
-// Grant is the right to give orders.
-type Grant struct {
-	Fencing uint64
-	// Since is when this host began to hold the lease without a break.
-	Since time.Time
+func (l *Lease) appendFailed(err error, sent time.Time) {
+	var status *platform.StatusError
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		if l.machine.Is(StateHeld) {
+			l.log.WithField("fencing", l.fencing).Warn("lease for weights lost: the log has another end")
+			statemachine.Fire(l.machine, eventEnd)
+		}
+		// What stands there is read before another try.
+		l.uncertain = sent
+	case errors.As(err, &status):
+		// Refused: nothing was done.
+	default:
+		l.uncertain = sent
+		l.log.WithError(err).Warn("lease for weights: append without an answer")
+	}
 }
 
-// Held returns the grant while the lease surely runs. Call it right before each
-// order.
-func (k *Keeper) Held() (Grant, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	held := k.table.leases[k.duty]
-	if held == nil || held.Holder != k.self || !time.Now().Before(k.until) {
-		return Grant{}, false
-	}
-	return Grant{held.Fencing, k.since}, true
+// Valid reports whether orders may be given now.
+func (l *Lease) Valid() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Is(StateHeld) && time.Since(l.renewed) < scale(l.ttl, orderShare)
+}
+
+// Fencing returns the fencing token of orders.
+func (l *Lease) Fencing() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fencing
 }
+
+// Holder returns the last known holder, its fencing token and whether it is this
+// process.
+func (l *Lease) Holder() (holder string, fencing int64, here bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last.Holder, l.last.Fencing, l.machine.Is(StateHeld)
+}
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -2,81 +2,110 @@
 
 import (
 	"context"
+	"sort"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
-)
 
-const (
-	// maxLoading is how many replicas may take new weights at once.
-	maxLoading = 2
-	// OrderTimeout bounds an order, its way to the engine included.
-	OrderTimeout = 3 * time.Second
-	stepInterval = 500 * time.Millisecond
-	// handover is how long a new holder waits before its first order: by then the
-	// last order of the holder before has arrived and shows in the reports. Engines
-	// that check fencing numbers would refuse it only where the new holder has
-	// given an order already.
-	handover = OrderTimeout + 2*time.Second
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/platform"
 )
 
-// Replica is a backend server as the loader sees it.
-type Replica struct {
-	ID      string
-	Address string
-	Model   string
-	// Wanted is the version that the configuration names.
-	Wanted string
-	// Version and Loading are what the engine itself reports; Known is false
-	// while it does not answer.
-	Version string
-	Loading bool
-	Known   bool
+// Engine gives orders to replicas.
+type Engine interface {
+	Report(ctx context.Context, address, id string) (platform.EngineReport, error)
+	Order(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error)
 }
 
-// Fleet lists the backend servers.
-type Fleet interface {
-	Rollout() []Replica
+// Replicas is what the loader needs of the table of backend servers.
+type Replicas interface {
+	Servers() []replica.Server
+	Wanted(model string) replica.Wanted
+	Holds(id, model string, version int64) bool
+	Loading(id string, until time.Time)
 }
 
-// Orders gives orders to engines.
-type Orders interface {
-	// Order states the version wanted. It returns whether the engine took it.
-	Order(ctx context.Context, address string, fencing uint64, model, version string) (bool, error)
-}
-
-// Leaser says whether this host has the duty.
-type Leaser interface {
-	Held() (Grant, bool)
-}
+const (
+	// tick is how often the wanted weights are compared with the replicas'.
+	tick = 60 * time.Millisecond
+	// callTimeout bounds a report or an order.
+	callTimeout = 700 * time.Millisecond
+	// reportInterval is how often a loading replica is asked; reports are dear, and
+	// are themselves some hundred milliseconds old.
+	reportInterval = 150 * time.Millisecond
+	// firstReport is the least time that loading takes.
+	firstReport = 300 * time.Millisecond
+	// loadTimeout is when an order is given up on and judged anew.
+	loadTimeout = 4 * time.Second
+	// resendAfter is how long an order without an answer is waited for.
+	resendAfter = 900 * time.Millisecond
+	// refuseHold is how long after its mark a loading replica gets no requests
+	// unless the mark is renewed.
+	refuseHold = 700 * time.Millisecond
+	// retryPause follows an order that failed.
+	retryPause = 250 * time.Millisecond
+	// rankDelay separates hosts that could all take the lease.
+	rankDelay = 150 * time.Millisecond
+	// recentFor is how long other hosts are told of loaded weights.
+	recentFor = 3 * time.Second
+)
 
-// Loader gives orders while its host holds the lease.
+// Loader brings replicas to the wanted weights while this host holds the lease.
 type Loader struct {
-	lease  Leaser
-	fleet  Fleet
-	orders Orders
-	log    *logrus.Logger
-	// ordered holds when a replica was last ordered and what; until it reports
-	// loading or the version, it counts as loading.
-	ordered map[string]order
+	lease    *Lease
+	engine   Engine
+	replicas Replicas
+	log      *logrus.Logger
+	holder   string
+	mode     platform.LoadMode
+	// atOnce is how many replicas load at once.
+	atOnce int
+	// Rank returns this host's place among those that could take the lease.
+	Rank func() int
+	// Changed is called when other hosts should be told at once.
+	Changed func()
+	// Loaded is called when a replica holds new weights.
+	Loaded func(id string)
+	// Ordered is called for each order that is sent.
+	Ordered func()
+
+	mu sync.Mutex
+	// busy holds the replicas that are being ordered.
+	busy map[string]bool
+	// sequences holds the orders that each replica has accepted, where known.
+	sequences map[string]int64
+	failed    map[string]time.Time
+	recent    []loaded
+	// needed is since when some replica lacks the wanted weights.
+	needed time.Time
 }
 
-type order struct {
-	version string
-	at      time.Time
+type loaded struct {
+	id, model string
+	version   int64
+	at        time.Time
 }
 
-// NewLoader returns a loader.
-func NewLoader(lease Leaser, fleet Fleet, orders Orders, log *logrus.Logger) *Loader {
-	return &Loader{lease, fleet, orders, log, map[string]order{}}
+// NewLoader returns a loader that orders up to atOnce replicas at a time.
+func NewLoader(lease *Lease, engine Engine, replicas Replicas, log *logrus.Logger, holder string, mode platform.LoadMode, atOnce int) *Loader {
+	return &Loader{
+		lease: lease, engine: engine, replicas: replicas, log: log, holder: holder, mode: mode, atOnce: atOnce,
+		Rank: func() int { return 0 }, Changed: func() {}, Loaded: func(string) {}, Ordered: func() {},
+		busy: map[string]bool{}, sequences: map[string]int64{}, failed: map[string]time.Time{},
+	}
 }
 
-// Run gives orders until ctx ends.
+// Run works until ctx ends.
 func (l *Loader) Run(ctx context.Context) {
-	ticker := time.NewTicker(stepInterval)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
-		l.step(ctx)
+		for _, o := range l.plan(ctx, time.Now()) {
+			wg.Go(func() { l.load(ctx, o) })
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -85,62 +114,241 @@
 	}
 }
 
-// step orders as many replicas as may load. Orders state the wanted end, so one
-// that is given twice, or undone by a stale order, is simply given again.
-func (l *Loader) step(ctx context.Context) {
-	grant, ok := l.lease.Held()
-	if !ok {
-		l.ordered = map[string]order{}
-		return
+// target is a replica that is to load a version.
+type target struct {
+	server  replica.Server
+	model   string
+	version int64
+}
+
+// plan returns the replicas to order now and marks them as busy.
+func (l *Loader) plan(ctx context.Context, now time.Time) []target {
+	behind := l.behind()
+	l.mu.Lock()
+	if len(behind) == 0 && len(l.busy) == 0 {
+		l.needed = time.Time{}
+		l.mu.Unlock()
+		return nil
 	}
-	if time.Since(grant.Since) < handover {
-		return
+	if l.needed.IsZero() {
+		l.needed = now
 	}
-	fleet := l.fleet.Rollout()
-	loading := l.loading(fleet)
-	for _, r := range fleet {
-		if loading >= maxLoading {
-			return
+	waited := now.Sub(l.needed)
+	l.mu.Unlock()
+	if waited < time.Duration(l.Rank())*rankDelay || !l.lease.Try(ctx) {
+		return nil
+	}
+	return l.take(behind, now)
+}
+
+// behind returns the replicas without the wanted weights, those with the fewest
+// requests first: they are ready soonest.
+func (l *Loader) behind() []target {
+	var out []target
+	for _, s := range l.replicas.Servers() {
+		for model, version := range s.Weights {
+			if wanted := l.replicas.Wanted(model).Version; wanted > version {
+				out = append(out, target{s, model, wanted})
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].server.Requests < out[j].server.Requests })
+	return out
+}
+
+func (l *Loader) take(behind []target, now time.Time) []target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []target
+	for _, t := range behind {
+		if len(l.busy) >= l.atOnce {
+			break
 		}
-		if r.Known && !l.busy(r) && r.Version != r.Wanted && l.order(ctx, r) {
-			loading++
+		if l.busy[t.server.ID] || now.Sub(l.failed[t.server.ID]) < retryPause {
+			continue
 		}
+		l.busy[t.server.ID] = true
+		out = append(out, t)
+	}
+	return out
+}
+
+// load brings one replica to its target.
+func (l *Loader) load(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	began := time.Now()
+	err := l.bring(ctx, t)
+	l.mu.Lock()
+	delete(l.busy, t.server.ID)
+	if err != nil {
+		l.failed[t.server.ID] = time.Now()
+	} else {
+		delete(l.failed, t.server.ID)
+	}
+	l.mu.Unlock()
+	line := l.log.WithFields(logrus.Fields{
+		"replica": t.server.ID, "model": t.model, "version": t.version,
+		"fencing": l.lease.Fencing(), "ms": time.Since(began).Milliseconds(),
+	})
+	if err != nil {
+		line.WithError(err).Warn("weights not loaded")
+		return
 	}
+	line.Info("weights loaded")
 }
 
-func (l *Loader) loading(fleet []Replica) int {
-	n := 0
-	for _, r := range fleet {
-		if l.busy(r) {
-			n++
+func (l *Loader) bring(ctx context.Context, t target) error {
+	l.mark(t)
+	sequence, known := l.sequence(t.server.ID)
+	if !known {
+		report, err := l.report(ctx, t)
+		if err != nil {
+			return err
+		}
+		if l.holds(t, report) {
+			return nil
 		}
+		sequence = report.Sequence
 	}
-	return n
+	accepted, err := l.order(ctx, t, sequence)
+	if err != nil {
+		return err
+	}
+	return l.await(ctx, t, sequence, accepted)
 }
 
-// busy reports whether a replica loads, or has just been ordered to and does not
-// show it yet. One that does not answer may be loading too.
-func (l *Loader) busy(r Replica) bool {
-	o, ordered := l.ordered[r.ID]
-	if r.Known && ordered && !r.Loading && r.Version == o.version {
-		delete(l.ordered, r.ID)
-		return false
+func (l *Loader) mark(t target) {
+	l.replicas.Loading(t.server.ID, time.Now().Add(refuseHold))
+	l.Changed()
+}
+
+func (l *Loader) sequence(id string) (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, known := l.sequences[id]
+	return n, known
+}
+
+func (l *Loader) setSequence(id string, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequences[id] = n
+}
+
+func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
+	if err == nil {
+		l.setSequence(t.server.ID, report.Sequence)
 	}
-	return r.Loading || ordered && time.Since(o.at) < 2*OrderTimeout
+	return report, err
 }
 
-// order checks the lease and orders one replica.
-func (l *Loader) order(ctx context.Context, r Replica) bool {
-	grant, ok := l.lease.Held()
-	if !ok {
+// holds records what a report shows and whether it is the target.
+func (l *Loader) holds(t target, report platform.EngineReport) bool {
+	if report.Weights[t.model] < t.version {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	l.replicas.Holds(t.server.ID, t.model, report.Weights[t.model])
+	l.mu.Lock()
+	l.recent = append(l.recent, loaded{t.server.ID, t.model, report.Weights[t.model], time.Now()})
+	l.mu.Unlock()
+	l.Loaded(t.server.ID)
+	l.Changed()
+	return true
+}
+
+// order sends the order right after checking the lease. It reports whether the
+// replica surely accepted it.
+func (l *Loader) order(ctx context.Context, t target, sequence int64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	l.ordered[r.ID] = order{r.Wanted, time.Now()}
-	accepted, err := l.orders.Order(ctx, r.Address, grant.Fencing, r.Model, r.Wanted)
+	o := platform.LoadOrder{
+		Replica: t.server.ID, Model: t.model, Version: t.version, Mode: l.mode,
+		Holder: l.holder, Fencing: l.lease.Fencing(), Sequence: sequence,
+	}
+	if !l.lease.Valid() {
+		return false, errLeaseEnded
+	}
+	l.Ordered()
+	result, err := l.engine.Order(ctx, t.server.Address, o)
 	l.log.WithFields(logrus.Fields{
-		"backend_server": r.ID, "version": r.Wanted, "fencing": grant.Fencing, "accepted": accepted, "error": err,
-	}).Info("weights ordered")
-	return true
+		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(), "lost": err != nil,
+	}).Info("order to load weights")
+	if err != nil {
+		// It may have been accepted: the reports show it.
+		return false, nil
+	}
+	switch result {
+	case platform.OrderAccepted, platform.OrderHolds:
+		l.setSequence(t.server.ID, sequence+1)
+		return true, nil
+	case platform.OrderConflict:
+		l.forget(t.server.ID)
+		return false, nil
+	default:
+		l.forget(t.server.ID)
+		return false, errOrderRefused
+	}
+}
+
+func (l *Loader) forget(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sequences, id)
+}
+
+// await asks the replica until it holds the target's weights. An order that was
+// surely not accepted ends it early, so that the next plan orders again.
+func (l *Loader) await(ctx context.Context, t target, sequence int64, accepted bool) error {
+	began := time.Now()
+	pause := firstReport
+	for {
+		select {
+		case <-ctx.Done():
+			return errLoadSlow
+		case <-time.After(pause):
+		}
+		pause = reportInterval
+		l.mark(t)
+		report, err := l.report(ctx, t)
+		if err != nil {
+			continue
+		}
+		if l.holds(t, report) {
+			return nil
+		}
+		waited := time.Since(began)
+		if !accepted && !report.Loading && report.Sequence <= sequence && waited > resendAfter {
+			return errOrderLost
+		}
+	}
+}
+
+// Busy returns the replicas that are being ordered, by ID.
+func (l *Loader) Busy() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for id := range l.busy {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Recent calls f for each replica that was loaded a moment ago.
+func (l *Loader) Recent(now time.Time, f func(id, model string, version int64)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keep := l.recent[:0]
+	for _, r := range l.recent {
+		if now.Sub(r.at) < recentFor {
+			keep = append(keep, r)
+			f(r.id, r.model, r.version)
+		}
+	}
+	l.recent = keep
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,245 +1,239 @@
-// Package route decides which replica serves a request. The decision is a pure
-// function of a request and a snapshot: replicas are filtered, scored, and the
-// best is picked.
+// Package route decides which replica a request is sent to. The decision is a
+// pure function of the request and of candidates described at one moment: filters
+// drop what must not be used, scorers price the rest in milliseconds, and the
+// cheapest is picked.
 package route
 
 import (
-	"math"
 	"time"
 
 	"github.com/zeebo/xxh3"
 
 	"github.com/briarlink/briarlink/internal/errkind"
-	"github.com/briarlink/briarlink/internal/prefix"
 )
 
-// Replica is one backend server in a snapshot.
+// Replica is what is known of a replica when a request is routed.
 type Replica struct {
-	ID          string
-	Number      prefix.Replica
-	Address     string
-	Incarnation uint64
-	Zone        string
-	// Model and Version are what the engine itself reports to run.
-	Model   string
-	Version string
-	// Serving is false when the replica takes no new work.
-	Serving bool
-	// Queued is the number of uncached pieces expected to wait for prefill now.
-	Queued float64
-	// Prefill is the time to compute one uncached piece.
-	Prefill time.Duration
-}
-
-// Snapshot is the immutable set of replicas a decision is made on.
-type Snapshot struct {
-	Replicas []Replica
+	ID               string
+	Address          string
+	AvailabilityZone string
+	// Usable replicas are registered, not leaving and not thought down.
+	Usable bool
+	// Trial replicas failed a moment ago and are tried with one request.
+	Trial bool
+	// Loading replicas refuse requests until their weights are loaded.
+	Loading bool
+	// Weights is the version of the request's model, 0 without one.
+	Weights int64
+	// Requests of all hosts are not finished; Slots run at once.
+	Requests int
+	Slots    int
+	// PrefillTokens of all hosts' requests are still to be read.
+	PrefillTokens int
+	// MemoryTokens are needed by requests that are not finished; CacheTokens is
+	// the whole memory, 0 for plain services.
+	MemoryTokens int
+	CacheTokens  int
+	// Slow is the time that answers take against what was expected; 1 is normal.
+	Slow float64
+	// Errors is the share of failed answers, lately.
+	Errors float64
+	// Silence is how long the oldest request has waited without any answer of
+	// the replica since.
+	Silence time.Duration
+}
+
+// Candidate is a replica with what it would mean for one request.
+type Candidate struct {
+	Replica
+	// Cached tokens of the prompt are held by the replica itself.
+	Cached int
+	// Fetched tokens beyond these would come from Source within FetchTime.
+	Fetched   int
+	Source    string
+	FetchTime time.Duration
 }
 
-// Request is what the decision needs to know of a request.
+// Request is what the decision must know of a request.
 type Request struct {
-	Model   string
-	Version string
-	// Pieces is the length of the prompt in pieces, the incomplete last one included.
-	Pieces float64
-	// Matches tells which replicas are believed to hold the prompt's beginning.
-	Matches []prefix.Match
-	// Affinity breaks ties, alike on every host.
+	AvailabilityZone string
+	// PromptTokens and OutputTokens size the request; 0 for plain services.
+	PromptTokens int
+	OutputTokens int
+	// SharedTokens of the prompt are worth keeping in some cache.
+	SharedTokens  int
+	LatencyTarget time.Duration
+	// Left is the time until the caller's deadline.
+	Left time.Duration
+	// WantedWeights is the newest version; NamedFor is how long it has been so.
+	WantedWeights int64
+	NamedFor      time.Duration
+	// Exclude holds replicas that were tried.
+	Exclude map[string]bool
+	// Affinity is equal for requests with the same leading part.
 	Affinity uint64
-	// Exclude lists replicas already tried.
-	Exclude []string
-	// Bounds limits what is accepted.
-	Bounds Bounds
 }
 
-// Bounds limits the replicas a request may be sent to. Zero fields do not.
-type Bounds struct {
-	// FirstToken is the time left for the first token.
-	FirstToken time.Duration
-	// Wait is the longest mean queue over the replicas, in time, at which a
-	// request beyond its organisation's guarantee is still admitted.
-	Wait time.Duration
-}
-
-// Decision names the replica and what is expected of it.
+// Decision is the chosen candidate and what is expected of it.
 type Decision struct {
-	Replica Replica
-	// Cached is the number of leading pieces expected in its cache.
-	Cached float64
-	// FirstToken is the expected time to first token.
-	FirstToken time.Duration
+	Candidate
+	// Expected is the time to the first event, or to a plain service's answer.
+	Expected time.Duration
+	// Considered is the number of candidates that passed the filters.
+	Considered int
+	// Score is the chosen candidate's price in milliseconds.
+	Score float64
 }
 
-// Policy weighs the parts of the decision.
+// Policy holds the weights of the decision.
 type Policy struct {
-	// RecomputeWeight moves from latency alone (0) to recomputation alone (1).
-	RecomputeWeight float64
-	// BeliefLife is the age at which a belief is worth 1/e of a fresh one; 0
-	// means beliefs do not age.
-	BeliefLife time.Duration
-}
-
-// DefaultPolicy is the policy of a host whose settings say nothing else.
+	// PrefillPerMs is how many prompt tokens an engine reads in a millisecond.
+	PrefillPerMs float64
+	// RereadPerToken is the price in milliseconds of reading a shared token that
+	// is kept elsewhere or was read before.
+	RereadPerToken float64
+	// OtherZone is the price in milliseconds of leaving the availability zone.
+	OtherZone float64
+	// OldWeights is the price in milliseconds of an answer on older weights.
+	OldWeights float64
+	// OldWeightsAfter is how long older weights cost nothing.
+	OldWeightsAfter time.Duration
+	// WeightsDeadline is when older weights may no longer begin a request.
+	WeightsDeadline time.Duration
+	// Tolerance in milliseconds within which affinity decides.
+	Tolerance float64
+}
+
+// DefaultPolicy returns the weights that are in use.
 func DefaultPolicy() Policy {
-	return Policy{RecomputeWeight: 0.5, BeliefLife: beliefLife}
-}
-
-// beliefLife is the age at which a belief is worth 1/e of a fresh one.
-const beliefLife = 100 * time.Second
-
-// Candidate is a replica under consideration.
-type Candidate struct {
-	Replica *Replica
-	Cached  float64
-	Wait    time.Duration
-	Prefill time.Duration
-}
-
-// Filter removes candidates.
-type Filter interface {
-	Name() string
-	Keep(req *Request, c *Candidate) bool
-}
-
-// Scorer prices a candidate in seconds; lower is better.
-type Scorer interface {
-	Name() string
-	Score(req *Request, c *Candidate) float64
-}
-
-// Pipeline is filters, then scorers, then the pick of the lowest sum.
-type Pipeline struct {
-	policy  Policy
-	filters []Filter
-	scorers []Scorer
-}
-
-// NewPipeline returns the pipeline of the policy.
-func NewPipeline(p Policy) *Pipeline {
-	return &Pipeline{
-		policy:  p,
-		filters: []Filter{servingFilter{}, weightsFilter{}, excludeFilter{}},
-		scorers: []Scorer{waitScorer{1 - p.RecomputeWeight}, prefillScorer{}},
+	return Policy{
+		PrefillPerMs:    50,
+		RereadPerToken:  0.05,
+		OtherZone:       3,
+		OldWeights:      120,
+		OldWeightsAfter: 1200 * time.Millisecond,
+		WeightsDeadline: 8 * time.Second,
+		Tolerance:       12,
 	}
 }
 
-// Decide picks a replica. It fails with NoBackend when none can take the
-// request, and with Overloaded when its bounds cannot be met.
-func (p *Pipeline) Decide(req *Request, snap Snapshot) (Decision, error) {
-	// Both live outside the loop, so that a decision does not allocate once a
-	// replica.
-	var best, c Candidate
-	bestScore := math.Inf(1)
-	soonest := time.Duration(math.MaxInt64)
-	var waits, kept time.Duration
-	for i := range snap.Replicas {
-		c = p.candidate(req, &snap.Replicas[i])
-		if !p.keep(req, &c) {
-			continue
-		}
-		waits += c.Wait
-		kept++
-		if late := c.Wait + c.Prefill - req.Bounds.FirstToken; req.Bounds.FirstToken > 0 && late > 0 {
-			soonest = min(soonest, late)
+const (
+	// stepMs is the time of one step of an engine, the least that a request waits.
+	stepMs = 6.0
+	// perRequestMs is what each running request adds to a step's time.
+	perRequestMs = 0.04
+	// queuedMs is the price of each request beyond a replica's slots.
+	queuedMs = 40.0
+	// memoryMs is the price of a full memory: the newest request is preempted
+	// and reads its prompt again.
+	memoryMs = 600.0
+	// memoryShare of a replica's memory is where that begins.
+	memoryShare = 0.9
+	// plainMs is the work of a plain service's request, for its queue.
+	plainMs = 30.0
+	// errorMs is the price of a certain failure.
+	errorMs = 400.0
+	// errorFree is the share of failures that any replica may have.
+	errorFree = 0.25
+	// silenceAfter is the silence from which a replica may hang.
+	silenceAfter = 300 * time.Millisecond
+	// trialMs is the price of trying a replica that failed.
+	trialMs = 250.0
+	// deadlineMargin is kept before the weights' deadline for the way there.
+	deadlineMargin = time.Second
+	// retryAfter is how long a caller waits when no replica can take a request.
+	retryAfter = 300 * time.Millisecond
+)
+
+// Decide picks a candidate, or fails with an error that says when to come back.
+func (p Policy) Decide(req *Request, candidates []Candidate) (Decision, error) {
+	best := Decision{}
+	bestRank := uint64(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if !p.keep(req, c) {
 			continue
 		}
-		score := p.score(req, &c)
-		if score < bestScore || score == bestScore && p.prefer(req, &c, &best) {
-			best, bestScore = c, score
+		best.Considered++
+		expected := p.expected(req, c)
+		score := p.score(req, c, expected)
+		rank := affinity(req.Affinity, c.ID)
+		if best.ID == "" || p.better(score, rank, best.Score, bestRank) {
+			best = Decision{*c, time.Duration(expected * float64(time.Millisecond)), best.Considered, score}
+			bestRank = rank
 		}
 	}
-	switch {
-	case best.Replica == nil && soonest == math.MaxInt64:
-		return Decision{}, errkind.New(errkind.NoBackend, "no backend server serves this model version")
-	case best.Replica == nil:
-		return Decision{}, errkind.New(errkind.Overloaded, "the first token is expected later than the deadline").
-			After(soonest + time.Second)
-	case req.Bounds.Wait > 0 && waits/kept > req.Bounds.Wait:
-		return Decision{}, errkind.New(errkind.Overloaded, "there is no room beyond the organisation's guarantee").
-			After(waits/kept - req.Bounds.Wait + time.Second)
-	default:
-		return Decision{*best.Replica, best.Cached, best.Wait + best.Prefill}, nil
+	if best.ID == "" {
+		return best, errkind.New(errkind.NoBackend, "no replica can take the request").After(retryAfter)
 	}
+	return best, nil
 }
 
-func (p *Pipeline) candidate(req *Request, r *Replica) Candidate {
-	c := Candidate{Replica: r}
-	for _, m := range req.Matches {
-		if m.Replica == r.Number {
-			c.Cached = float64(m.Depth) * p.confidence(m.Oldest)
-		}
+// better compares two candidates: by score, and by affinity where the scores
+// are close.
+func (p Policy) better(score float64, rank uint64, bestScore float64, bestRank uint64) bool {
+	if score < bestScore-p.Tolerance {
+		return true
 	}
-	c.Wait = time.Duration(r.Queued * float64(r.Prefill))
-	c.Prefill = time.Duration(max(0, req.Pieces-c.Cached) * float64(r.Prefill))
-	return c
+	return score <= bestScore+p.Tolerance && rank > bestRank
 }
 
-func (p *Pipeline) confidence(age time.Duration) float64 {
-	if p.policy.BeliefLife <= 0 {
-		return 1
-	}
-	return math.Exp(-float64(age) / float64(p.policy.BeliefLife))
-}
+// affinity ranks replicas for a leading part by rendezvous hashing.
+func affinity(part uint64, id string) uint64 { return xxh3.HashStringSeed(id, part) }
 
-func (p *Pipeline) keep(req *Request, c *Candidate) bool {
-	for _, f := range p.filters {
-		if !f.Keep(req, c) {
-			return false
-		}
-	}
-	return true
+// keep applies the filters.
+func (p Policy) keep(req *Request, c *Candidate) bool {
+	return c.Usable && !c.Loading && !req.Exclude[c.ID] && p.weightsAllowed(req, c) && fits(req, c)
 }
 
-func (p *Pipeline) score(req *Request, c *Candidate) float64 {
-	sum := 0.0
-	for _, s := range p.scorers {
-		sum += s.Score(req, c)
-	}
-	return sum
+func (p Policy) weightsAllowed(req *Request, c *Candidate) bool {
+	return c.Weights >= req.WantedWeights || req.NamedFor < p.WeightsDeadline-deadlineMargin
 }
 
-// prefer orders candidates of equal score by rendezvous hashing.
-func (p *Pipeline) prefer(req *Request, a, b *Candidate) bool {
-	return xxh3.HashStringSeed(a.Replica.ID, req.Affinity) > xxh3.HashStringSeed(b.Replica.ID, req.Affinity)
+// fits reports whether the replica's whole memory holds the request.
+func fits(req *Request, c *Candidate) bool {
+	return c.CacheTokens == 0 || req.PromptTokens+req.OutputTokens <= c.CacheTokens
 }
 
-type servingFilter struct{}
-
-func (servingFilter) Name() string                       { return "serving" }
-func (servingFilter) Keep(_ *Request, c *Candidate) bool { return c.Replica.Serving }
-
-// weightsFilter trusts only the version that the engine itself reports.
-type weightsFilter struct{}
-
-func (weightsFilter) Name() string { return "weights" }
-
-func (weightsFilter) Keep(req *Request, c *Candidate) bool {
-	return c.Replica.Model == req.Model && c.Replica.Version == req.Version
+// expected returns the expected time to the first event in milliseconds.
+func (p Policy) expected(req *Request, c *Candidate) float64 {
+	slow := max(1, c.Slow)
+	if c.CacheTokens == 0 {
+		queued := float64(max(0, c.Requests+1-c.Slots))
+		return slow * plainMs * (1 + queued/float64(max(1, c.Slots)))
+	}
+	read := float64(max(0, req.PromptTokens-c.Cached-c.Fetched))
+	queue := float64(c.PrefillTokens)
+	step := stepMs + perRequestMs*float64(c.Requests)
+	return slow*((queue+read)/p.PrefillPerMs+step) + float64(c.FetchTime)/float64(time.Millisecond)
+}
+
+// score prices a candidate in milliseconds.
+func (p Policy) score(req *Request, c *Candidate, expected float64) float64 {
+	score := expected
+	score += float64(max(0, c.Requests-c.Slots)) * queuedMs
+	score += p.RereadPerToken * float64(max(0, req.SharedTokens-c.Cached-c.Fetched))
+	score += errorMs * max(0, c.Errors-errorFree)
+	if c.AvailabilityZone != req.AvailabilityZone {
+		score += p.OtherZone
+	}
+	if c.Weights < req.WantedWeights && req.NamedFor > p.OldWeightsAfter {
+		score += p.OldWeights
+	}
+	if c.Silence > silenceAfter {
+		score += float64(c.Silence) / float64(time.Millisecond)
+	}
+	if c.Trial {
+		score += trialMs
+	}
+	return score + memoryPrice(req, c)
 }
 
-type excludeFilter struct{}
-
-func (excludeFilter) Name() string { return "exclude" }
-
-func (excludeFilter) Keep(req *Request, c *Candidate) bool {
-	for _, id := range req.Exclude {
-		if id == c.Replica.ID {
-			return false
-		}
+func memoryPrice(req *Request, c *Candidate) float64 {
+	if c.CacheTokens == 0 {
+		return 0
 	}
-	return true
+	need := float64(c.MemoryTokens + req.PromptTokens + req.OutputTokens)
+	over := need/float64(c.CacheTokens) - memoryShare
+	return memoryMs * max(0, min(1, over/(1-memoryShare)))
 }
-
-// waitScorer prices the queue ahead of the request.
-type waitScorer struct{ weight float64 }
-
-func (waitScorer) Name() string { return "wait" }
-
-func (s waitScorer) Score(_ *Request, c *Candidate) float64 { return s.weight * c.Wait.Seconds() }
-
-// prefillScorer prices the pieces that would be computed again.
-type prefillScorer struct{}
-
-func (prefillScorer) Name() string { return "prefill" }
-
-func (prefillScorer) Score(_ *Request, c *Candidate) float64 { return c.Prefill.Seconds() }
--- /dev/null
+++ b/internal/schedule/links.go
@@ -0,0 +1,47 @@
+package schedule
+
+import (
+	"sync"
+	"time"
+)
+
+// links estimates until when each link for KV cache is busy with the transfers
+// that this host asked for; they run one after another. It is safe for
+// concurrent use.
+type links struct {
+	mu   sync.Mutex
+	busy map[string]time.Time
+}
+
+// expected returns when a transfer that takes d would be over.
+func (l *links) expected(from, to string, d time.Duration, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.start(from, to, now).Sub(now) + d
+}
+
+func (l *links) start(from, to string, now time.Time) time.Time {
+	start := now
+	for _, end := range []string{from, to} {
+		if l.busy[end].After(start) {
+			start = l.busy[end]
+		}
+	}
+	return start
+}
+
+// use books a transfer that will be over after took.
+func (l *links) use(from, to string, took time.Duration, now time.Time) {
+	if from == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for end, until := range l.busy {
+		if until.Before(now) {
+			delete(l.busy, end)
+		}
+	}
+	l.busy[from] = now.Add(took)
+	l.busy[to] = now.Add(took)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,68 +1,288 @@
-// Package schedule joins the prefix index, the table of backend servers and the
-// routing decision: it picks a replica for a prompt and learns from what the
-// replica then reports. It is the whole of what a routing benchmark must drive.
+// Package schedule joins the table of backend servers, the prefix index and the
+// routing decision: it picks a replica for a request, says from where the replica
+// should fetch KV cache and where it should save it, and learns from answers.
 package schedule
 
 import (
+	"strconv"
+	"sync"
 	"time"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/platform"
 )
 
-// Prompt is what a request asks a replica to hold or compute.
-type Prompt struct {
-	Model   string
-	Version string
-	// Chain names the whole pieces.
-	Chain []prefix.Hash
-	// Pieces is the length in pieces, the incomplete last one included.
-	Pieces float64
+// Request is a request to be scheduled.
+type Request struct {
+	Service      *config.Service
+	Store        *config.CacheStore
+	Organisation *config.Organisation
+	Model        string
+	Parts        []platform.Part
+	PromptTokens int
+	OutputTokens int
+	Target       time.Duration
+	Deadline     time.Time
+	// Exclude holds replicas that were tried.
+	Exclude map[string]bool
 }
 
+// Choice is where a request goes and what its replica is told.
+type Choice struct {
+	route.Decision
+	// Salt, Source and Sink are as in platform.ReplicaRequest.
+	Salt   string
+	Source string
+	Sink   string
+	Flight *replica.Flight
+
+	prompt   prefix.Prompt
+	capacity int
+}
+
+const (
+	// minFetch is the least number of tokens worth a fetch: setting one up takes
+	// a replica about as long as reading so many.
+	minFetch = 64
+	// minSave is the least number of shared tokens worth keeping in the store.
+	minSave = 32
+	// fetchSetup is the time a transfer takes beside its bytes.
+	fetchSetup = 3500 * time.Microsecond
+	// otherZone is how many times as long a transfer takes between zones.
+	otherZone = 2
+	// maxFetchWait is the longest expected transfer that is still asked for: a
+	// replica does not start one that would wait 2 s.
+	maxFetchWait = 700 * time.Millisecond
+	// cacheShare of a replica's memory is thought to hold parts of ended requests.
+	cacheShare = 0.75
+)
+
 // Scheduler picks replicas. It is safe for concurrent use.
 type Scheduler struct {
 	replicas *replica.Table
 	index    *prefix.Index
-	pipeline *route.Pipeline
+	policy   route.Policy
+	zone     string
+	share    bool
+	links    links
+
+	mu   sync.Mutex
+	sent []*pb.PrefixSent
+	// storeUp is whether the store of kept KV cache answers.
+	storeUp bool
 }
 
-// New returns a scheduler over the two tables.
-func New(replicas *replica.Table, index *prefix.Index, pipeline *route.Pipeline) *Scheduler {
-	return &Scheduler{replicas, index, pipeline}
+// New returns a scheduler for a host in an availability zone. With share set,
+// organisations that are not isolated share cached prompts.
+func New(replicas *replica.Table, index *prefix.Index, policy route.Policy, zone string, share bool) *Scheduler {
+	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}}
 }
 
-// Replicas returns the table of backend servers.
-func (s *Scheduler) Replicas() *replica.Table { return s.replicas }
+// Salt returns the text that separates cached prompts: by weights version, and
+// by organisation where it is isolated.
+func (s *Scheduler) Salt(version int64, o *config.Organisation) string {
+	salt := "w" + strconv.FormatInt(version, 10)
+	if o != nil && (o.Isolated || !s.share) {
+		salt += "/" + o.Name
+	}
+	return salt
+}
 
-// Pick chooses a replica within bounds and counts the work as sent to it.
-func (s *Scheduler) Pick(p *Prompt, exclude []string, bounds route.Bounds, now time.Time) (route.Decision, error) {
-	req := route.Request{
-		Model:   p.Model,
-		Version: p.Version,
-		Pieces:  p.Pieces,
-		Matches: s.index.Lookup(p.Chain, now),
-		Exclude: exclude,
-		Bounds:  bounds,
+// Pick chooses a replica and counts the request as sent to it.
+func (s *Scheduler) Pick(req *Request, now time.Time) (*Choice, error) {
+	capacity := 0
+	if req.Service.Engine != nil {
+		capacity = req.Service.Engine.CacheTokens
 	}
-	if len(p.Chain) > 0 {
-		req.Affinity = uint64(p.Chain[0])
+	wanted := s.replicas.Wanted(req.Model)
+	replicas := s.replicas.Snapshot(req.Service.Name, req.Model, capacity, now)
+	prompts := map[int64]prefix.Prompt{}
+	candidates := make([]route.Candidate, len(replicas))
+	for i, r := range replicas {
+		candidates[i].Replica = r
+		if capacity > 0 {
+			s.caches(req, &candidates[i], replicas, s.prompt(prompts, req, r.Weights), now)
+		}
 	}
-	decision, err := s.pipeline.Decide(&req, s.replicas.Snapshot(p.Model, now))
+	decision, err := s.policy.Decide(&route.Request{
+		AvailabilityZone: s.zone,
+		PromptTokens:     req.PromptTokens,
+		OutputTokens:     req.OutputTokens,
+		SharedTokens:     s.prompt(prompts, req, 0).Total(),
+		LatencyTarget:    req.Target,
+		Left:             req.Deadline.Sub(now),
+		WantedWeights:    wanted.Version,
+		NamedFor:         now.Sub(wanted.Since),
+		Exclude:          req.Exclude,
+		Affinity:         affinity(req.Parts),
+	}, candidates)
 	if err != nil {
-		return decision, err
+		return nil, err
+	}
+	return s.choose(req, decision, s.prompt(prompts, req, decision.Weights), capacity, now)
+}
+
+// prompt returns the shared parts under the salt of a weights version.
+func (s *Scheduler) prompt(prompts map[int64]prefix.Prompt, req *Request, version int64) prefix.Prompt {
+	p, ok := prompts[version]
+	if !ok {
+		p = prefix.NewPrompt(s.Salt(version, req.Organisation), req.Parts)
+		prompts[version] = p
+	}
+	return p
+}
+
+// affinity is equal for requests that share their first part.
+func affinity(parts []platform.Part) uint64 {
+	if len(parts) == 0 {
+		return 0
 	}
-	chosen := &decision.Replica
-	s.replicas.Sent(chosen.ID, p.Pieces-decision.Cached, now)
-	// Pieces about to be computed count as held, so that the next request with
-	// the same prompt follows this one.
-	s.index.Add(chosen.Number, chosen.Incarnation, now, p.Chain...)
-	return decision, nil
+	return uint64(prefix.HashOf("", parts[0].ID))
 }
 
-// Learn records that an incarnation of a replica has answered the prompt, and
-// so holds all its pieces.
-func (s *Scheduler) Learn(p *Prompt, number prefix.Replica, incarnation uint64, now time.Time) {
-	s.index.Add(number, incarnation, now, p.Chain...)
+// caches fills in what a candidate holds and what it would fetch.
+func (s *Scheduler) caches(req *Request, c *route.Candidate, replicas []route.Replica, p prefix.Prompt, now time.Time) {
+	c.Cached = s.index.Held(c.ID, p)
+	if p.Total()-c.Cached < minFetch {
+		return
+	}
+	s.tryStore(req, c, p, now)
+	for i := range replicas {
+		from := &replicas[i]
+		if from.ID != c.ID && from.Usable && !from.Trial && !from.Loading && from.Weights == c.Weights && from.Silence < silentSource {
+			held := s.index.Held(from.ID, p)
+			s.trySource(req, c, from.Address, from.AvailabilityZone, req.Service.Engine.LinkMbps, held, now)
+		}
+	}
+}
+
+// silentSource is the silence from which nothing is fetched from a replica: a
+// dead source delays a request by some hundred milliseconds.
+const silentSource = 250 * time.Millisecond
+
+func (s *Scheduler) tryStore(req *Request, c *route.Candidate, p prefix.Prompt, now time.Time) {
+	if req.Store == nil || !s.StoreUp() {
+		return
+	}
+	s.trySource(req, c, req.Store.Address, req.Store.AvailabilityZone, req.Store.LinkMbps, s.index.Held(req.Store.Address, p), now)
 }
+
+// trySource makes a source the candidate's if it brings more, or as much sooner.
+func (s *Scheduler) trySource(req *Request, c *route.Candidate, address, zone string, linkMbps float64, held int, now time.Time) {
+	tokens := held - c.Cached
+	if tokens < minFetch || tokens < c.Fetched {
+		return
+	}
+	took := s.links.expected(address, c.ID, transferTime(req.Service.Engine, linkMbps, tokens, zone != c.AvailabilityZone), now)
+	if took > maxFetchWait || tokens == c.Fetched && took >= c.FetchTime {
+		return
+	}
+	c.Fetched, c.Source, c.FetchTime = tokens, address, took
+}
+
+// transferTime is how long the tokens' KV cache is on the slower of two links.
+func transferTime(e *config.Engine, linkMbps float64, tokens int, zones bool) time.Duration {
+	mbps := min(linkMbps, e.LinkMbps)
+	if mbps <= 0 {
+		return maxFetchWait + 1
+	}
+	bits := float64(tokens) * float64(e.TokenBytes) * 8
+	d := time.Duration(bits / (mbps * 1e6) * float64(time.Second))
+	if zones {
+		d *= otherZone
+	}
+	return d + fetchSetup
+}
+
+func (s *Scheduler) choose(req *Request, d route.Decision, p prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
+	c := &Choice{Decision: d, prompt: p, capacity: int(float64(capacity) * cacheShare)}
+	read := 0
+	if capacity > 0 {
+		c.Salt = s.Salt(d.Weights, req.Organisation)
+		c.Source = d.Source
+		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
+		s.links.use(d.Source, d.ID, d.FetchTime, now)
+		if s.worthSaving(req, p) {
+			c.Sink = req.Store.Address
+		}
+	}
+	c.Flight = s.replicas.Begin(d.ID, read, req.PromptTokens+req.OutputTokens, d.Expected, now)
+	if c.Flight == nil {
+		req.Exclude[d.ID] = true
+		return s.Pick(req, now)
+	}
+	return c, nil
+}
+
+// worthSaving reports whether the store lacks shared parts of the prompt.
+func (s *Scheduler) worthSaving(req *Request, p prefix.Prompt) bool {
+	if req.Store == nil || !s.StoreUp() {
+		return false
+	}
+	return p.Total()-s.index.Held(req.Store.Address, p) >= minSave
+}
+
+// Learn records that the chosen replica has read the whole prompt.
+func (s *Scheduler) Learn(c *Choice) {
+	if len(c.prompt.Parts) == 0 || c.capacity == 0 {
+		return
+	}
+	s.index.Add(c.ID, c.prompt, c.capacity)
+	sent := &pb.PrefixSent{Replica: c.ID}
+	for i, part := range c.prompt.Parts {
+		sent.Parts = append(sent.Parts, uint64(part))
+		sent.Tokens = append(sent.Tokens, int32(c.prompt.Tokens[i]))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sent) < maxSent {
+		s.sent = append(s.sent, sent)
+	}
+}
+
+// maxSent bounds what one heartbeat tells of sent prompts.
+const maxSent = 40
+
+// TakeSent returns what Learn recorded since the last call, for other hosts.
+func (s *Scheduler) TakeSent() []*pb.PrefixSent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent := s.sent
+	s.sent = nil
+	return sent
+}
+
+// Heard takes what another host learned. capacity is the replicas' memory.
+func (s *Scheduler) Heard(sent []*pb.PrefixSent, capacity int) {
+	for _, item := range sent {
+		var p prefix.Prompt
+		for i, part := range item.Parts {
+			if i < len(item.Tokens) {
+				p.Parts = append(p.Parts, prefix.Hash(part))
+				p.Tokens = append(p.Tokens, int(item.Tokens[i]))
+			}
+		}
+		s.index.Add(item.Replica, p, int(float64(capacity)*cacheShare))
+	}
+}
+
+// SetStoreUp records whether the store of kept KV cache answers.
+func (s *Scheduler) SetStoreUp(up bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeUp = up
+}
+
+// StoreUp reports whether the store of kept KV cache answers.
+func (s *Scheduler) StoreUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeUp
+}
+
+// Reloaded drops what a replica held before it loaded other weights.
+func (s *Scheduler) Reloaded(id string) { s.index.Clear(id) }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -12,54 +11,48 @@
 	"github.com/briarlink/briarlink/internal/addr"
 )
 
-// maxSkew is how far a caller's clock may run ahead of the platform's.
-const maxSkew = time.Minute
-
-const tokenHashBytes = 32
-
 // Defaults returns settings with every default, and nothing that is required.
 func Defaults() *pb.Settings {
 	return &pb.Settings{
-		Host:      &pb.HostSettings{},
-		Listen:    &pb.ListenSettings{},
-		Operators: &pb.OperatorSettings{},
-		Platform: &pb.PlatformSettings{
-			CallTimeout: durationpb.New(2 * time.Second),
-			Retention:   durationpb.New(time.Hour),
-		},
+		Host:     &pb.HostSettings{},
+		Listen:   &pb.ListenSettings{},
+		Platform: &pb.PlatformSettings{CallTimeout: durationpb.New(1500 * time.Millisecond)},
 		Request: &pb.RequestSettings{
+			DefaultDeadline: durationpb.New(time.Minute),
 			MaxBodyBytes:    8 << 20,
 			MaxHeaderBytes:  32 << 10,
-			MaxStreams:      2000,
-			DefaultDeadline: durationpb.New(time.Minute),
-			IdleTimeout:     durationpb.New(10 * time.Second),
-			RetryRatio:      0.2,
-		},
-		Prefix: &pb.PrefixSettings{PieceBytes: 2000, MaxPieces: 1_000_000},
-		Route: &pb.RouteSettings{
-			RecomputeWeight: 0.5,
-			PollInterval:    durationpb.New(200 * time.Millisecond),
-			DownAfter:       durationpb.New(2 * time.Second),
-			BorrowWait:      durationpb.New(200 * time.Millisecond),
-			FirstTokenLimit: durationpb.New(10 * time.Second),
+			IdleTimeout:     durationpb.New(time.Minute),
+			AnswerTtl:       durationpb.New(time.Second),
+			ShareCache:      true,
 		},
 		Member: &pb.MemberSettings{
-			HeartbeatInterval: durationpb.New(500 * time.Millisecond),
-			DeadAfter:         durationpb.New(3 * time.Second),
-			FanOut:            8,
-			OutOfTouchAfter:   durationpb.New(5 * time.Second),
-			AnswerTtl:         durationpb.New(5 * time.Second),
-			StopTimeout:       durationpb.New(5 * time.Minute),
+			HeartbeatInterval: durationpb.New(150 * time.Millisecond),
+			DeadAfter:         durationpb.New(time.Second),
 		},
-		Claim: &pb.ClaimSettings{
-			MaxKeyAge:     durationpb.New(10 * time.Minute),
-			Wait:          durationpb.New(3 * time.Second),
-			GroupInterval: durationpb.New(20 * time.Millisecond),
+		Replica: &pb.ReplicaSettings{
+			HeartbeatInterval: durationpb.New(1200 * time.Millisecond),
+			OutageGrace:       durationpb.New(2 * time.Second),
+			PollInterval:      durationpb.New(400 * time.Millisecond),
 		},
-		Log: &pb.LogSettings{Level: "info", Format: "json"},
+		Retry: &pb.RetrySettings{
+			Ratio:  0.2,
+			Window: durationpb.New(10 * time.Second),
+			Slack:  50,
+		},
+		Weights: &pb.WeightsSettings{
+			Lease:       durationpb.New(3 * time.Second),
+			Concurrency: 4,
+			Mode:        "queue",
+			Deadline:    durationpb.New(8 * time.Second),
+		},
+		Stop: &pb.StopSettings{Grace: durationpb.New(8 * time.Second)},
+		Log:  &pb.LogSettings{Level: "info", LinesPerSecond: 400},
 	}
 }
 
+// Check returns what is wrong with the values of s.
+func Check(s *pb.Settings) Mistakes { return check(s, &reader{lines: map[string]int{}}) }
+
 // checker collects mistakes about values.
 type checker struct {
 	r        *reader
@@ -72,8 +65,8 @@
 	}
 }
 
-func (c *checker) address(path, value string) {
-	c.require(value != "", path, "is required")
+func (c *checker) address(path, value string, required bool) {
+	c.require(value != "" || !required, path, "is required")
 	c.require(value == "" || addr.Valid(value), path, "%q is not IP:port", value)
 }
 
@@ -85,62 +78,48 @@
 	c.require(v >= low && v <= high, path, "must be %g to %g", low, high)
 }
 
-func check(s *pb.Settings, r *reader) []Mistake {
+func check(s *pb.Settings, r *reader) Mistakes {
 	c := &checker{r: r}
 	c.require(s.Host.Id != "", "host.id", "is required")
 	c.require(s.Host.AvailabilityZone != "", "host.availability_zone", "is required")
-	c.address("listen.caller", s.Listen.Caller)
-	c.address("listen.operator", s.Listen.Operator)
-	c.address("listen.peer", s.Listen.Peer)
-	c.address("platform.address", s.Platform.Address)
-	c.tokens(s.Operators.Tokens)
+	c.within("host.memory_mb", float64(s.Host.MemoryMb), 0, 1<<20)
+	c.address("listen.caller", s.Listen.Caller, true)
+	c.address("listen.peer", s.Listen.Peer, true)
+	c.address("listen.ready", s.Listen.Ready, false)
+	c.address("listen.directory", s.Listen.Directory, false)
+	c.address("listen.operator", s.Listen.Operator, false)
+	c.address("listen.metrics", s.Listen.Metrics, false)
+	c.address("platform.address", s.Platform.Address, true)
 	c.durations(s)
 	c.numbers(s)
 	_, err := logrus.ParseLevel(s.Log.Level)
 	c.require(err == nil, "log.level", "%q is not debug, info, warning or error", s.Log.Level)
-	c.require(s.Log.Format == "json" || s.Log.Format == "text", "log.format", "%q is not json or text", s.Log.Format)
+	mode := s.Weights.Mode
+	c.require(mode == "queue" || mode == "retain" || mode == "preempt", "weights.mode", "%q is not queue, retain or preempt", mode)
 	return c.mistakes
 }
 
-func (c *checker) tokens(tokens []*pb.OperatorToken) {
-	c.require(len(tokens) > 0, "operators.tokens", "is required")
-	for i, t := range tokens {
-		path := fmt.Sprintf("operators.tokens[%d]", i)
-		c.require(t.Name != "", path+".name", "is required")
-		hash, err := hex.DecodeString(t.Sha256)
-		c.require(err == nil && len(hash) == tokenHashBytes, path+".sha256", "is not the 64 hex digits of a SHA-256")
-	}
-}
-
 func (c *checker) durations(s *pb.Settings) {
 	c.positive("platform.call_timeout", s.Platform.CallTimeout)
-	c.positive("platform.retention", s.Platform.Retention)
 	c.positive("request.default_deadline", s.Request.DefaultDeadline)
 	c.positive("request.idle_timeout", s.Request.IdleTimeout)
-	c.positive("route.poll_interval", s.Route.PollInterval)
-	c.positive("route.down_after", s.Route.DownAfter)
-	c.positive("route.borrow_wait", s.Route.BorrowWait)
-	c.positive("route.first_token_limit", s.Route.FirstTokenLimit)
+	c.positive("request.answer_ttl", s.Request.AnswerTtl)
 	c.positive("member.heartbeat_interval", s.Member.HeartbeatInterval)
-	c.positive("member.out_of_touch_after", s.Member.OutOfTouchAfter)
-	c.positive("member.answer_ttl", s.Member.AnswerTtl)
-	c.positive("member.stop_timeout", s.Member.StopTimeout)
-	c.positive("claim.max_key_age", s.Claim.MaxKeyAge)
-	c.positive("claim.wait", s.Claim.Wait)
-	c.positive("claim.group_interval", s.Claim.GroupInterval)
+	c.positive("replica.heartbeat_interval", s.Replica.HeartbeatInterval)
+	c.positive("replica.poll_interval", s.Replica.PollInterval)
+	c.positive("retry.window", s.Retry.Window)
+	c.positive("weights.lease", s.Weights.Lease)
+	c.positive("weights.deadline", s.Weights.Deadline)
+	c.positive("stop.grace", s.Stop.Grace)
 	c.require(s.Member.DeadAfter.AsDuration() > 2*s.Member.HeartbeatInterval.AsDuration(),
 		"member.dead_after", "must be more than twice member.heartbeat_interval")
-	c.require(s.Claim.MaxKeyAge.AsDuration()+maxSkew < s.Platform.Retention.AsDuration(),
-		"claim.max_key_age", "must be below platform.retention by more than %s", maxSkew)
 }
 
 func (c *checker) numbers(s *pb.Settings) {
 	c.within("request.max_body_bytes", float64(s.Request.MaxBodyBytes), 1<<10, 1<<30)
 	c.within("request.max_header_bytes", float64(s.Request.MaxHeaderBytes), 1<<10, 1<<20)
-	c.within("request.max_streams", float64(s.Request.MaxStreams), 1, 1e6)
-	c.within("request.retry_ratio", s.Request.RetryRatio, 0, 1)
-	c.within("prefix.piece_bytes", float64(s.Prefix.PieceBytes), 16, 1<<20)
-	c.within("prefix.max_pieces", float64(s.Prefix.MaxPieces), 1000, 1e8)
-	c.within("route.recompute_weight", s.Route.RecomputeWeight, 0, 1)
-	c.within("member.fan_out", float64(s.Member.FanOut), 1, 64)
+	c.within("retry.ratio", s.Retry.Ratio, 0, 1)
+	c.within("retry.slack", float64(s.Retry.Slack), 0, 1e6)
+	c.within("weights.concurrency", float64(s.Weights.Concurrency), 1, 1e4)
+	c.within("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 1e6)
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -163,6 +163,8 @@
 	switch kind := field.Kind(); {
 	case kind == protoreflect.StringKind && lit.Kind() == '"':
 		return protoreflect.ValueOfString(lit.String()), true
+	case kind == protoreflect.BoolKind && (lit.Kind() == 't' || lit.Kind() == 'f'):
+		return protoreflect.ValueOfBool(lit.Bool()), true
 	case kind == protoreflect.DoubleKind && lit.Kind() == '0':
 		return protoreflect.ValueOfFloat64(lit.Float()), true
 	case kind == protoreflect.Int64Kind && isInteger(lit):
--- /dev/null
+++ b/internal/topic/follow.go
@@ -0,0 +1,165 @@
+package topic
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+// Reader is what a follower needs of the store.
+type Reader interface {
+	Newest(ctx context.Context, topic string) (platform.Page, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error)
+}
+
+const (
+	// firstBackoff and maxBackoff bound the pause after a failed call. The longest
+	// keeps the view less than a second behind once the store is back.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+)
+
+// Follower keeps a table up to date from the store.
+type Follower struct {
+	Store  Reader
+	Table  *Table
+	Access *Access
+	// Wait is how long a read waits for a record at the store; 0 polls.
+	Wait time.Duration
+	// Gap is the pause between two reads: it bounds the calls that a busy topic
+	// costs, and adds to the age of what is known.
+	Gap time.Duration
+	Log *logrus.Logger
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	synced := f.Table.Synced()
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		var err error
+		synced, err = f.step(ctx, synced)
+		pause := f.Gap
+		if err != nil {
+			pause = backoff/2 + rand.N(backoff)
+			backoff = min(2*backoff, maxBackoff)
+		} else {
+			backoff = firstBackoff
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step reads once and returns whether reads may go on from the table's end.
+func (f *Follower) step(ctx context.Context, synced bool) (bool, error) {
+	if !synced {
+		return f.snapshot(ctx)
+	}
+	from := f.Table.End()
+	page, err := f.Store.Read(ctx, f.Table.Name(), from, f.Wait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.Access.Succeeded(time.Now())
+		f.Log.WithFields(logrus.Fields{"topic": f.Table.Name(), "offset": f.Table.End()}).
+			Info("records were trimmed before they were read; reading the newest of each key")
+		return false, nil
+	}
+	if err != nil {
+		f.failed(ctx, err)
+		return true, err
+	}
+	f.Access.Succeeded(time.Now())
+	f.Table.Merge(page.Records, from+int64(len(page.Records)), f.Access.Stable(time.Now()))
+	return true, nil
+}
+
+func (f *Follower) snapshot(ctx context.Context) (bool, error) {
+	page, err := f.Store.Newest(ctx, f.Table.Name())
+	if err != nil {
+		f.failed(ctx, err)
+		return false, err
+	}
+	f.Access.Succeeded(time.Now())
+	if !f.Table.Snapshot(page, f.Access.Stable(time.Now())) {
+		return false, errors.New("the store's view is older than this host's")
+	}
+	return true, nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Access.Failed(time.Now(), err)
+}
+
+// Access is whether this host reaches the store. It is safe for concurrent use.
+type Access struct {
+	// grace is how long after an outage removals may still be its trace.
+	grace time.Duration
+	log   *logrus.Logger
+
+	mu sync.Mutex
+	// lost is when the present outage began, or zero.
+	lost time.Time
+	// regained is when the last outage ended.
+	regained time.Time
+	success  time.Time
+}
+
+// NewAccess returns access that counts as good until a call fails.
+func NewAccess(grace time.Duration, log *logrus.Logger) *Access {
+	return &Access{grace: grace, log: log}
+}
+
+// Succeeded records a call that the store answered.
+func (a *Access) Succeeded(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.success = now
+	if a.lost.IsZero() {
+		return
+	}
+	a.log.WithField("outage_ms", now.Sub(a.lost).Milliseconds()).Info("store regained")
+	a.lost = time.Time{}
+	a.regained = now
+}
+
+// Failed records a call that the store refused or did not answer.
+func (a *Access) Failed(now time.Time, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lost.IsZero() {
+		a.lost = now
+		a.log.WithError(err).Warn("store lost")
+	}
+}
+
+// Stable reports whether the store is reached and was for the grace time.
+func (a *Access) Stable(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lost.IsZero() && (a.regained.IsZero() || now.Sub(a.regained) > a.grace)
+}
+
+// Age returns the time since the store last answered.
+func (a *Access) Age(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.success.IsZero() {
+		return neverAnswered
+	}
+	return now.Sub(a.success)
+}
+
+// neverAnswered stands for an age without a start.
+const neverAnswered = 24 * time.Hour
--- /dev/null
+++ b/internal/topic/table.go
@@ -0,0 +1,159 @@
+// Package topic keeps the newest records of the store's keyed topics. Records
+// come from the store and, while it cannot be reached, from other hosts; they
+// are merged by offset, so that a view never goes back.
+package topic
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+// Table holds the newest record of each key of one topic. It is safe for
+// concurrent use; mu is its only lock and is not held while onRecord runs.
+type Table struct {
+	name     string
+	onRecord func(rec platform.Record, trusted bool)
+
+	mu      sync.Mutex
+	records map[string]platform.Record
+	// end is the first offset not yet applied.
+	end    int64
+	synced bool
+}
+
+// maxRemoved bounds the removals that are remembered for other hosts.
+const maxRemoved = 4096
+
+// NewTable returns an empty table. onRecord is called for each newer record, in
+// the order of offsets within one merge; trusted says that a removal is no trace
+// of an outage of the store.
+func NewTable(name string, onRecord func(rec platform.Record, trusted bool)) *Table {
+	return &Table{name: name, onRecord: onRecord, records: map[string]platform.Record{}}
+}
+
+// Name returns the topic's name.
+func (t *Table) Name() string { return t.name }
+
+// End returns the first offset that is not applied.
+func (t *Table) End() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.end
+}
+
+// Synced reports whether the whole topic was read once.
+func (t *Table) Synced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.synced
+}
+
+// Merge takes records of a read, which must be all up to end. It returns how
+// many were new.
+func (t *Table) Merge(records []platform.Record, end int64, trusted bool) int {
+	t.mu.Lock()
+	fresh := t.merge(records)
+	t.end = max(t.end, end)
+	t.mu.Unlock()
+	t.tell(fresh, trusted)
+	return len(fresh)
+}
+
+// MergeAll takes every record that another host knows from an offset on that
+// this host has applied up to, or from 0.
+func (t *Table) MergeAll(records []platform.Record, end int64, trusted bool) int {
+	n := t.Merge(records, end, trusted)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.synced = true
+	return n
+}
+
+// Snapshot takes the newest record of every key. Keys that are missing and older
+// than the snapshot were removed. A snapshot older than what was applied is not
+// taken; it returns false.
+func (t *Table) Snapshot(page platform.Page, trusted bool) bool {
+	t.mu.Lock()
+	if page.End < t.end {
+		t.mu.Unlock()
+		return false
+	}
+	fresh := t.merge(append(page.Records, t.missing(page)...))
+	t.end = page.End
+	t.synced = true
+	t.mu.Unlock()
+	t.tell(fresh, trusted)
+	return true
+}
+
+// missing returns removals for the keys that a snapshot lacks.
+func (t *Table) missing(page platform.Page) []platform.Record {
+	present := make(map[string]bool, len(page.Records))
+	for _, rec := range page.Records {
+		present[rec.Key] = true
+	}
+	var out []platform.Record
+	for key, rec := range t.records {
+		if !present[key] && !rec.Removed && rec.Offset < page.End {
+			out = append(out, platform.Record{Key: key, Offset: page.End - 1, Removed: true})
+		}
+	}
+	return out
+}
+
+func (t *Table) merge(records []platform.Record) []platform.Record {
+	var fresh []platform.Record
+	for _, rec := range records {
+		old, known := t.records[rec.Key]
+		if known && old.Offset >= rec.Offset {
+			continue
+		}
+		t.records[rec.Key] = rec
+		fresh = append(fresh, rec)
+	}
+	t.forget()
+	sort.SliceStable(fresh, func(i, j int) bool { return fresh[i].Offset < fresh[j].Offset })
+	return fresh
+}
+
+// forget drops the oldest removals beyond maxRemoved.
+func (t *Table) forget() {
+	var removed []platform.Record
+	if len(t.records) <= maxRemoved {
+		return
+	}
+	for _, rec := range t.records {
+		if rec.Removed {
+			removed = append(removed, rec)
+		}
+	}
+	if len(removed) <= maxRemoved {
+		return
+	}
+	sort.Slice(removed, func(i, j int) bool { return removed[i].Offset < removed[j].Offset })
+	for _, rec := range removed[:len(removed)-maxRemoved/2] {
+		delete(t.records, rec.Key)
+	}
+}
+
+func (t *Table) tell(fresh []platform.Record, trusted bool) {
+	for _, rec := range fresh {
+		t.onRecord(rec, trusted)
+	}
+}
+
+// From returns the newest records from an offset on and the table's end.
+func (t *Table) From(offset int64) ([]platform.Record, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []platform.Record
+	for _, rec := range t.records {
+		if rec.Offset >= offset {
+			out = append(out, rec)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Offset < out[j].Offset })
+	return out, t.end
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,173 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// defaultIdle is how long a connection is kept when the backend server does
+	// not say for how long it keeps it.
+	defaultIdle = 3 * time.Second
+	// idleMargin is kept before the backend server's own limit: a request that
+	// crosses its close may or may not have run.
+	idleMargin = 400 * time.Millisecond
+	// maxIdlePerServer bounds the idle connections to one backend server.
+	maxIdlePerServer = 32
+)
+
+// Pool keeps connections to backend servers. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+	// Opened counts new connections.
+	opened int64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: map[string][]*conn{}}
+}
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Send sends a request to the backend server at an IP:port and returns the head
+// of its answer. An error is an *Error. Once ctx ends the exchange is cut.
+func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
+	c := p.take(address, req.MaxIdle)
+	if c == nil {
+		fresh, err := p.dial(ctx, address)
+		if err != nil {
+			return nil, &Error{cause: err}
+		}
+		c = fresh
+	}
+	resp, err := c.exchange(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	resp.pool = p
+	return resp, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// take returns the idle connection that was used last, or nil.
+func (p *Pool) take(address string, maxIdle time.Duration) *conn {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			return nil
+		}
+		limit := c.maxIdle
+		if maxIdle > 0 {
+			limit = min(limit, maxIdle)
+		}
+		if time.Since(c.idleSince) < limit && c.quiet() {
+			return c
+		}
+		c.Conn.Close()
+	}
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection that the backend server keeps for timeout; 0 when it
+// did not say.
+func (p *Pool) put(c *conn, timeout time.Duration) {
+	c.maxIdle = defaultIdle
+	if timeout > 0 {
+		c.maxIdle = max(timeout-idleMargin, timeout/2)
+	}
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	full := p.closed || len(p.idle[c.address]) >= maxIdlePerServer
+	if !full {
+		p.idle[c.address] = append(p.idle[c.address], c)
+	}
+	p.mu.Unlock()
+	if full {
+		c.Conn.Close()
+	}
+}
+
+// Sweep closes connections that were idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	for address, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) >= c.maxIdle {
+				old = append(old, c)
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		p.idle[address] = keep
+		if len(keep) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Conn.Close()
+	}
+}
+
+// Forget closes the idle connections to a backend server that is gone.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Conn.Close()
+	}
+}
+
+// Close closes every idle connection; those in use are closed when they end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Conn.Close()
+		}
+	}
+}
