Route by what is being read; load the oldest weights first

Change: a long prompt is told at once; parts count as held from the moment they are sent, and as a source once read; unread tokens fall with time; reading has a quadratic term; replicas with the oldest weights are ordered first.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -65,6 +65,9 @@
 		err = errkind.Wrap(errkind.BackendLost, errSilent, "the replica does not answer")
 	}
 	choice.Flight.End(result, time.Now())
+	if err != nil && r.report.First == 0 {
+		r.d.scheduler.Failed(choice)
+	}
 	r.note(choice, x.began, result, err)
 	return err
 }
@@ -151,7 +154,7 @@
 	}
 	if req.Service.Engine != nil {
 		out.HasPriority = true
-		out.Priority = min(maxPriority, priority(req))
+		out.Priority = priority(req)
 	}
 	if x.lastEvent > 0 {
 		out.LastEvent = strconv.FormatInt(x.lastEvent, 10)
@@ -166,14 +169,22 @@
 	}
 }
 
-// maxPriority is the least urgent priority that engines know.
-const maxPriority = 9
+const (
+	// maxPriority is the least urgent priority that engines know.
+	maxPriority = 9
+	// routeRanks is how many ranks of routes are told apart within a priority of
+	// organisations.
+	routeRanks = 3
+)
 
+// priority ranks a request for an engine: by its organisation's priority, which
+// goes first, then by its route's.
 func priority(req *Request) int {
+	rank := min(req.Route.Priority, routeRanks-1)
 	if o := req.Organisation; o != nil && o.HasPriority {
-		return o.Priority
+		rank += routeRanks * o.Priority
 	}
-	return req.Route.Priority
+	return min(rank, maxPriority)
 }
 
 // refused takes a true "not run".
@@ -267,7 +278,7 @@
 		x.started = true
 		x.report.First = now.Sub(x.run.began)
 		x.report.Status = resp.Status
-		x.d.scheduler.Learn(x.choice)
+		x.d.scheduler.Read(x.choice, now)
 		if err := x.out.Start(resp.Status, platform.AnswerHeaders(resp.Header)); err != nil {
 			return err
 		}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -66,7 +66,7 @@
 		PeerAddress:      n.settings.Listen.Peer,
 		Ready:            n.machine.Is(StateReady),
 		Leaving:          n.machine.Is(StateLeaving) || n.machine.Is(StateClosing),
-		Loads:            n.replicas.Loads(),
+		Loads:            n.replicas.Loads(now),
 		Sent:             n.scheduler.TakeSent(),
 		Loading:          n.loader.Busy(),
 		Known:            n.members.Addresses(now, toldAddresses),
@@ -122,7 +122,7 @@
 	}
 	for _, s := range c.Services {
 		if s.Engine != nil {
-			n.scheduler.Heard(b.Sent, s.Engine.CacheTokens)
+			n.scheduler.Heard(b.Sent, s.Engine.CacheTokens, time.Now())
 			return
 		}
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -193,7 +193,7 @@
 		f.n.index.Remove(address, part)
 		return
 	}
-	f.n.index.Add(address, prefix.Prompt{Parts: []prefix.Hash{part}, Tokens: []int{ev.Tokens}}, capacity)
+	f.n.index.Add(address, prefix.Prompt{Parts: []prefix.Hash{part}, Tokens: []int{ev.Tokens}}, capacity, time.Now())
 }
 
 func (f *cacheFollower) up(up bool, err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,7 @@
 	policy := route.DefaultPolicy()
 	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
+	n.scheduler.Tell = n.beatNow
 	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), float64(s.Retry.Slack)*slackShare, 1, time.Now())
 	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
 	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -5,6 +5,7 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/zeebo/xxh3"
 
@@ -64,19 +65,23 @@
 type held struct {
 	part   Hash
 	tokens int
+	// ready is when the part is thought to be read; before that it can be shared
+	// with requests at the same replica, but not fetched from it.
+	ready time.Time
 }
 
 // NewIndex returns an index that believes nothing.
 func NewIndex() *Index { return &Index{holders: map[string]*holder{}} }
 
-// Add records that a holder with room for capacity tokens holds the prompt.
-func (x *Index) Add(id string, p Prompt, capacity int) {
+// Add records that a holder with room for capacity tokens holds the prompt, or
+// will have read it at ready.
+func (x *Index) Add(id string, p Prompt, capacity int, ready time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h := x.holder(id)
 	h.capacity = capacity
 	for i, part := range p.Parts {
-		h.add(part, p.Tokens[i])
+		h.add(part, p.Tokens[i], ready)
 	}
 }
 
@@ -89,13 +94,17 @@
 	return h
 }
 
-func (h *holder) add(part Hash, tokens int) {
+func (h *holder) add(part Hash, tokens int, ready time.Time) {
 	if e := h.parts[part]; e != nil {
-		h.tokens += tokens - e.Value.(*held).tokens
-		e.Value.(*held).tokens = tokens
+		v := e.Value.(*held)
+		h.tokens += tokens - v.tokens
+		v.tokens = tokens
+		if ready.Before(v.ready) {
+			v.ready = ready
+		}
 		h.order.MoveToBack(e)
 	} else {
-		h.parts[part] = h.order.PushBack(&held{part, tokens})
+		h.parts[part] = h.order.PushBack(&held{part, tokens, ready})
 		h.tokens += tokens
 	}
 	for h.tokens > h.capacity && h.order.Len() > 1 {
@@ -131,22 +140,28 @@
 }
 
 // Held returns how many leading tokens of the prompt a holder is believed to
-// hold. A part counts only if all parts before it are held.
-func (x *Index) Held(id string, p Prompt) int {
+// hold or to be reading, and how many of them are read by now. A part counts only
+// if all parts before it do.
+func (x *Index) Held(id string, p Prompt, now time.Time) (tokens, read int) {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
 	h := x.holders[id]
 	if h == nil {
-		return 0
+		return 0, 0
 	}
-	sum := 0
+	allRead := true
 	for i, part := range p.Parts {
-		if h.parts[part] == nil {
+		e := h.parts[part]
+		if e == nil {
 			break
 		}
-		sum += p.Tokens[i]
+		tokens += p.Tokens[i]
+		allRead = allRead && !e.Value.(*held).ready.After(now)
+		if allRead {
+			read = tokens
+		}
 	}
-	return sum
+	return tokens, read
 }
 
 // Size returns the number of parts believed held, over all holders.
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -103,21 +103,30 @@
 	}
 }
 
+// Work is what a request means for a server.
+type Work struct {
+	// Prefill tokens are to be read, Memory tokens are needed to the end.
+	Prefill int
+	Memory  int
+	// Expected is the time to the first event, of which Reading is spent on the
+	// request's own tokens.
+	Expected time.Duration
+	Reading  time.Duration
+}
+
 // Flight is a request at a server. It is safe for concurrent use.
 type Flight struct {
 	table    *Table
 	entry    *entry
 	began    time.Time
-	expected time.Duration
-	prefill  int
-	memory   int
+	work     Work
 	answered bool
 	over     bool
 }
 
 // Begin records a request that is about to be sent. It returns nil when the
 // server may no longer be given requests.
-func (t *Table) Begin(id string, prefill, memory int, expected time.Duration, now time.Time) *Flight {
+func (t *Table) Begin(id string, work Work, now time.Time) *Flight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
@@ -127,7 +136,7 @@
 	if _, trial := e.health.state(now); trial {
 		e.health.trying = true
 	}
-	f := &Flight{table: t, entry: e, began: now, expected: expected, prefill: prefill, memory: memory}
+	f := &Flight{table: t, entry: e, began: now, work: work}
 	e.flights[f] = true
 	return f
 }
@@ -141,11 +150,29 @@
 		return
 	}
 	f.answered = true
-	f.prefill = 0
-	f.entry.health.took(now.Sub(f.began), f.expected)
+	f.entry.health.took(now.Sub(f.began), f.work.Expected)
 	f.entry.heard(now)
 }
 
+// leastLeft of a prompt counts as unread until the first event: it may be later
+// than expected.
+const leastLeft = 0.1
+
+// prefill returns the tokens that are thought to be unread: they are read after
+// those that came before, at the expected speed.
+func (f *Flight) prefill(now time.Time) float64 {
+	if f.answered {
+		return 0
+	}
+	total := float64(f.work.Prefill)
+	start := f.began.Add(f.work.Expected - f.work.Reading)
+	if f.work.Reading <= 0 || now.Before(start) {
+		return total
+	}
+	done := float64(now.Sub(start)) / float64(f.work.Reading)
+	return total * max(leastLeft, 1-done)
+}
+
 // End records the end of the exchange; only the first call counts.
 func (f *Flight) End(r Result, now time.Time) {
 	f.table.mu.Lock()
@@ -180,7 +207,7 @@
 		if f.answered {
 			continue
 		}
-		due := f.began.Add(f.expected)
+		due := f.began.Add(f.work.Expected)
 		if e.lastHeard.After(due) {
 			due = e.lastHeard
 		}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -217,13 +217,13 @@
 }
 
 // Loads returns this host's own work, for the others.
-func (t *Table) Loads() []*pb.ReplicaLoad {
+func (t *Table) Loads(now time.Time) []*pb.ReplicaLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*pb.ReplicaLoad
 	for id, e := range t.entries {
 		if len(e.flights) > 0 {
-			l := e.load()
+			l := e.load(now)
 			l.Replica = id
 			out = append(out, l)
 		}
@@ -232,12 +232,12 @@
 	return out
 }
 
-func (e *entry) load() *pb.ReplicaLoad {
+func (e *entry) load(now time.Time) *pb.ReplicaLoad {
 	l := &pb.ReplicaLoad{}
 	for f := range e.flights {
 		l.Requests++
-		l.PrefillTokens += int32(f.prefill)
-		l.MemoryTokens += int32(f.memory)
+		l.PrefillTokens += int32(f.prefill(now))
+		l.MemoryTokens += int32(f.work.Memory)
 	}
 	return l
 }
@@ -257,7 +257,7 @@
 }
 
 func (t *Table) replica(id string, e *entry, model string, cacheTokens int, now time.Time) route.Replica {
-	load := e.load()
+	load := e.load(now)
 	for _, loads := range t.loads {
 		if l := loads[id]; l != nil {
 			load.Requests += l.Requests
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -141,8 +141,9 @@
 	return l.take(behind, now)
 }
 
-// behind returns the replicas without the wanted weights, those with the fewest
-// requests first: they are ready soonest.
+// behind returns the replicas without the wanted weights: those with the oldest
+// first, whose deadline is nearest, then those with the fewest requests, which
+// are ready soonest.
 func (l *Loader) behind() []target {
 	var out []target
 	for _, s := range l.replicas.Servers() {
@@ -152,7 +153,13 @@
 			}
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].server.Requests < out[j].server.Requests })
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i].server, out[j].server
+		if va, vb := a.Weights[out[i].model], b.Weights[out[j].model]; va != vb {
+			return va < vb
+		}
+		return a.Requests < b.Requests
+	})
 	return out
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -89,9 +89,12 @@
 type Policy struct {
 	// PrefillPerMs is how many prompt tokens an engine reads in a millisecond.
 	PrefillPerMs float64
-	// RereadPerToken is the price in milliseconds of reading a shared token that
-	// is kept elsewhere or was read before.
-	RereadPerToken float64
+	// PairsPerMs is how many pairs of prompt tokens attention covers in a
+	// millisecond: long prompts take more than their share.
+	PairsPerMs float64
+	// Reread is the price of reading shared tokens, in latency targets for a prompt
+	// that is all shared: some cache keeps them, or will after the first reading.
+	Reread float64
 	// OtherZone is the price in milliseconds of leaving the availability zone.
 	OtherZone float64
 	// OldWeights is the price in milliseconds of an answer on older weights.
@@ -100,7 +103,7 @@
 	OldWeightsAfter time.Duration
 	// WeightsDeadline is when older weights may no longer begin a request.
 	WeightsDeadline time.Duration
-	// Tolerance in milliseconds within which affinity decides.
+	// Tolerance is the part of the latency target within which affinity decides.
 	Tolerance float64
 }
 
@@ -108,18 +111,21 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		PrefillPerMs:    50,
-		RereadPerToken:  0.05,
+		PairsPerMs:      2.7e6,
+		Reread:          1,
 		OtherZone:       3,
 		OldWeights:      120,
 		OldWeightsAfter: 1200 * time.Millisecond,
 		WeightsDeadline: 8 * time.Second,
-		Tolerance:       12,
+		Tolerance:       0.04,
 	}
 }
 
 const (
-	// stepMs is the time of one step of an engine, the least that a request waits.
-	stepMs = 6.0
+	// stepMs is the time of one step of an engine, and firstSteps the steps until
+	// the first event, which may hold several tokens.
+	stepMs     = 6.0
+	firstSteps = 4
 	// perRequestMs is what each running request adds to a step's time.
 	perRequestMs = 0.04
 	// queuedMs is the price of each request beyond a replica's slots.
@@ -158,7 +164,7 @@
 		expected := p.expected(req, c)
 		score := p.score(req, c, expected)
 		rank := affinity(req.Affinity, c.ID)
-		if best.ID == "" || p.better(score, rank, best.Score, bestRank) {
+		if best.ID == "" || p.better(req, score, rank, best.Score, bestRank) {
 			best = Decision{*c, time.Duration(expected * float64(time.Millisecond)), best.Considered, score}
 			bestRank = rank
 		}
@@ -171,11 +177,20 @@
 
 // better compares two candidates: by score, and by affinity where the scores
 // are close.
-func (p Policy) better(score float64, rank uint64, bestScore float64, bestRank uint64) bool {
-	if score < bestScore-p.Tolerance {
+func (p Policy) better(req *Request, score float64, rank uint64, bestScore float64, bestRank uint64) bool {
+	tolerance := p.Tolerance * millis(req.LatencyTarget)
+	if score < bestScore-tolerance {
 		return true
 	}
-	return score <= bestScore+p.Tolerance && rank > bestRank
+	return score <= bestScore+tolerance && rank > bestRank
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Reading returns how long an engine takes to read tokens.
+func (p Policy) Reading(tokens int) time.Duration {
+	n := float64(tokens)
+	return time.Duration((n/p.PrefillPerMs + n*n/2/p.PairsPerMs) * float64(time.Millisecond))
 }
 
 // affinity ranks replicas for a leading part by rendezvous hashing.
@@ -202,17 +217,18 @@
 		queued := float64(max(0, c.Requests+1-c.Slots))
 		return slow * plainMs * (1 + queued/float64(max(1, c.Slots)))
 	}
-	read := float64(max(0, req.PromptTokens-c.Cached-c.Fetched))
-	queue := float64(c.PrefillTokens)
-	step := stepMs + perRequestMs*float64(c.Requests)
-	return slow*((queue+read)/p.PrefillPerMs+step) + float64(c.FetchTime)/float64(time.Millisecond)
+	read := millis(p.Reading(req.PromptTokens - c.Cached - c.Fetched))
+	queue := float64(c.PrefillTokens) / p.PrefillPerMs
+	step := firstSteps * (stepMs + perRequestMs*float64(c.Requests))
+	return slow*(queue+read+step) + millis(c.FetchTime)
 }
 
 // score prices a candidate in milliseconds.
 func (p Policy) score(req *Request, c *Candidate, expected float64) float64 {
 	score := expected
 	score += float64(max(0, c.Requests-c.Slots)) * queuedMs
-	score += p.RereadPerToken * float64(max(0, req.SharedTokens-c.Cached-c.Fetched))
+	reread := float64(max(0, req.SharedTokens-c.Cached-c.Fetched)) / float64(max(1, req.PromptTokens))
+	score += p.Reread * reread * millis(req.LatencyTarget)
 	score += errorMs * max(0, c.Errors-errorFree)
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
@@ -221,7 +237,7 @@
 		score += p.OldWeights
 	}
 	if c.Silence > silenceAfter {
-		score += float64(c.Silence) / float64(time.Millisecond)
+		score += millis(c.Silence)
 	}
 	if c.Trial {
 		score += trialMs
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -45,9 +45,13 @@
 }
 
 const (
-	// minFetch is the least number of tokens worth a fetch: setting one up takes
-	// a replica about as long as reading so many.
-	minFetch = 64
+	// minFetch is the least number of tokens worth a fetch: it takes a replica
+	// longer than reading so few, but they are not read again.
+	minFetch = 32
+	// tellAtOnce is the number of tokens to read from which other hosts are told
+	// at once: they take a replica some twenty milliseconds, in which others would
+	// send it requests that then wait behind them.
+	tellAtOnce = 1000
 	// minSave is the least number of shared tokens worth keeping in the store.
 	minSave = 32
 	// fetchSetup is the time a transfer takes beside its bytes.
@@ -69,6 +73,8 @@
 	zone     string
 	share    bool
 	links    links
+	// Tell asks for the other hosts to be told at once.
+	Tell func()
 
 	mu   sync.Mutex
 	sent []*pb.PrefixSent
@@ -79,7 +85,7 @@
 // New returns a scheduler for a host in an availability zone. With share set,
 // organisations that are not isolated share cached prompts.
 func New(replicas *replica.Table, index *prefix.Index, policy route.Policy, zone string, share bool) *Scheduler {
-	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}}
+	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}, Tell: func() {}}
 }
 
 // Salt returns the text that separates cached prompts: by weights version, and
@@ -146,7 +152,7 @@
 
 // caches fills in what a candidate holds and what it would fetch.
 func (s *Scheduler) caches(req *Request, c *route.Candidate, replicas []route.Replica, p prefix.Prompt, now time.Time) {
-	c.Cached = s.index.Held(c.ID, p)
+	c.Cached, _ = s.index.Held(c.ID, p, now)
 	if p.Total()-c.Cached < minFetch {
 		return
 	}
@@ -154,7 +160,7 @@
 	for i := range replicas {
 		from := &replicas[i]
 		if from.ID != c.ID && from.Usable && !from.Trial && !from.Loading && from.Weights == c.Weights && from.Silence < silentSource {
-			held := s.index.Held(from.ID, p)
+			_, held := s.index.Held(from.ID, p, now)
 			s.trySource(req, c, from.Address, from.AvailabilityZone, req.Service.Engine.LinkMbps, held, now)
 		}
 	}
@@ -168,7 +174,8 @@
 	if req.Store == nil || !s.StoreUp() {
 		return
 	}
-	s.trySource(req, c, req.Store.Address, req.Store.AvailabilityZone, req.Store.LinkMbps, s.index.Held(req.Store.Address, p), now)
+	_, held := s.index.Held(req.Store.Address, p, now)
+	s.trySource(req, c, req.Store.Address, req.Store.AvailabilityZone, req.Store.LinkMbps, held, now)
 }
 
 // trySource makes a source the candidate's if it brings more, or as much sooner.
@@ -206,33 +213,43 @@
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
 		s.links.use(d.Source, d.ID, d.FetchTime, now)
-		if s.worthSaving(req, p) {
+		if s.worthSaving(req, p, now) {
 			c.Sink = req.Store.Address
 		}
 	}
-	c.Flight = s.replicas.Begin(d.ID, read, req.PromptTokens+req.OutputTokens, d.Expected, now)
+	work := replica.Work{
+		Prefill: read, Memory: req.PromptTokens + req.OutputTokens,
+		Expected: d.Expected, Reading: s.policy.Reading(read),
+	}
+	c.Flight = s.replicas.Begin(d.ID, work, now)
 	if c.Flight == nil {
 		req.Exclude[d.ID] = true
 		return s.Pick(req, now)
 	}
+	s.learn(c, now)
+	if read >= tellAtOnce {
+		s.Tell()
+	}
 	return c, nil
 }
 
 // worthSaving reports whether the store lacks shared parts of the prompt.
-func (s *Scheduler) worthSaving(req *Request, p prefix.Prompt) bool {
+func (s *Scheduler) worthSaving(req *Request, p prefix.Prompt, now time.Time) bool {
 	if req.Store == nil || !s.StoreUp() {
 		return false
 	}
-	return p.Total()-s.index.Held(req.Store.Address, p) >= minSave
+	held, _ := s.index.Held(req.Store.Address, p, now)
+	return p.Total()-held >= minSave
 }
 
-// Learn records that the chosen replica has read the whole prompt.
-func (s *Scheduler) Learn(c *Choice) {
+// learn records that the chosen replica is about to read the prompt, so that
+// the next request with the same parts follows this one.
+func (s *Scheduler) learn(c *Choice, now time.Time) {
 	if len(c.prompt.Parts) == 0 || c.capacity == 0 {
 		return
 	}
-	s.index.Add(c.ID, c.prompt, c.capacity)
-	sent := &pb.PrefixSent{Replica: c.ID}
+	s.index.Add(c.ID, c.prompt, c.capacity, now.Add(c.Expected))
+	sent := &pb.PrefixSent{Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds())}
 	for i, part := range c.prompt.Parts {
 		sent.Parts = append(sent.Parts, uint64(part))
 		sent.Tokens = append(sent.Tokens, int32(c.prompt.Tokens[i]))
@@ -244,10 +261,24 @@
 	}
 }
 
+// Read records that the chosen replica has read the whole prompt.
+func (s *Scheduler) Read(c *Choice, now time.Time) {
+	if c.capacity > 0 {
+		s.index.Add(c.ID, c.prompt, c.capacity, now)
+	}
+}
+
+// Failed forgets what the chosen replica was about to read.
+func (s *Scheduler) Failed(c *Choice) {
+	for _, part := range c.prompt.Parts {
+		s.index.Remove(c.ID, part)
+	}
+}
+
 // maxSent bounds what one heartbeat tells of sent prompts.
 const maxSent = 40
 
-// TakeSent returns what Learn recorded since the last call, for other hosts.
+// TakeSent returns what was sent since the last call, for other hosts.
 func (s *Scheduler) TakeSent() []*pb.PrefixSent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -257,7 +288,7 @@
 }
 
 // Heard takes what another host learned. capacity is the replicas' memory.
-func (s *Scheduler) Heard(sent []*pb.PrefixSent, capacity int) {
+func (s *Scheduler) Heard(sent []*pb.PrefixSent, capacity int, now time.Time) {
 	for _, item := range sent {
 		var p prefix.Prompt
 		for i, part := range item.Parts {
@@ -266,7 +297,8 @@
 				p.Tokens = append(p.Tokens, int(item.Tokens[i]))
 			}
 		}
-		s.index.Add(item.Replica, p, int(float64(capacity)*cacheShare))
+		ready := now.Add(time.Duration(item.ReadyMs) * time.Millisecond)
+		s.index.Add(item.Replica, p, int(float64(capacity)*cacheShare), ready)
 	}
 }
 
