A replica on old weights counts from the first newer version

Change: the table keeps the versions wanted of a model with their times; each replica has its own time behind. TestOvertakenWeightsCountFromTheFirstNewerVersion failed before.

Ruled out: the frozen margin alone: the break was 200 ms beyond the bound on a version overtaken twice.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -205,7 +205,7 @@
 		return
 	}
 	wanted := d.replicas.Wanted(model)
-	if wanted.Version > choice.Weights && d.replicas.Holds(choice.ID, model, wanted.Version) {
+	if wanted > choice.Weights && d.replicas.Holds(choice.ID, model, wanted) {
 		d.scheduler.Reloaded(choice.ID)
 	}
 }
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -56,18 +56,23 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
-	wanted  map[string]Wanted
+	// wanted holds the versions of each model, the newest last.
+	wanted map[string][]wanted
 	// loads is the work of other hosts, by host and server.
 	loads map[string]map[string]*pb.ReplicaLoad
 }
 
-// Wanted is the weights version that operators want of a model.
-type Wanted struct {
-	Version int64
-	// Since is when this host learned of it.
-	Since time.Time
+// wanted is a weights version that operators wanted at a time.
+type wanted struct {
+	version int64
+	// since is when this host learned of it.
+	since time.Time
 }
 
+// maxWanted bounds the versions remembered of a model. A replica that is further
+// behind counts from the oldest of them.
+const maxWanted = 64
+
 type entry struct {
 	reg     platform.Registration
 	machine *fsm.FSM
@@ -85,7 +90,7 @@
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
 		log: log, gone: gone,
-		entries: map[string]*entry{}, wanted: map[string]Wanted{}, loads: map[string]map[string]*pb.ReplicaLoad{},
+		entries: map[string]*entry{}, wanted: map[string][]wanted{}, loads: map[string]map[string]*pb.ReplicaLoad{},
 	}
 }
 
@@ -163,18 +168,34 @@
 func (t *Table) Want(model string, version int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.wanted[model].Version >= version {
+	versions := t.wanted[model]
+	if n := len(versions); n > 0 && versions[n-1].version >= version {
 		return false
 	}
-	t.wanted[model] = Wanted{version, now}
+	versions = append(versions, wanted{version, now})
+	t.wanted[model] = versions[max(0, len(versions)-maxWanted):]
 	return true
 }
 
-// Wanted returns the wanted version of a model.
-func (t *Table) Wanted(model string) Wanted {
+// Wanted returns the newest wanted version of a model, or 0.
+func (t *Table) Wanted(model string) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.wanted[model]
+	if n := len(t.wanted[model]); n > 0 {
+		return t.wanted[model][n-1].version
+	}
+	return 0
+}
+
+// behind returns how long a version newer than the given one has been wanted. It
+// counts from the first such version: a later one gives a replica no more time.
+func (t *Table) behind(model string, version int64, now time.Time) time.Duration {
+	for _, w := range t.wanted[model] {
+		if w.version > version {
+			return now.Sub(w.since)
+		}
+	}
+	return 0
 }
 
 // Holds records weights that a server was seen to hold; they never go back
@@ -270,7 +291,7 @@
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
 		Usable: serving && !down, Trial: trial, Loading: now.Before(e.loadingUntil),
-		Weights: e.weights[model], Slots: e.reg.Slots,
+		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
 		Slow: e.health.slow(), Errors: e.health.errors, Silence: e.silence(now),
--- /dev/null
+++ b/internal/replica/table_test.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+const (
+	testService = "writer"
+	testModel   = "m"
+)
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func newTestTable(ids ...string) *Table {
+	t := NewTable(quietLog(), func(string, string) {})
+	for i, id := range ids {
+		t.Register(platform.Registration{ID: id, Service: testService, Address: "10.0.0.1:1", Slots: 4, Weights: map[string]int64{testModel: 1}}, int64(i))
+	}
+	return t
+}
+
+// TestOvertakenWeightsCountFromTheFirstNewerVersion: a replica on version 1 has
+// the time that version 2 gave it, however soon version 3 was named.
+func TestOvertakenWeightsCountFromTheFirstNewerVersion(t *testing.T) {
+	table := newTestTable("a")
+	start := time.Now()
+	table.Want(testModel, 2, start)
+	table.Want(testModel, 3, start.Add(3*time.Second))
+	got := table.Snapshot(testService, testModel, 1000, start.Add(8*time.Second))
+	if got[0].Behind != 8*time.Second {
+		t.Errorf("behind for %v, want 8s", got[0].Behind)
+	}
+	table.Holds("a", testModel, 2)
+	got = table.Snapshot(testService, testModel, 1000, start.Add(8*time.Second))
+	if got[0].Behind != 5*time.Second {
+		t.Errorf("behind for %v, want 5s", got[0].Behind)
+	}
+}
+
+// TestLapsedEntryServesUntilTheOutageIsOver: an entry that went missing in an
+// outage means nothing at first, and that its server is gone afterwards.
+func TestLapsedEntryServesUntilTheOutageIsOver(t *testing.T) {
+	table := newTestTable("a", "b", "c")
+	now := time.Now()
+	table.Remove("a", false)
+	table.Remove("b", true)
+	table.Remove("c", false)
+	if got := usable(table, now); got != "ac" {
+		t.Errorf("usable: %q, want a and c", got)
+	}
+	table.Register(platform.Registration{ID: "c", Service: testService}, 9)
+	table.Settle()
+	if got := usable(table, now); got != "c" {
+		t.Errorf("usable after the outage: %q, want c", got)
+	}
+}
+
+func usable(t *Table, now time.Time) string {
+	out := ""
+	for _, r := range t.Snapshot(testService, testModel, 0, now) {
+		if r.Usable {
+			out += r.ID
+		}
+	}
+	return out
+}
+
+// TestDrainingTakesNothingNew also holds for a request that was routed before
+// the entry changed.
+func TestDrainingTakesNothingNew(t *testing.T) {
+	table := newTestTable("a")
+	now := time.Now()
+	table.Register(platform.Registration{ID: "a", Service: testService, Draining: true}, 5)
+	if got := usable(table, now); got != "" {
+		t.Errorf("usable: %q", got)
+	}
+	if table.Begin("a", Work{}, now) != nil {
+		t.Error("a draining server was given a request")
+	}
+	// A late copy of the older entry changes nothing.
+	table.Register(platform.Registration{ID: "a", Service: testService}, 6)
+	if got := usable(table, now); got != "" {
+		t.Errorf("usable again: %q", got)
+	}
+}
+
+// TestUnreachableIsTriedByOne: after the pause one request tries the server.
+func TestUnreachableIsTriedByOne(t *testing.T) {
+	table := newTestTable("a")
+	now := time.Now()
+	table.Begin("a", Work{}, now).End(Unreachable, now)
+	if got := usable(table, now); got != "" {
+		t.Fatalf("usable right after: %q", got)
+	}
+	now = now.Add(downFirst)
+	trial := table.Begin("a", Work{}, now)
+	if got := usable(table, now); got != "" {
+		t.Errorf("usable while it is tried: %q", got)
+	}
+	trial.End(Answered, now)
+	if got := usable(table, now); got != "a" {
+		t.Errorf("usable after the trial: %q", got)
+	}
+}
+
+// TestSilenceCountsFromTheLastSignOfLife: a replica that answers others does not
+// hang, however long one answer takes.
+func TestSilenceCountsFromTheLastSignOfLife(t *testing.T) {
+	table := newTestTable("a")
+	start := time.Now()
+	work := Work{Expected: 100 * time.Millisecond}
+	slow := table.Begin("a", work, start)
+	other := table.Begin("a", work, start)
+	at := start.Add(time.Second)
+	if got := slow.Silence(at); got != 900*time.Millisecond {
+		t.Errorf("silence %v, want 900ms", got)
+	}
+	other.First(at)
+	if got := slow.Silence(at.Add(50 * time.Millisecond)); got != 50*time.Millisecond {
+		t.Errorf("silence after an answer %v, want 50ms", got)
+	}
+}
+
+// TestUnreadTokensFallWithTime: what a replica has read no longer stands before
+// the next request.
+func TestUnreadTokensFallWithTime(t *testing.T) {
+	table := newTestTable("a")
+	start := time.Now()
+	f := table.Begin("a", Work{Prefill: 1000, Memory: 1200, Expected: 300 * time.Millisecond, Reading: 200 * time.Millisecond}, start)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 1000}, {100 * time.Millisecond, 1000}, {200 * time.Millisecond, 500}, {time.Second, 100}} {
+		got := table.Snapshot(testService, testModel, 1000, start.Add(c.after))[0].PrefillTokens
+		if got != c.want {
+			t.Errorf("after %v: %d tokens, want %d", c.after, got, c.want)
+		}
+	}
+	f.First(start.Add(time.Second))
+	if got := table.Loads(start.Add(time.Second))[0]; got.PrefillTokens != 0 || got.MemoryTokens != 1200 {
+		t.Errorf("after the first event: %v", got)
+	}
+}
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -21,7 +21,7 @@
 // Replicas is what the loader needs of the table of backend servers.
 type Replicas interface {
 	Servers() []replica.Server
-	Wanted(model string) replica.Wanted
+	Wanted(model string) int64
 	Holds(id, model string, version int64) bool
 	Loading(id string, until time.Time)
 }
@@ -148,7 +148,7 @@
 	var out []target
 	for _, s := range l.replicas.Servers() {
 		for model, version := range s.Weights {
-			if wanted := l.replicas.Wanted(model).Version; wanted > version {
+			if wanted := l.replicas.Wanted(model); wanted > version {
 				out = append(out, target{s, model, wanted})
 			}
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -23,8 +23,10 @@
 	Trial bool
 	// Loading replicas refuse requests until their weights are loaded.
 	Loading bool
-	// Weights is the version of the request's model, 0 without one.
+	// Weights is the version of the request's model, 0 without one. Behind is how
+	// long a newer one has been wanted, 0 without one.
 	Weights int64
+	Behind  time.Duration
 	// Requests of all hosts are not finished; Slots run at once.
 	Requests int
 	Slots    int
@@ -65,9 +67,6 @@
 	LatencyTarget time.Duration
 	// Left is the time until the caller's deadline.
 	Left time.Duration
-	// WantedWeights is the newest version; NamedFor is how long it has been so.
-	WantedWeights int64
-	NamedFor      time.Duration
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
 	// Affinity is equal for requests with the same leading part.
@@ -145,8 +144,9 @@
 	silenceAfter = 300 * time.Millisecond
 	// trialMs is the price of trying a replica that failed.
 	trialMs = 250.0
-	// deadlineMargin is kept before the weights' deadline for the way there.
-	deadlineMargin = time.Second
+	// deadlineMargin is kept before the weights' deadline: a request begins when its
+	// replica has read the prompt, which takes a second and more in a queue.
+	deadlineMargin = 1800 * time.Millisecond
 	// retryAfter is how long a caller waits when no replica can take a request.
 	retryAfter = 300 * time.Millisecond
 )
@@ -198,11 +198,7 @@
 
 // keep applies the filters.
 func (p Policy) keep(req *Request, c *Candidate) bool {
-	return c.Usable && !c.Loading && !req.Exclude[c.ID] && p.weightsAllowed(req, c) && fits(req, c)
-}
-
-func (p Policy) weightsAllowed(req *Request, c *Candidate) bool {
-	return c.Weights >= req.WantedWeights || req.NamedFor < p.WeightsDeadline-deadlineMargin
+	return c.Usable && !c.Loading && !req.Exclude[c.ID] && c.Behind < p.WeightsDeadline-deadlineMargin && fits(req, c)
 }
 
 // fits reports whether the replica's whole memory holds the request.
@@ -233,7 +229,7 @@
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
 	}
-	if c.Weights < req.WantedWeights && req.NamedFor > p.OldWeightsAfter {
+	if c.Behind > p.OldWeightsAfter {
 		score += p.OldWeights
 	}
 	if c.Silence > silenceAfter {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -104,7 +104,6 @@
 	if req.Service.Engine != nil {
 		capacity = req.Service.Engine.CacheTokens
 	}
-	wanted := s.replicas.Wanted(req.Model)
 	replicas := s.replicas.Snapshot(req.Service.Name, req.Model, capacity, now)
 	prompts := map[int64]prefix.Prompt{}
 	candidates := make([]route.Candidate, len(replicas))
@@ -121,8 +120,6 @@
 		SharedTokens:     s.prompt(prompts, req, 0).Total(),
 		LatencyTarget:    req.Target,
 		Left:             req.Deadline.Sub(now),
-		WantedWeights:    wanted.Version,
-		NamedFor:         now.Sub(wanted.Since),
 		Exclude:          req.Exclude,
 		Affinity:         affinity(req.Parts),
 	}, candidates)
