Hanging replicas stay down until a connection opens again

Cause: a replica that went dark was given requests again as soon as the callers waiting for it had left, some 25 a second over nine hosts; each waited to its deadline.

Change: a request that ends after a long silence marks its replica as down; only an opened connection makes it due for one trial; hosts tell each other which replicas they find down, and a sign of life outweighs that word.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -72,6 +72,7 @@
 		Known:            n.members.Addresses(now, toldAddresses),
 		StoreAgeMs:       n.access.Age(now).Milliseconds(),
 	}
+	b.Down, _ = n.replicas.Down(now)
 	for _, t := range n.shared() {
 		if t.Synced() {
 			b.Positions = append(b.Positions, &pb.TopicPosition{Topic: t.Name(), End: t.End()})
@@ -103,6 +104,7 @@
 		}
 	}
 	n.replicas.SetLoads(b.Host, b.Loads)
+	n.replicas.Suspect(b.Down, now)
 	for _, id := range b.Loading {
 		n.replicas.Loading(id, now.Add(loadingHold))
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -22,6 +22,8 @@
 	configGap = 30 * time.Millisecond
 	// sweepInterval is how often idle connections and dead hosts are looked for.
 	sweepInterval = 250 * time.Millisecond
+	// reconnectInterval is how often servers that are thought down are looked at.
+	reconnectInterval = 100 * time.Millisecond
 	// announceRetry is the pause before a host writes its address again.
 	announceRetry = time.Second
 	// cacheWait is how long a call for cache events waits; calls under 200 ms are
@@ -61,6 +63,7 @@
 		n.heartbeats,
 		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
 		n.sweep,
+		n.reconnect,
 		n.lease.Follow,
 		n.loader.Run,
 		n.cacheEvents,
@@ -101,6 +104,24 @@
 	})
 }
 
+// reconnect tries to connect to servers that are thought down, so that no
+// request has to wait for a server that is dark.
+func (n *Node) reconnect(ctx context.Context) {
+	every(ctx, reconnectInterval, func() {
+		_, due := n.replicas.Down(time.Now())
+		for id, address := range due {
+			n.pool.Forget(address)
+			go func() {
+				err := n.pool.Probe(ctx, address)
+				if err != nil {
+					n.log.WithError(err).WithField("replica", id).Debug("replica still unreachable")
+				}
+				n.replicas.Reached(id, err == nil, time.Now())
+			}()
+		}
+	})
+}
+
 func (n *Node) becomeReady() {
 	if n.config.Load() == nil || !n.servers.Synced() {
 		return
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 )
 
@@ -39,7 +40,15 @@
 	// requests. The first pause is a little longer than a crash takes to show in
 	// other servers' load; the longest lets a restarted one be found.
 	downFirst = 300 * time.Millisecond
-	downMost  = 2 * time.Second
+	downMost  = 3 * time.Second
+	// hangAfter is the silence, beyond what was expected of the oldest request,
+	// from which a server is thought to hang and gets no more requests.
+	hangAfter = 600 * time.Millisecond
+	// suspectHold is how long another host's word lasts that a server is down; it
+	// is renewed with each of its heartbeats.
+	suspectHold = 400 * time.Millisecond
+	// heardLately is how recent a sign of life must be to outweigh that word.
+	heardLately = 300 * time.Millisecond
 	// maxSlow bounds what one answer can say of a server's speed.
 	maxSlow = 12.0
 )
@@ -47,25 +56,38 @@
 // health is what a server's answers say of it. Checks of the server's own are
 // dear and may lie, so that none are made.
 type health struct {
-	errors    float64
-	slowness  float64
-	downUntil time.Time
+	errors   float64
+	slowness float64
+	// pause is above 0 while the server is thought down, until downUntil at least.
 	pause     time.Duration
-	// trying is true while one request tries a server that was down.
+	downUntil time.Time
+	// reached is set once a connection could be opened again: one request may then
+	// try the server.
+	reached bool
+	// trying is true while that request is on its way.
 	trying bool
+	// suspected is until when other hosts' word counts that it is down.
+	suspected time.Time
 }
 
 // state returns whether the server is down, or due for a trial.
 func (h *health) state(now time.Time) (down, trial bool) {
 	if h.pause == 0 {
-		return false, false
+		return now.Before(h.suspected), false
 	}
-	if now.Before(h.downUntil) || h.trying {
+	if now.Before(h.downUntil) || h.trying || !h.reached {
 		return true, false
 	}
 	return false, true
 }
 
+// fail marks the server as down for a pause that doubles each time.
+func (h *health) fail(now time.Time) {
+	h.pause = min(max(2*h.pause, downFirst), downMost)
+	h.downUntil = now.Add(h.pause)
+	h.reached = false
+}
+
 func (h *health) slow() float64 {
 	if h.slowness == 0 {
 		return 1
@@ -87,22 +109,27 @@
 	switch r {
 	case Answered:
 		h.errors -= errorWeight * h.errors
-		h.pause = 0
+		h.alive()
 	case Refused:
-		h.pause = 0
+		h.alive()
 	case Failed:
 		h.errors += errorWeight * (1 - h.errors)
-		h.pause = 0
+		h.alive()
 	case Lost:
 		h.errors += errorWeight * (1 - h.errors)
 	case Unreachable:
 		h.errors += errorWeight * (1 - h.errors)
-		h.pause = min(max(2*h.pause, downFirst), downMost)
-		h.downUntil = now.Add(h.pause)
+		h.fail(now)
 	case Cancelled:
 	}
 }
 
+// alive ends what was thought of a server that has answered.
+func (h *health) alive() {
+	h.pause = 0
+	h.suspected = time.Time{}
+}
+
 // Work is what a request means for a server.
 type Work struct {
 	// Prefill tokens are to be read, Memory tokens are needed to the end.
@@ -150,6 +177,7 @@
 		return
 	}
 	f.answered = true
+	f.entry.health.alive()
 	f.entry.health.took(now.Sub(f.began), f.work.Expected)
 	f.entry.heard(now)
 }
@@ -181,8 +209,12 @@
 		return
 	}
 	f.over = true
+	hung := !f.answered && f.entry.silence(now) > hangAfter && (r == Cancelled || r == Lost)
 	delete(f.entry.flights, f)
 	f.entry.health.ended(r, now)
+	if hung {
+		f.entry.health.fail(now)
+	}
 	if r == Answered || r == Failed || r == Refused {
 		f.entry.heard(now)
 	}
@@ -217,3 +249,47 @@
 }
 
 func weightsText(model string, version int64) string { return fmt.Sprintf("%s=%d", model, version) }
+
+// Down returns the servers that this host itself thinks down, and the addresses
+// of those that are due for another try to connect.
+func (t *Table) Down(now time.Time) (ids []string, due map[string]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	due = map[string]string{}
+	for id, e := range t.entries {
+		if e.health.pause > 0 || e.silence(now) > hangAfter {
+			ids = append(ids, id)
+		}
+		if e.health.pause > 0 && !e.health.reached && !now.Before(e.health.downUntil) {
+			due[id] = e.reg.Address
+		}
+	}
+	sort.Strings(ids)
+	return ids, due
+}
+
+// Reached records whether a connection to a server that was down could be opened.
+func (t *Table) Reached(id string, ok bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	switch {
+	case e == nil:
+	case ok:
+		e.health.reached = true
+	default:
+		e.health.fail(now)
+	}
+}
+
+// Suspect takes another host's word that servers are down. A sign of life that
+// this host has seen a moment ago outweighs it.
+func (t *Table) Suspect(ids []string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		if e := t.entries[id]; e != nil && now.Sub(e.lastHeard) > heardLately {
+			e.health.suspected = now.Add(suspectHold)
+		}
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -288,13 +288,14 @@
 	}
 	serving := e.machine.Is(StateServing) || e.machine.Is(StateLapsed)
 	down, trial := e.health.state(now)
+	silence := e.silence(now)
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
-		Usable: serving && !down, Trial: trial, Loading: now.Before(e.loadingUntil),
+		Usable: serving && !down && silence < hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
 		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
-		Slow: e.health.slow(), Errors: e.health.errors, Silence: e.silence(now),
+		Slow: e.health.slow(), Errors: e.health.errors, Silence: silence,
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -63,6 +63,16 @@
 	return resp, nil
 }
 
+// Probe opens a connection to a backend server and keeps it for a request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c, 0)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
