Follow replicas' cache events; keep what is likely asked for again; refuse what callers will not wait for

Change: hosts follow cache events of replicas and store; a prefix is saved only where it, or most under its salt, was asked for within 10 s; all hosts book transfers on links; a request whose first event is expected after the caller has left is refused at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -99,6 +99,13 @@
 	Prompt  int
 	Cached  int
 	Fetched int
+	// Shared tokens of the prompt belong to parts that other requests may share;
+	// the last of them is named Prefix.
+	Shared  int
+	Prefix  string
+	Salt    string
+	Source  string
+	Sink    string
 	Weights int64
 	Resumed int
 	// Tries holds each attempt's replica and result.
@@ -157,6 +164,9 @@
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
 	r := &run{d: d, req: req, out: out, machine: newMachine(), began: time.Now(), exclude: map[string]bool{}}
 	r.report.Prompt = req.Caller.PromptTokens
+	if n := len(req.Caller.Parts); n > 1 {
+		r.report.Prefix = req.Caller.Parts[n-2].ID
+	}
 	d.budget.Request(req.Service.Name, r.began)
 	err := r.loop(ctx)
 	if err == nil {
@@ -207,18 +217,40 @@
 	if err != nil {
 		return nil, err
 	}
-	if left := req.Deadline.Sub(now); choice.Expected > left && r.arrived == 0 {
-		choice.Flight.End(replica.Cancelled, now)
-		return nil, errkind.New(errkind.Overloaded, "no replica is expected to answer before the deadline").After(choice.Expected - left)
+	if left := min(req.Deadline.Sub(now), patience(req.Route)); choice.Expected > left && r.arrived == 0 {
+		r.d.scheduler.Withdraw(choice, now)
+		return nil, errkind.New(errkind.Overloaded, "no replica is expected to answer before the caller leaves").After(choice.Expected - left)
 	}
 	r.report.Replica = choice.ID
 	r.report.Expected = choice.Expected
 	r.report.Cached = choice.Cached
 	r.report.Fetched = choice.Fetched
+	r.report.Shared = choice.Shared
+	r.report.Salt, r.report.Source, r.report.Sink = choice.Salt, choice.Source, choice.Sink
 	r.report.Weights = choice.Weights
 	return choice, nil
 }
 
+const (
+	// leastPatience, patientTargets and patientPauses say how long callers wait for
+	// a stream's first event: the longest of the three.
+	leastPatience  = 2 * time.Second
+	patientTargets = 4
+	patientPauses  = 8
+)
+
+// patience returns how long a caller waits for the first event of a stream; for
+// other answers the deadline says so.
+func patience(route *config.Route) time.Duration {
+	if route.Kind != config.Streaming {
+		return unlimited
+	}
+	return max(leastPatience, patientTargets*route.LatencyTarget, patientPauses*route.PauseTarget)
+}
+
+// unlimited stands for no bound.
+const unlimited = 24 * time.Hour
+
 // retryable reports whether the request may be sent to another replica after
 // err, and takes the repeat from the budget.
 func (r *run) retryable(ctx context.Context, err error) bool {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -26,13 +25,6 @@
 	reconnectInterval = 100 * time.Millisecond
 	// announceRetry is the pause before a host writes its address again.
 	announceRetry = time.Second
-	// cacheWait is how long a call for cache events waits; calls under 200 ms are
-	// dear.
-	cacheWait = 900 * time.Millisecond
-	// cacheGap bounds those calls while many prompts are saved.
-	cacheGap = 60 * time.Millisecond
-	// cacheRetry follows a failed call for cache events.
-	cacheRetry = 400 * time.Millisecond
 )
 
 // every calls f at once and then each interval until ctx ends.
@@ -149,83 +141,3 @@
 	m.Connections.Update(float64(n.pool.Opened()))
 	m.DroppedLines.Update(float64(n.lines.Dropped()))
 }
-
-// cacheEvents follows what the store of kept KV cache holds.
-func (n *Node) cacheEvents(ctx context.Context) {
-	f := &cacheFollower{n: n}
-	for ctx.Err() == nil {
-		pause := f.step(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-// cacheFollower reads the cache events of the configured store.
-type cacheFollower struct {
-	n       *Node
-	address string
-	epoch   int64
-	next    int64
-}
-
-// step reads once and returns how long to wait before the next read.
-func (f *cacheFollower) step(ctx context.Context) time.Duration {
-	c := f.n.config.Load()
-	if c == nil || c.Store() == nil {
-		return cacheRetry
-	}
-	store := c.Store()
-	if store.Address != f.address {
-		f.reset(store.Address, 0)
-	}
-	events, err := f.n.engines.CacheEvents(ctx, store.Address, f.next, cacheWait)
-	if err != nil {
-		if ctx.Err() == nil {
-			f.up(false, err)
-		}
-		return cacheRetry
-	}
-	f.up(true, nil)
-	if f.epoch != 0 && events.Epoch != f.epoch {
-		f.reset(store.Address, events.Epoch)
-		return 0
-	}
-	f.epoch = events.Epoch
-	if events.Lost {
-		f.n.log.WithField("store", store.Address).Info("cache events of the store were lost")
-	}
-	for _, ev := range events.Events {
-		f.take(store.Address, store.CacheTokens, ev)
-	}
-	f.next = events.Next
-	return cacheGap
-}
-
-func (f *cacheFollower) reset(address string, epoch int64) {
-	f.n.index.Clear(f.address)
-	f.address, f.epoch, f.next = address, epoch, 0
-}
-
-func (f *cacheFollower) take(address string, capacity int, ev platform.CacheEvent) {
-	part := prefix.HashOf(ev.Salt, ev.Part)
-	if ev.Removed {
-		f.n.index.Remove(address, part)
-		return
-	}
-	f.n.index.Add(address, prefix.Prompt{Parts: []prefix.Hash{part}, Tokens: []int{ev.Tokens}}, capacity, time.Now())
-}
-
-func (f *cacheFollower) up(up bool, err error) {
-	if f.n.scheduler.StoreUp() == up {
-		return
-	}
-	f.n.scheduler.SetStoreUp(up)
-	line := f.n.log.WithField("store", f.address)
-	if up {
-		line.Info("store of KV cache reached")
-		return
-	}
-	line.WithError(err).Warn("store of KV cache lost")
-}
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -46,6 +46,10 @@
 	return sum
 }
 
+// blockTokens is the size of a block of KV cache: of a part that fills no whole
+// number of blocks, the rest is not held.
+const blockTokens = 16
+
 // Index holds, for each replica or store, the parts it is believed to hold, the
 // least recently used dropped first. It is safe for concurrent use; mu is its
 // only lock.
@@ -63,11 +67,15 @@
 }
 
 type held struct {
-	part   Hash
+	part Hash
+	// tokens is the part's size; stored is how many of them are held.
 	tokens int
+	stored int
 	// ready is when the part is thought to be read; before that it can be shared
 	// with requests at the same replica, but not fetched from it.
 	ready time.Time
+	// confirmed is set once a cache event has told of the part.
+	confirmed bool
 }
 
 // NewIndex returns an index that believes nothing.
@@ -97,14 +105,14 @@
 func (h *holder) add(part Hash, tokens int, ready time.Time) {
 	if e := h.parts[part]; e != nil {
 		v := e.Value.(*held)
-		h.tokens += tokens - v.tokens
-		v.tokens = tokens
+		h.tokens += tokens - v.stored
+		v.tokens, v.stored = tokens, tokens
 		if ready.Before(v.ready) {
 			v.ready = ready
 		}
 		h.order.MoveToBack(e)
 	} else {
-		h.parts[part] = h.order.PushBack(&held{part, tokens, ready})
+		h.parts[part] = h.order.PushBack(&held{part: part, tokens: tokens, stored: tokens, ready: ready})
 		h.tokens += tokens
 	}
 	for h.tokens > h.capacity && h.order.Len() > 1 {
@@ -116,19 +124,66 @@
 	v := e.Value.(*held)
 	h.order.Remove(e)
 	delete(h.parts, v.part)
-	h.tokens -= v.tokens
+	h.tokens -= v.stored
+}
+
+// Stored takes a cache event: a holder now holds so many tokens of a part. An
+// event that says more than the part's known size teaches the size.
+func (x *Index) Stored(id string, part Hash, stored, capacity int, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.holder(id)
+	h.capacity = capacity
+	e := h.parts[part]
+	if e == nil {
+		if stored > 0 {
+			h.add(part, stored, now)
+			h.parts[part].Value.(*held).confirmed = true
+		}
+		return
+	}
+	v := e.Value.(*held)
+	if stored == 0 {
+		h.remove(e)
+		return
+	}
+	h.tokens += stored - v.stored
+	v.stored = stored
+	v.tokens = max(v.tokens, stored)
+	v.confirmed = true
+	v.ready = now
 }
 
-// Remove records that a holder dropped a part.
-func (x *Index) Remove(id string, part Hash) {
+// Unconfirmed drops the parts that were thought read by before and of which no
+// cache event has told: their reading failed, or they were dropped at once.
+func (x *Index) Unconfirmed(id string, before time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	h := x.holders[id]
 	if h == nil {
 		return
 	}
-	if e := h.parts[part]; e != nil {
-		h.remove(e)
+	for _, e := range h.parts {
+		v := e.Value.(*held)
+		if !v.confirmed && v.ready.Before(before) {
+			h.remove(e)
+		}
+	}
+}
+
+// Unlearn drops the parts of a prompt whose reading failed. Those that a cache
+// event has told of stay.
+func (x *Index) Unlearn(id string, p Prompt) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.holders[id]
+	if h == nil {
+		return
+	}
+	for _, part := range p.Parts {
+		if e := h.parts[part]; e != nil && !e.Value.(*held).confirmed {
+			h.remove(e)
+		}
 	}
 }
 
@@ -155,11 +210,16 @@
 		if e == nil {
 			break
 		}
-		tokens += p.Tokens[i]
-		allRead = allRead && !e.Value.(*held).ready.After(now)
+		v := e.Value.(*held)
+		stored := min(v.stored, p.Tokens[i])
+		tokens += stored
+		allRead = allRead && !v.ready.After(now)
 		if allRead {
 			read = tokens
 		}
+		if stored < p.Tokens[i]-blockTokens {
+			break
+		}
 	}
 	return tokens, read
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,10 +50,12 @@
 	Replica
 	// Cached tokens of the prompt are held by the replica itself.
 	Cached int
-	// Fetched tokens beyond these would come from Source within FetchTime.
+	// Fetched tokens beyond these would come from Source within FetchTime, of which
+	// Transfer is spent on the links.
 	Fetched   int
 	Source    string
 	FetchTime time.Duration
+	Transfer  time.Duration
 }
 
 // Request is what the decision must know of a request.
--- a/internal/schedule/links.go
+++ b/internal/schedule/links.go
@@ -30,18 +30,31 @@
 	return start
 }
 
-// use books a transfer that will be over after took.
-func (l *links) use(from, to string, took time.Duration, now time.Time) {
-	if from == "" {
+// wait returns how long a link is still busy.
+func (l *links) wait(end string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.busy[end].Sub(now))
+}
+
+// use books a transfer that takes d on both links.
+func (l *links) use(from, to string, d time.Duration, now time.Time) {
+	if from == "" || d <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for end, until := range l.busy {
-		if until.Before(now) {
-			delete(l.busy, end)
+	if len(l.busy) > linkSweep {
+		for end, until := range l.busy {
+			if until.Before(now) {
+				delete(l.busy, end)
+			}
 		}
 	}
-	l.busy[from] = now.Add(took)
-	l.busy[to] = now.Add(took)
+	over := l.start(from, to, now).Add(d)
+	l.busy[from] = over
+	l.busy[to] = over
 }
+
+// linkSweep is the number of links from which idle ones are dropped.
+const linkSweep = 64
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/prefix"
@@ -39,11 +41,18 @@
 	Source string
 	Sink   string
 	Flight *replica.Flight
+	// Shared is the number of shared tokens.
+	Shared int
 
 	prompt   prefix.Prompt
 	capacity int
+	saltHash uint64
+	saving   time.Duration
 }
 
+// lastPart names the whole shared prefix; there must be one.
+func (c *Choice) lastPart() prefix.Hash { return c.prompt.Parts[len(c.prompt.Parts)-1] }
+
 const (
 	// minFetch is the least number of tokens worth a fetch: it takes a replica
 	// longer than reading so few, but they are not read again.
@@ -61,6 +70,9 @@
 	// maxFetchWait is the longest expected transfer that is still asked for: a
 	// replica does not start one that would wait 2 s.
 	maxFetchWait = 700 * time.Millisecond
+	// maxSaveWait is the longest queue of transfers at the store at which more is
+	// saved there: fetches wait behind them.
+	maxSaveWait = 300 * time.Millisecond
 	// cacheShare of a replica's memory is thought to hold parts of ended requests.
 	cacheShare = 0.75
 )
@@ -73,6 +85,7 @@
 	zone     string
 	share    bool
 	links    links
+	reuse    *reuse
 	// Tell asks for the other hosts to be told at once.
 	Tell func()
 
@@ -85,7 +98,7 @@
 // New returns a scheduler for a host in an availability zone. With share set,
 // organisations that are not isolated share cached prompts.
 func New(replicas *replica.Table, index *prefix.Index, policy route.Policy, zone string, share bool) *Scheduler {
-	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}, Tell: func() {}}
+	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}, reuse: newReuse(), Tell: func() {}}
 }
 
 // Salt returns the text that separates cached prompts: by weights version, and
@@ -181,11 +194,12 @@
 	if tokens < minFetch || tokens < c.Fetched {
 		return
 	}
-	took := s.links.expected(address, c.ID, transferTime(req.Service.Engine, linkMbps, tokens, zone != c.AvailabilityZone), now)
+	transfer := transferTime(req.Service.Engine, linkMbps, tokens, zone != c.AvailabilityZone)
+	took := s.links.expected(address, c.ID, transfer, now)
 	if took > maxFetchWait || tokens == c.Fetched && took >= c.FetchTime {
 		return
 	}
-	c.Fetched, c.Source, c.FetchTime = tokens, address, took
+	c.Fetched, c.Source, c.FetchTime, c.Transfer = tokens, address, took, transfer
 }
 
 // transferTime is how long the tokens' KV cache is on the slower of two links.
@@ -203,15 +217,18 @@
 }
 
 func (s *Scheduler) choose(req *Request, d route.Decision, p prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
-	c := &Choice{Decision: d, prompt: p, capacity: int(float64(capacity) * cacheShare)}
+	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
 	read := 0
 	if capacity > 0 {
 		c.Salt = s.Salt(d.Weights, req.Organisation)
+		c.saltHash = xxh3.HashString(c.Salt)
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
-		s.links.use(d.Source, d.ID, d.FetchTime, now)
-		if s.worthSaving(req, p, now) {
+		s.links.use(d.Source, d.ID, d.Transfer, now)
+		if s.worthSaving(req, c, now) {
 			c.Sink = req.Store.Address
+			c.saving = transferTime(req.Service.Engine, req.Store.LinkMbps, read, false)
+			s.links.use(c.Sink, d.ID, c.saving, now)
 		}
 	}
 	work := replica.Work{
@@ -230,13 +247,17 @@
 	return c, nil
 }
 
-// worthSaving reports whether the store lacks shared parts of the prompt.
-func (s *Scheduler) worthSaving(req *Request, p prefix.Prompt, now time.Time) bool {
-	if req.Store == nil || !s.StoreUp() {
+// worthSaving reports whether the store lacks shared parts of the prompt that
+// will probably be asked for again, and has time to take them.
+func (s *Scheduler) worthSaving(req *Request, c *Choice, now time.Time) bool {
+	if req.Store == nil || !s.StoreUp() || len(c.prompt.Parts) == 0 {
 		return false
 	}
-	held, _ := s.index.Held(req.Store.Address, p, now)
-	return p.Total()-held >= minSave
+	held, _ := s.index.Held(req.Store.Address, c.prompt, now)
+	if c.Shared-held < minSave || s.links.wait(req.Store.Address, now) > maxSaveWait {
+		return false
+	}
+	return s.reuse.likely(c.saltHash, c.lastPart(), now)
 }
 
 // learn records that the chosen replica is about to read the prompt, so that
@@ -246,7 +267,11 @@
 		return
 	}
 	s.index.Add(c.ID, c.prompt, c.capacity, now.Add(c.Expected))
-	sent := &pb.PrefixSent{Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds())}
+	s.reuse.note(c.saltHash, c.lastPart(), now)
+	sent := &pb.PrefixSent{
+		Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds()), Salt: c.saltHash,
+		Source: c.Source, FetchMs: int32(c.Transfer.Milliseconds()), Sink: c.Sink, SaveMs: int32(c.saving.Milliseconds()),
+	}
 	for i, part := range c.prompt.Parts {
 		sent.Parts = append(sent.Parts, uint64(part))
 		sent.Tokens = append(sent.Tokens, int32(c.prompt.Tokens[i]))
@@ -265,13 +290,15 @@
 	}
 }
 
-// Failed forgets what the chosen replica was about to read.
-func (s *Scheduler) Failed(c *Choice) {
-	for _, part := range c.prompt.Parts {
-		s.index.Remove(c.ID, part)
-	}
+// Withdraw undoes a choice whose request is not sent.
+func (s *Scheduler) Withdraw(c *Choice, now time.Time) {
+	c.Flight.End(replica.Cancelled, now)
+	s.Failed(c)
 }
 
+// Failed forgets what the chosen replica was about to read.
+func (s *Scheduler) Failed(c *Choice) { s.index.Unlearn(c.ID, c.prompt) }
+
 // maxSent bounds what one heartbeat tells of sent prompts.
 const maxSent = 40
 
@@ -296,6 +323,11 @@
 		}
 		ready := now.Add(time.Duration(item.ReadyMs) * time.Millisecond)
 		s.index.Add(item.Replica, p, int(float64(capacity)*cacheShare), ready)
+		if len(p.Parts) > 0 {
+			s.reuse.note(item.Salt, p.Parts[len(p.Parts)-1], now)
+		}
+		s.links.use(item.Source, item.Replica, time.Duration(item.FetchMs)*time.Millisecond, now)
+		s.links.use(item.Sink, item.Replica, time.Duration(item.SaveMs)*time.Millisecond, now)
 	}
 }
 
