Drain prompts before an order; hold a request while its shared parts are read; refuse beyond two targets

Change: a replica gets no new requests for 60 ms or more before an order and until its unread prompts are read, 0.9 s at most; a request whose chosen replica reads 512 or more of its shared tokens for another waits for that, twice at most; a stream expected beyond two latency targets is refused at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -108,6 +108,8 @@
 	Sink    string
 	Weights int64
 	Resumed int
+	// Holds counts the waits for another request's reading.
+	Holds int
 	// Tries holds each attempt's replica and result.
 	Tries []Try
 }
@@ -182,10 +184,16 @@
 
 func (r *run) loop(ctx context.Context) error {
 	for {
+		if ctx.Err() != nil {
+			return r.final(ctx, ctx.Err())
+		}
 		choice, err := r.pick()
 		if err != nil {
 			return r.final(ctx, err)
 		}
+		if r.held(ctx, choice) {
+			continue
+		}
 		r.fire(eventSend)
 		err = r.attempt(ctx, choice)
 		if err == nil {
@@ -212,11 +220,15 @@
 		OutputTokens: req.Caller.OutputTokens,
 		Target:       req.Route.LatencyTarget,
 		Deadline:     req.Deadline,
+		MaxHold:      r.maxHold(),
 		Exclude:      r.exclude,
 	}, now)
 	if err != nil {
 		return nil, err
 	}
+	if choice.Hold > 0 {
+		return choice, nil
+	}
 	if left := min(req.Deadline.Sub(now), patience(req.Route)); choice.Expected > left && r.arrived == 0 {
 		r.d.scheduler.Withdraw(choice, now)
 		return nil, errkind.New(errkind.Overloaded, "no replica is expected to answer before the caller leaves").After(choice.Expected - left)
@@ -231,6 +243,35 @@
 	return choice, nil
 }
 
+const (
+	// maxHolds bounds how often a request is held, and maxHoldTargets how long each
+	// time, in latency targets.
+	maxHolds       = 2
+	maxHoldTargets = 0.7
+)
+
+// maxHold returns how long the request may be held now.
+func (r *run) maxHold() time.Duration {
+	if r.report.Holds >= maxHolds {
+		return 0
+	}
+	return time.Duration(maxHoldTargets * float64(r.req.Route.LatencyTarget))
+}
+
+// held waits while the chosen replica reads shared parts for another request, so
+// that they are read once, and reports whether the choice is to be made again.
+func (r *run) held(ctx context.Context, choice *schedule.Choice) bool {
+	if choice.Hold == 0 {
+		return false
+	}
+	r.report.Holds++
+	select {
+	case <-ctx.Done():
+	case <-time.After(choice.Hold):
+	}
+	return true
+}
+
 const (
 	// leastPatience, patientTargets and patientPauses say how long callers wait for
 	// a stream's first event: the longest of the three.
@@ -245,7 +286,7 @@
 	if route.Kind != config.Streaming {
 		return unlimited
 	}
-	return max(leastPatience, patientTargets*route.LatencyTarget, patientPauses*route.PauseTarget)
+	return 2 * route.LatencyTarget
 }
 
 // unlimited stands for no bound.
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -224,6 +224,28 @@
 	return tokens, read
 }
 
+// ReadyAt returns when a holder is thought to have read the parts of the prompt
+// that it is reading now, or the zero time.
+func (x *Index) ReadyAt(id string, p Prompt) time.Time {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	h := x.holders[id]
+	latest := time.Time{}
+	if h == nil {
+		return latest
+	}
+	for _, part := range p.Parts {
+		e := h.parts[part]
+		if e == nil {
+			break
+		}
+		if ready := e.Value.(*held).ready; ready.After(latest) {
+			latest = ready
+		}
+	}
+	return latest
+}
+
 // Size returns the number of parts believed held, over all holders.
 func (x *Index) Size() int {
 	x.mu.RLock()
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -259,6 +259,9 @@
 		l.Requests++
 		l.PrefillTokens += int32(f.prefill(now))
 		l.MemoryTokens += int32(f.work.Memory)
+		if !f.answered {
+			l.Waiting++
+		}
 	}
 	return l
 }
@@ -332,6 +335,22 @@
 	return out
 }
 
+// Waiting returns how many requests of all hosts wait at a server for their first
+// event.
+func (t *Table) Waiting(id string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return 0
+	}
+	waiting := int(e.load(now).Waiting)
+	for _, loads := range t.loads {
+		waiting += int(loads[id].GetWaiting())
+	}
+	return waiting
+}
+
 // Count returns the number of known servers.
 func (t *Table) Count() int {
 	t.mu.Lock()
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -24,6 +24,7 @@
 	Wanted(model string) int64
 	Holds(id, model string, version int64) bool
 	Loading(id string, until time.Time)
+	Waiting(id string, now time.Time) int
 }
 
 const (
@@ -43,6 +44,13 @@
 	// refuseHold is how long after its mark a loading replica gets no requests
 	// unless the mark is renewed.
 	refuseHold = 700 * time.Millisecond
+	// leastDrain is how long a replica gets no new requests before it is ordered:
+	// the word has to reach the other hosts, and what they sent meanwhile the
+	// replica. maxDrain bounds the wait for prompts that it is reading, which the
+	// order would throw away.
+	leastDrain = 60 * time.Millisecond
+	maxDrain   = 900 * time.Millisecond
+	drainPoll  = 30 * time.Millisecond
 	// retryPause follows an order that failed.
 	retryPause = 250 * time.Millisecond
 	// rankDelay separates hosts that could all take the lease.
@@ -206,7 +214,7 @@
 }
 
 func (l *Loader) bring(ctx context.Context, t target) error {
-	l.mark(t)
+	l.drain(ctx, t)
 	sequence, known := l.sequence(t.server.ID)
 	if !known {
 		report, err := l.report(ctx, t)
@@ -225,6 +233,25 @@
 	return l.await(ctx, t, sequence, accepted)
 }
 
+// drain keeps new requests away from the replica until it has read the prompts
+// that it was sent.
+func (l *Loader) drain(ctx context.Context, t target) {
+	began := time.Now()
+	marked := time.Time{}
+	for ctx.Err() == nil {
+		if time.Since(marked) > refuseHold/3 {
+			l.mark(t)
+			marked = time.Now()
+		}
+		time.Sleep(drainPoll)
+		now := time.Now()
+		drained := now.Sub(began)
+		if drained >= maxDrain || drained >= leastDrain && l.replicas.Waiting(t.server.ID, now) == 0 {
+			return
+		}
+	}
+}
+
 func (l *Loader) mark(t target) {
 	l.replicas.Loading(t.server.ID, time.Now().Add(refuseHold))
 	l.Changed()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,6 +48,8 @@
 // Candidate is a replica with what it would mean for one request.
 type Candidate struct {
 	Replica
+	// Lane replicas are kept clear of large prompts.
+	Lane bool
 	// Cached tokens of the prompt are held by the replica itself.
 	Cached int
 	// Fetched tokens beyond these would come from Source within FetchTime, of which
@@ -64,6 +66,8 @@
 	// PromptTokens and OutputTokens size the request; 0 for plain services.
 	PromptTokens int
 	OutputTokens int
+	// Small prompts are read in one step.
+	Small bool
 	// SharedTokens of the prompt are worth keeping in some cache.
 	SharedTokens  int
 	LatencyTarget time.Duration
@@ -96,6 +100,10 @@
 	// Reread is the price of reading shared tokens, in latency targets for a prompt
 	// that is all shared: some cache keeps them, or will after the first reading.
 	Reread float64
+	// LargeInLane is the price of a large prompt in the lane, and SmallOutside that
+	// of a small one outside it, in latency targets.
+	LargeInLane  float64
+	SmallOutside float64
 	// OtherZone is the price in milliseconds of leaving the availability zone.
 	OtherZone float64
 	// OldWeights is the price in milliseconds of an answer on older weights.
@@ -114,6 +122,8 @@
 		PrefillPerMs:    50,
 		PairsPerMs:      2.7e6,
 		Reread:          1,
+		LargeInLane:     0,
+		SmallOutside:    0,
 		OtherZone:       3,
 		OldWeights:      120,
 		OldWeightsAfter: 1200 * time.Millisecond,
@@ -228,6 +238,12 @@
 	reread := float64(max(0, req.SharedTokens-c.Cached-c.Fetched)) / float64(max(1, req.PromptTokens))
 	score += p.Reread * reread * millis(req.LatencyTarget)
 	score += errorMs * max(0, c.Errors-errorFree)
+	switch {
+	case c.Lane && !req.Small:
+		score += p.LargeInLane * millis(req.LatencyTarget)
+	case !c.Lane && req.Small && c.CacheTokens > 0:
+		score += p.SmallOutside * millis(req.LatencyTarget)
+	}
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -29,6 +29,8 @@
 	OutputTokens int
 	Target       time.Duration
 	Deadline     time.Time
+	// MaxHold is the longest that the request may be held.
+	MaxHold time.Duration
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
 }
@@ -43,6 +45,10 @@
 	Flight *replica.Flight
 	// Shared is the number of shared tokens.
 	Shared int
+	// Hold is above 0 when the request had better wait and be scheduled anew: the
+	// replica reads its parts for another request, and a request that is sent
+	// before the end would read them too. Nothing is counted as sent then.
+	Hold time.Duration
 
 	prompt   prefix.Prompt
 	capacity int
@@ -73,6 +79,11 @@
 	// maxSaveWait is the longest queue of transfers at the store at which more is
 	// saved there: fetches wait behind them.
 	maxSaveWait = 300 * time.Millisecond
+	// minHold is the least number of shared tokens for which a request is held.
+	minHold = 512
+	// holdMargin is added to a hold: readings are mostly a little later than
+	// expected.
+	holdMargin = 25 * time.Millisecond
 	// cacheShare of a replica's memory is thought to hold parts of ended requests.
 	cacheShare = 0.75
 )
@@ -86,6 +97,7 @@
 	share    bool
 	links    links
 	reuse    *reuse
+	lanes    lanes
 	// Tell asks for the other hosts to be told at once.
 	Tell func()
 
@@ -126,7 +138,11 @@
 			s.caches(req, &candidates[i], replicas, s.prompt(prompts, req, r.Weights), now)
 		}
 	}
+	if capacity > 0 {
+		s.lanes.mark(candidates)
+	}
 	decision, err := s.policy.Decide(&route.Request{
+		Small:            req.PromptTokens <= smallPrompt,
 		AvailabilityZone: s.zone,
 		PromptTokens:     req.PromptTokens,
 		OutputTokens:     req.OutputTokens,
@@ -219,11 +235,16 @@
 func (s *Scheduler) choose(req *Request, d route.Decision, p prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
 	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
 	read := 0
+	if hold := s.hold(c, now); hold > 0 && hold <= req.MaxHold {
+		c.Hold = hold
+		return c, nil
+	}
 	if capacity > 0 {
 		c.Salt = s.Salt(d.Weights, req.Organisation)
 		c.saltHash = xxh3.HashString(c.Salt)
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
+		s.lanes.note(req.PromptTokens, read, now)
 		s.links.use(d.Source, d.ID, d.Transfer, now)
 		if s.worthSaving(req, c, now) {
 			c.Sink = req.Store.Address
@@ -247,6 +268,19 @@
 	return c, nil
 }
 
+// hold returns how long the request had better wait for the replica's reading of
+// shared parts.
+func (s *Scheduler) hold(c *Choice, now time.Time) time.Duration {
+	if c.capacity == 0 {
+		return 0
+	}
+	held, read := s.index.Held(c.ID, c.prompt, now)
+	if held-read < minHold {
+		return 0
+	}
+	return s.index.ReadyAt(c.ID, c.prompt).Sub(now) + holdMargin
+}
+
 // worthSaving reports whether the store lacks shared parts of the prompt that
 // will probably be asked for again, and has time to take them.
 func (s *Scheduler) worthSaving(req *Request, c *Choice, now time.Time) bool {
