A slow replica is forgotten to be slow

Cause: the ratio of a small request's wait to its expected 20 ms made replicas look slow by chance; avoided ones got no answers that could show otherwise, and stood nearly idle under overload.

Change: waits under 150 ms expected do not count for more; slowness fades with 2 s. Two tests that failed before.

--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 )
@@ -34,8 +35,12 @@
 	// errorWeight is the weight of one answer in the share of failures: about the
 	// last ten answers count.
 	errorWeight = 0.1
-	// slowWeight is the weight of one answer in the slowness.
+	// slowWeight is the weight of one answer in the slowness, and slowMemory the
+	// time constant with which it is forgotten.
 	slowWeight = 0.15
+	slowMemory = 2 * time.Second
+	// leastTimed is the shortest expectation against which an answer is timed.
+	leastTimed = 150 * time.Millisecond
 	// downFirst and downMost bound how long an unreachable server gets no
 	// requests. The first pause is a little longer than a crash takes to show in
 	// other servers' load; the longest lets a restarted one be found.
@@ -56,8 +61,10 @@
 // health is what a server's answers say of it. Checks of the server's own are
 // dear and may lie, so that none are made.
 type health struct {
-	errors   float64
-	slowness float64
+	errors float64
+	// excess is how much longer than expected answers took, as of timed.
+	excess float64
+	timed  time.Time
 	// pause is above 0 while the server is thought down, until downUntil at least.
 	pause     time.Duration
 	downUntil time.Time
@@ -88,20 +95,24 @@
 	h.reached = false
 }
 
-func (h *health) slow() float64 {
-	if h.slowness == 0 {
+// slow returns how many times as long as expected answers take. It falls back to
+// 1 while no answer tells otherwise: a server that is avoided for its slowness
+// could not show that it has recovered.
+func (h *health) slow(now time.Time) float64 {
+	if h.excess == 0 {
 		return 1
 	}
-	return h.slowness
+	return 1 + h.excess*math.Exp(-float64(now.Sub(h.timed))/float64(slowMemory))
 }
 
-// took records the time an answer took against what was expected.
-func (h *health) took(actual, expected time.Duration) {
-	ratio := min(maxSlow, float64(actual)/float64(max(expected, time.Millisecond)))
-	if h.slowness == 0 {
-		h.slowness = 1
-	}
-	h.slowness += slowWeight * (ratio - h.slowness)
+// took records the time an answer took against what was expected. Short waits
+// say little of a server's speed: they are mostly spent behind requests of which
+// this host did not know.
+func (h *health) took(actual, expected time.Duration, now time.Time) {
+	ratio := float64(actual) / float64(max(expected, leastTimed))
+	over := min(maxSlow, max(1, ratio)) - 1
+	h.excess = (h.slow(now) - 1) + slowWeight*(over-(h.slow(now)-1))
+	h.timed = now
 }
 
 func (h *health) ended(r Result, now time.Time) {
@@ -178,7 +189,7 @@
 	}
 	f.answered = true
 	f.entry.health.alive()
-	f.entry.health.took(now.Sub(f.began), f.work.Expected)
+	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
 	f.entry.heard(now)
 }
 
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -298,7 +298,7 @@
 		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
-		Slow: e.health.slow(), Errors: e.health.errors, Silence: silence,
+		Slow: e.health.slow(now), Errors: e.health.errors, Silence: silence,
 	}
 }
 
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -187,3 +187,30 @@
 		t.Errorf("after the first event: %v", got)
 	}
 }
+
+// TestSlownessIsForgotten: a server that looked slow is tried again.
+func TestSlownessIsForgotten(t *testing.T) {
+	table := newTestTable("a")
+	start := time.Now()
+	for range 10 {
+		table.Begin("a", Work{Expected: 200 * time.Millisecond}, start.Add(-2*time.Second)).First(start)
+	}
+	slow := func(at time.Time) float64 { return table.Snapshot(testService, testModel, 0, at)[0].Slow }
+	if got := slow(start); got < 4 {
+		t.Errorf("slowness %.1f after answers of ten times the expected time", got)
+	}
+	if got := slow(start.Add(10 * time.Second)); got > 1.1 {
+		t.Errorf("slowness %.1f ten seconds later", got)
+	}
+}
+
+// TestShortWaitsDoNotLookSlow: a small request that stood behind a large one of
+// another host says nothing of its server.
+func TestShortWaitsDoNotLookSlow(t *testing.T) {
+	table := newTestTable("a")
+	now := time.Now()
+	table.Begin("a", Work{Expected: 10 * time.Millisecond}, now.Add(-140*time.Millisecond)).First(now)
+	if got := table.Snapshot(testService, testModel, 0, now)[0].Slow; got != 1 {
+		t.Errorf("slowness %.1f, want 1", got)
+	}
+}
