Requests wait for memory too

Cause: at 45 % use of reading speed replicas let requests wait for seconds: running requests held their memory while their tokens came between other prompts' pieces. Routing expected none of it.

Change: what a replica's memory is needed for beyond 95 % counts as a wait, at the time a loaded replica takes to free it; less full replicas keep more cached parts and are preferred slightly.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,8 +48,6 @@
 // Candidate is a replica with what it would mean for one request.
 type Candidate struct {
 	Replica
-	// Lane replicas are kept clear of large prompts.
-	Lane bool
 	// Cached tokens of the prompt are held by the replica itself.
 	Cached int
 	// Fetched tokens beyond these would come from Source within FetchTime, of which
@@ -66,8 +64,6 @@
 	// PromptTokens and OutputTokens size the request; 0 for plain services.
 	PromptTokens int
 	OutputTokens int
-	// Small prompts are read in one step.
-	Small bool
 	// SharedTokens of the prompt are worth keeping in some cache.
 	SharedTokens  int
 	LatencyTarget time.Duration
@@ -100,10 +96,6 @@
 	// Reread is the price of reading shared tokens, in latency targets for a prompt
 	// that is all shared: some cache keeps them, or will after the first reading.
 	Reread float64
-	// LargeInLane is the price of a large prompt in the lane, and SmallOutside that
-	// of a small one outside it, in latency targets.
-	LargeInLane  float64
-	SmallOutside float64
 	// OtherZone is the price in milliseconds of leaving the availability zone.
 	OtherZone float64
 	// OldWeights is the price in milliseconds of an answer on older weights.
@@ -122,8 +114,6 @@
 		PrefillPerMs:    50,
 		PairsPerMs:      2.7e6,
 		Reread:          1,
-		LargeInLane:     0,
-		SmallOutside:    0,
 		OtherZone:       3,
 		OldWeights:      120,
 		OldWeightsAfter: 1200 * time.Millisecond,
@@ -141,11 +131,14 @@
 	perRequestMs = 0.04
 	// queuedMs is the price of each request beyond a replica's slots.
 	queuedMs = 40.0
-	// memoryMs is the price of a full memory: the newest request is preempted
-	// and reads its prompt again.
-	memoryMs = 600.0
-	// memoryShare of a replica's memory is where that begins.
-	memoryShare = 0.9
+	// memoryMs is the price of a full memory: what a request needs is taken from
+	// cached parts.
+	memoryMs = 60.0
+	// memoryFull is the use of memory, as it is counted, from which requests wait.
+	memoryFull = 0.95
+	// memoryTurn is how long a loaded replica takes to free its whole memory: about
+	// the time of a large request from its first to its last event.
+	memoryTurn = 4 * time.Second
 	// plainMs is the work of a plain service's request, for its queue.
 	plainMs = 30.0
 	// errorMs is the price of a certain failure.
@@ -228,7 +221,7 @@
 	read := millis(p.Reading(req.PromptTokens - c.Cached - c.Fetched))
 	queue := float64(c.PrefillTokens) / p.PrefillPerMs
 	step := firstSteps * (stepMs + perRequestMs*float64(c.Requests))
-	return slow*(queue+read+step) + millis(c.FetchTime)
+	return slow*(queue+read+step) + millis(c.FetchTime) + memoryWait(req, c)
 }
 
 // score prices a candidate in milliseconds.
@@ -238,12 +231,6 @@
 	reread := float64(max(0, req.SharedTokens-c.Cached-c.Fetched)) / float64(max(1, req.PromptTokens))
 	score += p.Reread * reread * millis(req.LatencyTarget)
 	score += errorMs * max(0, c.Errors-errorFree)
-	switch {
-	case c.Lane && !req.Small:
-		score += p.LargeInLane * millis(req.LatencyTarget)
-	case !c.Lane && req.Small && c.CacheTokens > 0:
-		score += p.SmallOutside * millis(req.LatencyTarget)
-	}
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
 	}
@@ -259,11 +246,22 @@
 	return score + memoryPrice(req, c)
 }
 
-func memoryPrice(req *Request, c *Candidate) float64 {
+// memoryWait returns how long, in milliseconds, a request waits for memory that
+// requests before it hold.
+func memoryWait(req *Request, c *Candidate) float64 {
+	over := memoryUse(req, c) - memoryFull
+	return max(0, over) * millis(memoryTurn)
+}
+
+// memoryUse is the part of a replica's memory that is needed with this request.
+func memoryUse(req *Request, c *Candidate) float64 {
 	if c.CacheTokens == 0 {
 		return 0
 	}
-	need := float64(c.MemoryTokens + req.PromptTokens + req.OutputTokens)
-	over := need/float64(c.CacheTokens) - memoryShare
-	return memoryMs * max(0, min(1, over/(1-memoryShare)))
+	return float64(c.MemoryTokens+req.PromptTokens+req.OutputTokens) / float64(c.CacheTokens)
+}
+
+// memoryPrice is the price of memory that cached parts lose to a request.
+func memoryPrice(req *Request, c *Candidate) float64 {
+	return memoryMs * memoryUse(req, c)
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -97,7 +97,6 @@
 	share    bool
 	links    links
 	reuse    *reuse
-	lanes    lanes
 	// Tell asks for the other hosts to be told at once.
 	Tell func()
 
@@ -138,11 +137,7 @@
 			s.caches(req, &candidates[i], replicas, s.prompt(prompts, req, r.Weights), now)
 		}
 	}
-	if capacity > 0 {
-		s.lanes.mark(candidates)
-	}
 	decision, err := s.policy.Decide(&route.Request{
-		Small:            req.PromptTokens <= smallPrompt,
 		AvailabilityZone: s.zone,
 		PromptTokens:     req.PromptTokens,
 		OutputTokens:     req.OutputTokens,
@@ -244,7 +239,6 @@
 		c.saltHash = xxh3.HashString(c.Salt)
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
-		s.lanes.note(req.PromptTokens, read, now)
 		s.links.use(d.Source, d.ID, d.Transfer, now)
 		if s.worthSaving(req, c, now) {
 			c.Sink = req.Store.Address
