--- /dev/null
+++ b/test/standin/engine/engine.go
@@ -0,0 +1,354 @@
+// Package engine is a stand-in for a backend server of the platform: a model
+// engine with a prefix cache, weights and orders, or a plain service. It counts
+// what ran, so that tests can hold the router to its word.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options describe a backend server.
+type Options struct {
+	// ID names this start of the server.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Model is empty for a plain service.
+	Model string
+	// Events is the number of events of a stream, Pace the pause between them.
+	Events int
+	Pace   time.Duration
+	// LoadTime is how long new weights take.
+	LoadTime time.Duration
+}
+
+// Fault is what the server does wrong with its next request.
+type Fault string
+
+// Faults of a server.
+const (
+	// Refuse answers 503 and says that the request has not run.
+	Refuse Fault = "refuse"
+	// Fail answers 500 after running.
+	Fail Fault = "fail"
+	// Cut breaks the connection after running, in the middle of a stream.
+	Cut Fault = "cut"
+	// Unsealed answers without the server's seal.
+	Unsealed Fault = "unsealed"
+)
+
+// Engine is safe for concurrent use.
+type Engine struct {
+	Options
+
+	mu      sync.Mutex
+	version int64
+	loading bool
+	orders  int64
+	faults  []Fault
+	// ran counts the runs of each request by its ID.
+	ran    map[string]int
+	cached map[string]bool
+	events [][]any
+}
+
+// New returns a server with weights version 1.
+func New(o Options) *Engine {
+	return &Engine{Options: o, version: 1, ran: map[string]int{}, cached: map[string]bool{}}
+}
+
+// Next makes the server do these faults, one a request.
+func (e *Engine) Next(faults ...Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = append(e.faults, faults...)
+}
+
+// Ran returns how often a request ran here.
+func (e *Engine) Ran(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ran[id]
+}
+
+// Runs returns how often any request ran here.
+func (e *Engine) Runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, n := range e.ran {
+		sum += n
+	}
+	return sum
+}
+
+// Version returns the weights that the server holds.
+func (e *Engine) Version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+type model struct {
+	Name    string
+	Version int64
+}
+
+type registration struct {
+	Service    string
+	Addr       string
+	Zone       string
+	Version    string
+	Slots      int
+	State      string
+	ColdLeftMs int
+	Models     []model `json:",omitempty"`
+	Seq        int64
+}
+
+// Register writes the server's entry to the store through put.
+func (e *Engine) Register(put func(key string, entry any) error, draining bool) error {
+	e.mu.Lock()
+	reg := registration{Service: e.Service, Addr: e.Address, Zone: e.Zone, Version: "v1", Slots: e.Slots, State: "ready"}
+	if draining {
+		reg.State = "draining"
+	}
+	if e.Model != "" {
+		reg.Models = []model{{e.Model, e.version}}
+	}
+	e.mu.Unlock()
+	return put(e.ID, reg)
+}
+
+// Handler serves the server's calls.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/report", e.report)
+	mux.HandleFunc("POST /-/order", e.order)
+	mux.HandleFunc("GET /-/kv-events", e.kvEvents)
+	mux.HandleFunc("/", e.serve)
+	return mux
+}
+
+func (e *Engine) expected(w http.ResponseWriter, r *http.Request) bool {
+	want := r.Header.Get("X-Briarlink-Expect-Instance")
+	if want == "" || want == e.ID {
+		return true
+	}
+	w.Header().Set("X-Briarlink-Instance", e.ID)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return false
+}
+
+func (e *Engine) take() Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.faults) == 0 {
+		return ""
+	}
+	f := e.faults[0]
+	e.faults = e.faults[1:]
+	return f
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	if !e.expected(w, r) {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Briarlink-Attempt-Id")
+	w.Header().Set("X-Briarlink-Attempt-Id", id)
+	if want := r.Header.Get("X-Briarlink-Expect-Version"); want != "" && want != strconv.FormatInt(e.Version(), 10) {
+		w.Header().Set("X-Briarlink-Instance", e.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fault := e.take()
+	if fault == Refuse || e.isLoading() {
+		w.Header().Set("X-Briarlink-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.run(r, id)
+	if fault != Unsealed {
+		w.Header().Set("X-Briarlink-Seal", "seal-of-"+e.ID)
+	}
+	if fault == Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if e.Model == "" {
+		e.whole(w, fault, body)
+		return
+	}
+	e.stream(w, r, fault)
+}
+
+func (e *Engine) isLoading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loading
+}
+
+// run counts the run and caches the shared parts of the prompt.
+func (e *Engine) run(r *http.Request, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ran[id]++
+	salt := r.Header.Get("X-Briarlink-Cache-Salt")
+	for _, part := range strings.Split(r.Header.Get("X-Briarlink-Prefix-Hash"), ",") {
+		name, tokens, ok := strings.Cut(part, ":")
+		if !ok || e.cached[salt+"|"+name] {
+			continue
+		}
+		e.cached[salt+"|"+name] = true
+		n, _ := strconv.Atoi(tokens)
+		e.events = append(e.events, []any{len(e.events) + 1, "+", salt, name, n, e.Model})
+	}
+}
+
+func (e *Engine) whole(w http.ResponseWriter, fault Fault, body []byte) {
+	answer := fmt.Sprintf("answer of %s to %d bytes", e.ID, len(body))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault == Cut {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// EventText returns the text of event n, which counts from 1.
+func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Briarlink-Weight-Versions", strconv.FormatInt(e.Version(), 10))
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	flush := http.NewResponseController(w)
+	for n := last + 1; n <= e.Events; n++ {
+		text := EventText(n)
+		if fault == Cut && n > e.Events/2 {
+			_, _ = io.WriteString(w, text[:len(text)/2])
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, text); err != nil || flush.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(e.Pace):
+		}
+	}
+}
+
+type reportAnswer struct {
+	Stage  string
+	Models []model
+	Busy   bool
+	Seq    int64
+}
+
+func (e *Engine) report(w http.ResponseWriter, r *http.Request) {
+	if !e.expected(w, r) {
+		return
+	}
+	e.mu.Lock()
+	answer := reportAnswer{"colocated", []model{{e.Model, e.version}}, e.loading, e.orders}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+type orderBody struct {
+	Op           string
+	Model        string
+	Version      int64
+	Holder       string
+	Fence        int64
+	Precondition *int64
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	if !e.expected(w, r) {
+		return
+	}
+	var o orderBody
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case o.Version == e.version:
+		w.WriteHeader(http.StatusOK)
+	case e.loading || o.Precondition != nil && *o.Precondition != e.orders:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		e.orders++
+		e.loading = true
+		time.AfterFunc(e.LoadTime, func() { e.loaded(o.Version) })
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (e *Engine) loaded(version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+	e.loading = false
+	e.cached = map[string]bool{}
+}
+
+type eventsAnswer struct {
+	BootEpoch int64
+	Next      int
+	Lost      bool
+	Events    [][]any
+}
+
+// eventsPoll is how often a waiting call looks for events.
+const eventsPoll = 10 * time.Millisecond
+
+func (e *Engine) kvEvents(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("Since"))
+	wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		e.mu.Lock()
+		answer := eventsAnswer{BootEpoch: 1, Next: len(e.events), Events: [][]any{}}
+		if since < len(e.events) {
+			answer.Events = append(answer.Events, e.events[since:]...)
+		}
+		e.mu.Unlock()
+		if len(answer.Events) > 0 || !time.Now().Before(until) {
+			writeJSON(w, http.StatusOK, answer)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventsPoll):
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left does not need its answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/test/standin/store/store.go
@@ -0,0 +1,297 @@
+// Package store is a stand-in for the platform's metadata store: topics with
+// conditional appends, long reads, the newest record of each key, and the faults
+// that its callers must bear.
+package store
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+// Mode is how the store treats calls.
+type Mode int
+
+// Modes of the store.
+const (
+	// Up serves.
+	Up Mode = iota
+	// Down answers 503 and does nothing.
+	Down
+	// Silent never answers and does nothing.
+	Silent
+	// Lossy does what an append asks for and loses the answer.
+	Lossy
+)
+
+// Store is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	mode   Mode
+	topics map[string]*topic
+	// changed is closed and replaced whenever a record is added or the mode changes.
+	changed chan struct{}
+	calls   int
+}
+
+type topic struct {
+	records []platform.Record
+	// first is the first offset that is kept.
+	first int64
+	// newest is kept for ever.
+	newest map[string]platform.Record
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// New returns an empty store.
+func New() *Store { return &Store{topics: map[string]*topic{}, changed: make(chan struct{})} }
+
+// SetMode changes how calls are treated from now on.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a record as operators and backend servers do, whatever the mode.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(name, platform.Record{Key: key, Value: value, Removed: len(value) == 0})
+}
+
+// PutJSON writes a record whose value is encoded.
+func (s *Store) PutJSON(name, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	s.Put(name, key, data)
+	return nil
+}
+
+// Trim drops the records before an offset; the newest of each key stay known.
+func (s *Store) Trim(name string, before int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	for t.first < before && len(t.records) > 0 {
+		t.records = t.records[1:]
+		t.first++
+	}
+	s.wake()
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]platform.Record{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) add(name string, rec platform.Record) int64 {
+	t := s.topic(name)
+	rec.Offset = t.end()
+	t.records = append(t.records, rec)
+	if rec.Removed {
+		delete(t.newest, rec.Key)
+	} else {
+		t.newest[rec.Key] = rec
+	}
+	s.wake()
+	return rec.Offset
+}
+
+// Handler serves the store's calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/log-append", s.append)
+	mux.HandleFunc("GET /-/log-read", s.read)
+	mux.HandleFunc("GET /-/log-newest", s.newest)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		mode := s.mode
+		s.mu.Unlock()
+		switch mode {
+		case Down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Silent:
+			<-r.Context().Done()
+		default:
+			mux.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("Topic")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records, err := decode(body, strings.HasPrefix(name, "keyed."))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	t := s.topic(name)
+	end := t.end()
+	if at := r.URL.Query().Get("At"); at != "" && at != strconv.FormatInt(end, 10) {
+		s.mu.Unlock()
+		writeJSON(w, http.StatusPreconditionFailed, map[string]int64{"End": end})
+		return
+	}
+	for _, rec := range records {
+		s.add(name, rec)
+	}
+	lossy := s.mode == Lossy
+	s.mu.Unlock()
+	if lossy {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string]int64{"Offset": end, "End": end + int64(len(records))})
+}
+
+// decode reads length-prefixed records; in keyed topics a key comes first.
+func decode(body []byte, keyed bool) ([]platform.Record, error) {
+	var out []platform.Record
+	for len(body) > 0 {
+		if len(body) < 4 || len(body) < 4+int(binary.BigEndian.Uint32(body)) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		size := 4 + int(binary.BigEndian.Uint32(body))
+		rec := platform.Record{Value: append([]byte(nil), body[4:size]...)}
+		if keyed {
+			if len(rec.Value) == 0 || len(rec.Value) <= int(rec.Value[0]) {
+				return nil, io.ErrUnexpectedEOF
+			}
+			n := 1 + int(rec.Value[0])
+			rec.Key, rec.Value = string(rec.Value[1:n]), rec.Value[n:]
+			rec.Removed = len(rec.Value) == 0
+		}
+		out = append(out, rec)
+		body = body[size:]
+	}
+	return out, nil
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	name := q.Get("Topic")
+	from, err := strconv.ParseInt(q.Get("From"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(q.Get("WaitMs"))
+	until := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(name)
+		changed := s.changed
+		mode := s.mode
+		page := s.page(t, from, strings.HasPrefix(name, "keyed."))
+		first, end := t.first, t.end()
+		s.mu.Unlock()
+		switch {
+		case mode != Up && mode != Lossy:
+			panic(http.ErrAbortHandler)
+		case from < first:
+			writeJSON(w, http.StatusGone, map[string]int64{"First": first})
+			return
+		case end > from || wait == 0:
+			_, _ = w.Write(page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-until:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) page(t *topic, from int64, keyed bool) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+	for _, rec := range t.records {
+		if rec.Offset >= from {
+			out = append(out, platform.EncodeRecord(rec, keyed)...)
+		}
+	}
+	return out
+}
+
+type item struct {
+	Key    string
+	Value  string
+	Offset int64
+}
+
+type newestAnswer struct {
+	Items []item `json:"items"`
+	More  bool
+	End   int64
+}
+
+// pageItems is small, so that several pages are read.
+const pageItems = 7
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("Topic"))
+	answer := newestAnswer{End: t.end(), Items: []item{}}
+	after := r.URL.Query().Get("after")
+	var keys []string
+	for key := range t.newest {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > pageItems {
+		keys, answer.More = keys[:pageItems], true
+	}
+	for _, key := range keys {
+		rec := t.newest[key]
+		answer.Items = append(answer.Items, item{key, base64.StdEncoding.EncodeToString(rec.Value), rec.Offset})
+	}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left does not need its answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
