--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// slices is the number of slices of a window. A window counts whole slices, so
-// it covers up to one slice more than its length.
+// slices is the number of slices of a window. Repeats are counted in one slice
+// more than a window has, and requests only in those that surely lie within it.
 const slices = 20
 
 // ratioMargin keeps a part of the ratio for requests that other hosts count in
@@ -29,7 +29,7 @@
 }
 
 type counter struct {
-	slots [slices]slot
+	slots [slices + 1]slot
 }
 
 type slot struct {
@@ -88,8 +88,8 @@
 		c = &counter{}
 		b.services[service] = c
 	}
-	number := int64(now.Sub(b.started) / (b.window / slices))
-	s := &c.slots[((number%slices)+slices)%slices]
+	number := int64(max(0, now.Sub(b.started)) / (b.window / slices))
+	s := &c.slots[number%int64(len(c.slots))]
 	if s.number != number {
 		*s = slot{number: number}
 	}
@@ -100,6 +100,8 @@
 	for _, s := range b.services[service].slots {
 		if number-s.number < slices {
 			requests += s.requests
+		}
+		if number-s.number <= slices {
 			repeats += s.repeats
 		}
 	}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,130 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/briarlink/briarlink/internal/errkind"
+	_ "github.com/briarlink/briarlink/test/fixedseed"
+)
+
+func engine(id string) Candidate {
+	return Candidate{Replica: Replica{ID: id, AvailabilityZone: "z", Usable: true, Weights: 1, Slots: 64, CacheTokens: 165_000, Slow: 1}}
+}
+
+func longRequest() *Request {
+	return &Request{AvailabilityZone: "z", PromptTokens: 17_000, OutputTokens: 120, SharedTokens: 13_300, LatencyTarget: 800 * time.Millisecond}
+}
+
+// TestFilters: none of these is ever chosen.
+func TestFilters(t *testing.T) {
+	policy := DefaultPolicy()
+	for name, spoil := range map[string]func(*Candidate){
+		"not usable":          func(c *Candidate) { c.Usable = false },
+		"loading weights":     func(c *Candidate) { c.Loading = true },
+		"beyond the deadline": func(c *Candidate) { c.Behind = policy.WeightsDeadline },
+		"just before it":      func(c *Candidate) { c.Behind = policy.WeightsDeadline - time.Second },
+		"memory too small":    func(c *Candidate) { c.CacheTokens = 10_000 },
+		"tried before":        func(c *Candidate) { c.ID = "tried" },
+	} {
+		c := engine("a")
+		spoil(&c)
+		req := longRequest()
+		req.Exclude = map[string]bool{"tried": true}
+		_, err := policy.Decide(req, []Candidate{c})
+		if !errkind.Is(err, errkind.NoBackend) || errkind.From(err).Retry() <= 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestPreferences: the first of each pair is chosen.
+func TestPreferences(t *testing.T) {
+	for name, spoil := range map[string]func(better, worse *Candidate){
+		"held prompt":             func(b, _ *Candidate) { b.Cached = 13_300 },
+		"fetched prompt":          func(b, _ *Candidate) { b.Fetched, b.FetchTime = 13_300, 40*time.Millisecond },
+		"held over fetched":       func(b, w *Candidate) { b.Cached, w.Fetched, w.FetchTime = 13_300, 13_300, 100*time.Millisecond },
+		"shorter queue":           func(_, w *Candidate) { w.PrefillTokens = 5_000 },
+		"queue against reading":   func(b, w *Candidate) { b.Cached, b.PrefillTokens = 13_300, 10_000; w.PrefillTokens = 0 },
+		"idle over a long queue":  func(_, w *Candidate) { w.Cached, w.PrefillTokens = 13_300, 90_000 },
+		"new weights":             func(_, w *Candidate) { w.Behind = 3 * time.Second },
+		"free memory":             func(_, w *Candidate) { w.MemoryTokens = 160_000 },
+		"normal speed":            func(_, w *Candidate) { w.Slow = 7 },
+		"no failures":             func(_, w *Candidate) { w.Errors = 0.6 },
+		"signs of life":           func(_, w *Candidate) { w.Silence = 500 * time.Millisecond },
+		"no trial":                func(_, w *Candidate) { w.Trial = true },
+		"same zone, all the same": func(_, w *Candidate) { w.AvailabilityZone = "y"; w.PrefillTokens = 2_000 },
+	} {
+		better, worse := engine("a"), engine("b")
+		spoil(&better, &worse)
+		for _, order := range [][]Candidate{{better, worse}, {worse, better}} {
+			got, err := DefaultPolicy().Decide(longRequest(), order)
+			if err != nil || got.ID != "a" {
+				t.Errorf("%s: chose %q, %v", name, got.ID, err)
+			}
+		}
+	}
+}
+
+// TestDecisionIsOrderFree: the same candidates in another order give a choice
+// that is as good within the tolerance, and equal candidates the same choice.
+func TestDecisionIsOrderFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "replicas")
+		var forward, backward []Candidate
+		for i := range n {
+			c := engine(string(rune('a' + i)))
+			forward = append(forward, c)
+			backward = append([]Candidate{c}, backward...)
+		}
+		req := longRequest()
+		req.Affinity = rapid.Uint64().Draw(t, "affinity")
+		a, err := DefaultPolicy().Decide(req, forward)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := DefaultPolicy().Decide(req, backward)
+		if err != nil || a.ID != b.ID {
+			t.Fatalf("chose %s and %s, %v", a.ID, b.ID, err)
+		}
+	})
+}
+
+// TestMoreWorkNeverLowersTheExpectation.
+func TestMoreWorkNeverLowersTheExpectation(t *testing.T) {
+	policy := DefaultPolicy()
+	rapid.Check(t, func(t *rapid.T) {
+		c := engine("a")
+		c.PrefillTokens = rapid.IntRange(0, 100_000).Draw(t, "queue")
+		c.MemoryTokens = rapid.IntRange(0, 300_000).Draw(t, "memory")
+		c.Requests = rapid.IntRange(0, 64).Draw(t, "requests")
+		less, err := policy.Decide(longRequest(), []Candidate{c})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.PrefillTokens += rapid.IntRange(0, 1000).Draw(t, "more queue")
+		c.MemoryTokens += rapid.IntRange(0, 1000).Draw(t, "more memory")
+		more, err := policy.Decide(longRequest(), []Candidate{c})
+		if err != nil || more.Expected < less.Expected || more.Score < less.Score {
+			t.Fatalf("%v after %v, %v", more.Expected, less.Expected, err)
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{12, 72, 400} {
+		candidates := make([]Candidate, n)
+		for i := range candidates {
+			candidates[i] = engine(string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		}
+		b.Run(time.Duration(n).String()[:len(time.Duration(n).String())-2], func(b *testing.B) {
+			for b.Loop() {
+				if _, err := DefaultPolicy().Decide(longRequest(), candidates); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/topic/topic_test.go
@@ -0,0 +1,222 @@
+package topic
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/briarlink/briarlink/platform"
+	_ "github.com/briarlink/briarlink/test/fixedseed"
+)
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// history is the truth: every record of a topic.
+type history []platform.Record
+
+// newest returns the newest record of each key before an offset, removals left
+// out unless asked for.
+func (h history) newest(end int, removals bool) []platform.Record {
+	last := map[string]platform.Record{}
+	for _, rec := range h[:end] {
+		last[rec.Key] = rec
+	}
+	var out []platform.Record
+	for _, rec := range last {
+		if removals || !rec.Removed {
+			out = append(out, rec)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Offset < out[j].Offset })
+	return out
+}
+
+// TestViewNeverGoesBack merges reads, stale reads, snapshots of any age and other
+// hosts' records in any order. What is told of a key only moves on, and in the
+// end equals the truth.
+func TestViewNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var truth history
+		told := map[string]platform.Record{}
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) {
+			if old, ok := told[rec.Key]; ok && rec.Offset <= old.Offset {
+				t.Fatalf("key %s went from offset %d to %d", rec.Key, old.Offset, rec.Offset)
+			}
+			told[rec.Key] = rec
+		})
+		read := func() {
+			from := int(table.End())
+			to := rapid.IntRange(from, len(truth)).Draw(t, "to")
+			table.Merge(truth[from:to], int64(to), true)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
+				removed := rapid.Bool().Draw(t, "removed")
+				truth = append(truth, platform.Record{Key: key, Offset: int64(len(truth)), Removed: removed, Value: []byte{1}})
+			},
+			"read": func(*rapid.T) { read() },
+			"snapshot of any age": func(t *rapid.T) {
+				end := rapid.IntRange(0, len(truth)).Draw(t, "age")
+				before := table.End()
+				took := table.Snapshot(platform.Page{Records: truth.newest(end, false), End: int64(end)}, true)
+				if took != (int64(end) >= before) {
+					t.Fatalf("snapshot up to %d taken: %v, applied up to %d", end, took, before)
+				}
+			},
+			"records of another host": func(t *rapid.T) {
+				end := rapid.IntRange(0, len(truth)).Draw(t, "its end")
+				other := NewTable("keyed.x", func(platform.Record, bool) {})
+				other.Merge(truth[:end], int64(end), true)
+				records, otherEnd := other.From(table.End())
+				table.MergeAll(records, otherEnd, true)
+			},
+		})
+		table.Merge(truth[table.End():], int64(len(truth)), true)
+		for _, want := range truth.newest(len(truth), true) {
+			got, ok := told[want.Key]
+			// A removal that only a snapshot showed has the snapshot's offset.
+			if !ok && !want.Removed || ok && got.Removed != want.Removed || ok && !want.Removed && got.Offset != want.Offset {
+				t.Fatalf("key %s: told %+v, want %+v", want.Key, got, want)
+			}
+		}
+	})
+}
+
+// fakeReader plays a topic whose calls fail while down.
+type fakeReader struct {
+	truth history
+	first int64
+	down  bool
+	reads int
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeReader) Newest(context.Context, string) (platform.Page, error) {
+	f.reads++
+	if f.down {
+		return platform.Page{}, errDown
+	}
+	return platform.Page{Records: f.truth.newest(len(f.truth), false), End: int64(len(f.truth))}, nil
+}
+
+func (f *fakeReader) Read(ctx context.Context, _ string, from int64, wait time.Duration) (platform.Page, error) {
+	f.reads++
+	if f.down {
+		return platform.Page{}, errDown
+	}
+	if from < f.first {
+		return platform.Page{}, &platform.TrimmedError{First: f.first}
+	}
+	if from >= int64(len(f.truth)) {
+		select {
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	return platform.Page{Records: f.truth[from:], End: int64(len(f.truth)), First: f.first}, nil
+}
+
+func put(key string, offset int) platform.Record {
+	return platform.Record{Key: key, Offset: int64(offset), Value: []byte{1}}
+}
+
+// TestRemovalsAfterAnOutageAreNotTrusted: entries may have lapsed while the store
+// was away.
+func TestRemovalsAfterAnOutageAreNotTrusted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 2 * time.Second
+		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
+		trust := map[string]bool{}
+		table := NewTable("keyed.x", func(rec platform.Record, trusted bool) {
+			if rec.Removed {
+				trust[rec.Key] = trusted
+			}
+		})
+		access := NewAccess(grace, quietLog())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			(&Follower{Store: reader, Table: table, Access: access, Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		reader.down = true
+		time.Sleep(3 * time.Second)
+		if access.Stable(time.Now()) {
+			t.Error("stable in an outage")
+		}
+		reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true})
+		reader.down = false
+		time.Sleep(time.Second)
+		if trusted, told := trust["a"]; !told || trusted {
+			t.Errorf("removal right after the outage: told %v, trusted %v", told, trusted)
+		}
+		time.Sleep(grace)
+		reader.truth = append(reader.truth, platform.Record{Key: "b", Offset: 3, Removed: true})
+		time.Sleep(time.Second)
+		if !trust["b"] {
+			t.Error("a removal long after the outage is not trusted")
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestTrimmedHistoryIsReadAnew: keys that went away meanwhile are removed.
+func TestTrimmedHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
+		held := map[string]bool{}
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held[rec.Key] = !rec.Removed })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}, put("c", 3))
+		reader.first = 4
+		time.Sleep(time.Second)
+		if held["a"] || !held["b"] || !held["c"] {
+			t.Errorf("held: %v", held)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestFailedReadsBackOff bounds what an outage costs in calls.
+func TestFailedReadsBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &fakeReader{down: true}
+		table := NewTable("keyed.x", func(platform.Record, bool) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()}).Run(ctx)
+		}()
+		time.Sleep(10 * time.Second)
+		if reader.reads > 40 {
+			t.Errorf("%d reads in 10 s", reader.reads)
+		}
+		cancel()
+		<-done
+	})
+}
