Tests of the exchange with backend servers and of dispatch

Cause: at-most-once, truthful refusals and whole streams had no test.

Change: scripted connections for the HTTP/1.1 client; a property test draws what replicas do and checks each promise in virtual time. It found that a resumed stream which its next replica answered with a whole body was answered twice; such an answer now counts as lost. A sealed answer must bear the request's ID.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -111,14 +111,20 @@
 		return x.refused(resp)
 	}
 	x.report.Ran++
-	if !resp.Answer.Sealed {
+	if !resp.Answer.Sealed || resp.Answer.ID != x.req.ID {
 		resp.Finish(false)
-		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without a seal", resp.Status))
+		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
 	}
-	if resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), contentEvents) {
+	isStream := resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), contentEvents)
+	switch {
+	case isStream:
 		return x.stream(ctx, resp)
+	case x.started:
+		resp.Finish(false)
+		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d in place of the rest of the stream", resp.Status))
+	default:
+		return x.whole(ctx, resp)
 	}
-	return x.whole(ctx, resp)
 }
 
 func (x *exchange) sendFailed(ctx context.Context, err error) (replica.Result, error) {
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,374 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/retry"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
+	"github.com/briarlink/briarlink/internal/upstream"
+	"github.com/briarlink/briarlink/platform"
+	_ "github.com/briarlink/briarlink/test/fixedseed"
+)
+
+// behaviour is what a replica does with one request.
+type behaviour string
+
+const (
+	unreachable behaviour = "unreachable"
+	refuses     behaviour = "refuses"
+	misdirects  behaviour = "misdirects"
+	cutsBefore  behaviour = "reads and cuts"
+	answers     behaviour = "answers"
+	fails       behaviour = "fails"
+	unsealed    behaviour = "answers without a seal"
+	foreign     behaviour = "answers another request"
+	cutsBody    behaviour = "cuts its answer"
+	hangs       behaviour = "hangs"
+	streams     behaviour = "streams"
+	cutsStream  behaviour = "cuts its stream"
+	skips       behaviour = "skips an event"
+)
+
+var behaviours = []behaviour{
+	unreachable, refuses, misdirects, cutsBefore, answers, answers, fails, unsealed, foreign, cutsBody, hangs, streams, streams, cutsStream, skips,
+}
+
+const (
+	testEvents   = 6
+	testService  = "s"
+	testReplicas = 4
+	wholeBody    = "the whole answer"
+)
+
+// fleet is a set of scripted replicas behind in-memory connections.
+type fleet struct {
+	plan []behaviour
+	// runs counts how often the request ran; ranAt holds where.
+	runs  int
+	ranAt map[string]bool
+}
+
+func (f *fleet) dial(_ context.Context, address string) (net.Conn, error) {
+	if len(f.plan) == 0 {
+		f.plan = []behaviour{answers}
+	}
+	b := f.plan[0]
+	f.plan = f.plan[1:]
+	if b == unreachable {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	go f.serve(far, address, b)
+	return near, nil
+}
+
+func (f *fleet) serve(c net.Conn, address string, b behaviour) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	id := req.Header.Get("X-Briarlink-Attempt-Id")
+	head := func(status int) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Briarlink-Attempt-Id: %s\r\n", status, id)
+	}
+	seal := "X-Briarlink-Seal: s\r\n"
+	length := "Content-Length: " + strconv.Itoa(len(wholeBody)) + "\r\n\r\n"
+	write := func(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
+	switch b {
+	case refuses:
+		write(head(503)+"X-Briarlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return
+	case misdirects:
+		write(head(421)+"X-Briarlink-Instance: another\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	f.runs++
+	f.ranAt[address] = true
+	switch b {
+	case answers:
+		write(head(200)+seal+length+wholeBody)
+	case fails:
+		write(head(500)+seal+"Content-Length: 0\r\n\r\n")
+	case unsealed:
+		write(head(200)+length+wholeBody)
+	case foreign:
+		write("HTTP/1.1 200 OK\r\nX-Briarlink-Attempt-Id: other\r\nX-Briarlink-Seal: s\r\n" + length + wholeBody)
+	case cutsBody:
+		write(head(200)+seal+length+wholeBody[:5])
+	case hangs:
+		_, _ = io.Copy(io.Discard, r)
+	case streams, cutsStream, skips:
+		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+		write(head(200)+seal+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		f.events(c, b, last)
+	}
+}
+
+func (f *fleet) events(c net.Conn, b behaviour, last int) {
+	for n := last + 1; n <= testEvents; n++ {
+		text := eventText(n)
+		if b == cutsStream && n > testEvents/2 {
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text)/2, text[:len(text)/2])
+			return
+		}
+		if b == skips && n == 3 {
+			continue
+		}
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+}
+
+func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+
+// recorder is a caller that notes what it gets.
+type recorder struct {
+	status int
+	body   string
+	wrote  int
+}
+
+func (a *recorder) Whole(status int, _ http.Header, body []byte) error {
+	a.status, a.body = status, string(body)
+	a.wrote++
+	return nil
+}
+
+func (a *recorder) Start(status int, _ http.Header) error {
+	a.status = status
+	a.wrote++
+	return nil
+}
+
+func (a *recorder) Event(data []byte) error {
+	a.body += string(data)
+	return nil
+}
+
+// newDispatcher returns a dispatcher over a fleet.
+func newDispatcher(f *fleet) (*Dispatcher, *replica.Table) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	table := replica.NewTable(log, func(string, string) {})
+	for i := range testReplicas {
+		id := fmt.Sprintf("i-%d", i)
+		table.Register(platform.Registration{ID: id, Service: testService, Address: id, Slots: 8}, int64(i))
+	}
+	pool := upstream.NewPool()
+	pool.Dial = f.dial
+	s := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
+	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now())), table
+}
+
+func testRequest(kind config.Kind, resumable bool, attempts int) *Request {
+	return &Request{
+		ID: "r-1", Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Route:    &config.Route{Kind: kind, Resumable: resumable, Attempts: attempts, LatencyTarget: 200 * time.Millisecond, PauseTarget: 100 * time.Millisecond},
+		Service:  &config.Service{Name: testService},
+		Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+// TestNoFailureBreaksAPromise draws what replicas do and checks what must hold
+// of every request.
+func TestNoFailureBreaksAPromise(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.SampledFrom([]config.Kind{config.Idempotent, config.NonIdempotent, config.Streaming}).Draw(rt, "kind")
+		resumable := kind == config.Streaming && rapid.Bool().Draw(rt, "resumable")
+		attempts := rapid.IntRange(1, 3).Draw(rt, "attempts")
+		plan := rapid.SliceOfN(rapid.SampledFrom(behaviours), 1, 8).Draw(rt, "plan")
+		wrong := ""
+		synctest.Test(t, func(*testing.T) {
+			f := &fleet{plan: plan, ranAt: map[string]bool{}}
+			d, _ := newDispatcher(f)
+			req := testRequest(kind, resumable, attempts)
+			ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+			defer cancel()
+			out := &recorder{}
+			_, err := d.Run(ctx, req, out)
+			wrong = broken(f, req, out, err)
+			cancel()
+			synctest.Wait()
+		})
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// broken returns which promise an outcome breaks, or "".
+func broken(f *fleet, req *Request, out *recorder, err error) string {
+	switch {
+	case time.Now().After(req.Deadline.Add(time.Millisecond)):
+		return fmt.Sprintf("answered %v after the deadline", time.Since(req.Deadline))
+	case !req.Route.Repeatable() && f.runs > 1:
+		return fmt.Sprintf("ran %d times", f.runs)
+	case len(f.ranAt) > req.Route.Attempts:
+		return fmt.Sprintf("ran on %d replicas of %d", len(f.ranAt), req.Route.Attempts)
+	case err != nil:
+		return brokenError(f, out, err)
+	case out.wrote != 1:
+		return fmt.Sprintf("%d answers", out.wrote)
+	case out.status != http.StatusOK && out.status != http.StatusInternalServerError:
+		return fmt.Sprintf("status %d", out.status)
+	case out.status == http.StatusOK && out.body != wholeBody && out.body != wholeStream():
+		return fmt.Sprintf("success with %q", out.body)
+	default:
+		return ""
+	}
+}
+
+func brokenError(f *fleet, out *recorder, err error) string {
+	if errkind.From(err).Kind.Answer().Run == errkind.NotRun && f.runs > 0 {
+		return fmt.Sprintf("%v, but it ran", err)
+	}
+	if out.body == wholeBody {
+		return fmt.Sprintf("a whole answer and an error: %v", err)
+	}
+	return ""
+}
+
+func wholeStream() string {
+	whole := ""
+	for n := 1; n <= testEvents; n++ {
+		whole += eventText(n)
+	}
+	return whole
+}
+
+// play plays a plan for one request.
+func play(t *testing.T, req func() *Request, plan ...behaviour) (*fleet, *recorder, Report, error) {
+	t.Helper()
+	f := &fleet{plan: plan, ranAt: map[string]bool{}}
+	out := &recorder{}
+	var report Report
+	var err error
+	synctest.Test(t, func(*testing.T) {
+		d, _ := newDispatcher(f)
+		r := req()
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		defer cancel()
+		report, err = d.Run(ctx, r, out)
+		cancel()
+		synctest.Wait()
+	})
+	return f, out, report, err
+}
+
+func resumable() *Request     { return testRequest(config.Streaming, true, 2) }
+func idempotent() *Request    { return testRequest(config.Idempotent, false, 2) }
+func nonIdempotent() *Request { return testRequest(config.NonIdempotent, false, 1) }
+
+func TestCutStreamGoesOnElsewhere(t *testing.T) {
+	_, out, report, err := play(t, resumable, cutsStream, streams)
+	if err != nil || strings.Count(out.body, "id: ") != testEvents || report.Resumed != 1 {
+		t.Errorf("%v, %q, %+v", err, out.body, report)
+	}
+}
+
+func TestHangingReplicaIsGivenUpForAnother(t *testing.T) {
+	_, out, report, err := play(t, idempotent, hangs, answers)
+	if err != nil || out.body != wholeBody || report.First > time.Second {
+		t.Errorf("%v, %q, first after %v", err, out.body, report.First)
+	}
+}
+
+func TestNothingElseIsTriedForWhatMayHaveRun(t *testing.T) {
+	for _, b := range []behaviour{cutsBefore, unsealed, foreign, cutsBody} {
+		f, _, report, err := play(t, nonIdempotent, b, answers)
+		if !errkind.Is(err, errkind.BackendLost) || f.runs != 1 || report.Sends != 1 {
+			t.Errorf("%s: %v, ran %d, sent %d", b, err, f.runs, report.Sends)
+		}
+	}
+}
+
+func TestRefusedIsSentOn(t *testing.T) {
+	f, out, _, err := play(t, nonIdempotent, refuses, misdirects, unreachable, answers)
+	if err != nil || out.body != wholeBody || f.runs != 1 {
+		t.Errorf("%v, %q, ran %d", err, out.body, f.runs)
+	}
+}
+
+func TestReplicasOwnFailureIsPassedOn(t *testing.T) {
+	_, out, _, err := play(t, idempotent, fails, fails)
+	if err != nil || out.status != http.StatusInternalServerError {
+		t.Errorf("%v, status %d", err, out.status)
+	}
+	_, out, _, err = play(t, idempotent, fails, answers)
+	if err != nil || out.status != http.StatusOK {
+		t.Errorf("sent on once more: %v, status %d", err, out.status)
+	}
+}
+
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{refuses, refuses, refuses, refuses, refuses}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		began := time.Now()
+		_, err := d.Run(context.Background(), nonIdempotent(), &recorder{})
+		e := errkind.From(err)
+		if e.Kind.Answer().Run != errkind.NotRun || e.Retry() <= 0 || time.Since(began) > 10*time.Millisecond {
+			t.Errorf("%v after %v, retry after %v", err, time.Since(began), e.Retry())
+		}
+		synctest.Wait()
+	})
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{fails, answers}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		d.budget = retry.NewBudget(0, time.Second, 0, 1, time.Now())
+		out := &recorder{}
+		if _, err := d.Run(context.Background(), idempotent(), out); err != nil || f.runs != 1 {
+			t.Errorf("%v, ran %d", err, f.runs)
+		}
+		synctest.Wait()
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"))
+	f.Add([]byte("id: 1\ndata"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		er := newEventReader(strings.NewReader(string(data)))
+		total := 0
+		for {
+			ev, err := er.next()
+			if err != nil {
+				if errors.Is(err, io.EOF) && strings.TrimSpace(string(data[total:])) != "" {
+					t.Errorf("a clean end with %q left", data[total:])
+				}
+				return
+			}
+			total += len(ev.data)
+			if !strings.HasSuffix(string(ev.data), "\n") {
+				t.Errorf("half an event: %q", ev.data)
+			}
+		}
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,7 +23,8 @@
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	// Dial opens a connection; tests replace it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -34,7 +35,11 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: map[string][]*conn{}}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
+	return &Pool{Dial: dial, idle: map[string][]*conn{}}
 }
 
 // Opened returns the number of connections opened so far.
@@ -74,7 +79,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	raw, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
