--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -34,6 +34,7 @@
 	Serve    serveCmd    `cmd:"" help:"Run an entry host until SIGTERM or SIGINT, then stop without cutting a request."`
 	Settings settingsCmd `cmd:"" help:"Work with settings files."`
 	Admin    adminCmd    `cmd:"" help:"Operators' calls."`
+	Explain  explainCmd  `cmd:"" help:"Tell a request's story from the hosts' logs."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -100,30 +100,30 @@
 	write := func(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
 	switch b {
 	case refuses:
-		write(head(503)+"X-Briarlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		write(head(503) + "X-Briarlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return
 	case misdirects:
-		write(head(421)+"X-Briarlink-Instance: another\r\nContent-Length: 0\r\n\r\n")
+		write(head(421) + "X-Briarlink-Instance: another\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
 	f.runs++
 	f.ranAt[address] = true
 	switch b {
 	case answers:
-		write(head(200)+seal+length+wholeBody)
+		write(head(200) + seal + length + wholeBody)
 	case fails:
-		write(head(500)+seal+"Content-Length: 0\r\n\r\n")
+		write(head(500) + seal + "Content-Length: 0\r\n\r\n")
 	case unsealed:
-		write(head(200)+length+wholeBody)
+		write(head(200) + length + wholeBody)
 	case foreign:
 		write("HTTP/1.1 200 OK\r\nX-Briarlink-Attempt-Id: other\r\nX-Briarlink-Seal: s\r\n" + length + wholeBody)
 	case cutsBody:
-		write(head(200)+seal+length+wholeBody[:5])
+		write(head(200) + seal + length + wholeBody[:5])
 	case hangs:
 		_, _ = io.Copy(io.Discard, r)
 	case streams, cutsStream, skips:
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-		write(head(200)+seal+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		write(head(200) + seal + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		f.events(c, b, last)
 	}
 }
--- /dev/null
+++ b/internal/oai/oai_test.go
@@ -0,0 +1,52 @@
+package oai
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+func describe(t *testing.T, body string) platform.CallerRequest {
+	t.Helper()
+	var r platform.CallerRequest
+	if err := Describe([]byte(body), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestCommonBeginningsShareParts(t *testing.T) {
+	long := strings.Repeat("history ", 1000)
+	a := describe(t, `{"model":"m","max_tokens":9,"prompt":"`+long+`first"}`)
+	b := describe(t, `{"model":"m","prompt":"`+long+`second question"}`)
+	if a.Model != "m" || a.OutputTokens != 9 || len(a.Parts) != 5 || a.PromptTokens < 2000 {
+		t.Errorf("got %+v", a)
+	}
+	for i := range 4 {
+		if a.Parts[i] != b.Parts[i] {
+			t.Errorf("part %d differs", i)
+		}
+	}
+	if a.Parts[4].ID == b.Parts[4].ID {
+		t.Error("different ends have the same part")
+	}
+}
+
+func TestMatches(t *testing.T) {
+	for path, want := range map[string]bool{"/v1/completions": true, "/x/v1/chat/completions": true, "/v1/models": false} {
+		if Matches(path) != want {
+			t.Errorf("%s: %v", path, !want)
+		}
+	}
+}
+
+func FuzzDescribe(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r platform.CallerRequest
+		if err := Describe(body, &r); err == nil && r.Model == "" {
+			t.Error("no model and no error")
+		}
+	})
+}
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,196 @@
+package schedule
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/platform"
+)
+
+const (
+	testModel    = "m"
+	storeAddress = "10.9.9.9:1"
+)
+
+var (
+	service    = &config.Service{Name: "s", Engine: &config.Engine{Slots: 64, CacheTokens: 165_000, TokenBytes: 163_840, LinkMbps: 550_000}}
+	cacheStore = &config.CacheStore{Address: storeAddress, AvailabilityZone: "z", CacheTokens: 2_500_000, LinkMbps: 260_000}
+	isolated   = &config.Organisation{Name: "walled", Isolated: true}
+	open       = &config.Organisation{Name: "open"}
+)
+
+func newScheduler(ids ...string) (*Scheduler, *prefix.Index, *replica.Table) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	table := replica.NewTable(log, func(string, string) {})
+	for i, id := range ids {
+		table.Register(platform.Registration{ID: id, Service: "s", Address: id, AvailabilityZone: "z", Slots: 64, Weights: map[string]int64{testModel: 1}}, int64(i))
+	}
+	index := prefix.NewIndex()
+	s := New(table, index, route.DefaultPolicy(), "z", true)
+	s.SetStoreUp(true)
+	return s, index, table
+}
+
+func request(org *config.Organisation, part string) *Request {
+	return &Request{
+		Service: service, Store: cacheStore, Organisation: org, Model: testModel,
+		Parts:        []platform.Part{{ID: part, Tokens: 13_000}, {ID: "own", Tokens: 4_000}},
+		PromptTokens: 17_000, OutputTokens: 100, Target: 800 * time.Millisecond,
+		Deadline: time.Now().Add(10 * time.Second), Exclude: map[string]bool{},
+	}
+}
+
+func pick(t *testing.T, s *Scheduler, req *Request, now time.Time) *Choice {
+	t.Helper()
+	c, err := s.Pick(req, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestSalts(t *testing.T) {
+	s, _, _ := newScheduler()
+	salts := map[string]bool{}
+	for _, version := range []int64{1, 2} {
+		for _, org := range []*config.Organisation{open, isolated, {Name: "other", Isolated: true}} {
+			salts[s.Salt(version, org)] = true
+		}
+	}
+	if len(salts) != 6 {
+		t.Errorf("%d salts of 6 are different", len(salts))
+	}
+	if s.Salt(1, open) != s.Salt(1, &config.Organisation{Name: "also open"}) || s.Salt(1, nil) != s.Salt(1, open) {
+		t.Error("organisations that are not isolated do not share")
+	}
+	s.share = false
+	if s.Salt(1, open) == s.Salt(1, &config.Organisation{Name: "also open"}) {
+		t.Error("they share although sharing is off")
+	}
+}
+
+// TestPromptFollowsItsParts: the replica that reads them gets the next request,
+// which waits until they are read.
+func TestPromptFollowsItsParts(t *testing.T) {
+	s, _, _ := newScheduler("a", "b", "c")
+	now := time.Now()
+	first := pick(t, s, request(open, "p"), now)
+	held := request(open, "p")
+	held.MaxHold = time.Second
+	second := pick(t, s, held, now)
+	if second.ID != first.ID || second.Hold <= 0 || second.Flight != nil {
+		t.Errorf("went to %s after %s, held for %v", second.ID, first.ID, second.Hold)
+	}
+	s.Read(first, now)
+	third := pick(t, s, held, now.Add(time.Second))
+	if third.ID != first.ID || third.Hold != 0 || third.Cached != 13_000 {
+		t.Errorf("went to %s, held for %v, cached %d", third.ID, third.Hold, third.Cached)
+	}
+}
+
+// TestIsolatedPromptsAreNotFoundByOthers.
+func TestIsolatedPromptsAreNotFoundByOthers(t *testing.T) {
+	s, _, _ := newScheduler("a")
+	now := time.Now()
+	s.Read(pick(t, s, request(isolated, "p"), now), now)
+	if c := pick(t, s, request(open, "p"), now); c.Cached != 0 || c.Source != "" {
+		t.Errorf("cached %d, source %q", c.Cached, c.Source)
+	}
+}
+
+// TestNewWeightsFindNothing: what older weights made is never counted on.
+func TestNewWeightsFindNothing(t *testing.T) {
+	s, _, table := newScheduler("a", "b")
+	now := time.Now()
+	s.Read(pick(t, s, request(open, "p"), now), now)
+	table.Want(testModel, 2, now)
+	table.Holds("a", testModel, 2)
+	table.Holds("b", testModel, 2)
+	if c := pick(t, s, request(open, "p"), now); c.Cached != 0 || c.Source != "" || c.Weights != 2 || c.Salt != "w2" {
+		t.Errorf("cached %d, source %q, weights %d, salt %q", c.Cached, c.Source, c.Weights, c.Salt)
+	}
+}
+
+// TestBusyHolderIsASource: a replica that is full of work hands its parts over.
+func TestBusyHolderIsASource(t *testing.T) {
+	s, _, table := newScheduler("a", "b")
+	now := time.Now()
+	first := pick(t, s, request(open, "p"), now)
+	s.Read(first, now)
+	table.Begin(first.ID, replica.Work{Prefill: 90_000, Memory: 90_000, Expected: 2 * time.Second, Reading: 2 * time.Second}, now)
+	if c := pick(t, s, request(open, "p"), now); c.ID == first.ID || c.Source != first.ID || c.Fetched != 13_000 {
+		t.Errorf("went to %s, %d tokens from %q", c.ID, c.Fetched, c.Source)
+	}
+}
+
+// TestStoreIsASource while it answers.
+func TestStoreIsASource(t *testing.T) {
+	s, index, _ := newScheduler("a")
+	now := time.Now()
+	index.Stored(storeAddress, prefix.HashOf("w1", "p"), 13_000, 2_500_000, now)
+	s.SetStoreUp(false)
+	if c := pick(t, s, request(open, "p"), now); c.Source != "" {
+		t.Errorf("fetched from a store that does not answer")
+	}
+	s, index, _ = newScheduler("a")
+	index.Stored(storeAddress, prefix.HashOf("w1", "p"), 13_000, 2_500_000, now)
+	if c := pick(t, s, request(open, "p"), now); c.Source != storeAddress || c.Fetched != 13_000 {
+		t.Errorf("source %q, fetched %d", c.Source, c.Fetched)
+	}
+}
+
+// TestOnlyLikelyReuseIsSaved: the store's link has no room for the rest.
+func TestOnlyLikelyReuseIsSaved(t *testing.T) {
+	s, _, _ := newScheduler("a", "b", "c", "d")
+	now := time.Now()
+	if c := pick(t, s, request(open, "p"), now); c.Sink != "" {
+		t.Error("a prompt that was never seen is saved")
+	}
+	now = now.Add(reuseWindow / 2)
+	if c := pick(t, s, request(open, "p"), now); c.Sink != storeAddress {
+		t.Error("a prompt that is asked for again is not saved")
+	}
+	if c := pick(t, s, request(open, "p"), now.Add(2*reuseWindow)); c.Sink != "" {
+		t.Error("a prompt that was asked for long ago is saved")
+	}
+}
+
+// TestOtherHostsWordCounts: what they sent is found, and their transfers delay
+// this host's.
+func TestOtherHostsWordCounts(t *testing.T) {
+	here, _, _ := newScheduler("a", "b")
+	there, _, _ := newScheduler("a", "b")
+	now := time.Now()
+	first := pick(t, there, request(open, "p"), now)
+	here.Heard(there.TakeSent(), service.Engine.CacheTokens, now)
+	if c := pick(t, here, request(open, "p"), now.Add(5*time.Second)); c.ID != first.ID || c.Cached != 13_000 {
+		t.Errorf("went to %s, cached %d; the other host sent to %s", c.ID, c.Cached, first.ID)
+	}
+	if len(there.TakeSent()) != 0 {
+		t.Error("told twice")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	ids := make([]string, 72)
+	for i := range ids {
+		ids[i] = string(rune('a'+i%26)) + string(rune('a'+i/26))
+	}
+	s, _, _ := newScheduler(ids...)
+	now := time.Now()
+	for b.Loop() {
+		c, err := s.Pick(request(open, "p"), now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Flight.End(replica.Answered, now)
+	}
+}
