--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -88,8 +88,7 @@
 		return
 	}
 	limit := max(leastSilence, time.Duration(silentTargets*float64(route.LatencyTarget)))
-	var check func()
-	check = func() {
+	check := func() {
 		if x.choice.Flight.Silence(time.Now()) > limit {
 			x.cancel(errSilent)
 			return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -272,21 +272,18 @@
 	return true
 }
 
-const (
-	// leastPatience, patientTargets and patientPauses say how long callers wait for
-	// a stream's first event: the longest of the three.
-	leastPatience  = 2 * time.Second
-	patientTargets = 4
-	patientPauses  = 8
-)
+// lateTargets is the expected time to a stream's first event, in latency targets,
+// from which a request is refused: it would be late, make those behind it late,
+// and mostly be given up by its caller, who waits for four targets.
+const lateTargets = 2
 
-// patience returns how long a caller waits for the first event of a stream; for
-// other answers the deadline says so.
+// patience returns the longest expected time to the first event of a stream that
+// is accepted; for other answers the deadline says so.
 func patience(route *config.Route) time.Duration {
-	if route.Kind != config.Streaming {
+	if route.Kind != config.Streaming || route.LatencyTarget <= 0 {
 		return unlimited
 	}
-	return 2 * route.LatencyTarget
+	return lateTargets * route.LatencyTarget
 }
 
 // unlimited stands for no bound.
