One host reads the backend servers' entries for all; the lease's holder tells of it; weights load under running requests

Change: a host reads the entries only when no live host has within 0.4 s, and fetches what it lacks from that host; the holder's heartbeat spares reads of the lease. Weights load in mode retain, three at once.

--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -44,6 +44,7 @@
 func (n *Node) replicaRecord(rec platform.Record, trusted bool) {
 	if rec.Removed {
 		n.replicas.Remove(rec.Key, trusted)
+		n.beatNow()
 		return
 	}
 	reg, err := platform.DecodeReplica(rec)
@@ -52,6 +53,9 @@
 		return
 	}
 	n.replicas.Register(reg, rec.Offset)
+	if reg.Draining {
+		n.beatNow()
+	}
 }
 
 // hostRecord takes an entry host's address.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -15,9 +15,10 @@
 const (
 	// fetchTimeout bounds a fetch of records from another host.
 	fetchTimeout = 800 * time.Millisecond
-	// staleAccess is the time without an answer of the store from which backend
-	// servers' entries are taken from other hosts too.
-	staleAccess = 800 * time.Millisecond
+	// freshEntries is the age of a read of the backend servers' entries, by any
+	// host, from which this host reads them itself. With a heartbeat's interval, a
+	// read and the way here it keeps what is known well under a second old.
+	freshEntries = 400 * time.Millisecond
 	// toldAddresses bounds the peer addresses in a heartbeat.
 	toldAddresses = 12
 	// loadingHold is how long a replica that another host orders gets no requests
@@ -71,6 +72,8 @@
 		Loading:          n.loader.Busy(),
 		Known:            n.members.Addresses(now, toldAddresses),
 		StoreAgeMs:       n.access.Age(now).Milliseconds(),
+		EntriesAgeMs:     n.servers.Age(now).Milliseconds(),
+		LeaseEnd:         n.lease.HeldEnd(),
 	}
 	b.Down, _ = n.replicas.Down(now)
 	for _, t := range n.shared() {
@@ -84,6 +87,23 @@
 	n.gossip.Send(b, n.members.Targets(now))
 }
 
+// entriesFresh reports whether some live host has just read the backend servers'
+// entries and this one lacks none of them.
+func (n *Node) entriesFresh() bool {
+	now := time.Now()
+	if n.servers.Age(now) < freshEntries {
+		return true
+	}
+	end := n.servers.End()
+	for _, h := range n.members.Hosts(now) {
+		age := h.Age + time.Duration(h.Beat.EntriesAgeMs)*time.Millisecond
+		if h.Alive && !h.Beat.Leaving && age < freshEntries && position(h.Beat, platform.ReplicaTopic) <= end {
+			return true
+		}
+	}
+	return false
+}
+
 // shared returns the topics that hosts pass on to each other.
 func (n *Node) shared() []*topic.Table { return []*topic.Table{n.operators, n.servers} }
 
@@ -104,6 +124,7 @@
 		}
 	}
 	n.replicas.SetLoads(b.Host, b.Loads)
+	n.lease.Heard(b.Host, b.LeaseEnd)
 	n.replicas.Suspect(b.Down, now)
 	for _, id := range b.Loading {
 		n.replicas.Loading(id, now.Add(loadingHold))
@@ -145,10 +166,6 @@
 func (n *Node) catchUp(b *pb.Heartbeat, now time.Time) {
 	for _, t := range n.shared() {
 		ahead := position(b, t.Name()) > t.End() || !t.Synced() && position(b, t.Name()) > 0
-		if t == n.servers && t.Synced() && n.access.Age(now) < staleAccess {
-			// This host reads them itself a moment later.
-			ahead = false
-		}
 		if !ahead {
 			continue
 		}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -43,14 +43,14 @@
 
 // loops returns the host's background work.
 func (n *Node) loops() []func(context.Context) {
-	follow := func(t *topic.Table, wait, gap time.Duration) func(context.Context) {
-		f := &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Log: n.log}
+	follow := func(t *topic.Table, wait, gap time.Duration, fresh func() bool) func(context.Context) {
+		f := &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Fresh: fresh, Log: n.log}
 		return f.Run
 	}
 	return []func(context.Context){
-		follow(n.operators, configWait, configGap),
-		follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration()),
-		follow(n.hosts, hostWait, configGap),
+		follow(n.operators, configWait, configGap, nil),
+		follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration(), n.entriesFresh),
+		follow(n.hosts, hostWait, configGap, nil),
 		n.announce,
 		n.heartbeats,
 		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -60,12 +60,14 @@
 	orderShare = 0.5
 	// renewShare of the lease's time is when it is renewed: two renewals may fail
 	// before orders stop.
-	renewShare = 0.2
+	renewShare = 0.25
 	// takeOverMargin is kept after another holder's lease has ended, for orders
 	// that are on their way.
 	takeOverMargin = 300 * time.Millisecond
 	// readWait is how long a read waits for a record at the store.
 	readWait = 15 * time.Second
+	// heardHold is how long the holder's word spares a read.
+	heardHold = 700 * time.Millisecond
 	// readPause follows a failed read.
 	readPause = 300 * time.Millisecond
 )
@@ -90,6 +92,8 @@
 	// renewed is when the last successful grant or renewal was sent.
 	renewed time.Time
 	fencing int64
+	// heard is when the holder itself last told of the lease.
+	heard time.Time
 	// uncertain is set while an append without an answer may yet show on the log.
 	uncertain time.Time
 }
@@ -102,6 +106,13 @@
 // Follow reads the lease's log until ctx ends.
 func (l *Lease) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
+		if l.told() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(readPause):
+			}
+			continue
+		}
 		l.mu.Lock()
 		from := l.end
 		wait := readWait
@@ -119,6 +130,45 @@
 	}
 }
 
+// told reports whether the holder's own word makes a read needless: each record
+// would wake every host.
+func (l *Lease) told() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Is(StateOther) && time.Since(l.heard) < heardHold
+}
+
+// Heard takes the word of a host that holds the lease, with the end of its log;
+// 0 from all others.
+func (l *Lease) Heard(holder string, end int64) {
+	if end == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if end < l.end || l.machine.Is(StateHeld) || l.machine.Is(StateUnknown) {
+		return
+	}
+	now := time.Now()
+	l.heard = now
+	if end == l.end {
+		return
+	}
+	l.end, l.seen = end, now
+	l.last = platform.LeaseRecord{Holder: holder}
+	statemachine.Fire(l.machine, eventOther)
+}
+
+// HeldEnd returns the end of the log while this process holds the lease, or 0.
+func (l *Lease) HeldEnd() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.machine.Is(StateHeld) {
+		return 0
+	}
+	return l.end
+}
+
 // took takes the result of a read and reports whether to read on at once.
 func (l *Lease) took(page platform.Page, from int64, err error) bool {
 	l.mu.Lock()
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -231,3 +231,37 @@
 		wg.Wait()
 	})
 }
+
+// TestHoldersWordSparesReads, and its silence ends that.
+func TestHoldersWordSparesReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		holder := NewLease(&view{log: log}, quietLog(), "a", 1, testTTL)
+		other := NewLease(&view{log: log}, quietLog(), "b", 2, testTTL)
+		wg.Go(func() { holder.Follow(ctx) })
+		wg.Go(func() { other.Follow(ctx) })
+		synctest.Wait()
+		for range 100 {
+			holder.Try(ctx)
+			other.Heard("a", holder.HeldEnd())
+			if other.Try(ctx) {
+				t.Fatal("taken over from a holder that renews")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if name, _, here := other.Holder(); name != "a" || here {
+			t.Errorf("the other host thinks that %q holds it", name)
+		}
+		began := time.Now()
+		for !other.Try(ctx) {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if took := time.Since(began); took > testTTL+2*time.Second {
+			t.Errorf("taken over after %v", took)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,8 +41,8 @@
 		},
 		Weights: &pb.WeightsSettings{
 			Lease:       durationpb.New(3 * time.Second),
-			Concurrency: 4,
-			Mode:        "queue",
+			Concurrency: 3,
+			Mode:        "retain",
 			Deadline:    durationpb.New(8 * time.Second),
 		},
 		Stop: &pb.StopSettings{Grace: durationpb.New(8 * time.Second)},
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -23,6 +23,9 @@
 	// keeps the view less than a second behind once the store is back.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
+	// freshCheck is how often a skipped read is thought over; a random part keeps
+	// hosts from reading in step.
+	freshCheck = 40 * time.Millisecond
 )
 
 // Follower keeps a table up to date from the store.
@@ -35,7 +38,10 @@
 	// Gap is the pause between two reads: it bounds the calls that a busy topic
 	// costs, and adds to the age of what is known.
 	Gap time.Duration
-	Log *logrus.Logger
+	// Fresh reports whether other hosts' word makes a read needless now; it may be
+	// nil. A host that skips reads learns from those that do not.
+	Fresh func() bool
+	Log   *logrus.Logger
 }
 
 // Run follows the topic until ctx ends.
@@ -43,6 +49,13 @@
 	synced := f.Table.Synced()
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if synced && f.Fresh != nil && f.Fresh() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(freshCheck + rand.N(freshCheck)):
+			}
+			continue
+		}
 		var err error
 		synced, err = f.step(ctx, synced)
 		pause := f.Gap
@@ -78,6 +91,7 @@
 		return true, err
 	}
 	f.Access.Succeeded(time.Now())
+	f.Table.Read(time.Now())
 	f.Table.Merge(page.Records, from+int64(len(page.Records)), f.Access.Stable(time.Now()))
 	return true, nil
 }
@@ -92,6 +106,7 @@
 	if !f.Table.Snapshot(page, f.Access.Stable(time.Now())) {
 		return false, errors.New("the store's view is older than this host's")
 	}
+	f.Table.Read(time.Now())
 	return true, nil
 }
 
--- a/internal/topic/table.go
+++ b/internal/topic/table.go
@@ -6,6 +6,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/briarlink/briarlink/platform"
 )
@@ -21,6 +22,8 @@
 	// end is the first offset not yet applied.
 	end    int64
 	synced bool
+	// read is when this host itself last read the topic.
+	read time.Time
 }
 
 // maxRemoved bounds the removals that are remembered for other hosts.
@@ -50,6 +53,23 @@
 	return t.synced
 }
 
+// Read records that this host has just read the topic from the store.
+func (t *Table) Read(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.read = now
+}
+
+// Age returns how long ago this host itself read the topic.
+func (t *Table) Age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.read.IsZero() {
+		return neverAnswered
+	}
+	return now.Sub(t.read)
+}
+
 // Merge takes records of a read, which must be all up to end. It returns how
 // many were new.
 func (t *Table) Merge(records []platform.Record, end int64, trusted bool) int {
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -220,3 +220,31 @@
 		<-done
 	})
 }
+
+// TestOtherHostsReadsSpareCalls: only while their word says so.
+func TestOtherHostsReadsSpareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &fakeReader{truth: history{put("a", 0)}}
+		table := NewTable("keyed.x", func(platform.Record, bool) {})
+		fresh := true
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
+			f.Fresh = func() bool { return fresh }
+			f.Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		if reader.reads != 1 {
+			t.Errorf("%d reads while others read, want the first", reader.reads)
+		}
+		fresh = false
+		time.Sleep(time.Second)
+		if reader.reads < 8 {
+			t.Errorf("%d reads once nobody does", reader.reads)
+		}
+		cancel()
+		<-done
+	})
+}
