Entries are read by one host at a time; waiting reads end when the store is back

Change: a read is told at once, and hosts wait for those before them in rank. A waiting read that an outage has silenced is given up when another call shows the store; it may then wait longer.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -19,6 +19,11 @@
 	// host, from which this host reads them itself. With a heartbeat's interval, a
 	// read and the way here it keeps what is known well under a second old.
 	freshEntries = 400 * time.Millisecond
+	// freshStagger is added for each host that comes before this one, so that they
+	// do not all read at once.
+	freshStagger = 60 * time.Millisecond
+	// maxStagger bounds the hosts that are waited for.
+	maxStagger = 6
 	// toldAddresses bounds the peer addresses in a heartbeat.
 	toldAddresses = 12
 	// loadingHold is how long a replica that another host orders gets no requests
@@ -95,9 +100,10 @@
 		return true
 	}
 	end := n.servers.End()
+	limit := freshEntries + time.Duration(min(n.rank(), maxStagger))*freshStagger
 	for _, h := range n.members.Hosts(now) {
 		age := h.Age + time.Duration(h.Beat.EntriesAgeMs)*time.Millisecond
-		if h.Alive && !h.Beat.Leaving && age < freshEntries && position(h.Beat, platform.ReplicaTopic) <= end {
+		if h.Alive && !h.Beat.Leaving && age < limit && position(h.Beat, platform.ReplicaTopic) <= end {
 			return true
 		}
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -14,7 +14,7 @@
 const (
 	// configWait is how long a read of the configuration waits at the store: the
 	// price of a call against the time until a silent store is noticed.
-	configWait = 8 * time.Second
+	configWait = 20 * time.Second
 	// hostWait is the same for hosts' addresses, which heartbeats tell as well.
 	hostWait = 25 * time.Second
 	// configGap bounds the reads in a storm of configurations.
@@ -43,14 +43,15 @@
 
 // loops returns the host's background work.
 func (n *Node) loops() []func(context.Context) {
-	follow := func(t *topic.Table, wait, gap time.Duration, fresh func() bool) func(context.Context) {
-		f := &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Fresh: fresh, Log: n.log}
-		return f.Run
+	follow := func(t *topic.Table, wait, gap time.Duration) *topic.Follower {
+		return &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Log: n.log}
 	}
+	entries := follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration())
+	entries.Fresh, entries.OnRead = n.entriesFresh, n.beatNow
 	return []func(context.Context){
-		follow(n.operators, configWait, configGap, nil),
-		follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration(), n.entriesFresh),
-		follow(n.hosts, hostWait, configGap, nil),
+		follow(n.operators, configWait, configGap).Run,
+		entries.Run,
+		follow(n.hosts, hostWait, configGap).Run,
 		n.announce,
 		n.heartbeats,
 		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -41,7 +41,9 @@
 	// Fresh reports whether other hosts' word makes a read needless now; it may be
 	// nil. A host that skips reads learns from those that do not.
 	Fresh func() bool
-	Log   *logrus.Logger
+	// OnRead is called after each read; it may be nil.
+	OnRead func()
+	Log    *logrus.Logger
 }
 
 // Run follows the topic until ctx ends.
@@ -78,7 +80,10 @@
 		return f.snapshot(ctx)
 	}
 	from := f.Table.End()
-	page, err := f.Store.Read(ctx, f.Table.Name(), from, f.Wait)
+	page, err := f.read(ctx, from)
+	if errors.Is(err, errRegained) {
+		return true, nil
+	}
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.Access.Succeeded(time.Now())
@@ -93,9 +98,38 @@
 	f.Access.Succeeded(time.Now())
 	f.Table.Read(time.Now())
 	f.Table.Merge(page.Records, from+int64(len(page.Records)), f.Access.Stable(time.Now()))
+	if f.OnRead != nil {
+		f.OnRead()
+	}
 	return true, nil
 }
 
+// errRegained ends a waiting read when the store is back after an outage: the
+// read may hang on a connection that the outage has silenced.
+var errRegained = errors.New("the store is back")
+
+// read reads once; a read that waits is given up when the store is regained.
+func (f *Follower) read(ctx context.Context, from int64) (platform.Page, error) {
+	if f.Wait == 0 {
+		return f.Store.Read(ctx, f.Table.Name(), from, 0)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	regained := f.Access.Regained()
+	go func() {
+		select {
+		case <-regained:
+			cancel(errRegained)
+		case <-ctx.Done():
+		}
+	}()
+	page, err := f.Store.Read(ctx, f.Table.Name(), from, f.Wait)
+	if err != nil && errors.Is(context.Cause(ctx), errRegained) {
+		return platform.Page{}, errRegained
+	}
+	return page, err
+}
+
 func (f *Follower) snapshot(ctx context.Context) (bool, error) {
 	page, err := f.Store.Newest(ctx, f.Table.Name())
 	if err != nil {
@@ -129,11 +163,20 @@
 	// regained is when the last outage ended.
 	regained time.Time
 	success  time.Time
+	// back is closed and replaced when an outage ends.
+	back chan struct{}
 }
 
 // NewAccess returns access that counts as good until a call fails.
 func NewAccess(grace time.Duration, log *logrus.Logger) *Access {
-	return &Access{grace: grace, log: log}
+	return &Access{grace: grace, log: log, back: make(chan struct{})}
+}
+
+// Regained returns a channel that is closed when the next outage ends.
+func (a *Access) Regained() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.back
 }
 
 // Succeeded records a call that the store answered.
@@ -147,6 +190,8 @@
 	a.log.WithField("outage_ms", now.Sub(a.lost).Milliseconds()).Info("store regained")
 	a.lost = time.Time{}
 	a.regained = now
+	close(a.back)
+	a.back = make(chan struct{})
 }
 
 // Failed records a call that the store refused or did not answer.
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -248,3 +248,32 @@
 		<-done
 	})
 }
+
+// TestWaitingReadEndsWithTheOutage: it may hang on a connection that the outage
+// has silenced, while another call shows that the store is back.
+func TestWaitingReadEndsWithTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &fakeReader{truth: history{put("a", 0)}}
+		held := map[string]bool{}
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held[rec.Key] = true })
+		access := NewAccess(0, quietLog())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			(&Follower{Store: reader, Table: table, Access: access, Wait: time.Minute, Log: quietLog()}).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		// The waiting read does not see the new record, as it hangs.
+		reader.truth = append(reader.truth, put("b", 1))
+		access.Failed(time.Now(), errDown)
+		time.Sleep(time.Second)
+		access.Succeeded(time.Now())
+		time.Sleep(time.Second)
+		if !held["b"] {
+			t.Error("the record was not read after the outage")
+		}
+		cancel()
+		<-done
+	})
+}
