Refusals say why; a host is ready as soon as it knows enough

Change: readiness is looked at with each read; 'no replica' counts the known ones by reason, 'overloaded' gives expected and accepted time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -231,7 +232,8 @@
 	}
 	if left := min(req.Deadline.Sub(now), patience(req.Route)); choice.Expected > left && r.arrived == 0 {
 		r.d.scheduler.Withdraw(choice, now)
-		return nil, errkind.New(errkind.Overloaded, "no replica is expected to answer before the caller leaves").After(choice.Expected - left)
+		return nil, errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
+			choice.Expected.Milliseconds(), left.Milliseconds())).After(choice.Expected - left)
 	}
 	r.report.Replica = choice.ID
 	r.report.Expected = choice.Expected
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -26,6 +26,7 @@
 		}
 		n.config.Store(c)
 		n.log.WithFields(logrus.Fields{"version": c.Version, "offset": rec.Offset, "routes": len(c.Routes), "organisations": len(c.Organisations)}).Info("configuration in force")
+		n.becomeReady()
 		n.beatNow()
 		return
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -201,7 +201,9 @@
 	for _, r := range resp.Records {
 		records = append(records, platform.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed})
 	}
-	if taken := t.MergeAll(records, resp.End, resp.Trusted); taken > 0 {
+	taken := t.MergeAll(records, resp.End, resp.Trusted)
+	n.becomeReady()
+	if taken > 0 {
 		n.log.WithFields(logrus.Fields{"host": host, "topic": t.Name(), "records": taken, "end": resp.End}).Info("records taken from another host")
 	}
 }
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -47,7 +47,11 @@
 		return &topic.Follower{Store: n.store, Table: t, Access: n.access, Wait: wait, Gap: gap, Log: n.log}
 	}
 	entries := follow(n.servers, 0, n.settings.Replica.PollInterval.AsDuration())
-	entries.Fresh, entries.OnRead = n.entriesFresh, n.beatNow
+	entries.Fresh = n.entriesFresh
+	entries.OnRead = func() {
+		n.becomeReady()
+		n.beatNow()
+	}
 	return []func(context.Context){
 		follow(n.operators, configWait, configGap).Run,
 		entries.Run,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,9 @@
 package route
 
 import (
+	"fmt"
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -162,7 +165,7 @@
 	bestRank := uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !p.keep(req, c) {
+		if p.unfit(req, c) != "" {
 			continue
 		}
 		best.Considered++
@@ -175,7 +178,7 @@
 		}
 	}
 	if best.ID == "" {
-		return best, errkind.New(errkind.NoBackend, "no replica can take the request").After(retryAfter)
+		return best, errkind.New(errkind.NoBackend, p.whyNone(req, candidates)).After(retryAfter)
 	}
 	return best, nil
 }
@@ -201,9 +204,36 @@
 // affinity ranks replicas for a leading part by rendezvous hashing.
 func affinity(part uint64, id string) uint64 { return xxh3.HashStringSeed(id, part) }
 
-// keep applies the filters.
-func (p Policy) keep(req *Request, c *Candidate) bool {
-	return c.Usable && !c.Loading && !req.Exclude[c.ID] && c.Behind < p.WeightsDeadline-deadlineMargin && fits(req, c)
+// unfit applies the filters: it returns why a candidate may not be used, or "".
+func (p Policy) unfit(req *Request, c *Candidate) string {
+	switch {
+	case !c.Usable:
+		return "down or leaving"
+	case c.Loading:
+		return "loading weights"
+	case req.Exclude[c.ID]:
+		return "tried"
+	case c.Behind >= p.WeightsDeadline-deadlineMargin:
+		return "on old weights"
+	case !fits(req, c):
+		return "too small"
+	default:
+		return ""
+	}
+}
+
+// whyNone counts the candidates by the reason that ruled them out.
+func (p Policy) whyNone(req *Request, candidates []Candidate) string {
+	counts := map[string]int{}
+	for i := range candidates {
+		counts[p.unfit(req, &candidates[i])]++
+	}
+	var parts []string
+	for reason, n := range counts {
+		parts = append(parts, fmt.Sprintf("%d %s", n, reason))
+	}
+	sort.Strings(parts)
+	return fmt.Sprintf("no replica can take the request; known: %d (%s)", len(candidates), strings.Join(parts, ", "))
 }
 
 // fits reports whether the replica's whole memory holds the request.
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -98,9 +98,7 @@
 	f.Access.Succeeded(time.Now())
 	f.Table.Read(time.Now())
 	f.Table.Merge(page.Records, from+int64(len(page.Records)), f.Access.Stable(time.Now()))
-	if f.OnRead != nil {
-		f.OnRead()
-	}
+	f.tell()
 	return true, nil
 }
 
@@ -141,9 +139,16 @@
 		return false, errors.New("the store's view is older than this host's")
 	}
 	f.Table.Read(time.Now())
+	f.tell()
 	return true, nil
 }
 
+func (f *Follower) tell() {
+	if f.OnRead != nil {
+		f.OnRead()
+	}
+}
+
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
