Trial: less urgent requests are refused before urgent ones wait

Change: a request of a less urgent route is refused when it would wait longer than the target of the service's most urgent route.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,6 +82,10 @@
 	Engine *Engine
 	// Store is set for a store of kept KV cache.
 	Store *CacheStore
+	// UrgentTarget is the latency target of the most urgent streaming route to the
+	// service, and UrgentPriority that route's priority.
+	UrgentTarget   time.Duration
+	UrgentPriority int
 }
 
 // CacheStore is a store of kept KV cache.
@@ -135,6 +139,7 @@
 	for _, routes := range c.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	c.findUrgent()
 	c.byKey = map[string]*Organisation{}
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
@@ -144,6 +149,28 @@
 	return c
 }
 
+// findUrgent fills in the most urgent route of each service.
+func (c *Config) findUrgent() {
+	for _, r := range c.Routes {
+		if r.Kind != Streaming || r.LatencyTarget <= 0 {
+			continue
+		}
+		for _, share := range r.Services {
+			s := c.Services[share.Service]
+			if s != nil && (s.UrgentTarget == 0 || r.moreUrgent(s)) {
+				s.UrgentTarget, s.UrgentPriority = r.LatencyTarget, r.Priority
+			}
+		}
+	}
+}
+
+func (r *Route) moreUrgent(s *Service) bool {
+	if r.Priority != s.UrgentPriority {
+		return r.Priority < s.UrgentPriority
+	}
+	return r.LatencyTarget < s.UrgentTarget
+}
+
 // Route returns the route with the longest prefix of path, or nil.
 func (c *Config) Route(host, path string) *Route {
 	for _, r := range c.byHost[strings.ToLower(host)] {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -230,10 +230,9 @@
 	if choice.Hold > 0 {
 		return choice, nil
 	}
-	if left := min(req.Deadline.Sub(now), patience(req.Route)); choice.Expected > left && r.arrived == 0 {
+	if err := r.tooLate(choice, now); err != nil {
 		r.d.scheduler.Withdraw(choice, now)
-		return nil, errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
-			choice.Expected.Milliseconds(), left.Milliseconds())).After(choice.Expected - left)
+		return nil, err
 	}
 	r.report.Replica = choice.ID
 	r.report.Expected = choice.Expected
@@ -274,10 +273,40 @@
 	return true
 }
 
-// lateTargets is the expected time to a stream's first event, in latency targets,
-// from which a request is refused: it would be late, make those behind it late,
-// and mostly be given up by its caller, who waits for four targets.
-const lateTargets = 2
+const (
+	// lateTargets is the expected time to a stream's first event, in latency
+	// targets, from which a request is refused: it would be late, make those behind
+	// it late, and mostly be given up by its caller, who waits for four targets.
+	lateTargets = 2
+	// urgentTargets is the wait, in latency targets of the service's most urgent
+	// route, from which less urgent requests are refused: they are the larger ones,
+	// and urgent requests would wait behind them.
+	urgentTargets = 1.0
+	// leastAfter is the shortest time after which a refused request is asked back.
+	leastAfter = 200 * time.Millisecond
+)
+
+// tooLate returns a refusal when the request had better come back later.
+func (r *run) tooLate(choice *schedule.Choice, now time.Time) error {
+	if r.arrived > 0 {
+		return nil
+	}
+	left := min(r.req.Deadline.Sub(now), patience(r.req.Route))
+	if choice.Expected > left {
+		return errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
+			choice.Expected.Milliseconds(), left.Milliseconds())).After(max(leastAfter, choice.Expected-left))
+	}
+	s := r.req.Service
+	if r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
+		return nil
+	}
+	limit := time.Duration(urgentTargets * float64(s.UrgentTarget))
+	if choice.Waiting <= limit {
+		return nil
+	}
+	return errkind.New(errkind.Overloaded, fmt.Sprintf("the wait is expected to be %d ms, and %d ms are left to more urgent requests",
+		choice.Waiting.Milliseconds(), limit.Milliseconds())).After(max(leastAfter, choice.Waiting))
+}
 
 // patience returns the longest expected time to the first event of a stream that
 // is accepted; for other answers the deadline says so.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,6 +83,8 @@
 	Candidate
 	// Expected is the time to the first event, or to a plain service's answer.
 	Expected time.Duration
+	// Waiting is the part of it that is spent behind other requests.
+	Waiting time.Duration
 	// Considered is the number of candidates that passed the filters.
 	Considered int
 	// Score is the chosen candidate's price in milliseconds.
@@ -173,7 +175,10 @@
 		score := p.score(req, c, expected)
 		rank := affinity(req.Affinity, c.ID)
 		if best.ID == "" || p.better(req, score, rank, best.Score, bestRank) {
-			best = Decision{*c, time.Duration(expected * float64(time.Millisecond)), best.Considered, score}
+			best = Decision{
+				Candidate: *c, Expected: duration(expected), Waiting: duration(p.waiting(req, c)),
+				Considered: best.Considered, Score: score,
+			}
 			bestRank = rank
 		}
 	}
@@ -193,6 +198,8 @@
 	return score <= bestScore+tolerance && rank > bestRank
 }
 
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Reading returns how long an engine takes to read tokens.
@@ -249,9 +256,17 @@
 		return slow * plainMs * (1 + queued/float64(max(1, c.Slots)))
 	}
 	read := millis(p.Reading(req.PromptTokens - c.Cached - c.Fetched))
-	queue := float64(c.PrefillTokens) / p.PrefillPerMs
 	step := firstSteps * (stepMs + perRequestMs*float64(c.Requests))
-	return slow*(queue+read+step) + millis(c.FetchTime) + memoryWait(req, c)
+	return slow*(read+step) + millis(c.FetchTime) + p.waiting(req, c)
+}
+
+// waiting returns the time that a request is expected to spend behind others, in
+// milliseconds.
+func (p Policy) waiting(req *Request, c *Candidate) float64 {
+	if c.CacheTokens == 0 {
+		return 0
+	}
+	return max(1, c.Slow)*float64(c.PrefillTokens)/p.PrefillPerMs + memoryWait(req, c)
 }
 
 // score prices a candidate in milliseconds.
