--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -133,9 +133,9 @@
 	candidates := make([]route.Candidate, len(replicas))
 	for i, r := range replicas {
 		candidates[i].Replica = r
-		if capacity > 0 {
-			s.caches(req, &candidates[i], replicas, s.prompt(prompts, req, r.Weights), now)
-		}
+	}
+	if capacity > 0 {
+		s.caches(req, candidates, func(version int64) prefix.Prompt { return s.prompt(prompts, req, version) }, now)
 	}
 	decision, err := s.policy.Decide(&route.Request{
 		AvailabilityZone: s.zone,
@@ -171,18 +171,35 @@
 	return uint64(prefix.HashOf("", parts[0].ID))
 }
 
-// caches fills in what a candidate holds and what it would fetch.
-func (s *Scheduler) caches(req *Request, c *route.Candidate, replicas []route.Replica, p prefix.Prompt, now time.Time) {
-	c.Cached, _ = s.index.Held(c.ID, p, now)
-	if p.Total()-c.Cached < minFetch {
-		return
+// source is a replica that holds some of a prompt.
+type source struct {
+	*route.Candidate
+	held int
+}
+
+// caches fills in what each candidate holds and what it would fetch. Few replicas
+// hold a prompt, so that only those are looked at for each candidate.
+func (s *Scheduler) caches(req *Request, candidates []route.Candidate, prompt func(version int64) prefix.Prompt, now time.Time) {
+	var sources []source
+	for i := range candidates {
+		c := &candidates[i]
+		held, read := s.index.Held(c.ID, prompt(c.Weights), now)
+		c.Cached = held
+		if read >= minFetch && c.Usable && !c.Trial && !c.Loading && c.Silence < silentSource {
+			sources = append(sources, source{c, read})
+		}
 	}
-	s.tryStore(req, c, p, now)
-	for i := range replicas {
-		from := &replicas[i]
-		if from.ID != c.ID && from.Usable && !from.Trial && !from.Loading && from.Weights == c.Weights && from.Silence < silentSource {
-			_, held := s.index.Held(from.ID, p, now)
-			s.trySource(req, c, from.Address, from.AvailabilityZone, req.Service.Engine.LinkMbps, held, now)
+	for i := range candidates {
+		c := &candidates[i]
+		p := prompt(c.Weights)
+		if p.Total()-c.Cached < minFetch {
+			continue
+		}
+		s.tryStore(req, c, p, now)
+		for _, from := range sources {
+			if from.ID != c.ID && from.Weights == c.Weights {
+				s.trySource(req, c, from.Address, from.AvailabilityZone, req.Service.Engine.LinkMbps, from.held, now)
+			}
 		}
 	}
 }
