Names of the platform's headers stand in one place for tests; fewer idle connections

Cause: tests of inner packages spelled the platform's headers; nine hosts with 32 idle connections each are more than a server with 110 accepts.

Change: test/standin/wire names them; eight idle connections a host and server.

--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -39,7 +39,7 @@
 }
 
 type serveCmd struct {
-	Settings string `env:"BRIARLINK_SETTINGS" required:"" help:"Settings file: JSON with comments, or the platform's format."`
+	Settings string `env:"${settings_variable}" required:"" help:"Settings file: JSON with comments, or the platform's format."`
 }
 
 // Run implements the serve command.
@@ -152,6 +152,7 @@
 		kong.Name("briarlink"),
 		kong.Description("A router for language-model traffic with long shared prompts."),
 		kong.UsageOnError(),
+		kong.Vars{"settings_variable": platform.SettingsVariable},
 	}, options...)
 	return kong.New(&cli{}, options...)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -27,6 +27,7 @@
 	"github.com/briarlink/briarlink/internal/upstream"
 	"github.com/briarlink/briarlink/platform"
 	_ "github.com/briarlink/briarlink/test/fixedseed"
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 // behaviour is what a replica does with one request.
@@ -91,19 +92,19 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	id := req.Header.Get("X-Briarlink-Attempt-Id")
+	id := req.Header.Get(wire.Attempt)
 	head := func(status int) string {
-		return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Briarlink-Attempt-Id: %s\r\n", status, id)
+		return fmt.Sprintf("HTTP/1.1 %d X\r\n"+wire.Attempt+": %s\r\n", status, id)
 	}
-	seal := "X-Briarlink-Seal: s\r\n"
+	seal := wire.Seal + ": s\r\n"
 	length := "Content-Length: " + strconv.Itoa(len(wholeBody)) + "\r\n\r\n"
 	write := func(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
 	switch b {
 	case refuses:
-		write(head(503) + "X-Briarlink-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		write(head(503) + wire.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n")
 		return
 	case misdirects:
-		write(head(421) + "X-Briarlink-Instance: another\r\nContent-Length: 0\r\n\r\n")
+		write(head(421) + wire.Instance + ": another\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
 	f.runs++
@@ -116,7 +117,7 @@
 	case unsealed:
 		write(head(200) + length + wholeBody)
 	case foreign:
-		write("HTTP/1.1 200 OK\r\nX-Briarlink-Attempt-Id: other\r\nX-Briarlink-Seal: s\r\n" + length + wholeBody)
+		write("HTTP/1.1 200 OK\r\n" + wire.Attempt + ": other\r\n" + wire.Seal + ": s\r\n" + length + wholeBody)
 	case cutsBody:
 		write(head(200) + seal + length + wholeBody[:5])
 	case hangs:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,6 +22,7 @@
 	"github.com/briarlink/briarlink/test/standin/caller"
 	"github.com/briarlink/briarlink/test/standin/engine"
 	"github.com/briarlink/briarlink/test/standin/store"
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 // limit bounds each wait of these tests, which are over as soon as what they
@@ -167,7 +168,7 @@
 	eventually(t, "readiness", h.ready)
 	c := h.caller()
 	report := send(t, c, caller.Request{ID: "r-1", Method: "POST", Path: "/reports/1", Model: "m", Prefix: "a1:800,b2:40", Tokens: "840,16"})
-	if report.Status != 200 || strings.Count(report.Body, "id: ") != 6 || report.Header.Get("X-Briarlink-Seal") == "" || !report.Whole {
+	if report.Status != 200 || strings.Count(report.Body, "id: ") != 6 || report.Header.Get(wire.Seal) == "" || !report.Whole {
 		t.Errorf("report: %+v", report)
 	}
 	update := send(t, c, caller.Request{ID: "u-1", Method: "POST", Path: "/updates/1", Body: "wax"})
@@ -268,9 +269,9 @@
 		t.Fatal(err)
 	}
 	request.Host = "museum.example"
-	request.Header.Set("Api-Key", only.Key)
-	request.Header.Set("X-Briarlink-Attempt-Id", "r-1")
-	request.Header.Set("X-Briarlink-Model", "m")
+	request.Header.Set(wire.Key, only.Key)
+	request.Header.Set(wire.Attempt, "r-1")
+	request.Header.Set(wire.Model, "m")
 	resp, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
@@ -305,7 +306,7 @@
 		return true
 	})
 	report := send(t, b.caller(), caller.Request{ID: "r-1", Method: "POST", Path: "/reports/1", Model: "m", Prefix: "a1:800,b2:40", Tokens: "840,16"})
-	if report.Status != 200 || report.Header.Get("X-Briarlink-Weight-Versions") != "2" {
+	if report.Status != 200 || report.Header.Get(wire.Weights) != "2" {
 		t.Errorf("report: %+v", report)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,8 +17,9 @@
 	// idleMargin is kept before the backend server's own limit: a request that
 	// crosses its close may or may not have run.
 	idleMargin = 400 * time.Millisecond
-	// maxIdlePerServer bounds the idle connections to one backend server.
-	maxIdlePerServer = 32
+	// maxIdlePerServer bounds the idle connections to one backend server: servers
+	// reset those beyond what they accept of all hosts together, a hundred of some.
+	maxIdlePerServer = 8
 )
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 // script serves each accepted connection with f.
@@ -42,11 +44,11 @@
 		return "", "", err
 	}
 	data, err := io.ReadAll(req.Body)
-	return req.Header.Get("X-Briarlink-Attempt-Id"), string(data), err
+	return req.Header.Get(wire.Attempt), string(data), err
 }
 
 func answer(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nX-Briarlink-Attempt-Id: " + id + "\r\nX-Briarlink-Seal: s\r\nContent-Length: " +
+	return "HTTP/1.1 200 OK\r\n" + wire.Attempt + ": " + id + "\r\n" + wire.Seal + ": s\r\nContent-Length: " +
 		itoa(len(body)) + "\r\n\r\n" + body
 }
 
@@ -56,7 +58,7 @@
 
 func request(id, body string) *Request {
 	h := http.Header{}
-	h.Set("X-Briarlink-Attempt-Id", id)
+	h.Set(wire.Attempt, id)
 	return &Request{ID: id, Method: http.MethodPost, Target: "/x?q=%2f", Host: "h.example", Header: h, Body: []byte(body)}
 }
 
@@ -110,7 +112,7 @@
 				if later {
 					<-write
 				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Briarlink-Seal: s\r\nContent-Length: 5\r\n\r\nextra")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+wire.Seal+": s\r\nContent-Length: 5\r\n\r\nextra")
 				wrote <- struct{}{}
 			}
 		})
@@ -204,7 +206,7 @@
 	for _, reset := range []bool{false, true} {
 		address := script(t, func(c net.Conn, r *bufio.Reader) {
 			_, _, _ = readRequest(r)
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Briarlink-Attempt-Id: 1\r\n\r\nall of it")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+wire.Attempt+": 1\r\n\r\nall of it")
 			if reset {
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
--- a/test/standin/caller/caller.go
+++ b/test/standin/caller/caller.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 // Caller is safe for concurrent use.
@@ -125,14 +127,14 @@
 
 func (c *Caller) headers(h http.Header, r Request) {
 	for name, value := range map[string]string{
-		"Api-Key": c.Key, "X-Briarlink-Attempt-Id": r.ID, "X-Briarlink-Model": r.Model,
-		"X-Briarlink-Prefix-Hash": r.Prefix, "X-Briarlink-Token-Count": r.Tokens,
+		wire.Key: c.Key, wire.Attempt: r.ID, wire.Model: r.Model,
+		wire.Prefix: r.Prefix, wire.Tokens: r.Tokens,
 	} {
 		if value != "" {
 			h.Set(name, value)
 		}
 	}
 	if r.Deadline > 0 {
-		h.Set("X-Briarlink-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+		h.Set(wire.Deadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
 	}
 }
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 // Options describe a backend server.
@@ -140,11 +142,11 @@
 }
 
 func (e *Engine) expected(w http.ResponseWriter, r *http.Request) bool {
-	want := r.Header.Get("X-Briarlink-Expect-Instance")
+	want := r.Header.Get(wire.ExpectReplica)
 	if want == "" || want == e.ID {
 		return true
 	}
-	w.Header().Set("X-Briarlink-Instance", e.ID)
+	w.Header().Set(wire.Instance, e.ID)
 	w.WriteHeader(http.StatusMisdirectedRequest)
 	return false
 }
@@ -168,22 +170,22 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("X-Briarlink-Attempt-Id")
-	w.Header().Set("X-Briarlink-Attempt-Id", id)
-	if want := r.Header.Get("X-Briarlink-Expect-Version"); want != "" && want != strconv.FormatInt(e.Version(), 10) {
-		w.Header().Set("X-Briarlink-Instance", e.ID)
+	id := r.Header.Get(wire.Attempt)
+	w.Header().Set(wire.Attempt, id)
+	if want := r.Header.Get(wire.ExpectWeights); want != "" && want != strconv.FormatInt(e.Version(), 10) {
+		w.Header().Set(wire.Instance, e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	fault := e.take()
 	if fault == Refuse || e.isLoading() {
-		w.Header().Set("X-Briarlink-Not-Run", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	e.run(r, id)
 	if fault != Unsealed {
-		w.Header().Set("X-Briarlink-Seal", "seal-of-"+e.ID)
+		w.Header().Set(wire.Seal, "seal-of-"+e.ID)
 	}
 	if fault == Fail {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -207,8 +209,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ran[id]++
-	salt := r.Header.Get("X-Briarlink-Cache-Salt")
-	for _, part := range strings.Split(r.Header.Get("X-Briarlink-Prefix-Hash"), ",") {
+	salt := r.Header.Get(wire.Salt)
+	for _, part := range strings.Split(r.Header.Get(wire.Prefix), ",") {
 		name, tokens, ok := strings.Cut(part, ":")
 		if !ok || e.cached[salt+"|"+name] {
 			continue
@@ -234,7 +236,7 @@
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Briarlink-Weight-Versions", strconv.FormatInt(e.Version(), 10))
+	w.Header().Set(wire.Weights, strconv.FormatInt(e.Version(), 10))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w)
 	for n := last + 1; n <= e.Events; n++ {
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -18,6 +18,7 @@
 	"github.com/briarlink/briarlink/test/standin/caller"
 	"github.com/briarlink/briarlink/test/standin/engine"
 	"github.com/briarlink/briarlink/test/standin/store"
+	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
 const (
@@ -129,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("request %s: status %d, seal %q, whole %t\n%s\n", id, answer.Status, answer.Header.Get("X-Briarlink-Seal"), answer.Whole, answer.Body)
+	fmt.Printf("request %s: status %d, seal %q, whole %t\n%s\n", id, answer.Status, answer.Header.Get(wire.Seal), answer.Whole, answer.Body)
 	return nil
 }
 
--- /dev/null
+++ b/test/standin/wire/wire.go
@@ -0,0 +1,20 @@
+// Package wire names the headers of the platform's protocol for stand-ins and for
+// tests that play a caller or a backend server.
+package wire
+
+// Headers.
+const (
+	Attempt       = "X-Briarlink-Attempt-Id"
+	Seal          = "X-Briarlink-Seal"
+	NotRun        = "X-Briarlink-Not-Run"
+	Instance      = "X-Briarlink-Instance"
+	ExpectReplica = "X-Briarlink-Expect-Instance"
+	ExpectWeights = "X-Briarlink-Expect-Version"
+	Weights       = "X-Briarlink-Weight-Versions"
+	Salt          = "X-Briarlink-Cache-Salt"
+	Prefix        = "X-Briarlink-Prefix-Hash"
+	Tokens        = "X-Briarlink-Token-Count"
+	Model         = "X-Briarlink-Model"
+	Deadline      = "X-Briarlink-Deadline-Ms"
+	Key           = "Api-Key"
+)
