--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,6 +63,7 @@
 
 // fleet is a set of scripted replicas behind in-memory connections.
 type fleet struct {
+	mu   sync.Mutex
 	plan []behaviour
 	// runs counts how often the request ran; ranAt holds where.
 	runs  int
@@ -69,11 +71,7 @@
 }
 
 func (f *fleet) dial(_ context.Context, address string) (net.Conn, error) {
-	if len(f.plan) == 0 {
-		f.plan = []behaviour{answers}
-	}
-	b := f.plan[0]
-	f.plan = f.plan[1:]
+	b := f.next()
 	if b == unreachable {
 		return nil, errors.New("refused")
 	}
@@ -82,6 +80,25 @@
 	return near, nil
 }
 
+// next returns what the next connection's replica does; after the plan it answers.
+func (f *fleet) next() behaviour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.plan) == 0 {
+		return answers
+	}
+	b := f.plan[0]
+	f.plan = f.plan[1:]
+	return b
+}
+
+func (f *fleet) ran(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs++
+	f.ranAt[address] = true
+}
+
 func (f *fleet) serve(c net.Conn, address string, b behaviour) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -107,8 +124,7 @@
 		write(head(421) + wire.Instance + ": another\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
-	f.runs++
-	f.ranAt[address] = true
+	f.ran(address)
 	switch b {
 	case answers:
 		write(head(200) + seal + length + wholeBody)
@@ -211,9 +227,9 @@
 			defer cancel()
 			out := &recorder{}
 			_, err := d.Run(ctx, req, out)
-			wrong = broken(f, req, out, err)
 			cancel()
 			synctest.Wait()
+			wrong = broken(f, req, out, err)
 		})
 		if wrong != "" {
 			rt.Fatal(wrong)
@@ -345,10 +361,11 @@
 		d, _ := newDispatcher(f)
 		d.budget = retry.NewBudget(0, time.Second, 0, 1, time.Now())
 		out := &recorder{}
-		if _, err := d.Run(context.Background(), idempotent(), out); err != nil || f.runs != 1 {
+		_, err := d.Run(context.Background(), idempotent(), out)
+		synctest.Wait()
+		if err != nil || f.runs != 1 {
 			t.Errorf("%v, ran %d", err, f.runs)
 		}
-		synctest.Wait()
 	})
 }
 
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"sort"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,38 +99,87 @@
 
 // fakeReader plays a topic whose calls fail while down.
 type fakeReader struct {
+	mu    sync.Mutex
 	truth history
 	first int64
 	down  bool
 	reads int
 }
 
+// change alters what later calls see.
+func (f *fakeReader) change(alter func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	alter()
+}
+
+// called counts a call and returns what it sees.
+func (f *fakeReader) called() (truth history, first int64, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	return f.truth, f.first, f.down
+}
+
+func (f *fakeReader) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
 var errDown = errors.New("down")
 
 func (f *fakeReader) Newest(context.Context, string) (platform.Page, error) {
-	f.reads++
-	if f.down {
+	truth, _, down := f.called()
+	if down {
 		return platform.Page{}, errDown
 	}
-	return platform.Page{Records: f.truth.newest(len(f.truth), false), End: int64(len(f.truth))}, nil
+	return platform.Page{Records: truth.newest(len(truth), false), End: int64(len(truth))}, nil
 }
 
 func (f *fakeReader) Read(ctx context.Context, _ string, from int64, wait time.Duration) (platform.Page, error) {
-	f.reads++
-	if f.down {
+	truth, first, down := f.called()
+	if down {
 		return platform.Page{}, errDown
 	}
-	if from < f.first {
-		return platform.Page{}, &platform.TrimmedError{First: f.first}
+	if from < first {
+		return platform.Page{}, &platform.TrimmedError{First: first}
 	}
-	if from >= int64(len(f.truth)) {
+	if from >= int64(len(truth)) {
 		select {
 		case <-ctx.Done():
 			return platform.Page{}, ctx.Err()
 		case <-time.After(wait):
 		}
 	}
-	return platform.Page{Records: f.truth[from:], End: int64(len(f.truth)), First: f.first}, nil
+	return platform.Page{Records: truth[from:], End: int64(len(truth)), First: first}, nil
+}
+
+// notes is a map that a follower's callback may fill beside its test.
+type notes struct {
+	mu sync.Mutex
+	m  map[string]bool
+}
+
+func (n *notes) set(key string, value bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.m == nil {
+		n.m = map[string]bool{}
+	}
+	n.m[key] = value
+}
+
+func (n *notes) get(key string) (value, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	value, ok = n.m[key]
+	return value, ok
+}
+
+func (n *notes) is(key string) bool {
+	value, _ := n.get(key)
+	return value
 }
 
 func put(key string, offset int) platform.Record {
@@ -141,10 +192,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		const grace = 2 * time.Second
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
-		trust := map[string]bool{}
+		var trust notes
 		table := NewTable("keyed.x", func(rec platform.Record, trusted bool) {
 			if rec.Removed {
-				trust[rec.Key] = trusted
+				trust.set(rec.Key, trusted)
 			}
 		})
 		access := NewAccess(grace, quietLog())
@@ -155,21 +206,21 @@
 			(&Follower{Store: reader, Table: table, Access: access, Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
 		}()
 		time.Sleep(time.Second)
-		reader.down = true
+		reader.change(func() { reader.down = true })
 		time.Sleep(3 * time.Second)
 		if access.Stable(time.Now()) {
 			t.Error("stable in an outage")
 		}
-		reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true})
-		reader.down = false
+		reader.change(func() { reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}) })
+		reader.change(func() { reader.down = false })
 		time.Sleep(time.Second)
-		if trusted, told := trust["a"]; !told || trusted {
+		if trusted, told := trust.get("a"); !told || trusted {
 			t.Errorf("removal right after the outage: told %v, trusted %v", told, trusted)
 		}
 		time.Sleep(grace)
-		reader.truth = append(reader.truth, platform.Record{Key: "b", Offset: 3, Removed: true})
+		reader.change(func() { reader.truth = append(reader.truth, platform.Record{Key: "b", Offset: 3, Removed: true}) })
 		time.Sleep(time.Second)
-		if !trust["b"] {
+		if !trust.is("b") {
 			t.Error("a removal long after the outage is not trusted")
 		}
 		cancel()
@@ -181,8 +232,8 @@
 func TestTrimmedHistoryIsReadAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
-		held := map[string]bool{}
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held[rec.Key] = !rec.Removed })
+		var held notes
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, !rec.Removed) })
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
@@ -190,11 +241,13 @@
 			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
 		}()
 		time.Sleep(time.Second)
-		reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}, put("c", 3))
-		reader.first = 4
+		reader.change(func() {
+			reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}, put("c", 3))
+		})
+		reader.change(func() { reader.first = 4 })
 		time.Sleep(time.Second)
-		if held["a"] || !held["b"] || !held["c"] {
-			t.Errorf("held: %v", held)
+		if held.is("a") || !held.is("b") || !held.is("c") {
+			t.Errorf("held: %v", held.m)
 		}
 		cancel()
 		<-done
@@ -213,8 +266,8 @@
 			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()}).Run(ctx)
 		}()
 		time.Sleep(10 * time.Second)
-		if reader.reads > 40 {
-			t.Errorf("%d reads in 10 s", reader.reads)
+		if reader.calls() > 40 {
+			t.Errorf("%d reads in 10 s", reader.calls())
 		}
 		cancel()
 		<-done
@@ -226,23 +279,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0)}}
 		table := NewTable("keyed.x", func(platform.Record, bool) {})
-		fresh := true
+		var fresh atomic.Bool
+		fresh.Store(true)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
 			f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
-			f.Fresh = func() bool { return fresh }
+			f.Fresh = fresh.Load
 			f.Run(ctx)
 		}()
 		time.Sleep(5 * time.Second)
-		if reader.reads != 1 {
-			t.Errorf("%d reads while others read, want the first", reader.reads)
+		if reader.calls() != 1 {
+			t.Errorf("%d reads while others read, want the first", reader.calls())
 		}
-		fresh = false
+		fresh.Store(false)
 		time.Sleep(time.Second)
-		if reader.reads < 8 {
-			t.Errorf("%d reads once nobody does", reader.reads)
+		if reader.calls() < 8 {
+			t.Errorf("%d reads once nobody does", reader.calls())
 		}
 		cancel()
 		<-done
@@ -254,8 +308,8 @@
 func TestWaitingReadEndsWithTheOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0)}}
-		held := map[string]bool{}
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held[rec.Key] = true })
+		var held notes
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, true) })
 		access := NewAccess(0, quietLog())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -265,12 +319,12 @@
 		}()
 		time.Sleep(time.Second)
 		// The waiting read does not see the new record, as it hangs.
-		reader.truth = append(reader.truth, put("b", 1))
+		reader.change(func() { reader.truth = append(reader.truth, put("b", 1)) })
 		access.Failed(time.Now(), errDown)
 		time.Sleep(time.Second)
 		access.Succeeded(time.Now())
 		time.Sleep(time.Second)
-		if !held["b"] {
+		if !held.is("b") {
 			t.Error("the record was not read after the outage")
 		}
 		cancel()
