--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/schedule"
+)
+
+const (
+	// maxHolds bounds how often a request is held, and maxHoldTargets how long each
+	// time, in latency targets.
+	maxHolds       = 2
+	maxHoldTargets = 0.7
+)
+
+// maxHold returns how long the request may be held now.
+func (r *run) maxHold() time.Duration {
+	if r.report.Holds >= maxHolds {
+		return 0
+	}
+	return time.Duration(maxHoldTargets * float64(r.req.Route.LatencyTarget))
+}
+
+// held waits while the chosen replica reads shared parts for another request, so
+// that they are read once, and reports whether the choice is to be made again.
+func (r *run) held(ctx context.Context, choice *schedule.Choice) bool {
+	if choice.Hold == 0 {
+		return false
+	}
+	r.report.Holds++
+	select {
+	case <-ctx.Done():
+	case <-time.After(choice.Hold):
+	}
+	return true
+}
+
+const (
+	// lateTargets is the expected time to a stream's first event, in latency
+	// targets, from which a request is refused: it would be late, make those behind
+	// it late, and mostly be given up by its caller, who waits for four targets.
+	lateTargets = 3
+	// urgentTargets is the wait, in latency targets of the service's most urgent
+	// route, from which less urgent requests are refused: they are the larger ones,
+	// and urgent requests would wait behind them.
+	urgentTargets = 1.0
+	// leastAfter is the shortest time after which a refused request is asked back.
+	leastAfter = 200 * time.Millisecond
+)
+
+// tooLate returns a refusal when the request had better come back later.
+func (r *run) tooLate(choice *schedule.Choice, now time.Time) error {
+	if r.arrived > 0 {
+		return nil
+	}
+	left := min(r.req.Deadline.Sub(now), patience(r.req.Route))
+	if choice.Expected > left {
+		return errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
+			choice.Expected.Milliseconds(), left.Milliseconds())).After(max(leastAfter, choice.Expected-left))
+	}
+	s := r.req.Service
+	if r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
+		return nil
+	}
+	limit := time.Duration(urgentTargets * float64(s.UrgentTarget))
+	if choice.Waiting <= limit {
+		return nil
+	}
+	return errkind.New(errkind.Overloaded, fmt.Sprintf("the wait is expected to be %d ms, and %d ms are left to more urgent requests",
+		choice.Waiting.Milliseconds(), limit.Milliseconds())).After(max(leastAfter, choice.Waiting))
+}
+
+// patience returns the longest expected time to the first event of a stream that
+// is accepted; for other answers the deadline says so.
+func patience(route *config.Route) time.Duration {
+	if route.Kind != config.Streaming || route.LatencyTarget <= 0 {
+		return unlimited
+	}
+	return lateTargets * route.LatencyTarget
+}
+
+// unlimited stands for no bound.
+const unlimited = 24 * time.Hour
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -46,7 +46,7 @@
 	choice *schedule.Choice
 	began  time.Time
 	cancel context.CancelCauseFunc
-	// lastByte is when a stream's last event came, in nanoseconds after began.
+	// watch looks for a hanging replica; nil where no other may be tried.
 	watch *time.Timer
 }
 
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -65,7 +65,7 @@
 	if s := c.Store(); s != nil && rank < s.EventReaders {
 		out[s.Address] = cacheTarget{s.Address, s.Address, s.CacheTokens, true}
 	}
-	for _, server := range n.replicas.Servers() {
+	for _, server := range n.replicas.Servers(time.Now()) {
 		service := c.Services[server.Service]
 		if service != nil && service.Engine != nil && rank < service.Engine.EventReaders {
 			out[server.ID] = cacheTarget{server.ID, server.Address, service.Engine.CacheTokens, false}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -62,17 +62,6 @@
 	loads map[string]map[string]*pb.ReplicaLoad
 }
 
-// wanted is a weights version that operators wanted at a time.
-type wanted struct {
-	version int64
-	// since is when this host learned of it.
-	since time.Time
-}
-
-// maxWanted bounds the versions remembered of a model. A replica that is further
-// behind counts from the oldest of them.
-const maxWanted = 64
-
 type entry struct {
 	reg     platform.Registration
 	machine *fsm.FSM
@@ -163,76 +152,6 @@
 	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "state": e.machine.Current(), "reason": reason}).Info("replica changed state")
 }
 
-// Want takes the weights version that operators want of a model. Versions never
-// go back. It reports whether the version is new.
-func (t *Table) Want(model string, version int64, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	versions := t.wanted[model]
-	if n := len(versions); n > 0 && versions[n-1].version >= version {
-		return false
-	}
-	versions = append(versions, wanted{version, now})
-	t.wanted[model] = versions[max(0, len(versions)-maxWanted):]
-	return true
-}
-
-// Wanted returns the newest wanted version of a model, or 0.
-func (t *Table) Wanted(model string) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if n := len(t.wanted[model]); n > 0 {
-		return t.wanted[model][n-1].version
-	}
-	return 0
-}
-
-// behind returns how long a version newer than the given one has been wanted. It
-// counts from the first such version: a later one gives a replica no more time.
-func (t *Table) behind(model string, version int64, now time.Time) time.Duration {
-	for _, w := range t.wanted[model] {
-		if w.version > version {
-			return now.Sub(w.since)
-		}
-	}
-	return 0
-}
-
-// Holds records weights that a server was seen to hold; they never go back
-// within a start. It reports whether they are new.
-func (t *Table) Holds(id, model string, version int64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil || e.weights[model] >= version {
-		return false
-	}
-	e.weights[model] = version
-	e.loadingUntil = time.Time{}
-	return true
-}
-
-// Loading records that a server is being ordered to load weights. Until then it
-// is given no requests, unless it is seen to hold the weights before. Late word
-// of a server that holds the wanted weights already changes nothing.
-func (t *Table) Loading(id string, until time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil && t.lacks(e) {
-		e.loadingUntil = until
-	}
-}
-
-// lacks reports whether a server holds older weights than wanted.
-func (t *Table) lacks(e *entry) bool {
-	for model, version := range e.weights {
-		if versions := t.wanted[model]; len(versions) > 0 && versions[len(versions)-1].version > version {
-			return true
-		}
-	}
-	return false
-}
-
 // SetLoads takes the work of another host in place of what it said before.
 func (t *Table) SetLoads(host string, loads []*pb.ReplicaLoad) {
 	byReplica := make(map[string]*pb.ReplicaLoad, len(loads))
@@ -321,11 +240,13 @@
 	Weights map[string]int64
 	// Requests of all hosts are not finished.
 	Requests int
+	// Down servers are thought unreachable or hanging.
+	Down bool
 }
 
 // Servers returns the servers that are neither leaving nor gone and hold
 // weights of some model, by ID.
-func (t *Table) Servers() []Server {
+func (t *Table) Servers(now time.Time) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Server
@@ -333,7 +254,11 @@
 		if len(e.weights) == 0 || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
 			continue
 		}
-		s := Server{ID: id, Address: e.reg.Address, Service: e.reg.Service, Weights: map[string]int64{}, Requests: len(e.flights)}
+		down, _ := e.health.state(now)
+		s := Server{
+			ID: id, Address: e.reg.Address, Service: e.reg.Service, Weights: map[string]int64{},
+			Requests: len(e.flights), Down: down || e.silence(now) > hangAfter,
+		}
 		for model, version := range e.weights {
 			s.Weights[model] = version
 		}
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -20,7 +20,7 @@
 
 // Replicas is what the loader needs of the table of backend servers.
 type Replicas interface {
-	Servers() []replica.Server
+	Servers(now time.Time) []replica.Server
 	Wanted(model string) int64
 	Holds(id, model string, version int64) bool
 	Loading(id string, until time.Time)
@@ -41,6 +41,9 @@
 	loadTimeout = 4 * time.Second
 	// resendAfter is how long an order without an answer is waited for.
 	resendAfter = 900 * time.Millisecond
+	// maxFailures in a row end the wait for a replica: it is probably gone, and would
+	// keep others from being ordered.
+	maxFailures = 2
 	// refuseHold is how long after its mark a loading replica gets no requests
 	// unless the mark is renewed.
 	refuseHold = 700 * time.Millisecond
@@ -154,7 +157,7 @@
 func (l *Loader) room(behind []target) int {
 	room := l.atOnce
 	counts := map[string]int{}
-	for _, s := range l.replicas.Servers() {
+	for _, s := range l.replicas.Servers(time.Now()) {
 		for model := range s.Weights {
 			counts[model]++
 		}
@@ -165,12 +168,15 @@
 	return room
 }
 
-// behind returns the replicas without the wanted weights: those with the oldest
+// behind returns the reachable replicas without the wanted weights: those with the oldest
 // first, whose deadline is nearest, then those with the fewest requests, which
 // are ready soonest.
 func (l *Loader) behind() []target {
 	var out []target
-	for _, s := range l.replicas.Servers() {
+	for _, s := range l.replicas.Servers(time.Now()) {
+		if s.Down {
+			continue
+		}
 		for model, version := range s.Weights {
 			if wanted := l.replicas.Wanted(model); wanted > version {
 				out = append(out, target{s, model, wanted})
@@ -204,179 +210,6 @@
 	return out
 }
 
-// load brings one replica to its target.
-func (l *Loader) load(ctx context.Context, t target) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	began := time.Now()
-	err := l.bring(ctx, t)
-	l.mu.Lock()
-	delete(l.busy, t.server.ID)
-	if err != nil {
-		l.failed[t.server.ID] = time.Now()
-	} else {
-		delete(l.failed, t.server.ID)
-	}
-	l.mu.Unlock()
-	line := l.log.WithFields(logrus.Fields{
-		"replica": t.server.ID, "model": t.model, "version": t.version,
-		"fencing": l.lease.Fencing(), "ms": time.Since(began).Milliseconds(),
-	})
-	if err != nil {
-		line.WithError(err).Warn("weights not loaded")
-		return
-	}
-	line.Info("weights loaded")
-}
-
-func (l *Loader) bring(ctx context.Context, t target) error {
-	l.drain(ctx, t)
-	sequence, known := l.sequence(t.server.ID)
-	if !known {
-		report, err := l.report(ctx, t)
-		if err != nil {
-			return err
-		}
-		if l.holds(t, report) {
-			return nil
-		}
-		sequence = report.Sequence
-	}
-	accepted, err := l.order(ctx, t, sequence)
-	if err != nil {
-		return err
-	}
-	return l.await(ctx, t, sequence, accepted)
-}
-
-// drain keeps new requests away from the replica until it has read the prompts
-// that it was sent.
-func (l *Loader) drain(ctx context.Context, t target) {
-	began := time.Now()
-	marked := time.Time{}
-	for ctx.Err() == nil {
-		if time.Since(marked) > refuseHold/3 {
-			l.mark(t)
-			marked = time.Now()
-		}
-		time.Sleep(drainPoll)
-		now := time.Now()
-		drained := now.Sub(began)
-		if drained >= maxDrain || drained >= leastDrain && l.replicas.Waiting(t.server.ID, now) == 0 {
-			return
-		}
-	}
-}
-
-func (l *Loader) mark(t target) {
-	l.replicas.Loading(t.server.ID, time.Now().Add(refuseHold))
-	l.Changed()
-}
-
-func (l *Loader) sequence(id string) (int64, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n, known := l.sequences[id]
-	return n, known
-}
-
-func (l *Loader) setSequence(id string, n int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sequences[id] = n
-}
-
-func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
-	if err == nil {
-		l.setSequence(t.server.ID, report.Sequence)
-	}
-	return report, err
-}
-
-// holds records what a report shows and whether it is the target.
-func (l *Loader) holds(t target, report platform.EngineReport) bool {
-	if report.Weights[t.model] < t.version {
-		return false
-	}
-	l.replicas.Holds(t.server.ID, t.model, report.Weights[t.model])
-	l.mu.Lock()
-	l.recent = append(l.recent, loaded{t.server.ID, t.model, report.Weights[t.model], time.Now()})
-	l.mu.Unlock()
-	l.Loaded(t.server.ID)
-	l.Changed()
-	return true
-}
-
-// order sends the order right after checking the lease. It reports whether the
-// replica surely accepted it.
-func (l *Loader) order(ctx context.Context, t target, sequence int64) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	o := platform.LoadOrder{
-		Replica: t.server.ID, Model: t.model, Version: t.version, Mode: l.mode,
-		Holder: l.holder, Fencing: l.lease.Fencing(), Sequence: sequence,
-	}
-	if !l.lease.Valid() {
-		return false, errLeaseEnded
-	}
-	l.Ordered()
-	result, err := l.engine.Order(ctx, t.server.Address, o)
-	l.log.WithFields(logrus.Fields{
-		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(), "lost": err != nil,
-	}).Info("order to load weights")
-	if err != nil {
-		// It may have been accepted: the reports show it.
-		return false, nil
-	}
-	switch result {
-	case platform.OrderAccepted, platform.OrderHolds:
-		l.setSequence(t.server.ID, sequence+1)
-		return true, nil
-	case platform.OrderConflict:
-		l.forget(t.server.ID)
-		return false, nil
-	default:
-		l.forget(t.server.ID)
-		return false, errOrderRefused
-	}
-}
-
-func (l *Loader) forget(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.sequences, id)
-}
-
-// await asks the replica until it holds the target's weights. An order that was
-// surely not accepted ends it early, so that the next plan orders again.
-func (l *Loader) await(ctx context.Context, t target, sequence int64, accepted bool) error {
-	began := time.Now()
-	pause := firstReport
-	for {
-		select {
-		case <-ctx.Done():
-			return errLoadSlow
-		case <-time.After(pause):
-		}
-		pause = reportInterval
-		l.mark(t)
-		report, err := l.report(ctx, t)
-		if err != nil {
-			continue
-		}
-		if l.holds(t, report) {
-			return nil
-		}
-		waited := time.Since(began)
-		if !accepted && !report.Loading && report.Sequence <= sequence && waited > resendAfter {
-			return errOrderLost
-		}
-	}
-}
-
 // Busy returns the replicas that are being ordered, by ID.
 func (l *Loader) Busy() []string {
 	l.mu.Lock()
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -25,6 +25,7 @@
 	loading  map[string]time.Time
 	waiting  map[string]int
 	fault    string
+	down     map[string]bool
 	atOnce   int
 	mostOnce int
 	// thrown counts orders that a replica got while it was reading prompts.
@@ -53,12 +54,12 @@
 	change()
 }
 
-func (f *fakeFleet) Servers() []replica.Server {
+func (f *fakeFleet) Servers(time.Time) []replica.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []replica.Server
 	for id, version := range f.known {
-		out = append(out, replica.Server{ID: id, Address: id, Weights: map[string]int64{testModel: version}})
+		out = append(out, replica.Server{ID: id, Address: id, Weights: map[string]int64{testModel: version}, Down: f.down[id]})
 	}
 	return out
 }
@@ -241,6 +242,27 @@
 	})
 }
 
+// TestDownReplicasHoldNobodyUp: others are ordered meanwhile, and they themselves
+// once they are back.
+func TestDownReplicasHoldNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(6)
+		fleet.down = map[string]bool{"i-0": true, "i-1": true}
+		roll(fleet, func() {
+			fleet.set(func() { fleet.wanted = 2 })
+			time.Sleep(3 * time.Second)
+			if left := fleet.behind(); left != 2 {
+				t.Errorf("%d left behind, want the two that are down", left)
+			}
+			fleet.set(func() { fleet.down = nil })
+			time.Sleep(3 * time.Second)
+		})
+		if fleet.behind() > 0 {
+			t.Errorf("%d left behind", fleet.behind())
+		}
+	})
+}
+
 // TestFewLoadAtOnce: more would only take longer each.
 func TestFewLoadAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/rollout/order.go
@@ -0,0 +1,191 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/platform"
+)
+
+// load brings one replica to its target.
+func (l *Loader) load(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	began := time.Now()
+	err := l.bring(ctx, t)
+	l.mu.Lock()
+	delete(l.busy, t.server.ID)
+	if err != nil {
+		l.failed[t.server.ID] = time.Now()
+	} else {
+		delete(l.failed, t.server.ID)
+	}
+	l.mu.Unlock()
+	line := l.log.WithFields(logrus.Fields{
+		"replica": t.server.ID, "model": t.model, "version": t.version,
+		"fencing": l.lease.Fencing(), "ms": time.Since(began).Milliseconds(),
+	})
+	if err != nil {
+		line.WithError(err).Warn("weights not loaded")
+		return
+	}
+	line.Info("weights loaded")
+}
+
+func (l *Loader) bring(ctx context.Context, t target) error {
+	l.drain(ctx, t)
+	sequence, known := l.sequence(t.server.ID)
+	if !known {
+		report, err := l.report(ctx, t)
+		if err != nil {
+			return err
+		}
+		if l.holds(t, report) {
+			return nil
+		}
+		sequence = report.Sequence
+	}
+	accepted, err := l.order(ctx, t, sequence)
+	if err != nil {
+		return err
+	}
+	return l.await(ctx, t, sequence, accepted)
+}
+
+// drain keeps new requests away from the replica until it has read the prompts
+// that it was sent.
+func (l *Loader) drain(ctx context.Context, t target) {
+	began := time.Now()
+	marked := time.Time{}
+	for ctx.Err() == nil {
+		if time.Since(marked) > refuseHold/3 {
+			l.mark(t)
+			marked = time.Now()
+		}
+		time.Sleep(drainPoll)
+		now := time.Now()
+		drained := now.Sub(began)
+		if drained >= maxDrain || drained >= leastDrain && l.replicas.Waiting(t.server.ID, now) == 0 {
+			return
+		}
+	}
+}
+
+func (l *Loader) mark(t target) {
+	l.replicas.Loading(t.server.ID, time.Now().Add(refuseHold))
+	l.Changed()
+}
+
+func (l *Loader) sequence(id string) (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, known := l.sequences[id]
+	return n, known
+}
+
+func (l *Loader) setSequence(id string, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequences[id] = n
+}
+
+func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
+	if err == nil {
+		l.setSequence(t.server.ID, report.Sequence)
+	}
+	return report, err
+}
+
+// holds records what a report shows and whether it is the target.
+func (l *Loader) holds(t target, report platform.EngineReport) bool {
+	if report.Weights[t.model] < t.version {
+		return false
+	}
+	l.replicas.Holds(t.server.ID, t.model, report.Weights[t.model])
+	l.mu.Lock()
+	l.recent = append(l.recent, loaded{t.server.ID, t.model, report.Weights[t.model], time.Now()})
+	l.mu.Unlock()
+	l.Loaded(t.server.ID)
+	l.Changed()
+	return true
+}
+
+// order sends the order right after checking the lease. It reports whether the
+// replica surely accepted it.
+func (l *Loader) order(ctx context.Context, t target, sequence int64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o := platform.LoadOrder{
+		Replica: t.server.ID, Model: t.model, Version: t.version, Mode: l.mode,
+		Holder: l.holder, Fencing: l.lease.Fencing(), Sequence: sequence,
+	}
+	if !l.lease.Valid() {
+		return false, errLeaseEnded
+	}
+	l.Ordered()
+	result, err := l.engine.Order(ctx, t.server.Address, o)
+	line := l.log.WithFields(logrus.Fields{
+		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(),
+	})
+	if err != nil {
+		// It may have been accepted: the reports show it.
+		line.WithError(err).Warn("order to load weights without an answer")
+		return false, nil
+	}
+	line.Info("order to load weights")
+	switch result {
+	case platform.OrderAccepted, platform.OrderHolds:
+		l.setSequence(t.server.ID, sequence+1)
+		return true, nil
+	case platform.OrderConflict:
+		l.forget(t.server.ID)
+		return false, nil
+	default:
+		l.forget(t.server.ID)
+		return false, errOrderRefused
+	}
+}
+
+func (l *Loader) forget(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sequences, id)
+}
+
+// await asks the replica until it holds the target's weights. An order that was
+// surely not accepted ends it early, so that the next plan orders again.
+func (l *Loader) await(ctx context.Context, t target, sequence int64, accepted bool) error {
+	began := time.Now()
+	pause := firstReport
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return errLoadSlow
+		case <-time.After(pause):
+		}
+		pause = reportInterval
+		l.mark(t)
+		report, err := l.report(ctx, t)
+		if err != nil {
+			failures++
+			if failures >= maxFailures {
+				return err
+			}
+			continue
+		}
+		failures = 0
+		if l.holds(t, report) {
+			return nil
+		}
+		waited := time.Since(began)
+		if !accepted && !report.Loading && report.Sequence <= sequence && waited > resendAfter {
+			return errOrderLost
+		}
+	}
+}
