The salt names the model; lines say the time a request had

Change: the salt begins with the model; a request's line has deadline_ms; a field that nobody read is gone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -219,7 +219,6 @@
 		PromptTokens: req.Caller.PromptTokens,
 		OutputTokens: req.Caller.OutputTokens,
 		Target:       req.Route.LatencyTarget,
-		Deadline:     req.Deadline,
 		MaxHold:      r.maxHold(),
 		Exclude:      r.exclude,
 	}, now)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -97,6 +97,7 @@
 	}
 	if ex.route != nil {
 		fields["route"] = ex.route.Name
+		fields["deadline_ms"] = ex.deadline().Sub(ex.arrived).Milliseconds()
 	}
 	if ex.org != nil {
 		fields["organisation"] = ex.org.Name
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -70,8 +70,6 @@
 	// SharedTokens of the prompt are worth keeping in some cache.
 	SharedTokens  int
 	LatencyTarget time.Duration
-	// Left is the time until the caller's deadline.
-	Left time.Duration
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
 	// Affinity is equal for requests with the same leading part.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,7 +28,6 @@
 	PromptTokens int
 	OutputTokens int
 	Target       time.Duration
-	Deadline     time.Time
 	// MaxHold is the longest that the request may be held.
 	MaxHold time.Duration
 	// Exclude holds replicas that were tried.
@@ -109,13 +108,16 @@
 // New returns a scheduler for a host in an availability zone. With share set,
 // organisations that are not isolated share cached prompts.
 func New(replicas *replica.Table, index *prefix.Index, policy route.Policy, zone string, share bool) *Scheduler {
-	return &Scheduler{replicas: replicas, index: index, policy: policy, zone: zone, share: share, links: links{busy: map[string]time.Time{}}, reuse: newReuse(), Tell: func() {}}
+	return &Scheduler{
+		replicas: replicas, index: index, policy: policy, zone: zone, share: share,
+		links: links{busy: map[string]time.Time{}}, reuse: newReuse(), Tell: func() {},
+	}
 }
 
-// Salt returns the text that separates cached prompts: by weights version, and
-// by organisation where it is isolated.
-func (s *Scheduler) Salt(version int64, o *config.Organisation) string {
-	salt := "w" + strconv.FormatInt(version, 10)
+// Salt returns the text that separates cached prompts: by model, by weights
+// version, and by organisation where it is isolated.
+func (s *Scheduler) Salt(model string, version int64, o *config.Organisation) string {
+	salt := model + "/w" + strconv.FormatInt(version, 10)
 	if o != nil && (o.Isolated || !s.share) {
 		salt += "/" + o.Name
 	}
@@ -143,7 +145,6 @@
 		OutputTokens:     req.OutputTokens,
 		SharedTokens:     s.prompt(prompts, req, 0).Total(),
 		LatencyTarget:    req.Target,
-		Left:             req.Deadline.Sub(now),
 		Exclude:          req.Exclude,
 		Affinity:         affinity(req.Parts),
 	}, candidates)
@@ -157,7 +158,7 @@
 func (s *Scheduler) prompt(prompts map[int64]prefix.Prompt, req *Request, version int64) prefix.Prompt {
 	p, ok := prompts[version]
 	if !ok {
-		p = prefix.NewPrompt(s.Salt(version, req.Organisation), req.Parts)
+		p = prefix.NewPrompt(s.Salt(req.Model, version, req.Organisation), req.Parts)
 		prompts[version] = p
 	}
 	return p
@@ -252,7 +253,7 @@
 		return c, nil
 	}
 	if capacity > 0 {
-		c.Salt = s.Salt(d.Weights, req.Organisation)
+		c.Salt = s.Salt(req.Model, d.Weights, req.Organisation)
 		c.saltHash = xxh3.HashString(c.Salt)
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -44,7 +44,7 @@
 		Service: service, Store: cacheStore, Organisation: org, Model: testModel,
 		Parts:        []platform.Part{{ID: part, Tokens: 13_000}, {ID: "own", Tokens: 4_000}},
 		PromptTokens: 17_000, OutputTokens: 100, Target: 800 * time.Millisecond,
-		Deadline: time.Now().Add(10 * time.Second), Exclude: map[string]bool{},
+		Exclude: map[string]bool{},
 	}
 }
 
@@ -62,17 +62,20 @@
 	salts := map[string]bool{}
 	for _, version := range []int64{1, 2} {
 		for _, org := range []*config.Organisation{open, isolated, {Name: "other", Isolated: true}} {
-			salts[s.Salt(version, org)] = true
+			salts[s.Salt(testModel, version, org)] = true
 		}
 	}
 	if len(salts) != 6 {
 		t.Errorf("%d salts of 6 are different", len(salts))
 	}
-	if s.Salt(1, open) != s.Salt(1, &config.Organisation{Name: "also open"}) || s.Salt(1, nil) != s.Salt(1, open) {
+	if s.Salt(testModel, 1, open) != s.Salt(testModel, 1, &config.Organisation{Name: "also open"}) || s.Salt(testModel, 1, nil) != s.Salt(testModel, 1, open) {
 		t.Error("organisations that are not isolated do not share")
 	}
+	if s.Salt("other", 1, open) == s.Salt(testModel, 1, open) {
+		t.Error("models share")
+	}
 	s.share = false
-	if s.Salt(1, open) == s.Salt(1, &config.Organisation{Name: "also open"}) {
+	if s.Salt(testModel, 1, open) == s.Salt(testModel, 1, &config.Organisation{Name: "also open"}) {
 		t.Error("they share although sharing is off")
 	}
 }
@@ -114,7 +117,7 @@
 	table.Want(testModel, 2, now)
 	table.Holds("a", testModel, 2)
 	table.Holds("b", testModel, 2)
-	if c := pick(t, s, request(open, "p"), now); c.Cached != 0 || c.Source != "" || c.Weights != 2 || c.Salt != "w2" {
+	if c := pick(t, s, request(open, "p"), now); c.Cached != 0 || c.Source != "" || c.Weights != 2 || c.Salt != "m/w2" {
 		t.Errorf("cached %d, source %q, weights %d, salt %q", c.Cached, c.Source, c.Weights, c.Salt)
 	}
 }
@@ -135,13 +138,13 @@
 func TestStoreIsASource(t *testing.T) {
 	s, index, _ := newScheduler("a")
 	now := time.Now()
-	index.Stored(storeAddress, prefix.HashOf("w1", "p"), 13_000, 2_500_000, now)
+	index.Stored(storeAddress, prefix.HashOf("m/w1", "p"), 13_000, 2_500_000, now)
 	s.SetStoreUp(false)
 	if c := pick(t, s, request(open, "p"), now); c.Source != "" {
 		t.Errorf("fetched from a store that does not answer")
 	}
 	s, index, _ = newScheduler("a")
-	index.Stored(storeAddress, prefix.HashOf("w1", "p"), 13_000, 2_500_000, now)
+	index.Stored(storeAddress, prefix.HashOf("m/w1", "p"), 13_000, 2_500_000, now)
 	if c := pick(t, s, request(open, "p"), now); c.Source != storeAddress || c.Fetched != 13_000 {
 		t.Errorf("source %q, fetched %d", c.Source, c.Fetched)
 	}
