Functions that nothing calls are gone

Cause: a last read of the whole change: Table.Alive with a second constant for the same silence, settings.Load beside platform.LoadSettings, Budget.Left, Index.Size and two counters of the stand-ins were called by nobody.

Change: they are removed; no other line changes.

Conclusion: behaviour as before.

--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -245,14 +245,3 @@
 	}
 	return latest
 }
-
-// Size returns the number of parts believed held, over all holders.
-func (x *Index) Size() int {
-	x.mu.RLock()
-	defer x.mu.RUnlock()
-	n := 0
-	for _, h := range x.holders {
-		n += len(h.parts)
-	}
-	return n
-}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -294,23 +294,6 @@
 	return len(t.entries)
 }
 
-// Alive reports whether a server is registered and not thought down, so that
-// others may fetch from it.
-func (t *Table) Alive(id string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil {
-		return false
-	}
-	down, trial := e.health.state(now)
-	return !down && !trial && e.silence(now) < silentSource
-}
-
-// silentSource is the silence from which nothing is fetched from a server: a
-// dead source delays a request by some hundred milliseconds.
-const silentSource = 300 * time.Millisecond
-
 // Status returns every server for operators, by ID.
 func (t *Table) Status(now time.Time) []*pb.ReplicaStatus {
 	t.mu.Lock()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -73,15 +73,6 @@
 	return true
 }
 
-// Left returns how many repeats are left.
-func (b *Budget) Left(service string, now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.slot(service, now)
-	requests, repeats := b.sum(service, s.number)
-	return b.ratio*float64(requests) + b.slack - float64(repeats)
-}
-
 func (b *Budget) slot(service string, now time.Time) *slot {
 	c := b.services[service]
 	if c == nil {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
 	"sort"
 	"strings"
 	"time"
@@ -44,15 +43,6 @@
 	return strings.Join(lines, "\n")
 }
 
-// Load reads and checks the file. An error of type Mistakes lists all mistakes.
-func Load(file string) (*pb.Settings, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
-	}
-	return Parse(data)
-}
-
 // Parse checks data and returns the settings with every default filled in.
 func Parse(data []byte) (*pb.Settings, error) {
 	root, err := hujson.Parse(data)
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -82,17 +82,6 @@
 	return e.ran[id]
 }
 
-// Runs returns how often any request ran here.
-func (e *Engine) Runs() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	sum := 0
-	for _, n := range e.ran {
-		sum += n
-	}
-	return sum
-}
-
 // Version returns the weights that the server holds.
 func (e *Engine) Version() int64 {
 	e.mu.Lock()
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -40,7 +40,6 @@
 	topics map[string]*topic
 	// changed is closed and replaced whenever a record is added or the mode changes.
 	changed chan struct{}
-	calls   int
 }
 
 type topic struct {
@@ -69,13 +68,6 @@
 	s.changed = make(chan struct{})
 }
 
-// Calls returns the number of calls so far.
-func (s *Store) Calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Put writes a record as operators and backend servers do, whatever the mode.
 func (s *Store) Put(name, key string, value []byte) {
 	s.mu.Lock()
@@ -135,7 +127,6 @@
 	mux.HandleFunc("GET /-/log-newest", s.newest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.calls++
 		mode := s.mode
 		s.mu.Unlock()
 		switch mode {
