--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -277,7 +277,7 @@
 	// lateTargets is the expected time to a stream's first event, in latency
 	// targets, from which a request is refused: it would be late, make those behind
 	// it late, and mostly be given up by its caller, who waits for four targets.
-	lateTargets = 2
+	lateTargets = 3
 	// urgentTargets is the wait, in latency targets of the service's most urgent
 	// route, from which less urgent requests are refused: they are the larger ones,
 	// and urgent requests would wait behind them.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -154,8 +154,8 @@
 	silenceAfter = 300 * time.Millisecond
 	// trialMs is the price of trying a replica that failed.
 	trialMs = 250.0
-	// deadlineMargin is kept before the weights' deadline: a request begins when its
-	// replica has read the prompt, which takes a second and more in a queue.
+	// deadlineMargin is kept before the weights' deadline, beside the expected time:
+	// a request begins when its replica has read the prompt.
 	deadlineMargin = 1800 * time.Millisecond
 	// retryAfter is how long a caller waits when no replica can take a request.
 	retryAfter = 300 * time.Millisecond
@@ -220,10 +220,10 @@
 		return "loading weights"
 	case req.Exclude[c.ID]:
 		return "tried"
-	case c.Behind >= p.WeightsDeadline-deadlineMargin:
-		return "on old weights"
 	case !fits(req, c):
 		return "too small"
+	case c.Behind > 0 && c.Behind+duration(p.expected(req, c)) >= p.WeightsDeadline-deadlineMargin:
+		return "on old weights"
 	default:
 		return ""
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -26,6 +26,7 @@
 		"loading weights":     func(c *Candidate) { c.Loading = true },
 		"beyond the deadline": func(c *Candidate) { c.Behind = policy.WeightsDeadline },
 		"just before it":      func(c *Candidate) { c.Behind = policy.WeightsDeadline - time.Second },
+		"queue up to it":      func(c *Candidate) { c.Behind, c.PrefillTokens = policy.WeightsDeadline-3*time.Second, 80_000 },
 		"memory too small":    func(c *Candidate) { c.CacheTokens = 10_000 },
 		"tried before":        func(c *Candidate) { c.ID = "tried" },
 	} {
--- /dev/null
+++ b/test/days/play.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Plays the days beside this script on sites of the users' bench and prints what
+# broke. Usage: FLEETBENCH=PROGRAM test/days/play.sh SITE.toml...
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+bench=${FLEETBENCH:?names the program of the bench}
+failed=0
+for site in "$@"; do
+  for day in test/days/*.toml; do
+    out=$("$bench" run "$site" "$day" --why "own day $(basename "$day" .toml)" 2>&1) || true
+    line=$(grep -E '^[a-z-]+ +[0-9]+/[0-9]+ ' <<<"$out" | head -1 || true)
+    echo "$(basename "$site" .toml) ${line:-not played: $(tail -1 <<<"$out")}"
+    if grep -q BROKEN <<<"$out"; then
+      failed=1
+      grep -m3 -E '^[A-Z]+ at ' <<<"$out" || true
+    fi
+  done
+done
+exit $failed
