--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Kind says what of a route's requests may be repeated.
@@ -127,6 +129,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
+	stores []*CacheStore
 }
 
 // Build fills the lookups; call it once before the configuration is shared.
@@ -140,6 +143,7 @@
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
 	c.findUrgent()
+	c.findStores()
 	c.byKey = map[string]*Organisation{}
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
@@ -187,17 +191,29 @@
 // NeedsKeys reports whether requests must carry a key.
 func (c *Config) NeedsKeys() bool { return len(c.Organisations) > 0 }
 
-// Store returns the store of kept KV cache, or nil.
-func (c *Config) Store() *CacheStore {
-	var names []string
-	for name, s := range c.Services {
-		if s.Store != nil {
-			names = append(names, name)
+// Stores returns the stores of kept KV cache by address.
+func (c *Config) Stores() []*CacheStore { return c.stores }
+
+// Store returns the store that keeps the prompts of a leading part, or nil. The
+// parts spread over all stores, by rendezvous hashing: each keeps its own share,
+// and one that comes or goes moves no other's.
+func (c *Config) Store(part uint64) *CacheStore {
+	var best *CacheStore
+	bestRank := uint64(0)
+	for _, s := range c.stores {
+		if rank := xxh3.HashStringSeed(s.Address, part); best == nil || rank > bestRank {
+			best, bestRank = s, rank
 		}
 	}
-	if len(names) == 0 {
-		return nil
+	return best
+}
+
+// findStores lists the stores of kept KV cache.
+func (c *Config) findStores() {
+	for _, s := range c.Services {
+		if s.Store != nil {
+			c.stores = append(c.stores, s.Store)
+		}
 	}
-	sort.Strings(names)
-	return c.Services[names[0]].Store
+	sort.Slice(c.stores, func(i, j int) bool { return c.stores[i].Address < c.stores[j].Address })
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -16,6 +16,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/oai"
+	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -176,7 +177,7 @@
 		Body:         body,
 		Route:        ex.route,
 		Service:      service,
-		Store:        ex.view.Config.Store(),
+		Store:        ex.view.Config.Store(schedule.Affinity(ex.caller.Parts)),
 		Organisation: ex.org,
 		Caller:       ex.caller,
 		Deadline:     deadline,
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -1,14 +1,13 @@
 package node
 
 import (
-	"sort"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/zeebo/xxh3"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/entry"
+	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -97,21 +96,16 @@
 }
 
 // rank returns this host's place among the live ones in the order in which they
-// would take the lease: the same on all of them.
+// would take the lease, read entries and follow cache events: the same on all of
+// them. Primary hosts come first: they hear soonest what is under way.
 func (n *Node) rank() int {
-	ids := []string{n.settings.Host.Id}
+	hosts := []*pb.Heartbeat{n.self()}
 	for _, h := range n.members.Hosts(time.Now()) {
 		if h.Alive && !h.Beat.Leaving {
-			ids = append(ids, h.Beat.Host)
+			hosts = append(hosts, h.Beat)
 		}
 	}
-	sort.Slice(ids, func(i, j int) bool { return xxh3.HashString(ids[i]) < xxh3.HashString(ids[j]) })
-	for i, id := range ids {
-		if id == n.settings.Host.Id {
-			return i
-		}
-	}
-	return 0
+	return member.Rank(n.settings.Host.Id, hosts)
 }
 
 // status is what operators are told.
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -15,6 +15,9 @@
 	// cacheGap bounds those calls at a busy replica: what is told is some 80 ms old
 	// anyway, and each call costs processor time on both ends.
 	cacheGap = 100 * time.Millisecond
+	// cacheCalls bounds the calls of one host a second: each takes about 0.15 ms of
+	// its processor.
+	cacheCalls = 240
 	// cacheRetry follows a failed call for cache events.
 	cacheRetry = 400 * time.Millisecond
 	// scanInterval is how often replicas to follow are looked for.
@@ -54,16 +57,19 @@
 }
 
 // cacheTargets returns whom to follow. A replica holds a bounded number of these
-// calls for all hosts together, so that hosts beyond it do without.
+// calls for all hosts together, so that hosts beyond it do without, as standby
+// hosts do.
 func (n *Node) cacheTargets() map[string]cacheTarget {
 	out := map[string]cacheTarget{}
 	c := n.config.Load()
-	if c == nil {
+	if c == nil || !n.primary(time.Now()) {
 		return out
 	}
 	rank := n.rank()
-	if s := c.Store(); s != nil && rank < s.EventReaders {
-		out[s.Address] = cacheTarget{s.Address, s.Address, s.CacheTokens, true}
+	for _, s := range c.Stores() {
+		if rank < s.EventReaders {
+			out[s.Address] = cacheTarget{s.Address, s.Address, s.CacheTokens, true}
+		}
 	}
 	for _, server := range n.replicas.Servers(time.Now()) {
 		service := c.Services[server.Service]
@@ -122,7 +128,7 @@
 	if !f.target.store {
 		f.n.index.Unconfirmed(f.target.holder, time.Now().Add(-confirmWithin))
 	}
-	return cacheGap
+	return max(cacheGap, time.Second*time.Duration(f.n.replicas.Count())/cacheCalls)
 }
 
 func (f *cacheFollower) take(ev platform.CacheEvent) {
@@ -133,10 +139,10 @@
 // up notes whether the store of KV cache answers; replicas are judged by their
 // answers to requests.
 func (f *cacheFollower) up(up bool, err error) {
-	if !f.target.store || f.n.scheduler.StoreUp() == up {
+	if !f.target.store || f.n.scheduler.StoreUp(f.target.address) == up {
 		return
 	}
-	f.n.scheduler.SetStoreUp(up)
+	f.n.scheduler.SetStoreUp(f.target.address, up)
 	line := f.n.log.WithField("store", f.target.address)
 	if up {
 		line.Info("store of KV cache reached")
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -29,12 +30,23 @@
 	// loadingHold is how long a replica that another host orders gets no requests
 	// unless the next heartbeat says so again.
 	loadingHold = 600 * time.Millisecond
+	// standbyTicks is the number of heartbeat intervals between two heartbeats of a
+	// standby host. Three of them still fit into the time after which it counts as
+	// dead.
+	standbyTicks = 2
 	// leastKick is the shortest pause between two heartbeats.
 	leastKick = 5 * time.Millisecond
 )
 
-// beatNow asks for a heartbeat at once.
+// beatNow asks for a heartbeat to every host at once.
 func (n *Node) beatNow() {
+	n.toAll.Store(true)
+	n.beatSoon()
+}
+
+// beatSoon asks for a heartbeat to the primary hosts: standby hosts hear the same
+// with the next regular one.
+func (n *Node) beatSoon() {
 	select {
 	case n.kick <- struct{}{}:
 	default:
@@ -49,37 +61,83 @@
 	for _, seed := range n.settings.Member.Seeds {
 		n.members.Learn(n.peerAt(seed), now)
 	}
-	for {
+	for tick := 0; ; {
 		n.beat()
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			tick++
+			if tick%standbyTicks != 0 && !n.primary(time.Now()) {
+				continue
+			}
+			n.toAll.Store(true)
 		case <-n.kick:
 			time.Sleep(leastKick)
 		}
 	}
 }
 
-func (n *Node) beat() {
-	now := time.Now()
-	b := &pb.Heartbeat{
+// primary reports whether callers are sent to this host.
+func (n *Node) primary(now time.Time) bool {
+	_, here := n.primaries(now)
+	return here
+}
+
+// primaries returns the hosts to which callers are sent, and whether this is one
+// of them.
+func (n *Node) primaries(now time.Time) (hosts []*pb.Heartbeat, here bool) {
+	serving := n.members.Serving(now)
+	if n.machine.Is(StateReady) {
+		serving = append(serving, n.self())
+	}
+	hosts = member.Primaries(serving)
+	for _, h := range hosts {
+		here = here || h.Host == n.settings.Host.Id
+	}
+	return hosts, here
+}
+
+// self returns what does not change in this host's heartbeats.
+func (n *Node) self() *pb.Heartbeat {
+	return &pb.Heartbeat{
 		Host:             n.settings.Host.Id,
 		Incarnation:      n.incarnation,
-		Sequence:         n.sequence.Add(1),
 		AvailabilityZone: n.settings.Host.AvailabilityZone,
 		CallerAddress:    n.settings.Listen.Caller,
 		PeerAddress:      n.settings.Listen.Peer,
-		Ready:            n.machine.Is(StateReady),
-		Leaving:          n.machine.Is(StateLeaving) || n.machine.Is(StateClosing),
-		Loads:            n.replicas.Loads(now),
-		Sent:             n.scheduler.TakeSent(),
-		Loading:          n.loader.Busy(),
-		Known:            n.members.Addresses(now, toldAddresses),
-		StoreAgeMs:       n.access.Age(now).Milliseconds(),
-		EntriesAgeMs:     n.servers.Age(now).Milliseconds(),
-		LeaseEnd:         n.lease.HeldEnd(),
+		Cores:            n.settings.Host.Cores,
 	}
+}
+
+// targets returns the addresses of all hosts, or of the primary ones only.
+func (n *Node) targets(now time.Time) []string {
+	if n.toAll.Swap(false) {
+		return n.members.Targets(now)
+	}
+	hosts, _ := n.primaries(now)
+	var out []string
+	for _, h := range hosts {
+		if h.Host != n.settings.Host.Id {
+			out = append(out, h.PeerAddress)
+		}
+	}
+	return out
+}
+
+func (n *Node) beat() {
+	now := time.Now()
+	b := n.self()
+	b.Sequence = n.sequence.Add(1)
+	b.Ready = n.machine.Is(StateReady)
+	b.Leaving = n.machine.Is(StateLeaving) || n.machine.Is(StateClosing)
+	b.Loads = n.replicas.Loads(now)
+	b.Sent = n.scheduler.TakeSent()
+	b.Loading = n.loader.Busy()
+	b.Known = n.members.Addresses(now, toldAddresses)
+	b.StoreAgeMs = n.access.Age(now).Milliseconds()
+	b.EntriesAgeMs = n.servers.Age(now).Milliseconds()
+	b.LeaseEnd = n.lease.HeldEnd()
 	b.Down, _ = n.replicas.Down(now)
 	for _, t := range n.shared() {
 		if t.Synced() {
@@ -89,7 +147,7 @@
 	n.loader.Recent(now, func(id, model string, version int64) {
 		b.Weights = append(b.Weights, &pb.ReplicaWeights{Replica: id, Model: model, Version: version})
 	})
-	n.gossip.Send(b, n.members.Targets(now))
+	n.gossip.Send(b, n.targets(now))
 }
 
 // entriesFresh reports whether some live host has just read the backend servers'
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -15,8 +15,9 @@
 	// configWait is how long a read of the configuration waits at the store: the
 	// price of a call against the time until a silent store is noticed.
 	configWait = 20 * time.Second
-	// hostWait is the same for hosts' addresses, which heartbeats tell as well.
-	hostWait = 25 * time.Second
+	// hostInterval is how often hosts' addresses are read. Heartbeats tell of them
+	// as well, and a read that waited would return for each host that starts.
+	hostInterval = 25 * time.Second
 	// configGap bounds the reads in a storm of configurations.
 	configGap = 30 * time.Millisecond
 	// sweepInterval is how often idle connections and dead hosts are looked for.
@@ -55,7 +56,7 @@
 	return []func(context.Context){
 		follow(n.operators, configWait, configGap).Run,
 		entries.Run,
-		follow(n.hosts, hostWait, configGap).Run,
+		follow(n.hosts, 0, hostInterval).Run,
 		n.announce,
 		n.heartbeats,
 		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
@@ -95,7 +96,7 @@
 		if n.access.Stable(now) {
 			n.replicas.Settle()
 		}
-		n.budget.SetHosts(float64(n.settings.Retry.Slack)*slackShare, 1+len(n.members.Hosts(now)))
+		n.shareBudget(now)
 		n.becomeReady()
 		n.gauges(now)
 	})
@@ -119,6 +120,17 @@
 	})
 }
 
+// shareBudget divides the slack of the retry budget among the hosts that callers
+// are sent to.
+func (n *Node) shareBudget(now time.Time) {
+	slack := float64(n.settings.Retry.Slack) * slackShare
+	hosts, here := n.primaries(now)
+	if !here {
+		slack = 0
+	}
+	n.budget.SetHosts(slack, len(hosts))
+}
+
 func (n *Node) becomeReady() {
 	if n.config.Load() == nil || !n.servers.Synced() {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,8 @@
 	sequence atomic.Uint64
 	// kick asks for a heartbeat at once.
 	kick chan struct{}
+	// toAll is set while the next heartbeat is for every host.
+	toAll atomic.Bool
 	// fetching holds the topics that are being fetched from a peer.
 	fetching sync.Map
 }
@@ -133,12 +135,12 @@
 	policy := route.DefaultPolicy()
 	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
-	n.scheduler.Tell = n.beatNow
+	n.scheduler.Tell = n.beatSoon
 	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), float64(s.Retry.Slack)*slackShare, 1, time.Now())
 	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
 	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
 	n.loader.Rank = n.rank
-	n.loader.Changed = n.beatNow
+	n.loader.Changed = n.beatSoon
 	n.loader.Loaded = n.index.Clear
 	n.loader.Ordered = func() { n.metrics.Orders.Inc(1) }
 	return n
@@ -224,22 +226,17 @@
 }
 
 // directory returns the hosts that callers in an availability zone should use:
-// those of the zone, so that little crosses zones, or all where the zone has
+// the primary ones, of these those of the zone, so that little crosses zones, or all where the zone has
 // fewer than two.
 func (n *Node) directory(zone string) []string {
 	var all, near []string
-	add := func(hostZone, address string) {
-		all = append(all, address)
-		if hostZone == zone {
-			near = append(near, address)
+	hosts, _ := n.primaries(time.Now())
+	for _, h := range hosts {
+		all = append(all, h.CallerAddress)
+		if h.AvailabilityZone == zone {
+			near = append(near, h.CallerAddress)
 		}
 	}
-	if n.machine.Is(StateReady) {
-		add(n.settings.Host.AvailabilityZone, n.settings.Listen.Caller)
-	}
-	for _, h := range n.members.Serving(time.Now()) {
-		add(h.AvailabilityZone, h.CallerAddress)
-	}
 	if len(near) >= 2 {
 		all = near
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -58,8 +58,8 @@
 	entries map[string]*entry
 	// wanted holds the versions of each model, the newest last.
 	wanted map[string][]wanted
-	// loads is the work of other hosts, by host and server.
-	loads map[string]map[string]*pb.ReplicaLoad
+	// others is the work of other hosts.
+	others loads
 }
 
 type entry struct {
@@ -79,7 +79,7 @@
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
 		log: log, gone: gone,
-		entries: map[string]*entry{}, wanted: map[string][]wanted{}, loads: map[string]map[string]*pb.ReplicaLoad{},
+		entries: map[string]*entry{}, wanted: map[string][]wanted{}, others: newLoads(),
 	}
 }
 
@@ -152,50 +152,6 @@
 	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "state": e.machine.Current(), "reason": reason}).Info("replica changed state")
 }
 
-// SetLoads takes the work of another host in place of what it said before.
-func (t *Table) SetLoads(host string, loads []*pb.ReplicaLoad) {
-	byReplica := make(map[string]*pb.ReplicaLoad, len(loads))
-	for _, l := range loads {
-		byReplica[l.Replica] = l
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(byReplica) == 0 {
-		delete(t.loads, host)
-		return
-	}
-	t.loads[host] = byReplica
-}
-
-// Loads returns this host's own work, for the others.
-func (t *Table) Loads(now time.Time) []*pb.ReplicaLoad {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []*pb.ReplicaLoad
-	for id, e := range t.entries {
-		if len(e.flights) > 0 {
-			l := e.load(now)
-			l.Replica = id
-			out = append(out, l)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Replica < out[j].Replica })
-	return out
-}
-
-func (e *entry) load(now time.Time) *pb.ReplicaLoad {
-	l := &pb.ReplicaLoad{}
-	for f := range e.flights {
-		l.Requests++
-		l.PrefillTokens += int32(f.prefill(now))
-		l.MemoryTokens += int32(f.work.Memory)
-		if !f.answered {
-			l.Waiting++
-		}
-	}
-	return l
-}
-
 // Snapshot returns the servers of one service at a moment, by ID.
 func (t *Table) Snapshot(service, model string, cacheTokens int, now time.Time) []route.Replica {
 	t.mu.Lock()
@@ -211,14 +167,7 @@
 }
 
 func (t *Table) replica(id string, e *entry, model string, cacheTokens int, now time.Time) route.Replica {
-	load := e.load(now)
-	for _, loads := range t.loads {
-		if l := loads[id]; l != nil {
-			load.Requests += l.Requests
-			load.PrefillTokens += l.PrefillTokens
-			load.MemoryTokens += l.MemoryTokens
-		}
-	}
+	load := t.load(e, now)
 	serving := e.machine.Is(StateServing) || e.machine.Is(StateLapsed)
 	down, trial := e.health.state(now)
 	silence := e.silence(now)
@@ -257,14 +206,11 @@
 		down, _ := e.health.state(now)
 		s := Server{
 			ID: id, Address: e.reg.Address, Service: e.reg.Service, Weights: map[string]int64{},
-			Requests: len(e.flights), Down: down || e.silence(now) > hangAfter,
+			Requests: int(t.load(e, now).Requests), Down: down || e.silence(now) > hangAfter,
 		}
 		for model, version := range e.weights {
 			s.Weights[model] = version
 		}
-		for _, loads := range t.loads {
-			s.Requests += int(loads[id].GetRequests())
-		}
 		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
@@ -280,11 +226,7 @@
 	if e == nil {
 		return 0
 	}
-	waiting := int(e.load(now).Waiting)
-	for _, loads := range t.loads {
-		waiting += int(loads[id].GetWaiting())
-	}
-	return waiting
+	return int(t.load(e, now).Waiting)
 }
 
 // Count returns the number of known servers.
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -58,6 +58,10 @@
 	retryPause = 250 * time.Millisecond
 	// rankDelay separates hosts that could all take the lease.
 	rankDelay = 150 * time.Millisecond
+	// loadingPart is the part of a model's replicas that load at once where there are
+	// many: the weight store serves about a fifth of them at full speed, and a
+	// rollout then takes about as long as on a small site.
+	loadingPart = 5
 	// recentFor is how long other hosts are told of loaded weights.
 	recentFor = 3 * time.Second
 )
@@ -70,7 +74,7 @@
 	log      *logrus.Logger
 	holder   string
 	mode     platform.LoadMode
-	// atOnce is how many replicas load at once.
+	// atOnce is how many replicas load at once where there are few.
 	atOnce int
 	// Rank returns this host's place among those that could take the lease.
 	Rank func() int
@@ -152,18 +156,20 @@
 	return l.take(behind, l.room(behind), now)
 }
 
-// room returns how many replicas may load at once: never more than half of those
-// of a model, so that the others serve meanwhile.
+// room returns how many replicas may load at once: the setting, more where there
+// are many, and never more than half of those of a model, so that the others
+// serve meanwhile.
 func (l *Loader) room(behind []target) int {
-	room := l.atOnce
 	counts := map[string]int{}
 	for _, s := range l.replicas.Servers(time.Now()) {
 		for model := range s.Weights {
 			counts[model]++
 		}
 	}
+	room := 0
 	for _, t := range behind {
-		room = min(room, max(1, counts[t.model]/2))
+		n := counts[t.model]
+		room = max(room, min(max(l.atOnce, n/loadingPart), max(1, n/2)))
 	}
 	return room
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -101,8 +101,8 @@
 
 	mu   sync.Mutex
 	sent []*pb.PrefixSent
-	// storeUp is whether the store of kept KV cache answers.
-	storeUp bool
+	// storesUp holds the addresses of the stores of kept KV cache that answer.
+	storesUp map[string]bool
 }
 
 // New returns a scheduler for a host in an availability zone. With share set,
@@ -111,6 +111,7 @@
 	return &Scheduler{
 		replicas: replicas, index: index, policy: policy, zone: zone, share: share,
 		links: links{busy: map[string]time.Time{}}, reuse: newReuse(), Tell: func() {},
+		storesUp: map[string]bool{},
 	}
 }
 
@@ -146,7 +147,7 @@
 		SharedTokens:     s.prompt(prompts, req, 0).Total(),
 		LatencyTarget:    req.Target,
 		Exclude:          req.Exclude,
-		Affinity:         affinity(req.Parts),
+		Affinity:         Affinity(req.Parts),
 	}, candidates)
 	if err != nil {
 		return nil, err
@@ -164,8 +165,8 @@
 	return p
 }
 
-// affinity is equal for requests that share their first part.
-func affinity(parts []platform.Part) uint64 {
+// Affinity is equal for requests that share their first part.
+func Affinity(parts []platform.Part) uint64 {
 	if len(parts) == 0 {
 		return 0
 	}
@@ -210,7 +211,7 @@
 const silentSource = 250 * time.Millisecond
 
 func (s *Scheduler) tryStore(req *Request, c *route.Candidate, p prefix.Prompt, now time.Time) {
-	if req.Store == nil || !s.StoreUp() {
+	if req.Store == nil || !s.StoreUp(req.Store.Address) {
 		return
 	}
 	_, held := s.index.Held(req.Store.Address, p, now)
@@ -296,7 +297,7 @@
 // worthSaving reports whether the store lacks shared parts of the prompt that
 // will probably be asked for again, and has time to take them.
 func (s *Scheduler) worthSaving(req *Request, c *Choice, now time.Time) bool {
-	if req.Store == nil || !s.StoreUp() || len(c.prompt.Parts) == 0 {
+	if req.Store == nil || !s.StoreUp(req.Store.Address) || len(c.prompt.Parts) == 0 {
 		return false
 	}
 	held, _ := s.index.Held(req.Store.Address, c.prompt, now)
@@ -377,18 +378,22 @@
 	}
 }
 
-// SetStoreUp records whether the store of kept KV cache answers.
-func (s *Scheduler) SetStoreUp(up bool) {
+// SetStoreUp records whether a store of kept KV cache answers.
+func (s *Scheduler) SetStoreUp(address string, up bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeUp = up
+	if up {
+		s.storesUp[address] = true
+		return
+	}
+	delete(s.storesUp, address)
 }
 
-// StoreUp reports whether the store of kept KV cache answers.
-func (s *Scheduler) StoreUp() bool {
+// StoreUp reports whether a store of kept KV cache answers.
+func (s *Scheduler) StoreUp(address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeUp
+	return s.storesUp[address]
 }
 
 // Reloaded drops what a replica held before it loaded other weights.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -35,7 +35,7 @@
 	}
 	index := prefix.NewIndex()
 	s := New(table, index, route.DefaultPolicy(), "z", true)
-	s.SetStoreUp(true)
+	s.SetStoreUp(storeAddress, true)
 	return s, index, table
 }
 
@@ -139,7 +139,7 @@
 	s, index, _ := newScheduler("a")
 	now := time.Now()
 	index.Stored(storeAddress, prefix.HashOf("m/w1", "p"), 13_000, 2_500_000, now)
-	s.SetStoreUp(false)
+	s.SetStoreUp(storeAddress, false)
 	if c := pick(t, s, request(open, "p"), now); c.Source != "" {
 		t.Errorf("fetched from a store that does not answer")
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,9 +30,8 @@
 			DeadAfter:         durationpb.New(time.Second),
 		},
 		Replica: &pb.ReplicaSettings{
-			HeartbeatInterval: durationpb.New(1200 * time.Millisecond),
-			OutageGrace:       durationpb.New(2 * time.Second),
-			PollInterval:      durationpb.New(400 * time.Millisecond),
+			OutageGrace:  durationpb.New(2 * time.Second),
+			PollInterval: durationpb.New(400 * time.Millisecond),
 		},
 		Retry: &pb.RetrySettings{
 			Ratio:  0.2,
@@ -83,6 +82,7 @@
 	c.require(s.Host.Id != "", "host.id", "is required")
 	c.require(s.Host.AvailabilityZone != "", "host.availability_zone", "is required")
 	c.within("host.memory_mb", float64(s.Host.MemoryMb), 0, 1<<20)
+	c.within("host.cores", s.Host.Cores, 0, 1e4)
 	c.address("listen.caller", s.Listen.Caller, true)
 	c.address("listen.peer", s.Listen.Peer, true)
 	c.address("listen.ready", s.Listen.Ready, false)
@@ -105,7 +105,6 @@
 	c.positive("request.idle_timeout", s.Request.IdleTimeout)
 	c.positive("request.answer_ttl", s.Request.AnswerTtl)
 	c.positive("member.heartbeat_interval", s.Member.HeartbeatInterval)
-	c.positive("replica.heartbeat_interval", s.Replica.HeartbeatInterval)
 	c.positive("replica.poll_interval", s.Replica.PollInterval)
 	c.positive("retry.window", s.Retry.Window)
 	c.positive("weights.lease", s.Weights.Lease)
