--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -63,6 +63,9 @@
 // Send sends a heartbeat to each address. A datagram that is lost is made up for
 // by the next one.
 func (g *Gossip) Send(b *pb.Heartbeat, to []string) {
+	if len(to) == 0 {
+		return
+	}
 	data, err := proto.Marshal(b)
 	if err != nil {
 		g.log.WithError(err).Error("heartbeat not encoded")
--- /dev/null
+++ b/internal/netdial/netdial_test.go
@@ -0,0 +1,47 @@
+package netdial
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestConnectionsAreProbed: the kernel itself must notice a silent connection;
+// how it is told to is all that can be seen without cutting a network.
+func TestConnectionsAreProbed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err := New(time.Second).Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var on, idle, interval, count int
+	option := func(fd uintptr, level, name int) int {
+		v, err := syscall.GetsockoptInt(int(fd), level, name)
+		if err != nil {
+			t.Error(err)
+		}
+		return v
+	}
+	err = raw.Control(func(fd uintptr) {
+		on = option(fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		idle = option(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+		interval = option(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)
+		count = option(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if noticed := idle + interval*count; on == 0 || noticed > 3 {
+		t.Errorf("keep-alive %d: idle %d s, %d probes each %d s; want it noticed within 3 s", on, idle, count, interval)
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +36,9 @@
 	// standby host. Three of them still fit into the time after which it counts as
 	// dead.
 	standbyTicks = 2
+	// knownBeats is the number of heartbeats between two that tell of other hosts'
+	// addresses: that is half of what a heartbeat to standby hosts holds.
+	knownBeats = 5
 	// leastKick is the shortest pause between two heartbeats.
 	leastKick = 5 * time.Millisecond
 )
@@ -44,8 +49,7 @@
 	n.beatSoon()
 }
 
-// beatSoon asks for a heartbeat to the primary hosts: standby hosts hear the same
-// with the next regular one.
+// beatSoon asks for a heartbeat to the primary hosts.
 func (n *Node) beatSoon() {
 	select {
 	case n.kick <- struct{}{}:
@@ -110,44 +114,64 @@
 	}
 }
 
-// targets returns the addresses of all hosts, or of the primary ones only.
-func (n *Node) targets(now time.Time) []string {
-	if n.toAll.Swap(false) {
-		return n.members.Targets(now)
-	}
+// targets returns the addresses to send a heartbeat to now: those that get all of
+// it, and those of standby hosts, which get no word of work.
+func (n *Node) targets(now time.Time) (full, brief []string) {
 	hosts, _ := n.primaries(now)
-	var out []string
+	primary := map[string]bool{}
 	for _, h := range hosts {
-		if h.Host != n.settings.Host.Id {
-			out = append(out, h.PeerAddress)
+		primary[h.PeerAddress] = true
+	}
+	delete(primary, n.settings.Listen.Peer)
+	if !n.toAll.Swap(false) {
+		return slices.Collect(maps.Keys(primary)), nil
+	}
+	standby := map[string]bool{}
+	for _, h := range n.members.Serving(now) {
+		standby[h.PeerAddress] = !primary[h.PeerAddress]
+	}
+	for _, address := range n.members.Targets(now) {
+		if standby[address] {
+			brief = append(brief, address)
+		} else {
+			full = append(full, address)
 		}
 	}
-	return out
+	return full, brief
 }
 
 func (n *Node) beat() {
 	now := time.Now()
+	full, brief := n.targets(now)
 	b := n.self()
 	b.Sequence = n.sequence.Add(1)
 	b.Ready = n.machine.Is(StateReady)
 	b.Leaving = n.machine.Is(StateLeaving) || n.machine.Is(StateClosing)
-	b.Loads = n.replicas.Loads(now)
-	b.Sent = n.scheduler.TakeSent()
-	b.Loading = n.loader.Busy()
-	b.Known = n.members.Addresses(now, toldAddresses)
+	if b.Sequence%knownBeats == 1 {
+		b.Known = n.members.Addresses(now, toldAddresses)
+	}
 	b.StoreAgeMs = n.access.Age(now).Milliseconds()
 	b.EntriesAgeMs = n.servers.Age(now).Milliseconds()
 	b.LeaseEnd = n.lease.HeldEnd()
-	b.Down, _ = n.replicas.Down(now)
 	for _, t := range n.shared() {
 		if t.Synced() {
 			b.Positions = append(b.Positions, &pb.TopicPosition{Topic: t.Name(), End: t.End()})
 		}
 	}
+	n.gossip.Send(b, brief)
+	n.addWork(b, now)
+	n.gossip.Send(b, full)
+}
+
+// addWork adds what only those need to know that send requests to replicas.
+func (n *Node) addWork(b *pb.Heartbeat, now time.Time) {
+	b.Loads = n.replicas.Loads(now)
+	b.Sent = n.scheduler.TakeSent()
+	b.Loading = n.loader.Busy()
+	b.Down, _ = n.replicas.Down(now)
 	n.loader.Recent(now, func(id, model string, version int64) {
 		b.Weights = append(b.Weights, &pb.ReplicaWeights{Replica: id, Model: model, Version: version})
 	})
-	n.gossip.Send(b, n.targets(now))
 }
 
 // entriesFresh reports whether some live host has just read the backend servers'
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -15,6 +15,10 @@
 	// configWait is how long a read of the configuration waits at the store: the
 	// price of a call against the time until a silent store is noticed.
 	configWait = 20 * time.Second
+	// operatorReaders is how many hosts wait at the store for what operators write;
+	// the others have it from them within a heartbeat. More would cost a call each
+	// for each record; fewer could all be out of the store's reach at once.
+	operatorReaders = 16
 	// hostInterval is how often hosts' addresses are read. Heartbeats tell of them
 	// as well, and a read that waited would return for each host that starts.
 	hostInterval = 25 * time.Second
@@ -53,8 +57,10 @@
 		n.becomeReady()
 		n.beatNow()
 	}
+	operators := follow(n.operators, configWait, configGap)
+	operators.Fresh = func() bool { return n.rank() >= operatorReaders }
 	return []func(context.Context){
-		follow(n.operators, configWait, configGap).Run,
+		operators.Run,
 		entries.Run,
 		follow(n.hosts, 0, hostInterval).Run,
 		n.announce,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/netdial"
 )
 
 const dialTimeout = time.Second
@@ -75,7 +76,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := netdial.New(dialTimeout)
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial peer %s", address)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -82,8 +82,10 @@
 	// writing is closed once the last request was written.
 	writing   chan error
 	idleSince time.Time
-	maxIdle   time.Duration
-	used      bool
+	// rested is how long it was idle before its present request.
+	rested  time.Duration
+	maxIdle time.Duration
+	used    bool
 }
 
 func (c *conn) exchange(ctx context.Context, req *Request) (*Response, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,9 +5,12 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/briarlink/briarlink/internal/netdial"
 )
 
 const (
@@ -17,6 +20,10 @@
 	// idleMargin is kept before the backend server's own limit: a request that
 	// crosses its close may or may not have run.
 	idleMargin = 400 * time.Millisecond
+	// learnedShare of the rest after which a backend server was seen to have dropped
+	// a connection is how long connections are kept from then on, for learnedFor.
+	learnedShare = 0.5
+	learnedFor   = 10 * time.Second
 	// maxIdlePerServer bounds the idle connections to one backend server: servers
 	// reset those beyond what they accept of all hosts together, a hundred of some.
 	maxIdlePerServer = 8
@@ -30,13 +37,17 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+	// learned is the longest rest until learnedUntil; backend servers may drop
+	// connections sooner than they say.
+	learned      time.Duration
+	learnedUntil time.Time
 	// Opened counts new connections.
 	opened int64
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dialer := netdial.New(dialTimeout)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
@@ -61,14 +72,45 @@
 		}
 		c = fresh
 	}
+	rested := c.rested
 	resp, err := c.exchange(ctx, req)
 	if err != nil {
+		if ctx.Err() == nil && dropped(err) {
+			p.learn(rested, time.Now())
+		}
 		return nil, err
 	}
 	resp.pool = p
 	return resp, nil
 }
 
+// dropped reports whether a kept connection was reset by its next request.
+func dropped(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Reused && errors.Is(failed.cause, syscall.ECONNRESET)
+}
+
+// learn takes the rest after which a connection was found dropped.
+func (p *Pool) learn(rested time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := time.Duration(learnedShare * float64(rested))
+	if now.Before(p.learnedUntil) {
+		limit = min(limit, p.learned)
+	}
+	p.learned, p.learnedUntil = limit, now.Add(learnedFor)
+}
+
+// rest returns the longest rest that was learned, or limit.
+func (p *Pool) rest(limit time.Duration, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.learnedUntil) {
+		return min(limit, p.learned)
+	}
+	return limit
+}
+
 // Probe opens a connection to a backend server and keeps it for a request.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
@@ -101,7 +143,9 @@
 		if maxIdle > 0 {
 			limit = min(limit, maxIdle)
 		}
-		if time.Since(c.idleSince) < limit && c.quiet() {
+		now := time.Now()
+		c.rested = now.Sub(c.idleSince)
+		if c.rested < p.rest(limit, now) && c.quiet() {
 			return c
 		}
 		c.Conn.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -249,6 +249,47 @@
 	}
 }
 
+// TestDroppedConnectionsTeachHowLongTheyAreKept: a server that forgets a rested
+// connection loses one request, not one a connection.
+func TestDroppedConnectionsTeachHowLongTheyAreKept(t *testing.T) {
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		id, body, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(id, body))
+		if _, _, err := readRequest(r); err == nil {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	p := NewPool()
+	defer p.Close()
+	// rest sends a request on a connection that has rested that long.
+	rest := func(d time.Duration) error {
+		c, err := p.dial(context.Background(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(c, 0)
+		if _, err := exchange(t, p, address, request("a", "")); err != nil {
+			t.Fatal(err)
+		}
+		p.idle[address][0].idleSince = time.Now().Add(-d)
+		_, err = exchange(t, p, address, request("b", ""))
+		p.Forget(address)
+		return err
+	}
+	if rest(600*time.Millisecond) == nil {
+		t.Fatal("the server did not drop its connection")
+	}
+	if err := rest(500 * time.Millisecond); err != nil {
+		t.Errorf("a connection that rested nearly as long was used: %v", err)
+	}
+	if rest(100*time.Millisecond) == nil {
+		t.Error("a connection that rested for a moment was not used")
+	}
+}
+
 // TestEndingContextEndsTheExchange at once.
 func TestEndingContextEndsTheExchange(t *testing.T) {
 	reached := make(chan struct{})
