--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTO := $(wildcard api/briarlink/v1/*.proto)
 GEN := $(BIN)/gen
 
-.PHONY: build run up test fuzz bench docs generate check-generated lint
+.PHONY: build run up test soak fuzz bench docs generate check-generated lint
 
 build:
 	go build -o $(BIN)/briarlink ./cmd/briarlink
@@ -19,6 +19,13 @@
 test:
 	go test -race -count=1 ./...
 
+# Real processes under seeded faults, checked from outside. Seeds that once failed
+# stand in test/soak/seeds.txt; SOAK sets others: make soak SOAK="--first 100 --seeds 50".
+SOAK := $(addprefix --seed ,$(shell grep -o '^[0-9]*' test/soak/seeds.txt)) --length 5s
+soak: build
+	go build -o $(BIN)/soak ./test/soak
+	$(BIN)/soak $(SOAK)
+
 generate:
 	mkdir -p $(GEN)
 	go build -o $(GEN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go storj.io/drpc/cmd/protoc-gen-go-drpc
--- /dev/null
+++ b/test/soak/check_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarlink/briarlink/test/standin/caller"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/store"
+	"github.com/briarlink/briarlink/test/standin/wire"
+)
+
+func testWorld() *world {
+	return &world{config: newOperator(store.New()), seen: newRecord(), faults: &disturbances{}}
+}
+
+// ended returns a request of a kind that a host answered just now.
+func ended(k *kind, status int, seal string) *sent {
+	h := http.Header{}
+	h.Set(wire.Seal, seal)
+	h.Set(wire.Attempt, "r")
+	now := time.Now()
+	return &sent{id: "r", kind: k, key: "key-of-museum-a", from: now.Add(-time.Millisecond), to: now, answer: caller.Answer{Status: status, Header: h, Whole: true}}
+}
+
+func ran(w *world, server string) {
+	h := http.Header{}
+	h.Set(wire.Organisation, "museum-a")
+	w.seen.ran(server, "r", h)
+}
+
+// TestBrokenPromisesAreSeen: each check finds what it is for.
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	updates, notes := kinds[2], kinds[1]
+	for want, do := range map[string]func(w *world){
+		"ran 2 times": func(w *world) {
+			ran(w, "i-1")
+			ran(w, "i-2")
+			w.seen.add(ended(updates, http.StatusBadGateway, ""))
+		},
+		"was answered 503 and ran": func(w *world) {
+			ran(w, "i-1")
+			w.seen.add(ended(updates, http.StatusServiceUnavailable, ""))
+		},
+		"which did not run it": func(w *world) { w.judge(ended(updates, http.StatusOK, "seal-of-i-1")) },
+		"want \"answer of i-1": func(w *world) {
+			ran(w, "i-1")
+			w.judge(ended(updates, http.StatusOK, "seal-of-i-1"))
+		},
+		"ends as whole after event 0": func(w *world) {
+			ran(w, "i-1")
+			w.judge(ended(notes, http.StatusOK, "seal-of-i-1"))
+		},
+		"bears a server's seal": func(w *world) { w.judge(ended(updates, http.StatusServiceUnavailable, "seal-of-i-1")) },
+		"though its key and route always held": func(w *world) {
+			w.judge(ended(updates, http.StatusUnauthorized, ""))
+		},
+		"ran for organisation": func(w *world) {
+			w.seen.ran("i-1", "r", http.Header{})
+			w.seen.add(ended(updates, http.StatusBadGateway, ""))
+		},
+		"after that said it leaves": func(w *world) {
+			s := ended(updates, http.StatusBadGateway, "")
+			w.seen.left["i-1"] = s.from.Add(-2 * drainTime)
+			ran(w, "i-1")
+			w.seen.add(s)
+		},
+		"two holders": func(w *world) {
+			w.seen.ordered("a", 1)
+			w.seen.ordered("b", 1)
+		},
+		"was passed on and has no answer": func(w *world) {
+			ran(w, "i-1")
+			s := ended(updates, 0, "")
+			s.host, s.err = &host{id: "entry-0"}, http.ErrServerClosed
+			w.judge(s)
+		},
+	} {
+		w := testWorld()
+		do(w)
+		w.judgeAll()
+		if all := strings.Join(w.seen.broken, "\n"); !strings.Contains(all, want) {
+			t.Errorf("want %q among what is broken: %q", want, all)
+		}
+	}
+}
+
+// TestRevokedKeys: refused in time, and never accepted again.
+func TestRevokedKeys(t *testing.T) {
+	w := testWorld()
+	w.config.revoke()
+	w.config.revoked["spare-key-1"] = time.Now().Add(-2 * applyTime)
+	s := ended(kinds[2], http.StatusBadGateway, "")
+	s.key, s.host, s.boot = "spare-key-1", &host{id: "entry-0"}, 1
+	w.seen.denied["entry-0/1/spare-key-1"] = true
+	ran(w, "i-1")
+	w.judge(s)
+	if len(w.seen.broken) != 2 {
+		t.Errorf("broken: %q", w.seen.broken)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	var all strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		all.WriteString(engine.EventText(n))
+	}
+	for name, c := range map[string]struct {
+		body  string
+		whole bool
+		wrong bool
+	}{
+		"whole":         {all.String(), true, false},
+		"cut":           {engine.EventText(1), false, false},
+		"cut and whole": {engine.EventText(1), true, true},
+		"missing":       {engine.EventText(1) + engine.EventText(3), false, true},
+		"twice":         {engine.EventText(1) + engine.EventText(1), false, true},
+		"half an event": {engine.EventText(1) + "id: 2\n", false, true},
+	} {
+		if got := wrongStream(c.body, c.whole); (got != "") != c.wrong {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
+
+// TestDisturbancesExcuse what lies within them and shortly after.
+func TestDisturbancesExcuse(t *testing.T) {
+	ds := &disturbances{}
+	a, b := &host{id: "a"}, &host{id: "b"}
+	end := ds.begin("kill", a, false)
+	end()
+	now := time.Now()
+	if ds.inTouch(a, now, now) || !ds.inTouch(b, now, now) || ds.inTouch(nil, now, now) {
+		t.Error("just after a disturbance of one host")
+	}
+	if later := now.Add(touch + time.Millisecond); !ds.inTouch(a, later, later) {
+		t.Error("still disturbed long after")
+	}
+}
--- /dev/null
+++ b/test/soak/faults.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/briarlink/briarlink/platform"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/store"
+)
+
+// fault is a planned step of a seed's series.
+type fault struct {
+	at   time.Duration
+	name string
+	do   func(w *world)
+}
+
+const (
+	// meanGap is the mean pause between two faults; most last longer, so that they
+	// overlap.
+	meanGap = 450 * time.Millisecond
+	// longest is the longest that one lasts.
+	longest = 3500 * time.Millisecond
+)
+
+// plan draws a seed's faults: the same seed, the same series.
+func plan(rng *rand.Rand, length time.Duration) []fault {
+	var out []fault
+	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * meanGap))) {
+		f := draw(rng)
+		f.at = at
+		out = append(out, f)
+	}
+	return out
+}
+
+// proxyModes are those that harm.
+var proxyModes = []mode{silence, oneWay, delay, refuse, hush}
+
+// draw draws one fault. Changes and plain crashes come more often than outages.
+func draw(rng *rand.Rand) fault {
+	for_ := time.Duration(rng.Int64N(int64(longest)))
+	i, j, m := rng.IntN(hosts), rng.IntN(writers+jobs), proxyModes[rng.IntN(len(proxyModes))]
+	named := func(do func(w *world), format string, args ...any) fault {
+		return fault{name: fmt.Sprintf(format, args...), do: do}
+	}
+	switch rng.IntN(18) {
+	case 0:
+		return named(func(w *world) { w.killHost(i, for_/3) }, "kill host %d, start after %v", i, for_/3)
+	case 1, 2:
+		return named(func(w *world) { w.stopHost(i) }, "stop host %d", i)
+	case 3:
+		return named(func(w *world) { w.pauseHost(i, for_) }, "pause host %d for %v", i, for_)
+	case 4:
+		return named(func(w *world) { w.reloadHost(i) }, "reload host %d", i)
+	case 5:
+		return named(func(w *world) { w.rollHosts(for_ / 4) }, "stop hosts in turn, each %v", for_/4)
+	case 6:
+		return named(func(w *world) { w.killAll(for_ / 3) }, "kill all hosts, start after %v", for_/3)
+	case 7:
+		mode := []store.Mode{store.Down, store.Silent, store.Lossy}[rng.IntN(3)]
+		return named(func(w *world) { w.breakStore(mode, for_) }, "store in mode %d for %v", mode, for_)
+	case 8:
+		return named(func(w *world) { w.trim() }, "store forgets its history")
+	case 9, 10:
+		return named(func(w *world) { w.cutStore(i, m, for_) }, "host %d to the store: %v for %v", i, m, for_)
+	case 11, 12:
+		return named(func(w *world) { w.cutServer(j, m, for_) }, "server %d: %v for %v", j, m, for_)
+	case 13:
+		planned := rng.IntN(2) == 0
+		return named(func(w *world) { w.replaceServer(j, planned) }, "server %d replaced, planned %t", j, planned)
+	case 14:
+		faults := []engine.Fault{engine.Refuse, engine.Fail, engine.Cut, engine.Unsealed}
+		next := []engine.Fault{faults[rng.IntN(4)], faults[rng.IntN(4)], faults[rng.IntN(4)]}
+		return named(func(w *world) { w.servers[j].current().Next(next...) }, "server %d: %v", j, next)
+	case 15:
+		return named(func(w *world) { w.config.grant() }, "grant a key")
+	case 16:
+		return named(func(w *world) { w.config.revoke() }, "revoke keys")
+	default:
+		return named(func(w *world) { w.config.bump() }, "new weights")
+	}
+}
+
+// harm carries out the series and waits until every fault is over.
+func (w *world) harm(ctx context.Context, series []fault, log func(string)) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, f := range series {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(began.Add(f.at))):
+		}
+		log(f.name)
+		wg.Go(func() { f.do(w) })
+	}
+}
+
+func (w *world) killHost(i int, after time.Duration) {
+	h := w.hosts[i]
+	end := w.faults.begin("kill", h, false)
+	defer end()
+	h.kill()
+	time.Sleep(after)
+	w.restart(h)
+}
+
+// restart starts a host and waits until it is ready, or a while.
+func (w *world) restart(h *host) {
+	if err := h.start(); err != nil {
+		w.seen.fail("%s does not start: %v", h.id, err)
+		return
+	}
+	for range 100 {
+		if h.ready() {
+			return
+		}
+		time.Sleep(holdPoll)
+	}
+}
+
+func (w *world) stopHost(i int) {
+	h := w.hosts[i]
+	end := w.faults.begin("stop", h, true)
+	defer end()
+	began := time.Now()
+	if h.signal(syscall.SIGTERM) && !h.wait(grace+exitSlack) {
+		if w.faults.inTouch(nil, began.Add(touch), began) {
+			w.seen.fail("%s is not gone %v after SIGTERM", h.id, grace+exitSlack)
+		}
+		h.kill()
+	}
+	w.restart(h)
+}
+
+func (w *world) pauseHost(i int, d time.Duration) {
+	h := w.hosts[i]
+	end := w.faults.begin("pause", h, false)
+	defer end()
+	h.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	h.signal(syscall.SIGCONT)
+}
+
+func (w *world) reloadHost(i int) {
+	end := w.faults.begin("reload", w.hosts[i], true)
+	defer end()
+	w.hosts[i].signal(syscall.SIGHUP)
+}
+
+func (w *world) rollHosts(gap time.Duration) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range w.hosts {
+		wg.Go(func() { w.stopHost(i) })
+		time.Sleep(gap)
+	}
+}
+
+func (w *world) killAll(after time.Duration) {
+	end := w.faults.begin("kill all", nil, false)
+	defer end()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range w.hosts {
+		wg.Go(func() { w.killHost(i, after) })
+	}
+}
+
+func (w *world) breakStore(m store.Mode, d time.Duration) {
+	end := w.faults.begin("store", nil, false)
+	defer end()
+	w.store.SetMode(m)
+	time.Sleep(d)
+	w.store.SetMode(store.Up)
+}
+
+func (w *world) trim() {
+	end := w.faults.begin("trim", nil, false)
+	defer end()
+	for _, topic := range []string{platform.OperatorTopic, platform.ReplicaTopic, platform.HostTopic, platform.LeaseTopic} {
+		w.store.TrimAll(topic)
+	}
+}
+
+func (w *world) cutStore(i int, m mode, d time.Duration) {
+	h := w.hosts[i]
+	end := w.faults.begin("cut from the store", h, false)
+	defer end()
+	h.store.set(m)
+	time.Sleep(d)
+	h.store.set(pass)
+}
+
+func (w *world) cutServer(j int, m mode, d time.Duration) {
+	end := w.faults.begin("cut of a server", nil, false)
+	defer end()
+	w.servers[j].front.set(m)
+	time.Sleep(d)
+	w.servers[j].front.set(pass)
+}
+
+func (w *world) replaceServer(j int, planned bool) {
+	s := w.servers[j]
+	if !planned {
+		end := w.faults.begin("crash of a server", nil, false)
+		defer end()
+	}
+	s.replacing.Lock()
+	defer s.replacing.Unlock()
+	w.replace(s, planned)
+}
--- /dev/null
+++ b/test/soak/host.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// grace is from SIGTERM to SIGKILL, in the hosts' settings too.
+	grace = 4 * time.Second
+	// exitSlack is how long after it a process may take to be gone.
+	exitSlack = 500 * time.Millisecond
+)
+
+// host is one entry host: a process of the product's binary.
+type host struct {
+	id, ip, zone string
+	binary       string
+	settings     string
+	log          string
+	store        *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	started time.Time
+	boot    int
+}
+
+// settingsFor returns a host's settings; all hosts use the same ports.
+func settingsFor(h *host, seeds string) string {
+	return fmt.Sprintf(`{
+  "host": {"id": %q, "availability_zone": %q},
+  "listen": {"caller": "%[3]s:18000", "ready": "%[3]s:18001", "directory": "%[3]s:18002", "operator": "%[3]s:18003", "peer": "%[3]s:18004", "metrics": "%[3]s:18005"},
+  "platform": {"address": %[4]q},
+  "member": {"seeds": [%[5]s]},
+  "stop": {"grace": "%[6]s"},
+}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace)
+}
+
+func (h *host) caller() string    { return h.ip + ":18000" }
+func (h *host) directory() string { return h.ip + ":18002" }
+
+// start starts the process unless it runs.
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(h.binary, "serve", "--settings", h.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	h.boot++
+	h.cmd, h.started, h.exited = cmd, time.Now(), make(chan struct{})
+	go func(exited chan struct{}) {
+		// How it ended shows in what its callers saw, and in its log.
+		_ = cmd.Wait()
+		h.mu.Lock()
+		h.cmd = nil
+		h.mu.Unlock()
+		close(exited)
+	}(h.exited)
+	return nil
+}
+
+// signal signals the process if it runs; it reports whether it does.
+func (h *host) signal(s syscall.Signal) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd != nil && h.cmd.Process.Signal(s) == nil
+}
+
+// wait waits for the process to be gone, and reports whether it is.
+func (h *host) wait(limit time.Duration) bool {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited == nil {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// kill ends the process at once, paused or not.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	h.wait(grace)
+}
+
+// currentBoot counts the starts so far.
+func (h *host) currentBoot() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.boot
+}
+
+// ready asks the host's readiness.
+func (h *host) ready() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + h.ip + ":18001/-/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func logName(dir, id string) string { return filepath.Join(dir, id+".log") }
--- /dev/null
+++ b/test/soak/main.go
@@ -0,0 +1,209 @@
+// Command soak runs entry hosts as processes of their own, harms them and what
+// they meet by a seeded series of faults, and checks from outside, at callers and
+// backend servers, that every promise holds. Signals, cuts and changes overlap;
+// the time of day is not changed, as hosts use it for log lines only.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/briarlink/briarlink/test/standin/caller"
+)
+
+type cli struct {
+	Binary string        `default:"bin/briarlink" help:"The product's binary."`
+	First  uint64        `default:"1" help:"First seed."`
+	Seeds  uint64        `default:"1" help:"Number of seeds, one after the other from the first."`
+	Seed   []uint64      `help:"These seeds instead."`
+	Length time.Duration `default:"8s" help:"How long a seed's faults come."`
+	Jobs   int           `default:"4" help:"Seeds at once."`
+	Keep   string        `default:"" help:"Directory for the logs of seeds that failed; a temporary one if empty."`
+}
+
+const (
+	// settle is how long all may take to serve once every fault is over.
+	settle = 8 * time.Second
+	// settlePoll is the pause between two looks.
+	settlePoll = 100 * time.Millisecond
+)
+
+// result is what became of one seed.
+type result struct {
+	seed     uint64
+	requests int
+	served   int
+	broken   []string
+	err      error
+}
+
+// Run implements the command.
+func (c *cli) Run() error {
+	seeds := c.Seed
+	for n := uint64(0); len(c.Seed) == 0 && n < c.Seeds; n++ {
+		seeds = append(seeds, c.First+n)
+	}
+	slots := make(chan int, c.Jobs)
+	for slot := range c.Jobs {
+		slots <- slot
+	}
+	results := make(chan result, len(seeds))
+	var wg sync.WaitGroup
+	for _, seed := range seeds {
+		slot := <-slots
+		wg.Go(func() {
+			results <- c.play(seed, slot)
+			slots <- slot
+		})
+	}
+	wg.Wait()
+	close(results)
+	return report(results)
+}
+
+func report(results <-chan result) error {
+	failed := 0
+	for r := range results {
+		fmt.Printf("seed %d: %d requests, %d served, %d broken\n", r.seed, r.requests, r.served, len(r.broken))
+		for _, line := range r.broken {
+			fmt.Println("  " + line)
+		}
+		if r.err != nil {
+			fmt.Println("  not played:", r.err)
+		}
+		if r.err != nil || len(r.broken) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d seeds failed", failed)
+	}
+	fmt.Println("every promise held")
+	return nil
+}
+
+// play plays one seed; the logs of a seed that failed stay.
+func (c *cli) play(seed uint64, slot int) result {
+	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("seed-%d-", seed))
+	if err != nil {
+		return result{seed: seed, err: err}
+	}
+	w, err := newWorld(c.Binary, dir, slot)
+	if w != nil {
+		defer w.stop()
+	}
+	if err != nil {
+		return result{seed: seed, err: err}
+	}
+	r := w.play(seed, c.Length)
+	if len(r.broken) == 0 && r.err == nil {
+		r.err = os.RemoveAll(dir)
+	} else {
+		r.broken = append(r.broken, "logs are in "+dir)
+	}
+	return r
+}
+
+func (w *world) play(seed uint64, length time.Duration) result {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	series := plan(rng, length)
+	journal, err := os.Create(filepath.Join(w.dir, "faults.log"))
+	if err != nil {
+		return result{seed: seed, err: err}
+	}
+	defer journal.Close()
+	beats, stopBeats := context.WithCancel(context.Background())
+	defer stopBeats()
+	go w.heartbeats(beats)
+	w.calm()
+	pressing, stopPress := context.WithCancel(context.Background())
+	var callersDone sync.WaitGroup
+	for n := range callers {
+		own := rand.New(rand.NewPCG(seed, uint64(n+1)))
+		callersDone.Go(func() { w.press(pressing, n, own) })
+	}
+	w.harm(context.Background(), series, func(name string) {
+		fmt.Fprintln(journal, time.Now().Format("15:04:05.000"), name)
+	})
+	w.recovered()
+	stopPress()
+	callersDone.Wait()
+	w.judgeAll()
+	return w.result(seed)
+}
+
+// calm waits until every host is ready.
+func (w *world) calm() {
+	for until := time.Now().Add(settle); time.Now().Before(until); time.Sleep(settlePoll) {
+		ready := 0
+		for _, h := range w.hosts {
+			if h.ready() {
+				ready++
+			}
+		}
+		if ready == hosts {
+			return
+		}
+	}
+	w.seen.fail("not every host is ready after %v", settle)
+}
+
+// recovered checks that, once every fault is over, every host serves every kind
+// of request and every engine has the weights wanted last.
+func (w *world) recovered() {
+	w.calm()
+	began := time.Now()
+	for _, h := range w.hosts {
+		for _, k := range kinds {
+			if !w.serves(h, k, began.Add(settle)) {
+				w.seen.fail("%s serves no %s %v after the last fault", h.id, k.name, settle)
+			}
+		}
+	}
+	for _, s := range w.servers[:writers] {
+		for s.current().Version() < w.config.wanted() && time.Since(began) < 2*settle {
+			time.Sleep(settlePoll)
+		}
+		if got := s.current().Version(); got < w.config.wanted() {
+			w.seen.fail("%s has weights %d, wanted %d, %v after the last fault", s.current().ID, got, w.config.wanted(), 2*settle)
+		}
+	}
+}
+
+func (w *world) serves(h *host, k *kind, until time.Time) bool {
+	rng := rand.New(rand.NewPCG(0, 0))
+	for time.Now().Before(until) {
+		s := &sent{kind: k, key: "key-of-museum-a", host: h}
+		w.send(context.Background(), &caller.Caller{HostName: hostName}, s, rng)
+		if s.err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
+			return true
+		}
+		time.Sleep(settlePoll)
+	}
+	return false
+}
+
+func (w *world) result(seed uint64) result {
+	w.seen.mu.Lock()
+	defer w.seen.mu.Unlock()
+	r := result{seed: seed, requests: len(w.seen.requests), broken: w.seen.broken}
+	for _, s := range w.seen.requests {
+		if s.err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
+			r.served++
+		}
+	}
+	return r
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("soak"))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/test/soak/world.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/briarlink/briarlink/platform"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/store"
+)
+
+const (
+	hosts    = 4
+	writers  = 3
+	jobs     = 2
+	model    = "m"
+	hostName = "museum.example"
+	// heartbeat is how often a server renews its entry.
+	heartbeat = 400 * time.Millisecond
+)
+
+// server is one address of a backend server, with the start that has it now.
+type server struct {
+	service string
+	front   *proxy
+	http    *http.Server
+	back    string
+	// replacing is held while one start follows another.
+	replacing sync.Mutex
+
+	mu       sync.Mutex
+	engine   *engine.Engine
+	starts   int
+	draining bool
+}
+
+func (s *server) current() *engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine
+}
+
+// world is everything around the hosts, and what was seen there.
+type world struct {
+	dir     string
+	ip      func(i int) string
+	store   *store.Store
+	backend string
+	http    *http.Server
+	hosts   []*host
+	servers []*server
+	config  *operator
+	seen    *record
+	faults  *disturbances
+}
+
+func newWorld(binary, dir string, slot int) (*world, error) {
+	w := &world{
+		dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
+		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", 40+slot, i) },
+	}
+	w.config = newOperator(w.store)
+	listener, err := net.Listen("tcp4", w.ip(1)+":0")
+	if err != nil {
+		return nil, err
+	}
+	w.backend = listener.Addr().String()
+	w.http = &http.Server{Handler: w.store.Handler()}
+	go w.http.Serve(listener)
+	for i := range writers + jobs {
+		if err := w.addServer(i); err != nil {
+			return nil, err
+		}
+	}
+	var seeds []string
+	for i := range hosts {
+		seeds = append(seeds, fmt.Sprintf("%q", w.ip(10+i)))
+	}
+	for i := range hosts {
+		if err := w.addHost(i, binary, strings.Join(seeds, ",")); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) addHost(i int, binary, seeds string) error {
+	front, err := newProxy(w.ip(10+i)+":0", w.backend)
+	if err != nil {
+		return err
+	}
+	id := fmt.Sprintf("entry-%d", i)
+	h := &host{id: id, ip: w.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: logName(w.dir, id)}
+	h.settings = filepath.Join(w.dir, id+".hujson")
+	if err := os.WriteFile(h.settings, []byte(settingsFor(h, seeds)), 0o644); err != nil {
+		return err
+	}
+	w.hosts = append(w.hosts, h)
+	return h.start()
+}
+
+func (w *world) addServer(i int) error {
+	listener, err := net.Listen("tcp4", w.ip(100+i)+":0")
+	if err != nil {
+		return err
+	}
+	s := &server{service: "writer", back: listener.Addr().String()}
+	if i >= writers {
+		s.service = "jobs"
+	}
+	if s.front, err = newProxy(w.ip(100+i)+":0", s.back); err != nil {
+		return err
+	}
+	w.servers = append(w.servers, s)
+	w.begin(s)
+	s.http = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { s.current().Handler().ServeHTTP(rw, r) })}
+	go s.http.Serve(listener)
+	return nil
+}
+
+// begin starts a server anew under another ID, with the weights wanted last.
+func (w *world) begin(s *server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	id := fmt.Sprintf("i-%s-%d", strings.ReplaceAll(strings.Split(s.back, ":")[0], ".", "-"), s.starts)
+	o := engine.Options{ID: id, Service: s.service, Address: s.front.address(), Zone: "zone-0", Slots: 8, Events: 8, Pace: 12 * time.Millisecond, LoadTime: 250 * time.Millisecond}
+	if s.service == "writer" {
+		o.Model = model
+	}
+	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
+	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
+	s.engine = engine.New(o)
+	s.draining = false
+}
+
+// heartbeats renews the servers' entries.
+func (w *world) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, s := range w.servers {
+			s.mu.Lock()
+			e, draining := s.engine, s.draining
+			s.mu.Unlock()
+			// The stand-in of the store takes it whatever its mode is.
+			_ = e.Register(func(key string, entry any) error { return w.store.PutJSON(platform.ReplicaTopic, key, entry) }, draining)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// replace ends a start of a server and begins another at its address. A planned
+// end is told first, and new requests may come for drainTime after that.
+func (w *world) replace(s *server, planned bool) {
+	old := s.current()
+	if planned {
+		s.mu.Lock()
+		s.draining = true
+		s.mu.Unlock()
+		w.seen.leaves(old.ID)
+		_ = old.Register(func(key string, entry any) error { return w.store.PutJSON(platform.ReplicaTopic, key, entry) }, true)
+		time.Sleep(drainTime + time.Second)
+	} else {
+		s.front.set(refuse)
+	}
+	w.begin(s)
+	w.store.Put(platform.ReplicaTopic, old.ID, nil)
+	s.front.set(pass)
+}
+
+// stop ends everything that the world started.
+func (w *world) stop() {
+	for _, h := range w.hosts {
+		h.kill()
+		h.store.close()
+	}
+	for _, s := range w.servers {
+		s.front.close()
+		s.http.Close()
+	}
+	w.http.Close()
+}
--- a/test/standin/caller/caller.go
+++ b/test/standin/caller/caller.go
@@ -108,7 +108,14 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	address := addresses[rand.IntN(len(addresses))]
+	return c.SendTo(ctx, addresses[rand.IntN(len(addresses))], r)
+}
+
+// KeepConnections gives the caller connections of its own, which it keeps.
+func (c *Caller) KeepConnections() { c.client.Transport = &http.Transport{} }
+
+// SendTo sends a request to an address.
+func (c *Caller) SendTo(ctx context.Context, address string, r Request) (Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, strings.NewReader(r.Body))
 	if err != nil {
 		return Answer{}, err
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -31,6 +31,10 @@
 	Pace   time.Duration
 	// LoadTime is how long new weights take.
 	LoadTime time.Duration
+	// OnRun and OnOrder are told of each run and of each order that is accepted;
+	// they may be nil.
+	OnRun   func(id string, h http.Header)
+	OnOrder func(holder string, fence int64)
 }
 
 // Fault is what the server does wrong with its next request.
@@ -195,6 +199,9 @@
 
 // run counts the run and caches the shared parts of the prompt.
 func (e *Engine) run(r *http.Request, id string) {
+	if e.OnRun != nil {
+		e.OnRun(id, r.Header)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ran[id]++
@@ -289,6 +296,9 @@
 	case e.loading || o.Precondition != nil && *o.Precondition != e.orders:
 		w.WriteHeader(http.StatusConflict)
 	default:
+		if e.OnOrder != nil {
+			e.OnOrder(o.Holder, o.Fence)
+		}
 		e.orders++
 		e.loading = true
 		time.AfterFunc(e.LoadTime, func() { e.loaded(o.Version) })
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -97,6 +97,14 @@
 	s.wake()
 }
 
+// TrimAll drops every record of a topic but the newest of each key.
+func (s *Store) TrimAll(name string) {
+	s.mu.Lock()
+	end := s.topic(name).end()
+	s.mu.Unlock()
+	s.Trim(name, end)
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
--- a/test/standin/wire/wire.go
+++ b/test/standin/wire/wire.go
@@ -17,4 +17,5 @@
 	Model         = "X-Briarlink-Model"
 	Deadline      = "X-Briarlink-Deadline-Ms"
 	Key           = "Api-Key"
+	Organisation  = "X-Briarlink-Tenant"
 )
