--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -56,30 +58,43 @@
 	})
 }
 
-// cacheTargets returns whom to follow. A replica holds a bounded number of these
-// calls for all hosts together, so that hosts beyond it do without, as standby
-// hosts do.
+// cacheTargets returns whom to follow. Standby hosts follow nobody.
 func (n *Node) cacheTargets() map[string]cacheTarget {
 	out := map[string]cacheTarget{}
+	now := time.Now()
 	c := n.config.Load()
-	if c == nil || !n.primary(time.Now()) {
+	hosts, here := n.primaries(now)
+	if c == nil || !here {
 		return out
 	}
 	rank := n.rank()
-	for _, s := range c.Stores() {
-		if rank < s.EventReaders {
-			out[s.Address] = cacheTarget{s.Address, s.Address, s.CacheTokens, true}
+	follow := func(t cacheTarget, readers int) {
+		if follows(rank, len(hosts), t.holder, readers) {
+			out[t.holder] = t
 		}
 	}
-	for _, server := range n.replicas.Servers(time.Now()) {
-		service := c.Services[server.Service]
-		if service != nil && service.Engine != nil && rank < service.Engine.EventReaders {
-			out[server.ID] = cacheTarget{server.ID, server.Address, service.Engine.CacheTokens, false}
+	for _, s := range c.Stores() {
+		follow(cacheTarget{s.Address, s.Address, s.CacheTokens, true}, s.EventReaders)
+	}
+	for _, server := range n.replicas.Servers(now) {
+		if service := c.Services[server.Service]; service != nil && service.Engine != nil {
+			follow(cacheTarget{server.ID, server.Address, service.Engine.CacheTokens, false}, service.Engine.EventReaders)
 		}
 	}
 	return out
 }
 
+// follows reports whether the host of a rank among hosts follows a holder, which
+// serves a bounded number of readers. Where there are more hosts, each leaves out
+// some holders, so that none is left without any.
+func follows(rank, hosts int, holder string, readers int) bool {
+	if hosts <= readers {
+		return true
+	}
+	shift := xxh3.HashString(holder) % uint64(hosts)
+	return (rank+int(shift))%hosts < readers
+}
+
 // cacheFollower reads the cache events of one holder.
 type cacheFollower struct {
 	n      *Node
--- a/internal/schedule/reuse.go
+++ b/internal/schedule/reuse.go
@@ -11,11 +11,11 @@
 	// reuseWindow is how soon a prefix must be asked for again to be worth keeping:
 	// later it has been dropped by the replicas, and mostly by the store.
 	reuseWindow = 10 * time.Second
-	// reuseWeight is the weight of one request in a salt's share of reuse.
+	// reuseWeight is the weight of one request in the share of reuse.
 	reuseWeight = 0.05
-	// reuseShare is the share from which every prefix under a salt is kept. Below
+	// reuseShare is the share from which every prefix of some sharers is kept. Below
 	// it, saving would fill the store's link with prefixes that nobody asks for.
-	reuseShare = 0.3
+	reuseShare = 0.1
 	// reuseSweep is the number of prefixes from which old ones are dropped.
 	reuseSweep = 4096
 )
@@ -32,15 +32,15 @@
 	return &reuse{seen: map[prefix.Hash]time.Time{}, share: map[uint64]float64{}}
 }
 
-// note records that a prefix, named by its last part, is asked for.
-func (r *reuse) note(salt uint64, last prefix.Hash, now time.Time) {
+// note records that sharers ask for a prefix.
+func (r *reuse) note(sharers uint64, last prefix.Hash, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	again := 0.0
 	if r.again(last, now) {
 		again = 1
 	}
-	r.share[salt] += reuseWeight * (again - r.share[salt])
+	r.share[sharers] += reuseWeight * (again - r.share[sharers])
 	r.seen[last] = now
 	if len(r.seen) > reuseSweep {
 		r.sweep(now)
@@ -61,9 +61,9 @@
 }
 
 // likely reports whether a prefix will probably be asked for again soon: it was a
-// moment ago, or most under its salt are.
-func (r *reuse) likely(salt uint64, last prefix.Hash, now time.Time) bool {
+// moment ago, or many among its sharers are.
+func (r *reuse) likely(sharers uint64, last prefix.Hash, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.again(last, now) || r.share[salt] >= reuseShare
+	return r.again(last, now) || r.share[sharers] >= reuseShare
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -51,13 +51,13 @@
 
 	prompt   prefix.Prompt
 	capacity int
-	saltHash uint64
-	saving   time.Duration
+	// sharers and lasting name who may share the prompt, and its shared prefix,
+	// whatever the weights.
+	sharers uint64
+	lasting prefix.Hash
+	saving  time.Duration
 }
 
-// lastPart names the whole shared prefix; there must be one.
-func (c *Choice) lastPart() prefix.Hash { return c.prompt.Parts[len(c.prompt.Parts)-1] }
-
 const (
 	// minFetch is the least number of tokens worth a fetch: it takes a replica
 	// longer than reading so few, but they are not read again.
@@ -77,14 +77,17 @@
 	maxFetchWait = 700 * time.Millisecond
 	// maxSaveWait is the longest queue of transfers at the store at which more is
 	// saved there: fetches wait behind them.
-	maxSaveWait = 300 * time.Millisecond
+	maxSaveWait = 150 * time.Millisecond
 	// minHold is the least number of shared tokens for which a request is held.
 	minHold = 512
 	// holdMargin is added to a hold: readings are mostly a little later than
 	// expected.
 	holdMargin = 25 * time.Millisecond
+	// anyWeights stands for no version in particular: what is asked for again does
+	// not change with the weights.
+	anyWeights = 0
 	// cacheShare of a replica's memory is thought to hold parts of ended requests.
-	cacheShare = 0.75
+	cacheShare = 0.9
 )
 
 // Scheduler picks replicas. It is safe for concurrent use.
@@ -144,7 +147,7 @@
 		AvailabilityZone: s.zone,
 		PromptTokens:     req.PromptTokens,
 		OutputTokens:     req.OutputTokens,
-		SharedTokens:     s.prompt(prompts, req, 0).Total(),
+		SharedTokens:     s.prompt(prompts, req, anyWeights).Total(),
 		LatencyTarget:    req.Target,
 		Exclude:          req.Exclude,
 		Affinity:         Affinity(req.Parts),
@@ -152,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.choose(req, decision, s.prompt(prompts, req, decision.Weights), capacity, now)
+	return s.choose(req, decision, prompts, capacity, now)
 }
 
 // prompt returns the shared parts under the salt of a weights version.
@@ -246,7 +249,8 @@
 	return d + fetchSetup
 }
 
-func (s *Scheduler) choose(req *Request, d route.Decision, p prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
+func (s *Scheduler) choose(req *Request, d route.Decision, prompts map[int64]prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
+	p := s.prompt(prompts, req, d.Weights)
 	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
 	read := 0
 	if hold := s.hold(c, now); hold > 0 && hold <= req.MaxHold {
@@ -255,13 +259,16 @@
 	}
 	if capacity > 0 {
 		c.Salt = s.Salt(req.Model, d.Weights, req.Organisation)
-		c.saltHash = xxh3.HashString(c.Salt)
+		c.sharers = xxh3.HashString(s.Salt(req.Model, anyWeights, req.Organisation))
+		if any := s.prompt(prompts, req, anyWeights); len(any.Parts) > 0 {
+			c.lasting = any.Parts[len(any.Parts)-1]
+		}
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
 		s.links.use(d.Source, d.ID, d.Transfer, now)
 		if s.worthSaving(req, c, now) {
 			c.Sink = req.Store.Address
-			c.saving = transferTime(req.Service.Engine, req.Store.LinkMbps, read, false)
+			c.saving = transferTime(req.Service.Engine, req.Store.LinkMbps, read, req.Store.AvailabilityZone != d.AvailabilityZone)
 			s.links.use(c.Sink, d.ID, c.saving, now)
 		}
 	}
@@ -304,7 +311,7 @@
 	if c.Shared-held < minSave || s.links.wait(req.Store.Address, now) > maxSaveWait {
 		return false
 	}
-	return s.reuse.likely(c.saltHash, c.lastPart(), now)
+	return s.reuse.likely(c.sharers, c.lasting, now)
 }
 
 // learn records that the chosen replica is about to read the prompt, so that
@@ -314,9 +321,9 @@
 		return
 	}
 	s.index.Add(c.ID, c.prompt, c.capacity, now.Add(c.Expected))
-	s.reuse.note(c.saltHash, c.lastPart(), now)
+	s.reuse.note(c.sharers, c.lasting, now)
 	sent := &pb.PrefixSent{
-		Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds()), Salt: c.saltHash,
+		Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds()), Sharers: c.sharers, Prefix: uint64(c.lasting),
 		Source: c.Source, FetchMs: int32(c.Transfer.Milliseconds()), Sink: c.Sink, SaveMs: int32(c.saving.Milliseconds()),
 	}
 	for i, part := range c.prompt.Parts {
@@ -371,7 +378,7 @@
 		ready := now.Add(time.Duration(item.ReadyMs) * time.Millisecond)
 		s.index.Add(item.Replica, p, int(float64(capacity)*cacheShare), ready)
 		if len(p.Parts) > 0 {
-			s.reuse.note(item.Salt, p.Parts[len(p.Parts)-1], now)
+			s.reuse.note(item.Sharers, prefix.Hash(item.Prefix), now)
 		}
 		s.links.use(item.Source, item.Replica, time.Duration(item.FetchMs)*time.Millisecond, now)
 		s.links.use(item.Sink, item.Replica, time.Duration(item.SaveMs)*time.Millisecond, now)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -197,3 +197,40 @@
 		c.Flight.End(replica.Answered, now)
 	}
 }
+
+// TestReuseOutlivesWeights: what is asked for again does not change with the
+// weights, so that it is saved at its first reading on new ones.
+func TestReuseOutlivesWeights(t *testing.T) {
+	s, _, table := newScheduler("a", "b")
+	now := time.Now()
+	pick(t, s, request(open, "p"), now).Flight.End(replica.Answered, now)
+	table.Want(testModel, 2, now)
+	table.Holds("a", testModel, 2)
+	table.Holds("b", testModel, 2)
+	if c := pick(t, s, request(open, "p"), now.Add(reuseWindow/2)); c.Weights != 2 || c.Sink != storeAddress {
+		t.Errorf("weights %d, sink %q", c.Weights, c.Sink)
+	}
+}
+
+// TestSavesCountTheZone: a transfer between zones keeps the store's link busy for
+// twice as long, and no more is saved while it has a queue.
+func TestSavesCountTheZone(t *testing.T) {
+	wait := func(zone string) time.Duration {
+		s, _, _ := newScheduler("a")
+		now := time.Now()
+		pick(t, s, request(open, "p"), now).Flight.End(replica.Answered, now)
+		s.Reloaded("a")
+		req := request(open, "p")
+		store := *cacheStore
+		store.AvailabilityZone = zone
+		req.Store = &store
+		if c := pick(t, s, req, now.Add(reuseWindow/2)); c.Sink == "" {
+			t.Fatal("nothing was saved")
+		}
+		return s.links.wait(storeAddress, now.Add(reuseWindow/2))
+	}
+	near, far := wait("z"), wait("elsewhere")
+	if far < near*3/2 {
+		t.Errorf("the link is busy for %v within a zone, %v between zones", near, far)
+	}
+}
