--- a/cmd/briarlink/explain.go
+++ b/cmd/briarlink/explain.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
 
@@ -20,18 +19,11 @@
 
 // Run implements the explain command.
 func (c *explainCmd) Run() error {
-	var readers []io.Reader
-	for _, name := range c.Files {
-		f, err := os.Open(name)
-		if err != nil {
-			return errors.Wrap(err, "open a log")
-		}
-		defer f.Close()
-		readers = append(readers, f)
-	}
-	if len(readers) == 0 {
-		readers = []io.Reader{os.Stdin}
+	readers, closeAll, err := openLogs(c.Files)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	story, err := explain(c.Request, readers...)
 	if err != nil {
 		return err
--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -35,6 +35,7 @@
 	Settings settingsCmd `cmd:"" help:"Work with settings files."`
 	Admin    adminCmd    `cmd:"" help:"Operators' calls."`
 	Explain  explainCmd  `cmd:"" help:"Tell a request's story from the hosts' logs."`
+	Logs     logsCmd     `cmd:"" help:"Work with logs."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -13,7 +13,7 @@
 
 // TestHelp keeps the help of every command in golden files; -update renews them.
 func TestHelp(t *testing.T) {
-	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "explain", "version"} {
+	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "explain", "logs check", "version"} {
 		var out bytes.Buffer
 		parser, err := newParser(kong.Writers(&out, &out), kong.Exit(func(int) { panic("exit") }))
 		if err != nil {
@@ -45,6 +45,8 @@
 		{"admin --address 127.0.0.1:1 --output xml status", exitUsage},
 		{"admin --address 127.0.0.1:1 status", exitFailed},
 		{"explain r-1 /does/not/exist", exitFailed},
+		{"logs check /does/not/exist", exitFailed},
+		{"logs check " + bad, exitUsage},
 	} {
 		if got := run(strings.Fields(c.args)); got != c.want {
 			t.Errorf("%s: exit code %d, want %d", c.args, got, c.want)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/obs"
 )
 
 // copyHeaders sets a replica's headers, and keeps net/http from adding a type.
@@ -79,7 +80,7 @@
 
 // log writes the request's one line, and counts it.
 func (ex *exchange) log(err error) {
-	outcome := "ok"
+	outcome := obs.OutcomeOK
 	if err != nil {
 		outcome = errkind.From(err).Kind.String()
 	}
@@ -113,6 +114,9 @@
 	}
 	line := ex.s.Log.WithFields(fields)
 	if err != nil {
+		if after := errkind.From(err).Retry(); after > 0 {
+			line = line.WithField("retry_after_ms", after.Milliseconds())
+		}
 		line.WithError(err).Warn("request")
 		return
 	}
