--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -136,6 +136,7 @@
 		o.Model = model
 	}
 	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
+	o.OnFault = w.seen.spoils
 	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
 	s.engine = engine.New(o)
 	s.draining = false
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -31,9 +31,10 @@
 	Pace   time.Duration
 	// LoadTime is how long new weights take.
 	LoadTime time.Duration
-	// OnRun and OnOrder are told of each run and of each order that is accepted;
-	// they may be nil.
+	// OnRun, OnFault and OnOrder are told of each run, of each request that a fault
+	// spoils, and of each order that is accepted; they may be nil.
 	OnRun   func(id string, h http.Header)
+	OnFault func(id string)
 	OnOrder func(holder string, fence int64)
 }
 
@@ -171,6 +172,9 @@
 		return
 	}
 	fault := e.take()
+	if fault != "" && e.OnFault != nil {
+		e.OnFault(id)
+	}
 	if fault == Refuse || e.isLoading() {
 		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
