--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/dispatch"
+	"github.com/briarlink/briarlink/internal/obs"
+	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/retry"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
+	"github.com/briarlink/briarlink/internal/upstream"
+	"github.com/briarlink/briarlink/platform"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/wire"
+)
+
+const (
+	testHost = "museum.example"
+	testKey  = "key-a"
+)
+
+// fixture is a server before one engine.
+type fixture struct {
+	*httptest.Server
+	engine *engine.Engine
+	view   View
+	deps   Deps
+	seen   http.Header
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{}
+	f.engine = engine.New(engine.Options{ID: "i-1", Service: "s", Slots: 4, Model: "m", Events: 6, OnRun: func(_ string, h http.Header) { f.seen = h.Clone() }})
+	backend := httptest.NewServer(f.engine.Handler())
+	t.Cleanup(backend.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	table := replica.NewTable(log, func(string, string) {})
+	table.Register(platform.Registration{ID: "i-1", Service: "s", Address: backend.Listener.Addr().String(), Slots: 4, Weights: map[string]int64{"m": 1}}, 0)
+	pool := upstream.NewPool()
+	t.Cleanup(pool.Close)
+	metrics, _, closer := obs.NewMetrics()
+	t.Cleanup(func() { closer.Close() })
+	scheduler := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
+	f.view = View{Config: testConfig()}
+	f.deps = Deps{
+		View:       func() View { return f.view },
+		Refuse:     func() error { return nil },
+		Ready:      func() bool { return true },
+		Closing:    func() bool { return false },
+		Directory:  func(string) []string { return []string{"10.0.0.1:1"} },
+		AnswerTTL:  time.Second,
+		Dispatcher: dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now())),
+		Metrics:    metrics, Log: log, MaxBodyBytes: 1 << 10, DefaultDeadline: 5 * time.Second,
+	}
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { New(f.deps).Handler().ServeHTTP(w, r) }))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func testConfig() *config.Config {
+	c := &config.Config{
+		Version: 1,
+		Routes: []*config.Route{{
+			Name: "notes", Host: testHost, Prefix: "/notes/", Kind: config.Streaming, Services: []config.Share{{Service: "s", Weight: 1}},
+			Timeout: 5 * time.Second, LatencyTarget: time.Second, Attempts: 1, Prompts: true,
+		}},
+		Services:      map[string]*config.Service{"s": {Name: "s", Engine: &config.Engine{Slots: 4, CacheTokens: 1000, TokenBytes: 1, LinkMbps: 1}}},
+		Organisations: []*config.Organisation{{Name: "museum-a", Keys: []string{testKey}}},
+	}
+	return c.Build()
+}
+
+// ask sends a request and returns its answer; whole is false when it was cut.
+func (f *fixture) ask(t *testing.T, path, key, body string) (resp *http.Response, text string, whole bool) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = testHost
+	for name, value := range map[string]string{wire.Attempt: "r-1", wire.Key: key, wire.Model: "m", wire.Tokens: "100,8", wire.Prefix: "a:80,b:20", wire.Organisation: "somebody else", wire.Salt: "theirs"} {
+		req.Header.Set(name, value)
+	}
+	resp, err = http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err == nil
+}
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	f := newFixture(t)
+	resp, text, whole := f.ask(t, "/notes/1", testKey, "x")
+	if resp == nil || resp.StatusCode != http.StatusOK || !whole || strings.Count(text, "data:") != 6 || resp.Header.Get(wire.Attempt) != "r-1" {
+		t.Errorf("answer %v, %q, whole %t", resp, text, whole)
+	}
+	if f.seen.Get(wire.Organisation) != "museum-a" || f.seen.Get(wire.Key) != "" || f.seen.Get(wire.Salt) != "m/w1" {
+		t.Errorf("the engine got organisation %q, key %q, salt %q", f.seen.Get(wire.Organisation), f.seen.Get(wire.Key), f.seen.Get(wire.Salt))
+	}
+}
+
+// TestDenialNeedsAFreshView: a host that may lack a newer configuration says so,
+// and asks the caller to come back.
+func TestDenialNeedsAFreshView(t *testing.T) {
+	f := newFixture(t)
+	for name, c := range map[string]struct {
+		path, key string
+		age       time.Duration
+		want      int
+	}{
+		"an unknown route":                {"/other/1", testKey, 0, http.StatusNotFound},
+		"an unknown route, an old view":   {"/other/1", testKey, 2 * staleView, http.StatusServiceUnavailable},
+		"an unknown key":                  {"/notes/1", "other", 0, http.StatusUnauthorized},
+		"an unknown key, an old view":     {"/notes/1", "other", 2 * staleView, http.StatusServiceUnavailable},
+		"no key":                          {"/notes/1", "", 0, http.StatusUnauthorized},
+		"a known route and key, old view": {"/notes/1", testKey, 2 * staleView, http.StatusOK},
+	} {
+		f.view.Age = c.age
+		resp, _, _ := f.ask(t, c.path, c.key, "")
+		if resp == nil || resp.StatusCode != c.want {
+			t.Errorf("%s: %v, want %d", name, resp, c.want)
+			continue
+		}
+		if back := resp.Header.Get("Retry-After"); (back != "") != (c.want == http.StatusServiceUnavailable) {
+			t.Errorf("%s: asked back after %q", name, back)
+		}
+	}
+}
+
+func TestWithoutConfigurationNobodyIsDenied(t *testing.T) {
+	f := newFixture(t)
+	f.view = View{}
+	if resp, _, _ := f.ask(t, "/other/1", "other", ""); resp == nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answer %v", resp)
+	}
+}
+
+// TestCutAnswersAreCut: what its engine cut is never ended as if it were whole.
+func TestCutAnswersAreCut(t *testing.T) {
+	f := newFixture(t)
+	f.engine.Next(engine.Cut)
+	resp, text, whole := f.ask(t, "/notes/1", testKey, "")
+	if resp == nil || whole || !strings.HasSuffix(text, "\n\n") {
+		t.Errorf("answer %v, %q, whole %t", resp, text, whole)
+	}
+}
+
+func TestLargeBodiesAreRefused(t *testing.T) {
+	f := newFixture(t)
+	resp, _, _ := f.ask(t, "/notes/1", testKey, strings.Repeat("x", 2<<10))
+	if resp == nil || resp.StatusCode != http.StatusRequestEntityTooLarge || f.engine.Ran("r-1") != 0 {
+		t.Errorf("answer %v, ran %d times", resp, f.engine.Ran("r-1"))
+	}
+}
+
+// TestStoppingHostsAskCallersToGo: with the answer, which they still get.
+func TestStoppingHostsAskCallersToGo(t *testing.T) {
+	f := newFixture(t)
+	f.deps.Closing = func() bool { return true }
+	if resp, _, whole := f.ask(t, "/notes/1", testKey, ""); resp == nil || !resp.Close || !whole {
+		t.Errorf("answer %v, whole %t", resp, whole)
+	}
+}
+
+// TestDirectory names hosts, and is no answer when there are none.
+func TestDirectory(t *testing.T) {
+	f := newFixture(t)
+	ask := func() *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		New(f.deps).DirectoryHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, platform.PathDirectory+"?Zone=z", nil))
+		return w
+	}
+	if w := ask(); w.Code != http.StatusOK || !strings.Contains(w.Body.String(), "10.0.0.1:1") {
+		t.Errorf("answer %d %s", w.Code, w.Body)
+	}
+	f.deps.Directory = func(string) []string { return nil }
+	if w := ask(); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("answer %d without hosts", w.Code)
+	}
+}
--- a/internal/member/primary.go
+++ b/internal/member/primary.go
@@ -14,6 +14,9 @@
 	// leastPrimaries is the number of large hosts below which small ones serve too:
 	// four carry the callers of a site between them, even while one of them is slow.
 	leastPrimaries = 4
+	// leastShare of all processor time is what the large hosts must give together:
+	// below it they could not carry what all of them are there for.
+	leastShare = 0.2
 )
 
 // Primaries returns those of the serving hosts to which callers are sent: the
@@ -28,12 +31,15 @@
 		most = max(most, b.Cores)
 	}
 	var large []*pb.Heartbeat
+	given, all := 0.0, 0.0
 	for _, b := range serving {
+		all += b.Cores
 		if b.Cores >= most*primaryShare {
 			large = append(large, b)
+			given += b.Cores
 		}
 	}
-	if len(large) < leastPrimaries {
+	if len(large) < leastPrimaries || given < all*leastShare {
 		return serving
 	}
 	return large
--- a/internal/member/primary_test.go
+++ b/internal/member/primary_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"testing"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
@@ -20,13 +21,14 @@
 		cores []float64
 		want  int
 	}{
-		"one size":          {[]float64{0.4, 0.4, 0.4}, 3},
-		"unknown sizes":     {[]float64{0, 0}, 2},
-		"large ones":        {[]float64{0.8, 0.8, 0.2, 0.8, 0.2, 0.8}, 4},
-		"too few are large": {[]float64{0.8, 0.8, 0.2, 0.8, 0.2}, 5},
-		"slightly smaller":  {[]float64{0.8, 0.7, 0.5, 0.4, 0.39}, 4},
-		"one":               {[]float64{0.2}, 1},
-		"none":              {nil, 0},
+		"one size":                           {[]float64{0.4, 0.4, 0.4}, 3},
+		"unknown sizes":                      {[]float64{0, 0}, 2},
+		"large ones":                         {[]float64{0.8, 0.8, 0.2, 0.8, 0.2, 0.8}, 4},
+		"too few are large":                  {[]float64{0.8, 0.8, 0.2, 0.8, 0.2}, 5},
+		"large ones are a drop in the ocean": {append([]float64{0.8, 0.8, 0.8, 0.8}, slices.Repeat([]float64{0.2}, 100)...), 104},
+		"slightly smaller":                   {[]float64{0.8, 0.7, 0.5, 0.4, 0.39}, 4},
+		"one":                                {[]float64{0.2}, 1},
+		"none":                               {nil, 0},
 	} {
 		if got := len(Primaries(hostsOf(c.cores...))); got != c.want {
 			t.Errorf("%s: %d hosts serve, want %d", name, got, c.want)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,8 +51,10 @@
 // Candidate is a replica with what it would mean for one request.
 type Candidate struct {
 	Replica
-	// Cached tokens of the prompt are held by the replica itself.
-	Cached int
+	// Cached tokens of the prompt are held by the replica itself; Reading of them it
+	// is just reading for another request.
+	Cached  int
+	Reading int
 	// Fetched tokens beyond these would come from Source within FetchTime, of which
 	// Transfer is spent on the links.
 	Fetched   int
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -189,7 +189,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		held, read := s.index.Held(c.ID, prompt(c.Weights), now)
-		c.Cached = held
+		c.Cached, c.Reading = held, held-read
 		if read >= minFetch && c.Usable && !c.Trial && !c.Loading && c.Silence < silentSource {
 			sources = append(sources, source{c, read})
 		}
@@ -294,8 +294,7 @@
 	if c.capacity == 0 {
 		return 0
 	}
-	held, read := s.index.Held(c.ID, c.prompt, now)
-	if held-read < minHold {
+	if c.Reading < minHold {
 		return 0
 	}
 	return s.index.ReadyAt(c.ID, c.prompt).Sub(now) + holdMargin
