--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -291,9 +291,6 @@
 // hold returns how long the request had better wait for the replica's reading of
 // shared parts.
 func (s *Scheduler) hold(c *Choice, now time.Time) time.Duration {
-	if c.capacity == 0 {
-		return 0
-	}
 	if c.Reading < minHold {
 		return 0
 	}
