--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -33,8 +33,8 @@
 	// unless the next heartbeat says so again.
 	loadingHold = 600 * time.Millisecond
 	// standbyTicks is the number of heartbeat intervals between two heartbeats of a
-	// standby host. Three of them still fit into the time after which it counts as
-	// dead.
+	// standby host to other standby hosts; primary ones get each. Three of them still
+	// fit into the time after which a host counts as dead.
 	standbyTicks = 2
 	// knownBeats is the number of heartbeats between two that tell of other hosts'
 	// addresses: that is half of what a heartbeat to standby hosts holds.
@@ -72,10 +72,9 @@
 			return
 		case <-ticker.C:
 			tick++
-			if tick%standbyTicks != 0 && !n.primary(time.Now()) {
-				continue
+			if tick%standbyTicks == 0 || n.primary(time.Now()) {
+				n.toAll.Store(true)
 			}
-			n.toAll.Store(true)
 		case <-n.kick:
 			time.Sleep(leastKick)
 		}
@@ -140,6 +139,7 @@
 	return full, brief
 }
 
+// beat sends one heartbeat.
 func (n *Node) beat() {
 	now := time.Now()
 	full, brief := n.targets(now)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -100,7 +100,7 @@
 			n.log.WithField("host", id).Warn("host lost: no heartbeats")
 		}
 		if n.access.Stable(now) {
-			n.replicas.Settle()
+			n.replicas.Settle(now.Add(-n.settings.Replica.OutageGrace.AsDuration()))
 		}
 		n.shareBudget(now)
 		n.becomeReady()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,10 +48,8 @@
 // Error is a failed exchange.
 type Error struct {
 	// Sent is true when the backend server may have received the request.
-	Sent bool
-	// Reused is true when the connection had carried a request before.
-	Reused bool
-	cause  error
+	Sent  bool
+	cause error
 }
 
 // Error implements error.
@@ -85,12 +83,9 @@
 	// rested is how long it was idle before its present request.
 	rested  time.Duration
 	maxIdle time.Duration
-	used    bool
 }
 
 func (c *conn) exchange(ctx context.Context, req *Request) (*Response, error) {
-	reused := c.used
-	c.used = true
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	fail := func(sent bool, err error) (*Response, error) {
 		stop()
@@ -98,7 +93,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: sent, Reused: reused, cause: err}
+		return nil, &Error{Sent: sent, cause: err}
 	}
 	if ctx.Err() != nil {
 		return fail(false, ctx.Err())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,7 +75,7 @@
 	rested := c.rested
 	resp, err := c.exchange(ctx, req)
 	if err != nil {
-		if ctx.Err() == nil && dropped(err) {
+		if ctx.Err() == nil && rested > 0 && errors.Is(err, syscall.ECONNRESET) {
 			p.learn(rested, time.Now())
 		}
 		return nil, err
@@ -84,13 +84,8 @@
 	return resp, nil
 }
 
-// dropped reports whether a kept connection was reset by its next request.
-func dropped(err error) bool {
-	var failed *Error
-	return errors.As(err, &failed) && failed.Reused && errors.Is(failed.cause, syscall.ECONNRESET)
-}
-
-// learn takes the rest after which a connection was found dropped.
+// learn takes the rest after which a kept connection was reset by its next request:
+// its server had dropped it.
 func (p *Pool) learn(rested time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
