--- a/cmd/briarlink/explain.go
+++ b/cmd/briarlink/explain.go
@@ -8,6 +8,7 @@
 	"io"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -70,12 +71,32 @@
 			lastConfig = l.text
 		}
 	}
+	story = fold(story)
 	if lastConfig != "" {
 		story = append([]string{lastConfig}, story...)
 	}
 	return story, nil
 }
 
+// foldWithin is the time within which hosts say the same of one event.
+const foldWithin = time.Second
+
+// fold drops a line that another host said just before.
+func fold(story []string) []string {
+	var out []string
+	said := map[string]time.Time{}
+	for _, line := range story {
+		stamp, text, _ := strings.Cut(line, "  ")
+		at, err := time.Parse(time.RFC3339Nano, stamp)
+		if last, known := said[text]; known && err == nil && at.Sub(last) < foldWithin {
+			continue
+		}
+		said[text] = at
+		out = append(out, line)
+	}
+	return out
+}
+
 // ownLines returns the lines of a request, and the replicas that they name.
 func ownLines(request string, all []logLine) ([]logLine, map[string]bool) {
 	var own []logLine
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -76,3 +76,16 @@
 		t.Errorf("%d lines, want 3", len(got))
 	}
 }
+
+// TestExplainFoldsWhatAllHostsSay: of one event, not of a later one.
+func TestExplainFoldsWhatAllHostsSay(t *testing.T) {
+	line := func(time string) string {
+		return `{"level":"info","msg":"replica registered","replica":"i-1","time":"` + time + `"}` + "\n"
+	}
+	logs := line("2026-06-01T10:00:00Z") + line("2026-06-01T10:00:00.2Z") + line("2026-06-01T10:00:05Z") +
+		`{"level":"info","msg":"request","request":"r-1","replica":"i-1","time":"2026-06-01T10:00:06Z"}`
+	story, err := explain("r-1", strings.NewReader(logs))
+	if err != nil || len(story) != 3 {
+		t.Errorf("%d lines, %v: %q", len(story), err, story)
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -213,7 +213,7 @@
 	}
 	n.replicas.SetLoads(b.Host, b.Loads)
 	n.lease.Heard(b.Host, b.LeaseEnd)
-	n.replicas.Suspect(b.Down, now)
+	n.replicas.Suspect(b.Host, b.Down, now)
 	for _, id := range b.Loading {
 		n.replicas.Loading(id, now.Add(loadingHold))
 	}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -5,6 +5,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Result is how an exchange with a server ended.
@@ -188,7 +190,7 @@
 		return
 	}
 	f.answered = true
-	f.entry.health.alive()
+	f.table.judge(f.entry, "an answer began", func(h *health) { h.alive() })
 	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
 	f.entry.heard(now)
 }
@@ -222,10 +224,12 @@
 	f.over = true
 	hung := !f.answered && f.entry.silence(now) > hangAfter && (r == Cancelled || r == Lost)
 	delete(f.entry.flights, f)
-	f.entry.health.ended(r, now)
-	if hung {
-		f.entry.health.fail(now)
-	}
+	f.table.judge(f.entry, r.String(), func(h *health) {
+		h.ended(r, now)
+		if hung {
+			h.fail(now)
+		}
+	})
 	if r == Answered || r == Failed || r == Refused {
 		f.entry.heard(now)
 	}
@@ -268,7 +272,8 @@
 	defer t.mu.Unlock()
 	due = map[string]string{}
 	for id, e := range t.entries {
-		if e.health.pause > 0 || e.silence(now) > hangAfter {
+		t.noteHang(e, now)
+		if e.health.pause > 0 || e.hanging {
 			ids = append(ids, id)
 		}
 		if e.health.pause > 0 && !e.health.reached && !now.Before(e.health.downUntil) {
@@ -289,18 +294,50 @@
 	case ok:
 		e.health.reached = true
 	default:
-		e.health.fail(now)
+		t.judge(e, "no connection", func(h *health) { h.fail(now) })
 	}
 }
 
+// judge changes what is thought of a server, and logs when it is thought down, or
+// no longer is.
+func (t *Table) judge(e *entry, reason string, change func(*health)) {
+	before := e.health.pause > 0
+	change(&e.health)
+	down := e.health.pause > 0
+	if down == before {
+		return
+	}
+	line := t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "reason": reason, "failures": fmt.Sprintf("%.2f", e.health.errors)})
+	if down {
+		line.Warn("replica thought down")
+	} else {
+		line.Info("replica serves again")
+	}
+}
+
+// noteHang notes whether a server gives no sign of life.
+func (t *Table) noteHang(e *entry, now time.Time) {
+	silence := e.silence(now)
+	hanging := silence > hangAfter
+	if hanging && !e.hanging {
+		t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "silence_ms": silence.Milliseconds(), "requests": len(e.flights)}).Warn("replica gives no sign of life")
+	}
+	e.hanging = hanging
+}
+
 // Suspect takes another host's word that servers are down. A sign of life that
 // this host has seen a moment ago outweighs it.
-func (t *Table) Suspect(ids []string, now time.Time) {
+func (t *Table) Suspect(host string, ids []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range ids {
-		if e := t.entries[id]; e != nil && now.Sub(e.lastHeard) > heardLately {
-			e.health.suspected = now.Add(suspectHold)
+		e := t.entries[id]
+		if e == nil || now.Sub(e.lastHeard) <= heardLately {
+			continue
+		}
+		if !now.Before(e.health.suspected) {
+			t.log.WithFields(logrus.Fields{"replica": id, "host": host}).Info("replica avoided: another host finds it down")
 		}
+		e.health.suspected = now.Add(suspectHold)
 	}
 }
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -73,6 +73,8 @@
 	loadingUntil time.Time
 	flights      map[*Flight]bool
 	health       health
+	// hanging is whether the server gave no sign of life when it was last looked at.
+	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
 }
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,7 +146,7 @@
 	table := newTestTable("a", "b")
 	now := time.Now()
 	table.Begin("a", Work{}, now).End(Answered, now)
-	table.Suspect([]string{"a", "b"}, now)
+	table.Suspect("other", []string{"a", "b"}, now)
 	if got := usable(table, now); got != "a" {
 		t.Errorf("usable: %q, want a", got)
 	}
@@ -234,3 +236,33 @@
 		t.Error("loading again")
 	}
 }
+
+// TestWhatIsThoughtIsLogged: once when a server is thought down, once when it
+// serves again, however often it fails in between.
+func TestWhatIsThoughtIsLogged(t *testing.T) {
+	table := newTestTable("a")
+	var out bytes.Buffer
+	table.log.SetOutput(&out)
+	now := time.Now()
+	for range 3 {
+		table.Begin("a", Work{}, now).End(Unreachable, now)
+		table.Reached("a", false, now)
+	}
+	table.Begin("a", Work{}, now).End(Answered, now)
+	for _, message := range []string{"replica thought down", "replica serves again"} {
+		if n := strings.Count(out.String(), message); n != 1 {
+			t.Errorf("%q is logged %d times:\n%s", message, n, out.String())
+		}
+	}
+	out.Reset()
+	table.Begin("a", Work{}, now)
+	for range 3 {
+		table.Down(now.Add(2 * hangAfter))
+		table.Suspect("b", []string{"a"}, now.Add(2*hangAfter))
+	}
+	for _, message := range []string{"replica gives no sign of life", "replica avoided: another host finds it down"} {
+		if n := strings.Count(out.String(), message); n != 1 {
+			t.Errorf("%q is logged %d times:\n%s", message, n, out.String())
+		}
+	}
+}
