--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -70,6 +70,8 @@
 	// pause is above 0 while the server is thought down, until downUntil at least.
 	pause     time.Duration
 	downUntil time.Time
+	// unreachable is set while connections to the server fail.
+	unreachable bool
 	// reached is set once a connection could be opened again: one request may then
 	// try the server.
 	reached bool
@@ -132,6 +134,7 @@
 		h.errors += errorWeight * (1 - h.errors)
 	case Unreachable:
 		h.errors += errorWeight * (1 - h.errors)
+		h.unreachable = true
 		h.fail(now)
 	case Cancelled:
 	}
@@ -140,6 +143,7 @@
 // alive ends what was thought of a server that has answered.
 func (h *health) alive() {
 	h.pause = 0
+	h.unreachable = false
 	h.suspected = time.Time{}
 }
 
@@ -292,9 +296,12 @@
 	switch {
 	case e == nil:
 	case ok:
-		e.health.reached = true
+		e.health.reached, e.health.unreachable = true, false
 	default:
-		t.judge(e, "no connection", func(h *health) { h.fail(now) })
+		t.judge(e, "no connection", func(h *health) {
+			h.unreachable = true
+			h.fail(now)
+		})
 	}
 }
 
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -180,7 +180,7 @@
 	silence := e.silence(now)
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
-		Usable: serving && !down && silence < hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
+		Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
 		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -74,7 +74,7 @@
 func usable(t *Table, now time.Time) string {
 	out := ""
 	for _, r := range t.Snapshot(testService, testModel, 0, now) {
-		if r.Usable {
+		if r.Usable && !r.Doubted {
 			out += r.ID
 		}
 	}
@@ -266,3 +266,23 @@
 		}
 	}
 }
+
+// TestDoubtsAreNotUnreachability: a server that hangs may be tried as the last
+// resort, one that cannot be connected to may not.
+func TestDoubtsAreNotUnreachability(t *testing.T) {
+	table := newTestTable("hangs", "gone")
+	now := time.Now()
+	table.Begin("hangs", Work{}, now).End(Cancelled, now.Add(2*hangAfter))
+	table.Begin("gone", Work{}, now).End(Unreachable, now)
+	for _, r := range table.Snapshot(testService, testModel, 0, now.Add(2*hangAfter)) {
+		if r.Usable != (r.ID == "hangs") || !r.Doubted {
+			t.Errorf("%s: usable %t, doubted %t", r.ID, r.Usable, r.Doubted)
+		}
+	}
+	table.Reached("gone", true, now)
+	for _, r := range table.Snapshot(testService, testModel, 0, now.Add(2*hangAfter)) {
+		if !r.Usable {
+			t.Errorf("%s is not usable though a connection could be opened", r.ID)
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -20,8 +20,11 @@
 	ID               string
 	Address          string
 	AvailabilityZone string
-	// Usable replicas are registered, not leaving and not thought down.
-	Usable bool
+	// Usable replicas are registered, not leaving and can be reached as far as is
+	// known. Doubted ones of them give no sign of life, or are avoided at another
+	// host's word.
+	Usable  bool
+	Doubted bool
 	// Trial replicas failed a moment ago and are tried with one request.
 	Trial bool
 	// Loading replicas refuse requests until their weights are loaded.
@@ -162,12 +165,32 @@
 )
 
 // Decide picks a candidate, or fails with an error that says when to come back.
+// Doubted replicas are the last resort: doubts may be wrong, and where all of a
+// service's replicas are doubted, refusing would make it as if they were right.
 func (p Policy) Decide(req *Request, candidates []Candidate) (Decision, error) {
+	if best := p.cheapest(req, candidates, allDoubted(candidates)); best.ID != "" {
+		return best, nil
+	}
+	return Decision{}, errkind.New(errkind.NoBackend, p.whyNone(req, candidates)).After(retryAfter)
+}
+
+// allDoubted reports whether no candidate is usable without a doubt.
+func allDoubted(candidates []Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Usable && !candidates[i].Doubted {
+			return false
+		}
+	}
+	return true
+}
+
+// cheapest picks among the candidates that are doubted, or among the others.
+func (p Policy) cheapest(req *Request, candidates []Candidate, doubted bool) Decision {
 	best := Decision{}
 	bestRank := uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if p.unfit(req, c) != "" {
+		if c.Doubted != doubted || p.unfit(req, c) != "" {
 			continue
 		}
 		best.Considered++
@@ -182,10 +205,7 @@
 			bestRank = rank
 		}
 	}
-	if best.ID == "" {
-		return best, errkind.New(errkind.NoBackend, p.whyNone(req, candidates)).After(retryAfter)
-	}
-	return best, nil
+	return best
 }
 
 // better compares two candidates: by score, and by affinity where the scores
@@ -233,7 +253,11 @@
 func (p Policy) whyNone(req *Request, candidates []Candidate) string {
 	counts := map[string]int{}
 	for i := range candidates {
-		counts[p.unfit(req, &candidates[i])]++
+		reason := p.unfit(req, &candidates[i])
+		if reason == "" {
+			reason = "silent"
+		}
+		counts[reason]++
 	}
 	var parts []string
 	for reason, n := range counts {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +42,31 @@
 	}
 }
 
+// TestDoubtedReplicasAreTheLastResort: however good they look, and however bad the
+// others; alone, the one that was heard of last is tried.
+func TestDoubtedReplicasAreTheLastResort(t *testing.T) {
+	policy := DefaultPolicy()
+	sound, silent, longSilent, gone := engine("sound"), engine("silent"), engine("long silent"), engine("gone")
+	sound.PrefillTokens, sound.Errors = 200_000, 0.9
+	silent.Doubted, silent.Silence = true, time.Second
+	longSilent.Doubted, longSilent.Silence = true, 4*time.Second
+	gone.Doubted, gone.Usable = true, false
+	loading := engine("loading")
+	loading.Loading = true
+	for want, candidates := range map[string][]Candidate{
+		"sound":  {longSilent, silent, sound, gone},
+		"silent": {longSilent, silent, gone},
+		"":       {gone},
+		// One that loads weights will be there in a moment.
+		"nobody yet": {silent, loading},
+	} {
+		d, _ := policy.Decide(longRequest(), candidates)
+		if d.ID != strings.TrimPrefix(want, "nobody yet") {
+			t.Errorf("chose %q, want %q", d.ID, want)
+		}
+	}
+}
+
 // TestPreferences: the first of each pair is chosen.
 func TestPreferences(t *testing.T) {
 	for name, spoil := range map[string]func(better, worse *Candidate){
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -190,7 +190,7 @@
 		c := &candidates[i]
 		held, read := s.index.Held(c.ID, prompt(c.Weights), now)
 		c.Cached, c.Reading = held, held-read
-		if read >= minFetch && c.Usable && !c.Trial && !c.Loading && c.Silence < silentSource {
+		if read >= minFetch && c.Usable && !c.Doubted && !c.Trial && !c.Loading && c.Silence < silentSource {
 			sources = append(sources, source{c, read})
 		}
 	}
