--- a/internal/oai/oai.go
+++ b/internal/oai/oai.go
@@ -53,7 +53,7 @@
 	into.Model = req.Model
 	into.Parts = parts(prompt)
 	into.PromptTokens = (len(prompt) + bytesPerToken - 1) / bytesPerToken
-	into.OutputTokens = req.MaxTokens
+	into.OutputTokens = max(0, req.MaxTokens)
 	return nil
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -260,8 +260,8 @@
 	if capacity > 0 {
 		c.Salt = s.Salt(req.Model, d.Weights, req.Organisation)
 		c.sharers = xxh3.HashString(s.Salt(req.Model, anyWeights, req.Organisation))
-		if any := s.prompt(prompts, req, anyWeights); len(any.Parts) > 0 {
-			c.lasting = any.Parts[len(any.Parts)-1]
+		if shared := s.prompt(prompts, req, anyWeights).Parts; len(shared) > 0 {
+			c.lasting = shared[len(shared)-1]
 		}
 		c.Source = d.Source
 		read = max(0, req.PromptTokens-d.Cached-d.Fetched)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,12 @@
 	// a connection is how long connections are kept from then on, for learnedFor.
 	learnedShare = 0.5
 	learnedFor   = 10 * time.Second
+	// leastLearned is the shortest rest that is learned: servers that forget
+	// connections do so after some hundred milliseconds.
+	leastLearned = 100 * time.Millisecond
+	// resetWithin is how soon after a request the reset of a dropped connection
+	// comes: a few round trips. Later ones are the ends of servers.
+	resetWithin = 30 * time.Millisecond
 	// maxIdlePerServer bounds the idle connections to one backend server: servers
 	// reset those beyond what they accept of all hosts together, a hundred of some.
 	maxIdlePerServer = 8
@@ -33,6 +39,8 @@
 type Pool struct {
 	// Dial opens a connection; tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// resetWithin is as the constant; tests replace it.
+	resetWithin time.Duration
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -51,7 +59,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
-	return &Pool{Dial: dial, idle: map[string][]*conn{}}
+	return &Pool{Dial: dial, resetWithin: resetWithin, idle: map[string][]*conn{}}
 }
 
 // Opened returns the number of connections opened so far.
@@ -72,11 +80,12 @@
 		}
 		c = fresh
 	}
-	rested := c.rested
+	began := time.Now()
 	resp, err := c.exchange(ctx, req)
 	if err != nil {
-		if ctx.Err() == nil && rested > 0 && errors.Is(err, syscall.ECONNRESET) {
-			p.learn(rested, time.Now())
+		now := time.Now()
+		if ctx.Err() == nil && c.rested > 0 && now.Sub(began) < p.resetWithin && errors.Is(err, syscall.ECONNRESET) {
+			p.learn(c.rested, now)
 		}
 		return nil, err
 	}
@@ -89,7 +98,7 @@
 func (p *Pool) learn(rested time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := time.Duration(learnedShare * float64(rested))
+	limit := max(leastLearned, time.Duration(learnedShare*float64(rested)))
 	if now.Before(p.learnedUntil) {
 		limit = min(limit, p.learned)
 	}
