--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -206,7 +206,7 @@
 // has its address, or its weights are not those expected.
 func (d *Dispatcher) misdirected(choice *schedule.Choice, a platform.ReplicaAnswer, model string) {
 	if a.Instance != "" && a.Instance != choice.ID {
-		d.replicas.Remove(choice.ID, true, time.Now())
+		d.replicas.Remove(choice.ID, true)
 		return
 	}
 	wanted := d.replicas.Wanted(model)
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -43,7 +43,7 @@
 // replicaRecord takes a backend server's entry.
 func (n *Node) replicaRecord(rec platform.Record, trusted bool) {
 	if rec.Removed {
-		n.replicas.Remove(rec.Key, trusted, time.Now())
+		n.replicas.Remove(rec.Key, trusted)
 		n.beatNow()
 		return
 	}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -15,6 +15,11 @@
 	// configWait is how long a read of the configuration waits at the store: the
 	// price of a call against the time until a silent store is noticed.
 	configWait = 20 * time.Second
+	// frontWait is the same for the frontReaders hosts that come first: a read that a
+	// short silence of the store has swallowed is noticed only at its end, and a
+	// failed call elsewhere may not tell. The others then have records from them.
+	frontWait    = 1500 * time.Millisecond
+	frontReaders = 3
 	// operatorReaders is how many hosts wait at the store for what operators write;
 	// the others have it from them within a heartbeat. More would cost a call each
 	// for each record; fewer could all be out of the store's reach at once.
@@ -58,6 +63,7 @@
 		n.beatNow()
 	}
 	operators := follow(n.operators, configWait, configGap)
+	operators.WaitNow = func() time.Duration { return operatorWait(n.rank()) }
 	operators.Fresh = func() bool { return n.rank() >= operatorReaders }
 	return []func(context.Context){
 		operators.Run,
@@ -74,6 +80,14 @@
 	}
 }
 
+// operatorWait returns how long the host of a rank waits for operators' records.
+func operatorWait(rank int) time.Duration {
+	if rank < frontReaders {
+		return frontWait
+	}
+	return configWait
+}
+
 // announce writes this host's address to the store once.
 func (n *Node) announce(ctx context.Context) {
 	value := platform.HostRecord{PeerAddress: n.settings.Listen.Peer}.Encode()
@@ -100,7 +114,7 @@
 			n.log.WithField("host", id).Warn("host lost: no heartbeats")
 		}
 		if n.access.Stable(now) {
-			n.replicas.Settle(now.Add(-n.settings.Replica.OutageGrace.AsDuration()))
+			n.replicas.Settle()
 		}
 		n.shareBudget(now)
 		n.becomeReady()
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -67,8 +67,6 @@
 	machine *fsm.FSM
 	reason  string
 	weights map[string]int64
-	// lapsed is when its entry was found missing after an outage of the store.
-	lapsed time.Time
 	// loadingUntil is when an order that was told of is given up on.
 	loadingUntil time.Time
 	flights      map[*Flight]bool
@@ -110,7 +108,7 @@
 
 // Remove takes the removal of a server's entry. One that is not trusted may be
 // the trace of an outage of the store: the server goes on serving until Settle.
-func (t *Table) Remove(id string, trusted bool, now time.Time) {
+func (t *Table) Remove(id string, trusted bool) {
 	t.mu.Lock()
 	e := t.entries[id]
 	if e == nil {
@@ -118,7 +116,6 @@
 		return
 	}
 	if !trusted && e.machine.Is(StateServing) {
-		e.lapsed = now
 		t.fire(e, eventLapse, "entry missing after an outage of the store")
 		t.mu.Unlock()
 		return
@@ -128,14 +125,12 @@
 	t.gone(id, address)
 }
 
-// Settle removes the servers whose entries have been missing since an outage, and
-// since before a time. Hosts that have the entries from others may not have
-// noticed the outage: what lapsed just now must still have its time to come back.
-func (t *Table) Settle(before time.Time) {
+// Settle removes the servers whose entries are still missing after an outage.
+func (t *Table) Settle() {
 	t.mu.Lock()
 	removed := map[string]string{}
 	for id, e := range t.entries {
-		if e.machine.Is(StateLapsed) && e.lapsed.Before(before) {
+		if e.machine.Is(StateLapsed) {
 			removed[id] = t.remove(id, e, "entry still missing after an outage")
 		}
 	}
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -35,6 +35,8 @@
 	Access *Access
 	// Wait is how long a read waits for a record at the store; 0 polls.
 	Wait time.Duration
+	// WaitNow is Wait for the next read; it may be nil.
+	WaitNow func() time.Duration
 	// Gap is the pause between two reads: it bounds the calls that a busy topic
 	// costs, and adds to the age of what is known.
 	Gap time.Duration
@@ -102,6 +104,13 @@
 	return true, nil
 }
 
+func (f *Follower) wait() time.Duration {
+	if f.WaitNow != nil {
+		return f.WaitNow()
+	}
+	return f.Wait
+}
+
 // errRegained ends a waiting read when the store is back after an outage: the
 // read may hang on a connection that the outage has silenced.
 var errRegained = errors.New("the store is back")
@@ -121,7 +130,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	page, err := f.Store.Read(ctx, f.Table.Name(), from, f.Wait)
+	page, err := f.Store.Read(ctx, f.Table.Name(), from, f.wait())
 	if err != nil && errors.Is(context.Cause(ctx), errRegained) {
 		return platform.Page{}, errRegained
 	}
