--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -225,9 +225,9 @@
 	}
 }
 
-// directory returns the hosts that callers in an availability zone should use:
-// the primary ones, of these those of the zone, so that little crosses zones, or all where the zone has
-// fewer than two.
+// directory returns the hosts that callers in an availability zone should use: of
+// the primary ones those of the zone, so that little crosses zones, or all where
+// the zone has fewer than two.
 func (n *Node) directory(zone string) []string {
 	var all, near []string
 	hosts, _ := n.primaries(time.Now())
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -249,19 +249,22 @@
 	}
 }
 
+// resetSecond answers a connection's first request and resets it at the second.
+func resetSecond(c net.Conn, r *bufio.Reader) {
+	id, body, err := readRequest(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, answer(id, body))
+	if _, _, err := readRequest(r); err == nil {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
 // TestDroppedConnectionsTeachHowLongTheyAreKept: a server that forgets a rested
 // connection loses one request, not one a connection.
 func TestDroppedConnectionsTeachHowLongTheyAreKept(t *testing.T) {
-	address := script(t, func(c net.Conn, r *bufio.Reader) {
-		id, body, err := readRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, answer(id, body))
-		if _, _, err := readRequest(r); err == nil {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	})
+	address := script(t, resetSecond)
 	p := NewPool()
 	p.resetWithin = time.Hour
 	defer p.Close()
@@ -294,16 +297,7 @@
 // TestEndsOfServersTeachNothing: a server that ends while it works on a request
 // resets the connection too.
 func TestEndsOfServersTeachNothing(t *testing.T) {
-	address := script(t, func(c net.Conn, r *bufio.Reader) {
-		id, body, err := readRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, answer(id, body))
-		if _, _, err := readRequest(r); err == nil {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	})
+	address := script(t, resetSecond)
 	p := NewPool()
 	// Any reset comes later than this.
 	p.resetWithin = time.Nanosecond
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -144,8 +144,9 @@
 	end := w.faults.begin("stop", h, true)
 	defer end()
 	began := time.Now()
-	if h.signal(syscall.SIGTERM) && !h.wait(grace+exitSlack) {
-		if w.faults.inTouch(nil, began.Add(touch), began) {
+	if !h.terminate(grace + exitSlack) {
+		other := w.faults.any(began, time.Now(), func(d *disturbance) bool { return !d.planned })
+		if !other {
 			w.seen.fail("%s is not gone %v after SIGTERM", h.id, grace+exitSlack)
 		}
 		h.kill()
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -84,6 +83,24 @@
 	return h.cmd != nil && h.cmd.Process.Signal(s) == nil
 }
 
+// terminate asks the process to stop and waits for that very process to be gone; it
+// reports whether it is.
+func (h *host) terminate(limit time.Duration) bool {
+	h.mu.Lock()
+	exited := h.exited
+	asked := h.cmd != nil && h.cmd.Process.Signal(syscall.SIGTERM) == nil
+	h.mu.Unlock()
+	if !asked {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // wait waits for the process to be gone, and reports whether it is.
 func (h *host) wait(limit time.Duration) bool {
 	h.mu.Lock()
@@ -123,5 +140,3 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-func logName(dir, id string) string { return filepath.Join(dir, id+".log") }
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -97,7 +97,7 @@
 		return err
 	}
 	id := fmt.Sprintf("entry-%d", i)
-	h := &host{id: id, ip: w.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: logName(w.dir, id)}
+	h := &host{id: id, ip: w.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: filepath.Join(w.dir, id+".log")}
 	h.settings = filepath.Join(w.dir, id+".hujson")
 	if err := os.WriteFile(h.settings, []byte(settingsFor(h, seeds)), 0o644); err != nil {
 		return err
