Replicas on unexpected weights are asked for them; failures are shared and priced by what they cost

Its order to load version 2 had got no answer and was carried out seconds late, when 3 was wanted; the host that met the first 421 took it for holding 3, and each further request was sent for 3 and refused. Change: after such a refusal a replica gets no requests for up to 1 s and is asked for its weights each 0.1 s; what it tells goes to all hosts. The share of failures counts the last two to four seconds of all hosts, with six good answers as a prior, in place of a mean of one host's last ten; answers that later ones overtook by 0.7 s beyond what was expected count as lost, and are tried elsewhere where that is allowed. A failure is priced at 1.4 latency targets for what may not be repeated, 0.4 for the rest, in place of 400 ms beyond a quarter of failures.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,7 +89,7 @@
 	}
 	limit := max(leastSilence, time.Duration(silentTargets*float64(route.LatencyTarget)))
 	check := func() {
-		if x.choice.Flight.Silence(time.Now()) > limit {
+		if x.choice.Flight.Silence(time.Now()) > limit || x.choice.Flight.Lost() {
 			x.cancel(errSilent)
 			return
 		}
@@ -209,10 +209,9 @@
 		d.replicas.Remove(choice.ID, true)
 		return
 	}
-	wanted := d.replicas.Wanted(model)
-	if wanted > choice.Weights && d.replicas.Holds(choice.ID, model, wanted) {
-		d.scheduler.Reloaded(choice.ID)
-	}
+	// Which weights it holds it does not say: those wanted by now may have overtaken
+	// those of a late order.
+	d.replicas.Doubt(choice.ID, model, choice.Weights, time.Now())
 }
 
 // whole reads the answer to its end before any of it is passed on, so that a
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -219,6 +219,7 @@
 		PromptTokens: req.Caller.PromptTokens,
 		OutputTokens: req.Caller.OutputTokens,
 		Target:       req.Route.LatencyTarget,
+		Repeatable:   req.Route.Repeatable(),
 		MaxHold:      r.maxHold(),
 		Exclude:      r.exclude,
 	}, now)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -38,6 +38,7 @@
 	unreachable behaviour = "unreachable"
 	refuses     behaviour = "refuses"
 	misdirects  behaviour = "misdirects"
+	reweighted  behaviour = "holds other weights"
 	cutsBefore  behaviour = "reads and cuts"
 	answers     behaviour = "answers"
 	fails       behaviour = "fails"
@@ -123,6 +124,9 @@
 	case misdirects:
 		write(head(421) + wire.Instance + ": another\r\nContent-Length: 0\r\n\r\n")
 		return
+	case reweighted:
+		write(head(421) + wire.Instance + ": " + address + "\r\nContent-Length: 0\r\n\r\n")
+		return
 	}
 	f.ran(address)
 	switch b {
@@ -330,6 +334,37 @@
 	}
 }
 
+// TestUnexpectedWeightsAreNotGuessed: a replica refuses the weights that it was
+// believed to hold while newer ones are wanted, as after an order that was carried
+// out late. Those wanted may have overtaken it; taken for them, it would refuse all
+// that it is sent from then on.
+func TestUnexpectedWeightsAreNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{reweighted}, ranAt: map[string]bool{}}
+		d, table := newDispatcher(f)
+		for i := range testReplicas {
+			table.Register(platform.Registration{ID: fmt.Sprintf("i-%d", i), Service: testService, Address: fmt.Sprintf("i-%d", i), Slots: 8, Weights: map[string]int64{"m": 1}}, int64(i))
+		}
+		table.Want("m", 2, time.Now())
+		table.Want("m", 3, time.Now())
+		req := nonIdempotent()
+		req.Caller.Model = "m"
+		if _, err := d.Run(context.Background(), req, &recorder{}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		unsure := table.Unsure(time.Now())
+		if len(unsure) != 1 || unsure[0].Weights["m"] != 1 {
+			t.Errorf("unsure: %+v", unsure)
+		}
+		for _, r := range table.Snapshot(testService, "m", 0, time.Now()) {
+			if r.Weights != 1 || r.Loading != (r.ID == unsure[0].ID) {
+				t.Errorf("%s is believed to hold %d, loading %v", r.ID, r.Weights, r.Loading)
+			}
+		}
+	})
+}
+
 func TestReplicasOwnFailureIsPassedOn(t *testing.T) {
 	_, out, _, err := play(t, idempotent, fails, fails)
 	if err != nil || out.status != http.StatusInternalServerError {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -76,6 +76,7 @@
 		n.reconnect,
 		n.lease.Follow,
 		n.loader.Run,
+		n.loader.Verify,
 		n.cacheEvents,
 	}
 }
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -34,9 +34,6 @@
 }
 
 const (
-	// errorWeight is the weight of one answer in the share of failures: about the
-	// last ten answers count.
-	errorWeight = 0.1
 	// slowWeight is the weight of one answer in the slowness, and slowMemory the
 	// time constant with which it is forgotten.
 	slowWeight = 0.15
@@ -63,7 +60,6 @@
 // health is what a server's answers say of it. Checks of the server's own are
 // dear and may lie, so that none are made.
 type health struct {
-	errors float64
 	// excess is how much longer than expected answers took, as of timed.
 	excess float64
 	timed  time.Time
@@ -123,20 +119,15 @@
 	h.trying = false
 	switch r {
 	case Answered:
-		h.errors -= errorWeight * h.errors
 		h.alive()
 	case Refused:
 		h.alive()
 	case Failed:
-		h.errors += errorWeight * (1 - h.errors)
 		h.alive()
-	case Lost:
-		h.errors += errorWeight * (1 - h.errors)
 	case Unreachable:
-		h.errors += errorWeight * (1 - h.errors)
 		h.unreachable = true
 		h.fail(now)
-	case Cancelled:
+	case Lost, Cancelled:
 	}
 }
 
@@ -166,6 +157,10 @@
 	work     Work
 	answered bool
 	over     bool
+	// overtaken counts later requests that were answered while this one was overdue;
+	// lost is set once there were enough.
+	overtaken int
+	lost      bool
 }
 
 // Begin records a request that is about to be sent. It returns nil when the
@@ -197,6 +192,7 @@
 	f.table.judge(f.entry, "an answer began", func(h *health) { h.alive() })
 	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
 	f.entry.heard(now)
+	f.table.overtake(f, now)
 }
 
 // leastLeft of a prompt counts as unread until the first event: it may be later
@@ -228,6 +224,12 @@
 	f.over = true
 	hung := !f.answered && f.entry.silence(now) > hangAfter && (r == Cancelled || r == Lost)
 	delete(f.entry.flights, f)
+	switch {
+	case r == Answered:
+		f.entry.failures.note(false, now)
+	case !f.lost && (r == Failed || r == Lost || r == Unreachable):
+		f.entry.failures.note(true, now)
+	}
 	f.table.judge(f.entry, r.String(), func(h *health) {
 		h.ended(r, now)
 		if hung {
@@ -314,7 +316,7 @@
 	if down == before {
 		return
 	}
-	line := t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "reason": reason, "failures": fmt.Sprintf("%.2f", e.health.errors)})
+	line := t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "reason": reason, "failures": fmt.Sprintf("%.2f", t.failed(e, time.Now()).share())})
 	if down {
 		line.Warn("replica thought down")
 	} else {
--- a/internal/replica/loads.go
+++ b/internal/replica/loads.go
@@ -41,7 +41,7 @@
 		l.sums[w.Replica] = sum
 	}
 	addLoad(sum, w, sign)
-	if sum.Requests == 0 && sum.PrefillTokens == 0 && sum.MemoryTokens == 0 && sum.Waiting == 0 {
+	if sum.Requests == 0 && sum.PrefillTokens == 0 && sum.MemoryTokens == 0 && sum.Waiting == 0 && sum.Ended == 0 {
 		delete(l.sums, w.Replica)
 	}
 }
@@ -51,6 +51,8 @@
 	sum.PrefillTokens += sign * w.GetPrefillTokens()
 	sum.MemoryTokens += sign * w.GetMemoryTokens()
 	sum.Waiting += sign * w.GetWaiting()
+	sum.Ended += sign * w.GetEnded()
+	sum.Failed += sign * w.GetFailed()
 }
 
 // SetLoads takes the work of another host in place of what it said before.
@@ -66,11 +68,13 @@
 	defer t.mu.Unlock()
 	var out []*pb.ReplicaLoad
 	for id, e := range t.entries {
-		if len(e.flights) > 0 {
-			l := e.load(now)
-			l.Replica = id
-			out = append(out, l)
+		recent := e.failures.lately(now)
+		if len(e.flights) == 0 && recent.ended == 0 {
+			continue
 		}
+		l := e.load(now)
+		l.Replica, l.Ended, l.Failed = id, recent.ended, recent.failed
+		out = append(out, l)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Replica < out[j].Replica })
 	return out
@@ -89,6 +93,13 @@
 	return l
 }
 
+// failed returns how exchanges of all hosts with a server ended, lately.
+func (t *Table) failed(e *entry, now time.Time) outcomes {
+	o := e.failures.lately(now)
+	sum := t.others.sums[e.reg.ID]
+	return outcomes{o.ended + sum.GetEnded(), o.failed + sum.GetFailed()}
+}
+
 // load returns the work of all hosts at a server.
 func (t *Table) load(e *entry, now time.Time) *pb.ReplicaLoad {
 	l := e.load(now)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -69,8 +69,12 @@
 	weights map[string]int64
 	// loadingUntil is when an order that was told of is given up on.
 	loadingUntil time.Time
+	// unsure is until when the server is asked for its weights: it refused those
+	// that it was believed to hold.
+	unsure time.Time
 	flights      map[*Flight]bool
 	health       health
+	failures     failures
 	// hanging is whether the server gave no sign of life when it was last looked at.
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
@@ -179,7 +183,7 @@
 		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
-		Slow: e.health.slow(now), Errors: e.health.errors, Silence: silence,
+		Slow: e.health.slow(now), Errors: t.failed(e, now).share(), Silence: silence,
 	}
 }
 
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // wanted is a weights version that operators wanted at a time.
 type wanted struct {
@@ -58,7 +62,7 @@
 		return false
 	}
 	e.weights[model] = version
-	e.loadingUntil = time.Time{}
+	e.loadingUntil, e.unsure = time.Time{}, time.Time{}
 	return true
 }
 
@@ -82,3 +86,40 @@
 	}
 	return false
 }
+
+// unsureFor is how long a server that refused the weights it was believed to hold
+// gets no requests, unless its own report tells before: reports are some hundred
+// milliseconds old.
+const unsureFor = time.Second
+
+// Doubt records that a server refused a request for weights that it was believed to
+// hold. Without a word of what it holds it would refuse every further request.
+func (t *Table) Doubt(id, model string, version int64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.weights[model] != version || now.Before(e.unsure) {
+		return
+	}
+	e.unsure = now.Add(unsureFor)
+	e.loadingUntil = e.unsure
+	t.log.WithFields(logrus.Fields{"replica": id, "weights": weightsText(model, version)}).Info("replica holds other weights than believed")
+}
+
+// Unsure returns the servers that are to be asked for their weights, by ID.
+func (t *Table) Unsure(now time.Time) []Server {
+	var out []Server
+	for _, s := range t.Servers(now) {
+		if t.unsure(s.ID, now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (t *Table) unsure(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	return e != nil && now.Before(e.unsure)
+}
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -25,6 +25,7 @@
 	Holds(id, model string, version int64) bool
 	Loading(id string, until time.Time)
 	Waiting(id string, now time.Time) int
+	Unsure(now time.Time) []replica.Server
 }
 
 const (
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -26,6 +26,7 @@
 	waiting  map[string]int
 	fault    string
 	down     map[string]bool
+	unsure   map[string]bool
 	atOnce   int
 	mostOnce int
 	// thrown counts orders that a replica got while it was reading prompts.
@@ -90,6 +91,16 @@
 	return f.waiting[id]
 }
 
+func (f *fakeFleet) Unsure(now time.Time) []replica.Server {
+	var out []replica.Server
+	for _, s := range f.Servers(now) {
+		if f.unsure[s.ID] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (f *fakeFleet) Report(_ context.Context, address, _ string) (platform.EngineReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -276,3 +287,26 @@
 		}
 	})
 }
+
+// TestUnexpectedWeightsAreAskedFor: a replica carried out an order late, so that it
+// holds weights between those believed and those wanted.
+func TestUnexpectedWeightsAreAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(2)
+		fleet.wanted = 3
+		fleet.actual["i-0"].version = 2
+		fleet.unsure = map[string]bool{"i-0": true}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		loader := NewLoader(nil, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
+		loader.Verify(ctx)
+		if fleet.known["i-0"] != 2 || fleet.known["i-1"] != 1 {
+			t.Errorf("believed: %v", fleet.known)
+		}
+		told := map[string]int64{}
+		loader.Recent(time.Now(), func(id, _ string, version int64) { told[id] = version })
+		if told["i-0"] != 2 {
+			t.Errorf("other hosts are told %v", told)
+		}
+	})
+}
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -106,12 +106,7 @@
 	if report.Weights[t.model] < t.version {
 		return false
 	}
-	l.replicas.Holds(t.server.ID, t.model, report.Weights[t.model])
-	l.mu.Lock()
-	l.recent = append(l.recent, loaded{t.server.ID, t.model, report.Weights[t.model], time.Now()})
-	l.mu.Unlock()
-	l.Loaded(t.server.ID)
-	l.Changed()
+	l.learn(t.server.ID, t.model, report.Weights[t.model])
 	return true
 }
 
--- /dev/null
+++ b/internal/rollout/verify.go
@@ -0,0 +1,55 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/replica"
+)
+
+// verifyInterval is how often replicas are looked for whose weights are not those
+// believed; a report costs a probe.
+const verifyInterval = 100 * time.Millisecond
+
+// Verify asks replicas whose weights turned out not to be those believed, until ctx
+// ends. An order that was carried out seconds late leaves a replica on weights that
+// nobody expects of it.
+func (l *Loader) Verify(ctx context.Context) {
+	ticker := time.NewTicker(verifyInterval)
+	defer ticker.Stop()
+	for {
+		for _, s := range l.replicas.Unsure(time.Now()) {
+			l.verify(ctx, s)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Loader) verify(ctx context.Context, s replica.Server) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := l.engine.Report(ctx, s.Address, s.ID)
+	if err != nil {
+		l.log.WithError(err).WithField("replica", s.ID).Info("weights not told")
+		return
+	}
+	for model, version := range report.Weights {
+		if version > s.Weights[model] {
+			l.learn(s.ID, model, version)
+		}
+	}
+}
+
+// learn records weights that a replica itself reported, for this host and others.
+func (l *Loader) learn(id, model string, version int64) {
+	l.replicas.Holds(id, model, version)
+	l.mu.Lock()
+	l.recent = append(l.recent, loaded{id, model, version, time.Now()})
+	l.mu.Unlock()
+	l.Loaded(id)
+	l.Changed()
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -44,7 +44,7 @@
 	CacheTokens  int
 	// Slow is the time that answers take against what was expected; 1 is normal.
 	Slow float64
-	// Errors is the share of failed answers, lately.
+	// Errors is the share of requests that failed or were lost, lately, at all hosts.
 	Errors float64
 	// Silence is how long the oldest request has waited without any answer of
 	// the replica since.
@@ -75,6 +75,8 @@
 	// SharedTokens of the prompt are worth keeping in some cache.
 	SharedTokens  int
 	LatencyTarget time.Duration
+	// Repeatable requests may run again at another replica.
+	Repeatable bool
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
 	// Affinity is equal for requests with the same leading part.
@@ -109,7 +111,7 @@
 	// OldWeights is the price of an answer on older weights, in latency targets: a
 	// fifth of its worth against the two thirds that a late one loses, and as much
 	// again for a long run, whose replica changes weights under it. With the price
-	// at 0.15 a fifth more of all work was done on weights that had been replaced.
+	// at 0.15 a third more of all work was done on weights that had been replaced.
 	OldWeights float64
 	// OldWeightsAfter is how long older weights cost nothing.
 	OldWeightsAfter time.Duration
@@ -152,10 +154,12 @@
 	memoryTurn = 4 * time.Second
 	// plainMs is the work of a plain service's request, for its queue.
 	plainMs = 30.0
-	// errorMs is the price of a certain failure.
-	errorMs = 400.0
-	// errorFree is the share of failures that any replica may have.
-	errorFree = 0.25
+	// lostTargets is the price of a certain failure, in latency targets, of a request
+	// that may not be repeated: its whole worth against the two thirds of it that a
+	// late answer loses. againTargets is that of one that may: a loss is noticed
+	// after about a target, and mostly made good.
+	lostTargets  = 1.4
+	againTargets = 0.4
 	// silenceAfter is the silence from which a replica may hang.
 	silenceAfter = 300 * time.Millisecond
 	// trialMs is the price of trying a replica that failed.
@@ -302,7 +306,7 @@
 	score += float64(max(0, c.Requests-c.Slots)) * queuedMs
 	reread := float64(max(0, req.SharedTokens-c.Cached-c.Fetched)) / float64(max(1, req.PromptTokens))
 	score += p.Reread * reread * millis(req.LatencyTarget)
-	score += errorMs * max(0, c.Errors-errorFree)
+	score += failurePrice(req) * c.Errors
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
 	}
@@ -318,6 +322,15 @@
 	return score + memoryPrice(req, c)
 }
 
+// failurePrice returns the price of a certain failure in milliseconds.
+func failurePrice(req *Request) float64 {
+	targets := lostTargets
+	if req.Repeatable {
+		targets = againTargets
+	}
+	return targets * millis(req.LatencyTarget)
+}
+
 // memoryWait returns how long, in milliseconds, a request waits for memory that
 // requests before it hold.
 func memoryWait(req *Request, c *Candidate) float64 {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,6 +28,8 @@
 	PromptTokens int
 	OutputTokens int
 	Target       time.Duration
+	// Repeatable requests may run again at another replica.
+	Repeatable bool
 	// MaxHold is the longest that the request may be held.
 	MaxHold time.Duration
 	// Exclude holds replicas that were tried.
@@ -149,6 +151,7 @@
 		OutputTokens:     req.OutputTokens,
 		SharedTokens:     s.prompt(prompts, req, anyWeights).Total(),
 		LatencyTarget:    req.Target,
+		Repeatable:       req.Repeatable,
 		Exclude:          req.Exclude,
 		Affinity:         Affinity(req.Parts),
 	}, candidates)
