Prompts of which nothing says that they come back are saved while the store's link is idle

Change: any prompt is saved while the store's link has a queue of at most 30 ms; the others up to 150 ms, as before. The test that a prompt never seen is not saved now holds the link busy, and a second one covers the idle link.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -80,6 +80,9 @@
 	// maxSaveWait is the longest queue of transfers at the store at which more is
 	// saved there: fetches wait behind them.
 	maxSaveWait = 150 * time.Millisecond
+	// idleSaveWait is that queue for prompts of which nothing says that they will be
+	// asked for again: they are saved while the store's link has little else to do.
+	idleSaveWait = 30 * time.Millisecond
 	// minHold is the least number of shared tokens for which a request is held.
 	minHold = 512
 	// holdMargin is added to a hold: readings are mostly a little later than
@@ -307,10 +310,14 @@
 		return false
 	}
 	held, _ := s.index.Held(req.Store.Address, c.prompt, now)
-	if c.Shared-held < minSave || s.links.wait(req.Store.Address, now) > maxSaveWait {
+	if c.Shared-held < minSave {
 		return false
 	}
-	return s.reuse.likely(c.sharers, c.lasting, now)
+	limit := idleSaveWait
+	if s.reuse.likely(c.sharers, c.lasting, now) {
+		limit = maxSaveWait
+	}
+	return s.links.wait(req.Store.Address, now) <= limit
 }
 
 // learn records that the chosen replica is about to read the prompt, so that
