Mechanisms can be switched off to measure them; a command plays the ablation

Prices of failures and the turn of a replica's memory are fields of the policy. An answer counts as lost once a later one of its replica has overtaken it.

--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/node"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/platform"
@@ -40,7 +41,8 @@
 }
 
 type serveCmd struct {
-	Settings string `env:"${settings_variable}" required:"" help:"Settings file: JSON with comments, or the platform's format."`
+	Settings string   `env:"${settings_variable}" required:"" help:"Settings file: JSON with comments, or the platform's format."`
+	Without  []string `placeholder:"MECHANISM" help:"For measurements: switch these mechanisms off. One that does not exist is refused with the list of those that do."`
 }
 
 // Run implements the serve command.
@@ -49,11 +51,15 @@
 	if err != nil {
 		return usage(err)
 	}
+	off, err := mechanism.Parse(c.Without)
+	if err != nil {
+		return usage(err)
+	}
 	log, lines := obs.NewLogger(s.Log, os.Stdout)
 	defer lines.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	n := node.New(s, log, lines)
+	n := node.New(s, off, log, lines)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -57,6 +57,8 @@
 	Log    *logrus.Logger
 	// Gap returns the pause between two calls at a busy holder.
 	Gap func() time.Duration
+	// NoLists keeps the follower from listing what the holder holds.
+	NoLists bool
 	// Up is told whether the holder answers, after each call.
 	Up func(err error)
 
@@ -96,7 +98,7 @@
 		return 0
 	}
 	f.epoch = events.Epoch
-	if events.Lost && f.list(ctx) {
+	if events.Lost && !f.NoLists && f.list(ctx) {
 		return 0
 	}
 	if events.Lost {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/schedule"
 )
 
@@ -57,13 +58,16 @@
 	if r.arrived > 0 {
 		return nil
 	}
-	left := min(r.req.Deadline.Sub(now), patience(r.req.Route))
+	left := r.req.Deadline.Sub(now)
+	if !r.d.Off[mechanism.LateRefusal] {
+		left = min(left, patience(r.req.Route))
+	}
 	if choice.Expected > left {
 		return errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
 			choice.Expected.Milliseconds(), left.Milliseconds())).After(max(leastAfter, choice.Expected-left))
 	}
 	s := r.req.Service
-	if r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
+	if r.d.Off[mechanism.UrgentRefusal] || r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
 		return nil
 	}
 	limit := time.Duration(urgentTargets * float64(s.UrgentTarget))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/schedule"
@@ -128,11 +129,13 @@
 	replicas  *replica.Table
 	pool      *upstream.Pool
 	budget    *retry.Budget
+	// Off holds the mechanisms that are switched off; it is set before use.
+	Off mechanism.Off
 }
 
 // New returns a dispatcher over the tables of one host.
 func New(s *schedule.Scheduler, replicas *replica.Table, pool *upstream.Pool, budget *retry.Budget) *Dispatcher {
-	return &Dispatcher{s, replicas, pool, budget}
+	return &Dispatcher{scheduler: s, replicas: replicas, pool: pool, budget: budget}
 }
 
 // run is the state of one request.
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/briarlink/briarlink/internal/cachesync"
+	"github.com/briarlink/briarlink/internal/mechanism"
 )
 
 const (
@@ -101,7 +102,8 @@
 		Gap: func() time.Duration {
 			return max(cacheGap, time.Second*time.Duration(n.replicas.Count())/cacheCalls)
 		},
-		Up: func(err error) { n.cacheStoreUp(h, err) },
+		NoLists: n.off[mechanism.CacheLists],
+		Up:      func(err error) { n.cacheStoreUp(h, err) },
 	}
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -94,7 +95,10 @@
 	if n.machine.Is(StateReady) {
 		serving = append(serving, n.self())
 	}
-	hosts = member.Primaries(serving)
+	hosts = serving
+	if !n.off[mechanism.PrimaryHosts] {
+		hosts = member.Primaries(serving)
+	}
 	for _, h := range hosts {
 		here = here || h.Host == n.settings.Host.Id
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/entry"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
@@ -72,7 +73,9 @@
 
 // Node is one entry host.
 type Node struct {
-	settings    *pb.Settings
+	settings *pb.Settings
+	// off holds the mechanisms that are switched off.
+	off         mechanism.Off
 	log         *logrus.Logger
 	lines       *obs.Writer
 	incarnation uint64
@@ -108,10 +111,12 @@
 	fetching sync.Map
 }
 
-// New returns a host that is not running yet. lines is the log's writer.
-func New(s *pb.Settings, log *logrus.Logger, lines *obs.Writer) *Node {
+// New returns a host that is not running yet. lines is the log's writer; the
+// mechanisms in off are switched off.
+func New(s *pb.Settings, off mechanism.Off, log *logrus.Logger, lines *obs.Writer) *Node {
 	n := &Node{
 		settings:    s,
+		off:         off,
 		log:         log,
 		lines:       lines,
 		incarnation: rand.Uint64(),
@@ -132,10 +137,12 @@
 		n.index.Clear(id)
 		n.pool.Forget(address)
 	})
-	policy := route.DefaultPolicy()
+	n.replicas.Off = off
+	policy := route.DefaultPolicy().Without(off)
 	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
 	n.scheduler.Tell = n.beatSoon
+	n.scheduler.Off = off
 	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), float64(s.Retry.Slack)*slackShare, 1, time.Now())
 	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
 	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
@@ -179,7 +186,7 @@
 	}
 	n.log.WithFields(logrus.Fields{
 		"host": n.settings.Host.Id, "zone": n.settings.Host.AvailabilityZone, "caller": n.settings.Listen.Caller,
-		"incarnation": n.incarnation, "pid": os.Getpid(),
+		"incarnation": n.incarnation, "pid": os.Getpid(), "without": len(n.off),
 	}).Info("started")
 	<-ctx.Done()
 	n.stop(servers)
@@ -198,6 +205,8 @@
 
 func (n *Node) buildEntry() {
 	s := n.settings
+	dispatcher := dispatch.New(n.scheduler, n.replicas, n.pool, n.budget)
+	dispatcher.Off = n.off
 	n.entry = entry.New(entry.Deps{
 		View:            n.view,
 		Refuse:          n.refuse,
@@ -205,7 +214,7 @@
 		Closing:         func() bool { return n.machine.Is(StateLeaving) || n.machine.Is(StateClosing) },
 		Directory:       n.directory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
-		Dispatcher:      dispatch.New(n.scheduler, n.replicas, n.pool, n.budget),
+		Dispatcher:      dispatcher,
 		Metrics:         n.metrics,
 		Log:             n.log,
 		MaxBodyBytes:    s.Request.MaxBodyBytes,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -111,7 +111,7 @@
 	set.Replica.PollInterval = durationpb.New(20 * time.Millisecond)
 	set.Stop.Grace = durationpb.New(time.Second)
 	log, lines := obs.NewLogger(set.Log, io.Discard)
-	n := New(set, log, lines)
+	n := New(set, nil, log, lines)
 	for _, p := range peers {
 		n.members.Learn(p.settings.Listen.Peer, time.Now())
 	}
--- a/internal/replica/failures.go
+++ b/internal/replica/failures.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/briarlink/briarlink/internal/mechanism"
+)
 
 const (
 	// failureWindow is half of the time over which answers count: a fault that lasts
@@ -54,28 +58,23 @@
 	return float64(o.failed) / float64(o.ended+priorAnswers)
 }
 
-const (
-	// overdue is how long, beyond what was expected of it, an answer must be missing
-	// to be thought lost, and overtakenBy the number of later requests of the server
-	// that must have been answered meanwhile: requests overtake each other by
-	// urgency and size.
-	overdue     = 700 * time.Millisecond
-	overtakenBy = 1
-)
+// overdue is how long, beyond what was expected of it, an answer must be missing to
+// be thought lost when a later request of the server is answered: requests overtake
+// each other by urgency and size, mostly by less than half a second.
+const overdue = 700 * time.Millisecond
 
 // overtake notes that a later request of the server was answered while others
 // wait: those that were overtaken long after they were due have lost their answer.
 // Their callers would only leave in the end, which says nothing of the server.
 func (t *Table) overtake(answered *Flight, now time.Time) {
+	if t.Off[mechanism.LostAnswers] {
+		return
+	}
 	e := answered.entry
 	for f := range e.flights {
 		if f.answered || f.lost || !f.began.Before(answered.began) || now.Sub(f.began) < f.work.Expected+overdue {
 			continue
 		}
-		f.overtaken++
-		if f.overtaken < overtakenBy {
-			continue
-		}
 		f.lost = true
 		e.failures.note(true, now)
 		t.log.WithField("replica", e.reg.ID).WithField("waited_ms", now.Sub(f.began).Milliseconds()).Info("answer thought lost: later requests were answered")
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/internal/mechanism"
 )
 
 // Result is how an exchange with a server ended.
@@ -157,10 +159,8 @@
 	work     Work
 	answered bool
 	over     bool
-	// overtaken counts later requests that were answered while this one was overdue;
-	// lost is set once there were enough.
-	overtaken int
-	lost      bool
+	// lost is set once a later request was answered while this one was long overdue.
+	lost bool
 }
 
 // Begin records a request that is about to be sent. It returns nil when the
@@ -337,6 +337,9 @@
 // Suspect takes another host's word that servers are down. A sign of life that
 // this host has seen a moment ago outweighs it.
 func (t *Table) Suspect(host string, ids []string, now time.Time) {
+	if t.Off[mechanism.PeerDoubts] {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range ids {
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
@@ -53,6 +54,8 @@
 	log *logrus.Logger
 	// gone is told of servers that left, without the lock.
 	gone func(id, address string)
+	// Off holds the mechanisms that are switched off; it is set before use.
+	Off mechanism.Off
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -71,10 +74,10 @@
 	loadingUntil time.Time
 	// unsure is until when the server is asked for its weights: it refused those
 	// that it was believed to hold.
-	unsure time.Time
-	flights      map[*Flight]bool
-	health       health
-	failures     failures
+	unsure   time.Time
+	flights  map[*Flight]bool
+	health   health
+	failures failures
 	// hanging is whether the server gave no sign of life when it was last looked at.
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/mechanism"
 )
 
 // Replica is what is known of a replica when a request is routed.
@@ -117,6 +118,15 @@
 	OldWeightsAfter time.Duration
 	// WeightsDeadline is when older weights may no longer begin a request.
 	WeightsDeadline time.Duration
+	// Lost is the price of a certain failure, in latency targets, of a request that may
+	// not be repeated: its whole worth against the two thirds of it that a late answer
+	// loses. Again is that of one that may: a loss is noticed after about a target,
+	// and mostly made good.
+	Lost  float64
+	Again float64
+	// MemoryTurn is how long a loaded replica takes to free its whole memory: about
+	// the time of a large request from its first to its last event.
+	MemoryTurn time.Duration
 	// Tolerance is the part of the latency target within which affinity decides.
 	Tolerance float64
 }
@@ -131,6 +141,9 @@
 		OldWeights:      0.4,
 		OldWeightsAfter: 1200 * time.Millisecond,
 		WeightsDeadline: 8 * time.Second,
+		Lost:            1.4,
+		Again:           0.4,
+		MemoryTurn:      4 * time.Second,
 		Tolerance:       0.04,
 	}
 }
@@ -149,17 +162,8 @@
 	memoryMs = 60.0
 	// memoryFull is the use of memory, as it is counted, from which requests wait.
 	memoryFull = 0.95
-	// memoryTurn is how long a loaded replica takes to free its whole memory: about
-	// the time of a large request from its first to its last event.
-	memoryTurn = 4 * time.Second
 	// plainMs is the work of a plain service's request, for its queue.
 	plainMs = 30.0
-	// lostTargets is the price of a certain failure, in latency targets, of a request
-	// that may not be repeated: its whole worth against the two thirds of it that a
-	// late answer loses. againTargets is that of one that may: a loss is noticed
-	// after about a target, and mostly made good.
-	lostTargets  = 1.4
-	againTargets = 0.4
 	// silenceAfter is the silence from which a replica may hang.
 	silenceAfter = 300 * time.Millisecond
 	// trialMs is the price of trying a replica that failed.
@@ -297,7 +301,7 @@
 	if c.CacheTokens == 0 {
 		return 0
 	}
-	return max(1, c.Slow)*float64(c.PrefillTokens)/p.PrefillPerMs + memoryWait(req, c)
+	return max(1, c.Slow)*float64(c.PrefillTokens)/p.PrefillPerMs + p.memoryWait(req, c)
 }
 
 // score prices a candidate in milliseconds.
@@ -306,7 +310,7 @@
 	score += float64(max(0, c.Requests-c.Slots)) * queuedMs
 	reread := float64(max(0, req.SharedTokens-c.Cached-c.Fetched)) / float64(max(1, req.PromptTokens))
 	score += p.Reread * reread * millis(req.LatencyTarget)
-	score += failurePrice(req) * c.Errors
+	score += p.failurePrice(req) * c.Errors
 	if c.AvailabilityZone != req.AvailabilityZone {
 		score += p.OtherZone
 	}
@@ -323,19 +327,19 @@
 }
 
 // failurePrice returns the price of a certain failure in milliseconds.
-func failurePrice(req *Request) float64 {
-	targets := lostTargets
+func (p Policy) failurePrice(req *Request) float64 {
+	targets := p.Lost
 	if req.Repeatable {
-		targets = againTargets
+		targets = p.Again
 	}
 	return targets * millis(req.LatencyTarget)
 }
 
 // memoryWait returns how long, in milliseconds, a request waits for memory that
 // requests before it hold.
-func memoryWait(req *Request, c *Candidate) float64 {
+func (p Policy) memoryWait(req *Request, c *Candidate) float64 {
 	over := memoryUse(req, c) - memoryFull
-	return max(0, over) * millis(memoryTurn)
+	return max(0, over) * millis(p.MemoryTurn)
 }
 
 // memoryUse is the part of a replica's memory that is needed with this request.
@@ -350,3 +354,23 @@
 func memoryPrice(req *Request, c *Candidate) float64 {
 	return memoryMs * memoryUse(req, c)
 }
+
+// Without returns the policy without the mechanisms that are switched off.
+func (p Policy) Without(off mechanism.Off) Policy {
+	if off[mechanism.Affinity] {
+		p.Tolerance = 0
+	}
+	if off[mechanism.RereadPrice] {
+		p.Reread = 0
+	}
+	if off[mechanism.OldWeightsPrice] {
+		p.OldWeights = 0
+	}
+	if off[mechanism.FailurePrice] {
+		p.Lost, p.Again = 0, 0
+	}
+	if off[mechanism.MemoryWait] {
+		p.MemoryTurn = 0
+	}
+	return p
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
@@ -106,6 +107,8 @@
 	reuse    *reuse
 	// Tell asks for the other hosts to be told at once.
 	Tell func()
+	// Off holds the mechanisms that are switched off; it is set before use.
+	Off mechanism.Off
 
 	mu   sync.Mutex
 	sent []*pb.PrefixSent
@@ -196,7 +199,7 @@
 		c := &candidates[i]
 		held, read := s.index.Held(c.ID, prompt(c.Weights), now)
 		c.Cached, c.Reading = held, held-read
-		if read >= minFetch && c.Usable && !c.Doubted && !c.Trial && !c.Loading && c.Silence < silentSource {
+		if read >= minFetch && !s.Off[mechanism.ReplicaFetch] && c.Usable && !c.Doubted && !c.Trial && !c.Loading && c.Silence < silentSource {
 			sources = append(sources, source{c, read})
 		}
 	}
@@ -220,7 +223,7 @@
 const silentSource = 250 * time.Millisecond
 
 func (s *Scheduler) tryStore(req *Request, c *route.Candidate, p prefix.Prompt, now time.Time) {
-	if req.Store == nil || !s.StoreUp(req.Store.Address) {
+	if req.Store == nil || !s.StoreUp(req.Store.Address) || s.Off[mechanism.StoreFetch] {
 		return
 	}
 	_, held := s.index.Held(req.Store.Address, p, now)
@@ -259,7 +262,7 @@
 	p := s.prompt(prompts, req, d.Weights)
 	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
 	read := 0
-	if hold := s.hold(c, now); hold > 0 && hold <= req.MaxHold {
+	if hold := s.hold(c, now); !s.Off[mechanism.Holds] && hold > 0 && hold <= req.MaxHold {
 		c.Hold = hold
 		return c, nil
 	}
@@ -288,7 +291,7 @@
 		return s.Pick(req, now)
 	}
 	s.learn(c, now)
-	if read >= tellAtOnce {
+	if read >= tellAtOnce && !s.Off[mechanism.TellAtOnce] {
 		s.Tell()
 	}
 	return c, nil
@@ -316,6 +319,8 @@
 	limit := idleSaveWait
 	if s.reuse.likely(c.sharers, c.lasting, now) {
 		limit = maxSaveWait
+	} else if s.Off[mechanism.IdleSaves] {
+		return false
 	}
 	return s.links.wait(req.Store.Address, now) <= limit
 }
