--- a/test/ablation/main.go
+++ b/test/ablation/main.go
@@ -137,7 +137,7 @@
 type report struct {
 	// G is the worth.
 	G      float64
-	Breaks []any
+	Breaks map[string]any
 }
 
 func (o *options) one(dir, without, day string, seed int) (worth float64, broken bool, err error) {
