explain begins with a verdict; outcomes are true of what the caller got

Cause: explain printed every line on the replicas since the start and left the cause to the reader; a request whose caller got a replica's own 500 was logged and counted as ok. Outcome backend_error where a replica's failure was passed on; the line has the route's latency target.

--- a/cmd/briarlink/logs.go
+++ b/cmd/briarlink/logs.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/briarlink/briarlink/internal/logline"
 	"github.com/briarlink/briarlink/internal/obs"
 )
 
@@ -29,10 +30,10 @@
 	wrong, total := 0, 0
 	for _, r := range readers {
 		scanner := bufio.NewScanner(r)
-		scanner.Buffer(nil, maxLogLine)
+		scanner.Buffer(nil, logline.MaxBytes)
 		for scanner.Scan() {
 			total++
-			if err := obs.CheckLine(scanner.Bytes()); err != nil {
+			if err := checkLine(scanner.Bytes()); err != nil {
 				wrong++
 				fmt.Printf("line %d: %v: %.120s\n", total, err, scanner.Text())
 			}
@@ -48,6 +49,12 @@
 	return nil
 }
 
+// checkLine checks a line, without what a collector wrote before it.
+func checkLine(line []byte) error {
+	_, object := logline.Object(line)
+	return obs.CheckLine(object)
+}
+
 // openLogs opens log files, or takes standard input without any.
 func openLogs(names []string) (readers []io.Reader, closeAll func(), err error) {
 	var files []*os.File
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -53,39 +53,3 @@
 		}
 	}
 }
-
-// TestExplain tells a request's story from the lines of two hosts, other programs'
-// lines and prefixes before a line included.
-func TestExplain(t *testing.T) {
-	logs := `starting
-{"level":"info","msg":"configuration in force","version":7,"time":"2026-06-01T10:00:00Z"}
-  12.5 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","tries":[{"Replica":"i-1","Result":"lost"}],"time":"2026-06-01T10:00:02Z"}
-{"level":"info","msg":"replica changed state","replica":"i-1","state":"gone","time":"2026-06-01T10:00:01Z"}
-{"level":"info","msg":"replica changed state","replica":"i-2","state":"gone","time":"2026-06-01T10:00:01Z"}
-`
-	got, err := explain("r-1", strings.NewReader(logs))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for i, want := range []string{"configuration in force", "state=gone", "outcome=backend_lost"} {
-		if i >= len(got) || !strings.Contains(got[i], want) {
-			t.Errorf("line %d of %q lacks %q", i, got, want)
-		}
-	}
-	if len(got) != 3 {
-		t.Errorf("%d lines, want 3", len(got))
-	}
-}
-
-// TestExplainFoldsWhatAllHostsSay: of one event, not of a later one.
-func TestExplainFoldsWhatAllHostsSay(t *testing.T) {
-	line := func(time string) string {
-		return `{"level":"info","msg":"replica registered","replica":"i-1","time":"` + time + `"}` + "\n"
-	}
-	logs := line("2026-06-01T10:00:00Z") + line("2026-06-01T10:00:00.2Z") + line("2026-06-01T10:00:05Z") +
-		`{"level":"info","msg":"request","request":"r-1","replica":"i-1","time":"2026-06-01T10:00:06Z"}`
-	story, err := explain("r-1", strings.NewReader(logs))
-	if err != nil || len(story) != 3 {
-		t.Errorf("%d lines, %v: %q", len(story), err, story)
-	}
-}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -78,12 +78,22 @@
 	_, _ = w.Write(body)
 }
 
+// outcome names what the caller got: a replica's own failure is passed on as it is,
+// and is no success.
+func (ex *exchange) outcome(err error) string {
+	switch {
+	case err != nil:
+		return errkind.From(err).Kind.String()
+	case ex.report.Status >= http.StatusInternalServerError:
+		return errkind.BackendError.String()
+	default:
+		return obs.OutcomeOK
+	}
+}
+
 // log writes the request's one line, and counts it.
 func (ex *exchange) log(err error) {
-	outcome := obs.OutcomeOK
-	if err != nil {
-		outcome = errkind.From(err).Kind.String()
-	}
+	outcome := ex.outcome(err)
 	took := time.Since(ex.arrived)
 	ex.s.Metrics.Answered(outcome)
 	ex.measure(took)
@@ -98,6 +108,7 @@
 	}
 	if ex.route != nil {
 		fields["route"] = ex.route.Name
+		fields["target_ms"] = ex.route.LatencyTarget.Milliseconds()
 		fields["deadline_ms"] = ex.deadline().Sub(ex.arrived).Milliseconds()
 	}
 	if ex.org != nil {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,96 @@
+package explain
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/briarlink/briarlink/internal/logline"
+)
+
+// background stands in every log: the host's start, what was in force, and a line on
+// a replica that the request did not meet.
+const background = `
+0.0 edge-1 {"level":"info","msg":"started","host":"edge-1","time":"2026-06-01T10:00:00Z"}
+0.1 edge-1 {"level":"info","msg":"replica registered","replica":"i-1","time":"2026-06-01T10:00:00.1Z"}
+0.2 edge-1 {"level":"info","msg":"configuration in force","version":7,"time":"2026-06-01T10:00:00.2Z"}
+0.2 edge-1 {"level":"info","msg":"weights wanted","model":"m","version":1,"time":"2026-06-01T10:00:00.2Z"}
+9.0 edge-1 {"level":"warning","msg":"replica thought down","replica":"i-9","reason":"lost","time":"2026-06-01T10:00:09Z"}
+2.0 edge-2 {"level":"info","msg":"weights loaded","replica":"i-1","version":1,"time":"2026-06-01T10:00:02Z"}
+`
+
+// cases are requests that went wrong, each with the lines of all hosts.
+var cases = map[string]string{
+	"refusal": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the wait is expected to be 431 ms, and 400 ms are left to more urgent requests","ms":2,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
+	"replica-lost": `
+10.0 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-1","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the stream was cut: unexpected EOF","ms":1800,"first_ms":240,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"lost","Reason":"cut","Ms":1790}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"host-lost": `
+10.9 edge-2 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.9Z"}
+10.9 edge-3 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.95Z"}`,
+	"answer-lost": `
+8.9 edge-1 {"level":"info","msg":"answer thought lost: later requests were answered","replica":"i-1","waited_ms":1100,"time":"2026-06-01T10:00:08.9Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the caller left","ms":3200,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"cancelled","Reason":"ended","Ms":3190}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"configuration-changed": `
+9.5 edge-1 {"level":"info","msg":"configuration in force","version":8,"time":"2026-06-01T10:00:09.5Z"}
+10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":1400,"first_ms":1390,"expected_ms":60,"target_ms":150,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
+	"old-weights": `
+8.0 edge-1 {"level":"info","msg":"weights wanted","model":"m","version":2,"time":"2026-06-01T10:00:08Z"}
+9.9 edge-2 {"level":"info","msg":"order to load weights","replica":"i-1","version":2,"time":"2026-06-01T10:00:09.9Z"}
+10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":600,"first_ms":210,"expected_ms":200,"target_ms":800,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
+	"replicas-own-failure": `
+10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"backend_error","status":500,"ms":62,"sends":2,"ran":2,"replica":"i-2","config":7,"state":"complete","tries":[{"Replica":"i-1","Result":"failed","Reason":"the replica answered 500","Ms":30},{"Replica":"i-2","Result":"failed","Reason":"the replica answered 500","Ms":29}],"time":"2026-06-01T10:00:10.1Z"}`,
+}
+
+func tell(t *testing.T, log string, everything bool) Story {
+	t.Helper()
+	lines, err := logline.ReadAll([]io.Reader{strings.NewReader("starting\n" + background + log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Tell("r-1", lines, everything)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return story
+}
+
+// TestStories keeps the whole story of each case: the cause stands in the first line,
+// and nothing that does not bear on it.
+func TestStories(t *testing.T) {
+	for name, log := range cases {
+		story := tell(t, log, false)
+		text := story.Verdict + "\n"
+		for _, l := range story.Lines {
+			text += l.String() + "\n"
+		}
+		goldie.New(t).Assert(t, name, []byte(text))
+		for _, l := range story.Lines {
+			if l.Text("replica") == "i-9" || l.Message == "replica registered" {
+				t.Errorf("%s: tells %s", name, l.String())
+			}
+		}
+	}
+}
+
+// TestEverything adds the lines on its replicas since the logs begin, and no others.
+func TestEverything(t *testing.T) {
+	few, all := tell(t, cases["replica-lost"], false), tell(t, cases["replica-lost"], true)
+	if len(all.Lines) != len(few.Lines)+2 {
+		t.Errorf("%d lines, without the rest %d", len(all.Lines), len(few.Lines))
+	}
+}
+
+// TestHostsSayTheSameOnce, but not of a later event.
+func TestHostsSayTheSameOnce(t *testing.T) {
+	said := func(at time.Duration) logline.Line {
+		return logline.Line{At: time.Unix(0, 0).Add(at), Message: "replica registered", Fields: map[string]any{"replica": "i-1"}}
+	}
+	if got := fold([]logline.Line{said(0), said(foldWithin / 2), said(2 * foldWithin)}); len(got) != 2 {
+		t.Errorf("%d lines", len(got))
+	}
+}
--- /dev/null
+++ b/internal/explain/verdict.go
@@ -0,0 +1,145 @@
+package explain
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/logline"
+	"github.com/briarlink/briarlink/internal/obs"
+)
+
+// lateFactor is how many times as long as expected a first event must take for the
+// verdict to name it.
+const lateFactor = 2
+
+// verdict says in a sentence what the caller got, why, and which line shows it.
+func verdict(r *logline.Request, end *logline.Line, near, all []logline.Line) string {
+	text := got(r, near)
+	if evidence := evidence(r, near); evidence != "" {
+		text += "; " + evidence
+	}
+	if old := oldWeights(r, end, all); old != "" {
+		text += "; " + old
+	}
+	if changed := configChanged(r, near); changed != "" {
+		text += "; " + changed
+	}
+	return text
+}
+
+// got says what the caller got.
+func got(r *logline.Request, near []logline.Line) string {
+	switch r.Outcome {
+	case obs.OutcomeOK:
+		return answered(r)
+	case errkind.BackendError.String():
+		return fmt.Sprintf("the caller got replica %s's own %d, passed on as it is", r.Replica, r.Status)
+	case errkind.Overloaded.String(), errkind.NoBackend.String(), errkind.NotReady.String(), errkind.OutOfTouch.String(),
+		errkind.Stopping.String(), errkind.BackendRefused.String(), errkind.BackendUnreachable.String():
+		return fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms; it has not run (%s)", r.Ms, r.RetryAfterMs, r.Error)
+	case errkind.Unauthenticated.String(), errkind.NotFound.String():
+		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
+	case errkind.BackendLost.String():
+		if r.FirstMs > 0 {
+			return fmt.Sprintf("the caller's stream was cut after %.0f ms, its first event came after %.0f ms: replica %s was lost", r.Ms, r.FirstMs, r.Replica)
+		}
+		return fmt.Sprintf("the caller got %d after %.0f ms: replica %s was lost before an answer, and may have run it", errkind.BackendLost.Answer().Status, r.Ms, r.Replica)
+	case errkind.CallerGone.String(), errkind.DeadlineExceeded.String():
+		return unanswered(r, near)
+	default:
+		return fmt.Sprintf("the caller got %s after %.0f ms (%s)", r.Outcome, r.Ms, r.Error)
+	}
+}
+
+func answered(r *logline.Request) string {
+	text := fmt.Sprintf("the caller got %d from replica %s after %.0f ms", statusOr(r.Status, http.StatusOK), r.Replica, r.Ms)
+	if r.FirstMs > 0 && r.ExpectedMs > 0 && r.FirstMs > lateFactor*r.ExpectedMs {
+		text += fmt.Sprintf(", the first event after %.0f ms where %.0f were expected", r.FirstMs, r.ExpectedMs)
+	}
+	if r.TargetMs > 0 && r.FirstMs > r.TargetMs {
+		text += fmt.Sprintf(": late against a target of %.0f ms", r.TargetMs)
+	}
+	return text
+}
+
+func statusOr(status, otherwise int) int {
+	if status == 0 {
+		return otherwise
+	}
+	return status
+}
+
+// unanswered tells a caller that left from an answer that never came.
+func unanswered(r *logline.Request, near []logline.Line) string {
+	who := "the caller left"
+	if r.Outcome == errkind.DeadlineExceeded.String() {
+		who = "the deadline passed"
+	}
+	switch {
+	case r.FirstMs > 0:
+		return fmt.Sprintf("%s after %.0f ms, in the middle of the answer", who, r.Ms)
+	case find(near, "answer thought lost: later requests were answered", r.Replica) != nil:
+		return fmt.Sprintf("%s after %.0f ms without an answer: replica %s lost it silently", who, r.Ms, r.Replica)
+	case r.Sends > 0 && r.Ms > lateFactor*r.ExpectedMs:
+		return fmt.Sprintf("%s after %.0f ms without an answer of replica %s, expected after %.0f ms", who, r.Ms, r.Replica, r.ExpectedMs)
+	case r.Sends == 0:
+		return fmt.Sprintf("%s after %.0f ms, before it was sent to a replica", who, r.Ms)
+	default:
+		return fmt.Sprintf("%s after %.0f ms", who, r.Ms)
+	}
+}
+
+// causes are the lines on a lost replica, the most telling first.
+var causes = []string{"replica thought down", "replica changed state", "replica gives no sign of life", "replica avoided: another host finds it down"}
+
+// evidence names the line that shows why a replica was lost.
+func evidence(r *logline.Request, near []logline.Line) string {
+	if r.Outcome == obs.OutcomeOK || r.Sends == 0 {
+		return ""
+	}
+	for _, message := range causes {
+		if l := find(near, message, r.Replica); l != nil {
+			return "the line that shows it: " + l.String()
+		}
+	}
+	if r.Outcome == errkind.BackendLost.String() {
+		return "no line says that the replica went away: it, or the link to it, breaks answers"
+	}
+	return ""
+}
+
+func find(lines []logline.Line, message, replica string) *logline.Line {
+	for i := range lines {
+		if lines[i].Message == message && lines[i].Text("replica") == replica {
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
+// oldWeights says that newer weights were wanted when the request came.
+func oldWeights(r *logline.Request, end *logline.Line, all []logline.Line) string {
+	if r.Weights == 0 || r.Sends == 0 {
+		return ""
+	}
+	began := r.Began(end.At)
+	for _, l := range all {
+		newer := l.Message == "weights wanted" && int64(l.Number("version")) > r.Weights && l.At.Before(began)
+		if newer {
+			return fmt.Sprintf("on weights %d although %.0f were wanted %d ms before it came", r.Weights, l.Number("version"), began.Sub(l.At)/time.Millisecond)
+		}
+	}
+	return ""
+}
+
+// configChanged says that another configuration came into force around the request.
+func configChanged(r *logline.Request, near []logline.Line) string {
+	for i := range near {
+		if l := &near[i]; l.Message == "configuration in force" && int64(l.Number("version")) != r.Config {
+			return fmt.Sprintf("decided by configuration %d; %.0f came into force at %s", r.Config, l.Number("version"), l.At.UTC().Format(time.RFC3339Nano))
+		}
+	}
+	return ""
+}
