briarlink logs report: what became of requests over time, as a table and an SVG; shell completion

Cause: where the worth goes by second and cause was found with throwaway scripts; on-call engineers had nothing of the kind. Change: package logreport sums the lines that end requests by interval: served, late, refused, denied, failed, left, by cause, hit rate, first events against what was expected. Completion for bash, zsh and fish by a library for kong.

--- a/cmd/briarlink/logs.go
+++ b/cmd/briarlink/logs.go
@@ -5,15 +5,56 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/briarlink/briarlink/internal/logline"
+	"github.com/briarlink/briarlink/internal/logreport"
 	"github.com/briarlink/briarlink/internal/obs"
 )
 
 type logsCmd struct {
-	Check logsCheckCmd `cmd:"" help:"Check that log lines are as documented, and print those that are not."`
+	Check  logsCheckCmd  `cmd:"" help:"Check that log lines are as documented, and print those that are not."`
+	Report logsReportCmd `cmd:"" help:"Sum what became of requests over time: served, late, refused, failed by cause, hit rate, first events."`
+}
+
+type logsReportCmd struct {
+	Files []string      `arg:"" optional:"" help:"Log files of all hosts; standard input without any."`
+	Step  time.Duration `default:"2s" help:"Length of an interval."`
+	Svg   string        `placeholder:"FILE" help:"Also draw it, as an SVG file."`
+}
+
+// Run implements the logs report command.
+func (c *logsReportCmd) Run() error {
+	readers, closeAll, err := openLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	lines, err := logline.ReadAll(readers)
+	if err != nil {
+		return err
+	}
+	intervals, err := logreport.Build(lines, c.Step)
+	if err != nil {
+		return usage(err)
+	}
+	if c.Svg != "" {
+		if err := draw(c.Svg, intervals); err != nil {
+			return err
+		}
+	}
+	return logreport.Table(os.Stdout, intervals)
+}
+
+func draw(name string, intervals []logreport.Interval) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "create a drawing")
+	}
+	logreport.SVG(f, intervals)
+	return errors.Wrap(f.Close(), "write a drawing")
 }
 
 type logsCheckCmd struct {
--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	kongcompletion "github.com/jotaen/kong-completion"
 	"github.com/pkg/errors"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
@@ -38,6 +39,8 @@
 	Explain  explainCmd  `cmd:"" help:"Tell a request's story from the hosts' logs."`
 	Logs     logsCmd     `cmd:"" help:"Work with logs."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
+
+	Completion kongcompletion.Completion `cmd:"" help:"Print what makes the shell complete commands: bash, zsh or fish."`
 }
 
 type serveCmd struct {
@@ -137,6 +140,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	kongcompletion.Register(parser)
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "briarlink:", err)
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -13,7 +13,7 @@
 
 // TestHelp keeps the help of every command in golden files; -update renews them.
 func TestHelp(t *testing.T) {
-	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "explain", "logs check", "version"} {
+	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "explain", "logs check", "logs report", "completion", "version"} {
 		var out bytes.Buffer
 		parser, err := newParser(kong.Writers(&out, &out), kong.Exit(func(int) { panic("exit") }))
 		if err != nil {
--- /dev/null
+++ b/internal/logreport/logreport_test.go
@@ -0,0 +1,68 @@
+package logreport
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/briarlink/briarlink/internal/logline"
+)
+
+// log has one request of each result, and lines that end none.
+const log = `starting
+1.0 edge-1 {"level":"info","msg":"started","time":"2026-06-01T10:00:00Z"}
+1.0 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","ms":900,"first_ms":100,"expected_ms":90,"target_ms":400,"sends":1,"ran":1,"shared":1000,"cached":600,"fetched":400,"time":"2026-06-01T10:00:00.5Z"}
+1.0 edge-1 {"level":"info","msg":"request","request":"r-2","outcome":"ok","ms":900,"first_ms":700,"expected_ms":90,"target_ms":400,"sends":1,"ran":1,"shared":1000,"cached":0,"fetched":0,"time":"2026-06-01T10:00:01.5Z"}
+1.0 edge-2 {"level":"warning","msg":"request","request":"r-3","outcome":"overloaded","ms":1,"sends":0,"ran":0,"shared":0,"time":"2026-06-01T10:00:02.5Z"}
+1.0 edge-2 {"level":"warning","msg":"request","request":"r-4","outcome":"not_found","ms":1,"sends":0,"ran":0,"time":"2026-06-01T10:00:02.6Z"}
+1.0 edge-2 {"level":"info","msg":"request","request":"r-5","outcome":"backend_error","status":500,"ms":30,"first_ms":29,"expected_ms":30,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.7Z"}
+1.0 edge-2 {"level":"warning","msg":"request","request":"r-6","outcome":"caller_gone","ms":3200,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.8Z"}
+1.0 edge-2 {"level":"warning","msg":"request","request":"r-7","outcome":"backend_lost","ms":50,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.9Z"}
+`
+
+func build(t *testing.T) []Interval {
+	t.Helper()
+	lines, err := logline.ReadAll([]io.Reader{strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	intervals, err := Build(lines, 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return intervals
+}
+
+func TestResultsAndCauses(t *testing.T) {
+	intervals := build(t)
+	if len(intervals) != 2 {
+		t.Fatalf("%d intervals", len(intervals))
+	}
+	if got, want := intervals[0].Counts, ([results]int{Served: 1, Late: 1}); got != want {
+		t.Errorf("first interval: %v", got)
+	}
+	if got, want := intervals[1].Counts, ([results]int{Refused: 1, Denied: 1, Failed: 2, Left: 1}); got != want {
+		t.Errorf("second interval: %v", got)
+	}
+	if got := intervals[0].HitRate(); got != 0.5 {
+		t.Errorf("hit rate %.2f", got)
+	}
+	if got := intervals[1].Causes["backend_lost"]; got != 1 {
+		t.Errorf("causes %v", intervals[1].Causes)
+	}
+}
+
+// TestDrawings keeps the table and the drawing.
+func TestDrawings(t *testing.T) {
+	var table, drawing bytes.Buffer
+	if err := Table(&table, build(t)); err != nil {
+		t.Fatal(err)
+	}
+	SVG(&drawing, build(t))
+	goldie.New(t).Assert(t, "table", table.Bytes())
+	goldie.New(t).Assert(t, "drawing", drawing.Bytes())
+}
