Soak: servers that lose answers silently, also just before a crash; explain names a lost replica only where it was lost

A verdict on a replica's own failure cited lines on that replica's health. Evidence stands only with lost and missing answers.

--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -96,7 +96,7 @@
 
 // evidence names the line that shows why a replica was lost.
 func evidence(r *logline.Request, near []logline.Line) string {
-	if r.Outcome == obs.OutcomeOK || r.Sends == 0 {
+	if r.Sends == 0 || !replicaLost(r) {
 		return ""
 	}
 	for _, message := range causes {
@@ -110,6 +110,19 @@
 	return ""
 }
 
+// replicaLost reports whether the caller got no whole answer because its replica, or
+// the link to it, gave none.
+func replicaLost(r *logline.Request) bool {
+	switch r.Outcome {
+	case errkind.BackendLost.String():
+		return true
+	case errkind.CallerGone.String(), errkind.DeadlineExceeded.String():
+		return r.FirstMs == 0
+	default:
+		return false
+	}
+}
+
 func find(lines []logline.Line, message, replica string) *logline.Line {
 	for i := range lines {
 		if lines[i].Message == message && lines[i].Text("replica") == replica {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,27 @@
 	return out
 }
 
+// lossSeeds is the first of the seeds whose series also has lost answers and servers
+// that are left with them; those before it keep the series that they were found with.
+const lossSeeds = 1000
+
+// withLosses adds servers that run requests and lose their answers without a sign,
+// some of them crashing soon after.
+func withLosses(series []fault, rng *rand.Rand, length time.Duration) []fault {
+	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(4 * meanGap))) {
+		j, crash := rng.IntN(writers+jobs), rng.IntN(3) == 0
+		series = append(series, fault{at: at, name: fmt.Sprintf("server %d loses answers, crashes: %v", j, crash), do: func(w *world) {
+			w.servers[j].current().Next(engine.Lose, engine.Lose)
+			if crash {
+				time.Sleep(meanGap)
+				w.replaceServer(j, false)
+			}
+		}})
+	}
+	slices.SortStableFunc(series, func(a, b fault) int { return int(a.at - b.at) })
+	return series
+}
+
 // proxyModes are those that harm.
 var proxyModes = []mode{silence, oneWay, delay, refuse, hush}
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -115,6 +115,9 @@
 func (w *world) play(seed uint64, length time.Duration) result {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	series := plan(rng, length)
+	if seed >= lossSeeds {
+		series = withLosses(series, rand.New(rand.NewPCG(seed, lossSeeds)), length)
+	}
 	journal, err := os.Create(filepath.Join(w.dir, "faults.log"))
 	if err != nil {
 		return result{seed: seed, err: err}
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -51,6 +51,8 @@
 	Cut Fault = "cut"
 	// Unsealed answers without the server's seal.
 	Unsealed Fault = "unsealed"
+	// Lose runs the request and gives no answer, on an open connection.
+	Lose Fault = "lose"
 )
 
 // Engine is safe for concurrent use.
@@ -181,6 +183,10 @@
 		return
 	}
 	e.run(r, id)
+	if fault == Lose {
+		<-r.Context().Done()
+		return
+	}
 	if fault != Unsealed {
 		w.Header().Set(wire.Seal, "seal-of-"+e.ID)
 	}
