--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -211,7 +211,7 @@
 	}
 	// Which weights it holds it does not say: those wanted by now may have overtaken
 	// those of a late order.
-	d.replicas.Doubt(choice.ID, model, choice.Weights, time.Now())
+	d.replicas.MarkUnsure(choice.ID, model, choice.Weights, time.Now())
 }
 
 // whole reads the answer to its end before any of it is passed on, so that a
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -92,9 +92,9 @@
 // milliseconds old.
 const unsureFor = time.Second
 
-// Doubt records that a server refused a request for weights that it was believed to
+// MarkUnsure records that a server refused a request for weights that it was believed to
 // hold. Without a word of what it holds it would refuse every further request.
-func (t *Table) Doubt(id, model string, version int64, now time.Time) {
+func (t *Table) MarkUnsure(id, model string, version int64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -245,10 +245,10 @@
 // twice as long, and no more is saved while it has a queue.
 func TestSavesCountTheZone(t *testing.T) {
 	wait := func(zone string) time.Duration {
-		s, _, _ := newScheduler("a")
+		s, index, _ := newScheduler("a")
 		now := time.Now()
 		pick(t, s, request(open, "p"), now).Flight.End(replica.Answered, now)
-		s.Reloaded("a")
+		index.Clear("a")
 		req := request(open, "p")
 		store := *cacheStore
 		store.AvailabilityZone = zone
