admin: hosts, replicas and weights beside status, as tables and JSON

Cause: operators had one page of everything. Change: three commands over the same call; a golden test of the tables. How much of the cache who holds is not told by that call and has no command.

--- a/cmd/briarlink/admin.go
+++ b/cmd/briarlink/admin.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -21,13 +24,53 @@
 	Output  string        `enum:"json,table" default:"table" help:"Output format: json or table."`
 	Timeout time.Duration `default:"10s" help:"Limit on the whole command."`
 
-	Status statusCmd `cmd:"" help:"Print what a host believes: hosts, backend servers, versions, lease."`
+	Status   statusCmd   `cmd:"" help:"Print what a host believes: hosts, backend servers, versions, lease."`
+	Hosts    hostsCmd    `cmd:"" help:"Print the entry hosts that a host knows."`
+	Replicas replicasCmd `cmd:"" help:"Print the backend servers that a host knows, and the work of all hosts there."`
+	Weights  weightsCmd  `cmd:"" help:"Print how many backend servers hold which weights, and who may order loads."`
 }
 
-type statusCmd struct{}
+type (
+	statusCmd   struct{}
+	hostsCmd    struct{}
+	replicasCmd struct{}
+	weightsCmd  struct{}
+)
 
 // Run implements the status command.
 func (statusCmd) Run(a *adminCmd) error {
+	return a.show(nil, func(w io.Writer, s *pb.StatusResponse) {
+		fmt.Fprintf(w, "host\t%s\t%s\tconfiguration %d\n", s.Host, s.State, s.ConfigVersion)
+		printLease(w, s)
+		fmt.Fprintln(w)
+		printHosts(w, s)
+		fmt.Fprintln(w)
+		printReplicas(w, s)
+	})
+}
+
+// Run implements the hosts command.
+func (hostsCmd) Run(a *adminCmd) error {
+	return a.show(func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }, printHosts)
+}
+
+// Run implements the replicas command.
+func (replicasCmd) Run(a *adminCmd) error {
+	return a.show(func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }, printReplicas)
+}
+
+// Run implements the weights command.
+func (weightsCmd) Run(a *adminCmd) error {
+	return a.show(func(s *pb.StatusResponse) { s.Hosts = nil }, func(w io.Writer, s *pb.StatusResponse) {
+		printLease(w, s)
+		fmt.Fprintln(w)
+		printWeights(w, s)
+	})
+}
+
+// show asks the host and prints its answer as a table, or what only leaves of it as
+// JSON.
+func (a *adminCmd) show(only func(*pb.StatusResponse), table func(io.Writer, *pb.StatusResponse)) error {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
 	resp, err := admin.NewClient(a.Address).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
@@ -35,26 +78,46 @@
 		return errors.Wrap(err, "ask the host")
 	}
 	if a.Output == "json" {
+		if only != nil {
+			only(resp.Msg)
+		}
 		fmt.Println(protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(resp.Msg))
 		return nil
 	}
-	printStatus(resp.Msg)
-	return nil
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	table(w, resp.Msg)
+	return errors.Wrap(w.Flush(), "print")
 }
 
-func printStatus(s *pb.StatusResponse) {
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
-	// A terminal that cannot be written to ends the command anyway.
-	defer func() { _ = w.Flush() }()
-	fmt.Fprintf(w, "host\t%s\t%s\tconfiguration %d\n", s.Host, s.State, s.ConfigVersion)
-	fmt.Fprintf(w, "lease\t%s\tfencing token %d\theld here: %t\n\n", s.Lease.Holder, s.Lease.FencingToken, s.Lease.HeldHere)
+func printLease(w io.Writer, s *pb.StatusResponse) {
+	fmt.Fprintf(w, "lease\t%s\tfencing token %d\theld here: %t\n", s.Lease.GetHolder(), s.Lease.GetFencingToken(), s.Lease.GetHeldHere())
+}
+
+func printHosts(w io.Writer, s *pb.StatusResponse) {
 	fmt.Fprintln(w, "HOST\tZONE\tADDRESS\tREADY\tLEAVING\tAGE MS")
 	for _, h := range s.Hosts {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\n", h.Id, h.AvailabilityZone, h.CallerAddress, h.Ready && h.Alive, h.Leaving, h.AgeMs)
 	}
-	fmt.Fprintln(w, "\nREPLICA\tSERVICE\tADDRESS\tZONE\tSTATE\tWEIGHTS\tREQUESTS\tPREFILL")
+}
+
+func printReplicas(w io.Writer, s *pb.StatusResponse) {
+	fmt.Fprintln(w, "REPLICA\tSERVICE\tADDRESS\tZONE\tSTATE\tWEIGHTS\tREQUESTS\tPREFILL")
 	for _, r := range s.Replicas {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", r.Id, r.Service, r.Address, r.AvailabilityZone, r.State,
 			strings.Join(r.Weights, ","), r.Requests, r.PrefillTokens)
 	}
 }
+
+// printWeights counts the backend servers by the weights that they hold.
+func printWeights(w io.Writer, s *pb.StatusResponse) {
+	counts := map[string]int{}
+	for _, r := range s.Replicas {
+		for _, held := range r.Weights {
+			counts[held]++
+		}
+	}
+	fmt.Fprintln(w, "WEIGHTS\tREPLICAS")
+	for _, held := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "%s\t%d\n", held, counts[held])
+	}
+}
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,11 +10,13 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/sebdah/goldie/v2"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
 
 // TestHelp keeps the help of every command in golden files; -update renews them.
 func TestHelp(t *testing.T) {
-	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "explain", "logs check", "logs report", "completion", "version"} {
+	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "admin hosts", "admin replicas", "admin weights", "explain", "logs check", "logs report", "completion", "version"} {
 		var out bytes.Buffer
 		parser, err := newParser(kong.Writers(&out, &out), kong.Exit(func(int) { panic("exit") }))
 		if err != nil {
@@ -44,6 +47,7 @@
 		{"no-such-command", exitUsage},
 		{"admin --address 127.0.0.1:1 --output xml status", exitUsage},
 		{"admin --address 127.0.0.1:1 status", exitFailed},
+		{"admin --address 127.0.0.1:1 weights", exitFailed},
 		{"explain r-1 /does/not/exist", exitFailed},
 		{"logs check /does/not/exist", exitFailed},
 		{"logs check " + bad, exitUsage},
@@ -53,3 +57,21 @@
 		}
 	}
 }
+
+// TestAdminTables prints a host's answer by command.
+func TestAdminTables(t *testing.T) {
+	status := &pb.StatusResponse{
+		Lease: &pb.LeaseStatus{Holder: "edge-1", FencingToken: 7},
+		Hosts: []*pb.HostStatus{{Id: "edge-1", AvailabilityZone: "a", CallerAddress: "10.0.0.1:80", Alive: true, Ready: true, AgeMs: 12}},
+		Replicas: []*pb.ReplicaStatus{
+			{Id: "i-1", Service: "writer", State: "serving", Weights: []string{"m=2"}, Requests: 3, PrefillTokens: 900},
+			{Id: "i-2", Service: "writer", State: "serving", Weights: []string{"m=1"}},
+			{Id: "i-3", Service: "writer", State: "draining", Weights: []string{"m=1"}},
+		},
+	}
+	var out bytes.Buffer
+	for _, print := range []func(io.Writer, *pb.StatusResponse){printLease, printHosts, printReplicas, printWeights} {
+		print(&out, status)
+	}
+	goldie.New(t).Assert(t, "admin-tables", out.Bytes())
+}
