--- a/cmd/briarlink/explain.go
+++ b/cmd/briarlink/explain.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/briarlink/briarlink/internal/explain"
-	"github.com/briarlink/briarlink/internal/logline"
 )
 
 type explainCmd struct {
@@ -15,12 +14,7 @@
 
 // Run implements the explain command.
 func (c *explainCmd) Run() error {
-	readers, closeAll, err := openLogs(c.Files)
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	lines, err := logline.ReadAll(readers)
+	lines, err := readLogs(c.Files)
 	if err != nil {
 		return err
 	}
--- a/cmd/briarlink/logs.go
+++ b/cmd/briarlink/logs.go
@@ -27,12 +27,7 @@
 
 // Run implements the logs report command.
 func (c *logsReportCmd) Run() error {
-	readers, closeAll, err := openLogs(c.Files)
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	lines, err := logline.ReadAll(readers)
+	lines, err := readLogs(c.Files)
 	if err != nil {
 		return err
 	}
@@ -96,6 +91,16 @@
 	return obs.CheckLine(object)
 }
 
+// readLogs returns the lines of log files in order of time.
+func readLogs(names []string) ([]logline.Line, error) {
+	readers, closeAll, err := openLogs(names)
+	if err != nil {
+		return nil, err
+	}
+	defer closeAll()
+	return logline.ReadAll(readers)
+}
+
 // openLogs opens log files, or takes standard input without any.
 func openLogs(names []string) (readers []io.Reader, closeAll func(), err error) {
 	var files []*os.File
