--- a/test/days/play.sh
+++ b/test/days/play.sh
@@ -8,7 +8,7 @@
 for site in "$@"; do
   for day in test/days/*.toml; do
     out=$("$bench" run "$site" "$day" --why "own day $(basename "$day" .toml)" 2>&1) || true
-    line=$(grep -E '^[a-z-]+ +[0-9]+/[0-9]+ ' <<<"$out" | head -1 || true)
+    line=$(grep -E '^[a-z0-9-]+ +[0-9]+/[0-9]+ ' <<<"$out" | head -1 || true)
     echo "$(basename "$site" .toml) ${line:-not played: $(tail -1 <<<"$out")}"
     if grep -q BROKEN <<<"$out"; then
       failed=1
