--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -14,6 +14,8 @@
 
 // The closed list of mechanisms that can be switched off.
 const (
+	// Affinity keeps requests with the same leading part at the same replica.
+	Affinity Name = "affinity"
 	// RereadPrice is the price of reading shared tokens again.
 	RereadPrice Name = "reread-price"
 	// OldWeightsPrice is the price of an answer on older weights.
@@ -49,7 +51,7 @@
 // All returns every name.
 func All() []Name {
 	return []Name{
-		RereadPrice, OldWeightsPrice, FailurePrice, MemoryWait, Holds, ReplicaFetch, StoreFetch,
+		Affinity, RereadPrice, OldWeightsPrice, FailurePrice, MemoryWait, Holds, ReplicaFetch, StoreFetch,
 		IdleSaves, TellAtOnce, UrgentRefusal, LateRefusal, PeerDoubts, LostAnswers, CacheLists, PrimaryHosts,
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -80,9 +80,8 @@
 	Repeatable bool
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
-	// Spread decides between candidates of the same price, so that hosts which know
-	// the same do not all take the first.
-	Spread uint64
+	// Affinity is equal for requests with the same leading part.
+	Affinity uint64
 }
 
 // Decision is the chosen candidate and what is expected of it.
@@ -128,6 +127,9 @@
 	// MemoryTurn is how long a loaded replica takes to free its whole memory: about
 	// the time of a large request from its first to its last event.
 	MemoryTurn time.Duration
+	// Tolerance is the part of the latency target within which affinity decides. Where
+	// many hosts route and know each other's sends late, it keeps a prefix together.
+	Tolerance float64
 }
 
 // DefaultPolicy returns the weights that are in use.
@@ -143,6 +145,7 @@
 		Lost:            1.4,
 		Again:           0.4,
 		MemoryTurn:      4 * time.Second,
+		Tolerance:       0.04,
 	}
 }
 
@@ -205,8 +208,8 @@
 		best.Considered++
 		expected := p.expected(req, c)
 		score := p.score(req, c, expected)
-		rank := xxh3.HashStringSeed(c.ID, req.Spread)
-		if best.ID == "" || score < best.Score || score == best.Score && rank > bestRank {
+		rank := affinity(req.Affinity, c.ID)
+		if best.ID == "" || p.better(req, score, rank, best.Score, bestRank) {
 			best = Decision{
 				Candidate: *c, Expected: duration(expected), Waiting: duration(p.waiting(req, c)),
 				Considered: best.Considered, Score: score,
@@ -217,6 +220,19 @@
 	return best
 }
 
+// better compares two candidates: by score, and by affinity where the scores
+// are close.
+func (p Policy) better(req *Request, score float64, rank uint64, bestScore float64, bestRank uint64) bool {
+	tolerance := p.Tolerance * millis(req.LatencyTarget)
+	if score < bestScore-tolerance {
+		return true
+	}
+	return score <= bestScore+tolerance && rank > bestRank
+}
+
+// affinity ranks replicas for a leading part by rendezvous hashing.
+func affinity(part uint64, id string) uint64 { return xxh3.HashStringSeed(id, part) }
+
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -342,6 +358,9 @@
 
 // Without returns the policy without the mechanisms that are switched off.
 func (p Policy) Without(off mechanism.Off) Policy {
+	if off[mechanism.Affinity] {
+		p.Tolerance = 0
+	}
 	if off[mechanism.RereadPrice] {
 		p.Reread = 0
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -137,7 +137,7 @@
 		LatencyTarget:    req.Target,
 		Repeatable:       req.Repeatable,
 		Exclude:          req.Exclude,
-		Spread:           LeadingPart(req.Parts),
+		Affinity:         LeadingPart(req.Parts),
 	}, candidates)
 	if err != nil {
 		return nil, err
