One piece of code for kinds by name, log lines and held parts

Cause: reading the whole change showed logic that stands twice: kinds found by name and sorted into refusals and denials in three packages, two loops over the lines of a log, two decoders of a held part. A host built every server's entry ten times a second to find the few whose weights are unsure, each under a lock of its own; judge read the clock beside the time it was given; a choice kept a copy of its candidate's source. Change: errkind.Named, Answer.Refusal and Denial; logline.Each; a cache event holds a HeldPart; one pass selects servers; judge takes the time.

--- a/cmd/briarlink/logs.go
+++ b/cmd/briarlink/logs.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"os"
@@ -65,17 +64,15 @@
 	defer closeAll()
 	wrong, total := 0, 0
 	for _, r := range readers {
-		scanner := bufio.NewScanner(r)
-		scanner.Buffer(nil, logline.MaxBytes)
-		for scanner.Scan() {
+		err := logline.Each(r, func(text []byte) {
 			total++
-			if err := checkLine(scanner.Bytes()); err != nil {
+			if err := checkLine(text); err != nil {
 				wrong++
-				fmt.Printf("line %d: %v: %.120s\n", total, err, scanner.Text())
+				fmt.Printf("line %d: %v: %.120s\n", total, err, text)
 			}
-		}
-		if err := scanner.Err(); err != nil {
-			return errors.Wrap(err, "read a log")
+		})
+		if err != nil {
+			return err
 		}
 	}
 	fmt.Printf("%d lines, %d not as documented\n", total, wrong)
--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -107,7 +107,7 @@
 		f.Index.Clear(f.Holder.Name)
 	}
 	for _, ev := range events.Events {
-		f.take(ev.Salt, ev.Part, ev.Tokens)
+		f.take(ev.HeldPart)
 	}
 	f.next = events.Next
 	if len(events.Events) >= backlog {
@@ -133,15 +133,15 @@
 	}
 	f.Index.Clear(f.Holder.Name)
 	for _, held := range list.Held {
-		f.take(held.Salt, held.Part, held.Tokens)
+		f.take(held)
 	}
 	f.epoch, f.next = list.Epoch, list.Next
 	f.line().WithFields(logrus.Fields{"parts": len(list.Held), "next": list.Next}).Info("cache events were lost; what is held was listed")
 	return true
 }
 
-func (f *Follower) take(salt, part string, tokens int) {
-	f.Index.Stored(f.Holder.Name, prefix.HashOf(salt, part), tokens, f.Holder.Capacity, time.Now())
+func (f *Follower) take(held platform.HeldPart) {
+	f.Index.Stored(f.Holder.Name, prefix.HashOf(held.Salt, held.Part), held.Tokens, f.Holder.Capacity, time.Now())
 }
 
 func (f *Follower) line() *logrus.Entry { return f.Log.WithField("holder", f.Holder.Name) }
--- a/internal/cachesync/follower_test.go
+++ b/internal/cachesync/follower_test.go
@@ -34,11 +34,16 @@
 func newHistory(parts int) *history {
 	h := &history{epoch: 1, kept: 4 * pageEvents, listable: true}
 	for i := range parts {
-		h.events = append(h.events, platform.CacheEvent{Salt: "s", Part: name(i), Tokens: 100})
+		h.events = append(h.events, stored(name(i)))
 	}
 	return h
 }
 
+// stored is the event of a part that is now held.
+func stored(part string) platform.CacheEvent {
+	return platform.CacheEvent{HeldPart: platform.HeldPart{Salt: "s", Part: part, Tokens: 100}}
+}
+
 func name(i int) string { return fmt.Sprintf("p%d", i) }
 
 func (h *history) CacheEvents(ctx context.Context, _ string, since int64, wait time.Duration) (platform.CacheEvents, error) {
@@ -76,7 +81,7 @@
 	}
 	out := platform.CacheList{Epoch: h.epoch, Next: int64(len(h.events))}
 	for _, ev := range h.events {
-		out.Held = append(out.Held, platform.HeldPart{Salt: ev.Salt, Part: ev.Part, Tokens: ev.Tokens})
+		out.Held = append(out.Held, ev.HeldPart)
 	}
 	return out, nil
 }
@@ -129,7 +134,7 @@
 func TestBusyHolderIsNotPressed(t *testing.T) {
 	h := newHistory(1)
 	follow(t, h, time.Second, func(h *history) {
-		h.events = append(h.events, platform.CacheEvent{Salt: "s", Part: name(1), Tokens: 100})
+		h.events = append(h.events, stored(name(1)))
 	})
 	if h.calls > 3 {
 		t.Errorf("%d calls in a second", h.calls)
@@ -153,7 +158,7 @@
 	h.kept = pageEvents
 	follow(t, h, 2*time.Second, func(h *history) {
 		for i := range 1000 {
-			h.events = append(h.events, platform.CacheEvent{Salt: "s", Part: name(1800 + i), Tokens: 100})
+			h.events = append(h.events, stored(name(1800+i)))
 		}
 	})
 	if h.lists != 1 {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -111,6 +111,22 @@
 // String returns the stable name of k.
 func (k Kind) String() string { return table[k].Name }
 
+// Named returns the kind of a stable name, and whether there is one.
+func Named(name string) (Kind, bool) {
+	for k := range count {
+		if k.String() == name {
+			return k, true
+		}
+	}
+	return Internal, false
+}
+
+// Refusal reports whether the answer refuses a request that has not run and may come back.
+func (a Answer) Refusal() bool { return a.Run == NotRun && a.RetryAfter > 0 }
+
+// Denial reports whether the answer turns away a request that coming back would not help.
+func (a Answer) Denial() bool { return a.Run == NotRun && a.RetryAfter == 0 }
+
 // Error is an error with a kind.
 type Error struct {
 	Kind Kind
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -46,11 +46,10 @@
 // Tell returns the story of a request. With everything set it also has each line of
 // the replicas that it met since the logs begin.
 func Tell(id string, lines []logline.Line, everything bool) (Story, error) {
-	ends := endsOf(id, lines)
-	if len(ends) == 0 {
+	last := endOf(id, lines)
+	if last == nil {
 		return untold(id, lines), nil
 	}
-	last := ends[len(ends)-1]
 	r, err := last.Request()
 	if err != nil {
 		return Story{}, err
@@ -60,19 +59,18 @@
 		from: r.Began(last.At).Add(-before), began: r.Began(last.At), to: last.At.Add(after),
 	}
 	story := Story{Lines: fold(w.choose(lines))}
-	story.Verdict = verdict(&r, &last, story.Lines, lines)
+	story.Verdict = verdict(&r, last, story.Lines, lines)
 	return story, nil
 }
 
-// endsOf returns the lines that end a request: one for each attempt under that ID.
-func endsOf(id string, lines []logline.Line) []logline.Line {
-	var out []logline.Line
-	for _, l := range lines {
-		if l.Message == obs.RequestMessage && l.Text("request") == id {
-			out = append(out, l)
+// endOf returns the last line that ends a request, or nil.
+func endOf(id string, lines []logline.Line) *logline.Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		if l := &lines[i]; l.Message == obs.RequestMessage && l.Text("request") == id {
+			return l
 		}
 	}
-	return out
+	return nil
 }
 
 // untold is the story of a request without a line of its own.
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -31,22 +31,24 @@
 
 // got says what the caller got.
 func got(r *logline.Request, near []logline.Line) string {
-	switch r.Outcome {
-	case obs.OutcomeOK:
+	if r.Outcome == obs.OutcomeOK {
 		return answered(r)
-	case errkind.BackendError.String():
-		return fmt.Sprintf("the caller got replica %s's own %d, passed on as it is", r.Replica, r.Status)
-	case errkind.Overloaded.String(), errkind.NoBackend.String(), errkind.NotReady.String(), errkind.OutOfTouch.String(),
-		errkind.Stopping.String(), errkind.BackendRefused.String(), errkind.BackendUnreachable.String():
+	}
+	kind, _ := errkind.Named(r.Outcome)
+	if kind.Answer().Refusal() {
 		return fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms; it has not run (%s)", r.Ms, r.RetryAfterMs, r.Error)
-	case errkind.Unauthenticated.String(), errkind.NotFound.String():
+	}
+	switch kind {
+	case errkind.BackendError:
+		return fmt.Sprintf("the caller got replica %s's own %d, passed on as it is", r.Replica, r.Status)
+	case errkind.Unauthenticated, errkind.NotFound:
 		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
-	case errkind.BackendLost.String():
+	case errkind.BackendLost:
 		if r.FirstMs > 0 {
 			return fmt.Sprintf("the caller's stream was cut after %.0f ms, its first event came after %.0f ms: replica %s was lost", r.Ms, r.FirstMs, r.Replica)
 		}
 		return fmt.Sprintf("the caller got %d after %.0f ms: replica %s was lost before an answer, and may have run it", errkind.BackendLost.Answer().Status, r.Ms, r.Replica)
-	case errkind.CallerGone.String(), errkind.DeadlineExceeded.String():
+	case errkind.CallerGone, errkind.DeadlineExceeded:
 		return unanswered(r, near)
 	default:
 		return fmt.Sprintf("the caller got %s after %.0f ms (%s)", r.Outcome, r.Ms, r.Error)
@@ -58,7 +60,7 @@
 	if r.FirstMs > 0 && r.ExpectedMs > 0 && r.FirstMs > lateFactor*r.ExpectedMs {
 		text += fmt.Sprintf(", the first event after %.0f ms where %.0f were expected", r.FirstMs, r.ExpectedMs)
 	}
-	if r.TargetMs > 0 && r.FirstMs > r.TargetMs {
+	if r.Late() {
 		text += fmt.Sprintf(": late against a target of %.0f ms", r.TargetMs)
 	}
 	return text
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 )
 
-// MaxBytes bounds one line of a log.
-const MaxBytes = 1 << 20
+// maxBytes bounds one line of a log.
+const maxBytes = 1 << 20
 
 // Line is one line of a host's log.
 type Line struct {
@@ -68,6 +68,9 @@
 	return end.Add(-time.Duration(r.Ms * float64(time.Millisecond)))
 }
 
+// Late reports whether the answer came after the route's latency target.
+func (r *Request) Late() bool { return r.TargetMs > 0 && r.FirstMs > r.TargetMs }
+
 // Replicas returns the replicas that the request was sent to.
 func (r *Request) Replicas() map[string]bool {
 	out := map[string]bool{}
@@ -93,14 +96,22 @@
 // Read returns a log's lines. What is no line of a host is left out.
 func Read(r io.Reader) ([]Line, error) {
 	var out []Line
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, MaxBytes)
-	for scanner.Scan() {
-		if l, ok := parse(scanner.Bytes()); ok {
+	err := Each(r, func(text []byte) {
+		if l, ok := parse(text); ok {
 			out = append(out, l)
 		}
+	})
+	return out, err
+}
+
+// Each calls f for each line of a log as it stands there. f must not keep it.
+func Each(r io.Reader, f func(text []byte)) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxBytes)
+	for scanner.Scan() {
+		f(scanner.Bytes())
 	}
-	return out, errors.Wrap(scanner.Err(), "read a log")
+	return errors.Wrap(scanner.Err(), "read a log")
 }
 
 // ReadAll returns the lines of several logs in order of time.
--- a/internal/logreport/logreport.go
+++ b/internal/logreport/logreport.go
@@ -115,23 +115,23 @@
 }
 
 func resultOf(r *logline.Request) Result {
-	switch r.Outcome {
-	case obs.OutcomeOK:
-		if r.TargetMs > 0 && r.FirstMs > r.TargetMs {
-			return Late
-		}
+	kind, isError := errkind.Named(r.Outcome)
+	switch {
+	case r.Outcome == obs.OutcomeOK && r.Late():
+		return Late
+	case r.Outcome == obs.OutcomeOK:
 		return Served
-	case errkind.InvalidRequest.String(), errkind.Unauthenticated.String(), errkind.NotFound.String(), errkind.TooLarge.String():
-		return Denied
-	case errkind.CallerGone.String():
+	case !isError:
+		return Failed
+	case kind == errkind.CallerGone:
 		return Left
+	case kind.Answer().Denial():
+		return Denied
+	case kind.Answer().Refusal():
+		return Refused
+	default:
+		return Failed
 	}
-	for _, k := range errkind.All() {
-		if k.String() == r.Outcome && k.Answer().Run == errkind.NotRun {
-			return Refused
-		}
-	}
-	return Failed
 }
 
 // percentile returns a percentile in milliseconds, or 0 without values.
--- a/internal/obs/schema.go
+++ b/internal/obs/schema.go
@@ -71,10 +71,8 @@
 	if outcome == OutcomeOK {
 		return nil
 	}
-	for _, k := range errkind.All() {
-		if k.String() == outcome {
-			return nil
-		}
+	if _, known := errkind.Named(outcome); known {
+		return nil
 	}
 	return errors.Errorf("unknown outcome %q", outcome)
 }
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -51,7 +51,7 @@
 		return
 	}
 	f.answered = true
-	f.table.judge(f.entry, "an answer began", func(h *health) { h.alive() })
+	f.table.judge(f.entry, "an answer began", now, func(h *health) { h.alive() })
 	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
 	f.entry.heard(now)
 	f.table.overtake(f, now)
@@ -92,7 +92,7 @@
 	case !f.lost && (r == Failed || r == Lost || r == Unreachable):
 		f.entry.failures.note(true, now)
 	}
-	f.table.judge(f.entry, r.String(), func(h *health) {
+	f.table.judge(f.entry, r.String(), now, func(h *health) {
 		h.ended(r, now)
 		if hung {
 			h.fail(now)
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -171,7 +171,7 @@
 	case ok:
 		e.health.reached, e.health.unreachable = true, false
 	default:
-		t.judge(e, "no connection", func(h *health) {
+		t.judge(e, "no connection", now, func(h *health) {
 			h.unreachable = true
 			h.fail(now)
 		})
@@ -180,14 +180,14 @@
 
 // judge changes what is thought of a server, and logs when it is thought down, or
 // no longer is.
-func (t *Table) judge(e *entry, reason string, change func(*health)) {
+func (t *Table) judge(e *entry, reason string, now time.Time, change func(*health)) {
 	before := e.health.pause > 0
 	change(&e.health)
 	down := e.health.pause > 0
 	if down == before {
 		return
 	}
-	line := t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "reason": reason, "failures": fmt.Sprintf("%.2f", t.failed(e, time.Now()).share())})
+	line := t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "reason": reason, "failures": fmt.Sprintf("%.2f", t.failed(e, now).share())})
 	if down {
 		line.Warn("replica thought down")
 	} else {
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -205,11 +205,16 @@
 // Servers returns the servers that are neither leaving nor gone and hold
 // weights of some model, by ID.
 func (t *Table) Servers(now time.Time) []Server {
+	return t.servers(now, func(*entry) bool { return true })
+}
+
+// servers returns those of these servers that are wanted.
+func (t *Table) servers(now time.Time, want func(*entry) bool) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Server
 	for id, e := range t.entries {
-		if len(e.weights) == 0 || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
+		if len(e.weights) == 0 || !want(e) || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
 			continue
 		}
 		down, _ := e.health.state(now)
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -108,18 +108,5 @@
 
 // Unsure returns the servers that are to be asked for their weights, by ID.
 func (t *Table) Unsure(now time.Time) []Server {
-	var out []Server
-	for _, s := range t.Servers(now) {
-		if t.unsure(s.ID, now) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func (t *Table) unsure(id string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[id]
-	return e != nil && now.Before(e.unsure)
+	return t.servers(now, func(e *entry) bool { return now.Before(e.unsure) })
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -40,9 +40,8 @@
 // Choice is where a request goes and what its replica is told.
 type Choice struct {
 	route.Decision
-	// Salt, Source and Sink are as in platform.ReplicaRequest.
+	// Salt and Sink are as in platform.ReplicaRequest.
 	Salt   string
-	Source string
 	Sink   string
 	Flight *replica.Flight
 	// Shared is the number of shared tokens.
@@ -202,7 +201,6 @@
 	if len(shared) > 0 {
 		c.lasting = shared[len(shared)-1]
 	}
-	c.Source = c.Candidate.Source
 	s.links.use(c.Source, c.ID, c.Transfer, now)
 	if s.worthSaving(req, c, now) {
 		c.Sink = req.Store.Address
