Replicas that start again under their ID; entries that name no server

Cause: an ID stood for one start. A replica that started again kept the flights, failures, weights, cached parts, positions of events and order counts of the start before, and an order under way was waited for until 4 s had passed. An entry without an address, with an unknown state or with fields of another type was taken as a server; one unreadable record made the whole page fail, so that everything written after it stayed unknown.

Change: the entry's time of start tells starts apart. A newer one drops all of that in one place (replica.Table, whose callback clears the index, connections and order counts); an older one changes nothing. Orders go to no service that operators did not name.

Ruled out: taking an unreadable entry under a known ID as the server's end; it would blind hosts to a server that lives (docs/PLATFORM.md, question 10).

Before: the new tests fail (TestReplicaThatStartsAgainWhileLoadingIsOrderedAnew with one replica behind after 2.5 s). After: they pass, with -race.

--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -43,6 +43,9 @@
 	// Name is its name in the index: a replica's ID, or a store's address.
 	Name    string
 	Address string
+	// Started tells the starts of one name apart; what was read of an earlier one
+	// does not count. 0 where the holder does not say.
+	Started int64
 	// Capacity is its memory in tokens.
 	Capacity int
 	// Store is set for stores of kept KV cache.
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -49,7 +49,7 @@
 	}
 	reg, err := platform.DecodeReplica(rec)
 	if err != nil {
-		n.log.WithError(err).WithField("offset", rec.Offset).Error("backend server's entry not taken")
+		n.noteMalformed(rec, err)
 		return
 	}
 	n.replicas.Register(reg, rec.Offset)
@@ -58,6 +58,15 @@
 	}
 }
 
+// noteMalformed counts an entry that names no server. Another writer may make
+// many: one line in a second says why.
+func (n *Node) noteMalformed(rec platform.Record, err error) {
+	n.metrics.Malformed.Inc(1)
+	if others, ok := n.malformed.Allow(time.Now()); ok {
+		n.log.WithError(err).WithFields(logrus.Fields{"key": rec.Key, "offset": rec.Offset, "others": others}).Warn("backend server's entry not taken")
+	}
+}
+
 // hostRecord takes an entry host's address.
 func (n *Node) hostRecord(rec platform.Record, _ bool) {
 	if rec.Removed || rec.Key == n.settings.Host.Id {
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -26,7 +26,7 @@
 
 // cacheEvents follows what replicas and the store of KV cache hold.
 func (n *Node) cacheEvents(ctx context.Context) {
-	following := map[string]context.CancelFunc{}
+	following := map[cachesync.Holder]context.CancelFunc{}
 	for ctx.Err() == nil {
 		n.follow(ctx, following)
 		pause := scanInterval
@@ -41,26 +41,26 @@
 }
 
 // follow begins and ends what is followed.
-func (n *Node) follow(ctx context.Context, following map[string]context.CancelFunc) {
+func (n *Node) follow(ctx context.Context, following map[cachesync.Holder]context.CancelFunc) {
 	holders := n.cacheHolders()
-	for name, cancel := range following {
-		if _, ok := holders[name]; !ok {
+	for h, cancel := range following {
+		if !holders[h] {
 			cancel()
-			delete(following, name)
+			delete(following, h)
 		}
 	}
-	for name, h := range holders {
-		if following[name] == nil {
+	for h := range holders {
+		if following[h] == nil {
 			each, cancel := context.WithCancel(ctx)
-			following[name] = cancel
+			following[h] = cancel
 			go n.follower(h).Run(each)
 		}
 	}
 }
 
 // cacheHolders returns whom to follow. Standby hosts follow nobody.
-func (n *Node) cacheHolders() map[string]cachesync.Holder {
-	out := map[string]cachesync.Holder{}
+func (n *Node) cacheHolders() map[cachesync.Holder]bool {
+	out := map[cachesync.Holder]bool{}
 	now := time.Now()
 	c := n.config.Load()
 	hosts, here := n.primaries(now)
@@ -70,7 +70,7 @@
 	rank := n.rank()
 	follow := func(t cachesync.Holder, readers int) {
 		if follows(rank, len(hosts), t.Name, readers) {
-			out[t.Name] = t
+			out[t] = true
 		}
 	}
 	for _, s := range c.Stores() {
@@ -78,7 +78,7 @@
 	}
 	for _, server := range n.replicas.Servers(now) {
 		if service := c.Services[server.Service]; service != nil && service.Engine != nil {
-			follow(cachesync.Holder{Name: server.ID, Address: server.Address, Capacity: service.Engine.CacheTokens}, service.Engine.EventReaders)
+			follow(cachesync.Holder{Name: server.ID, Address: server.Address, Started: server.Started, Capacity: service.Engine.CacheTokens}, service.Engine.EventReaders)
 		}
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,9 @@
 	entry     *entry.Server
 
 	sequence atomic.Uint64
+	// malformed bounds the lines about records that are not what they should be,
+	// changes those about other hosts.
+	malformed, changes obs.Limiter
 	// kick asks for a heartbeat at once.
 	kick chan struct{}
 	// toAll is set while the next heartbeat is for every host.
@@ -136,8 +139,13 @@
 	n.replicas = replica.NewTable(log, func(id, address string) {
 		n.index.Clear(id)
 		n.pool.Forget(address)
+		n.loader.Forget(id)
 	})
 	n.replicas.Off = off
+	n.replicas.Known = func(service string) bool {
+		c := n.config.Load()
+		return c != nil && c.Services[service] != nil
+	}
 	policy := route.DefaultPolicy().Without(off)
 	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -43,6 +43,8 @@
 	Orders    tally.Counter
 	// Connections is the number of connections opened to backend servers.
 	Connections tally.Gauge
+	// Malformed counts backend servers' entries that name no server.
+	Malformed tally.Counter
 	// DroppedLines is the number of log lines dropped.
 	DroppedLines tally.Gauge
 }
@@ -78,6 +80,7 @@
 		LeaseHeld:     scope.Gauge("lease_held"),
 		Orders:        scope.Counter("load_orders"),
 		Connections:   scope.Gauge("backend_connections_opened"),
+		Malformed:     scope.Counter("malformed_entries"),
 		DroppedLines:  scope.Gauge("log_lines_dropped"),
 	}, reporter.HTTPHandler(), closer
 }
--- a/internal/replica/loads.go
+++ b/internal/replica/loads.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -46,6 +47,15 @@
 	}
 }
 
+// forget drops what every host said of its work at a server that started again;
+// their next word is of the new start.
+func (l *loads) forget(id string) {
+	delete(l.sums, id)
+	for host, work := range l.byHost {
+		l.byHost[host] = slices.DeleteFunc(slices.Clone(work), func(w *pb.ReplicaLoad) bool { return w.Replica == id })
+	}
+}
+
 func addLoad(sum, w *pb.ReplicaLoad, sign int32) {
 	sum.Requests += sign * w.GetRequests()
 	sum.PrefillTokens += sign * w.GetPrefillTokens()
--- /dev/null
+++ b/internal/replica/restart_test.go
@@ -0,0 +1,72 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/platform"
+)
+
+// startOf is the entry of a start of server a, at a Unix time in milliseconds.
+func startOf(started int64, version int64) platform.Registration {
+	return platform.Registration{
+		ID: "a", Started: started, Service: testService, Address: "10.0.0.1:1", Slots: 4,
+		Weights: map[string]int64{testModel: version},
+	}
+}
+
+// TestRestartUnderTheSameIDBeginsAnew: requests in flight, failures, weights and
+// drains of the earlier start are forgotten, here and of what other hosts said.
+func TestRestartUnderTheSameIDBeginsAnew(t *testing.T) {
+	var dropped []string
+	table := NewTable(quietLog(), func(id, _ string) { dropped = append(dropped, id) })
+	now := time.Now()
+	table.Register(startOf(1000, 3), 0)
+	table.SetLoads("other", []*pb.ReplicaLoad{{Replica: "a", Requests: 5, PrefillTokens: 900, Ended: 10, Failed: 10}, {Replica: "b", Requests: 1}})
+	flight := table.Begin("a", Work{Prefill: 4000, Memory: 5000, Expected: time.Second, Reading: time.Second}, now)
+	table.Begin("a", Work{}, now).End(Unreachable, now)
+	draining := startOf(1000, 3)
+	draining.Draining = true
+	table.Register(draining, 1)
+
+	table.Register(startOf(2000, 1), 2)
+	if len(dropped) != 1 || dropped[0] != "a" {
+		t.Errorf("beliefs of %v were dropped, want a's once", dropped)
+	}
+	r := table.Snapshot(testService, testModel, 1000, now)[0]
+	if !r.Usable || r.Doubted || r.Requests != 0 || r.PrefillTokens != 0 || r.Errors != 0 || r.Weights != 1 {
+		t.Errorf("the new start is believed to be %+v", r)
+	}
+	// The exchange with the earlier start ends late.
+	flight.End(Lost, now.Add(time.Second))
+	if r := table.Snapshot(testService, testModel, 1000, now.Add(time.Second))[0]; r.Errors != 0 || r.Doubted {
+		t.Errorf("the end of an earlier start's request counts against the new one: %+v", r)
+	}
+	if got := table.Servers(now)[0].Started; got != 2000 {
+		t.Errorf("started %d, want 2000", got)
+	}
+}
+
+// TestLateWordOfAnEarlierStartChangesNothing: it may be draining, or elsewhere.
+func TestLateWordOfAnEarlierStartChangesNothing(t *testing.T) {
+	table := NewTable(quietLog(), func(string, string) { t.Error("the newer start was dropped") })
+	table.Register(startOf(2000, 2), 0)
+	late := startOf(1000, 9)
+	late.Draining, late.Address = true, "10.0.0.2:1"
+	table.Register(late, 1)
+	r := table.Snapshot(testService, testModel, 1000, time.Now())[0]
+	if !r.Usable || r.Address != "10.0.0.1:1" || r.Weights != 2 {
+		t.Errorf("got %+v", r)
+	}
+}
+
+// TestServersOfUnknownServicesGetNoOrders: an entry may name a service that no
+// operator named.
+func TestServersOfUnknownServicesGetNoOrders(t *testing.T) {
+	table := newTestTable("a")
+	table.Known = func(service string) bool { return service != testService }
+	if got := table.Servers(time.Now()); len(got) != 0 {
+		t.Errorf("servers %+v", got)
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -52,10 +52,15 @@
 // use; mu is its only lock.
 type Table struct {
 	log *logrus.Logger
-	// gone is told of servers that left, without the lock.
+	// gone is told of servers that left, or started again under their ID, without
+	// the lock.
 	gone func(id, address string)
 	// Off holds the mechanisms that are switched off; it is set before use.
 	Off mechanism.Off
+	// Known reports whether operators named a service; it is set before use and
+	// called under the lock. Nobody gives orders to servers of other services: an
+	// entry may come from another writer.
+	Known func(service string) bool
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -84,23 +89,46 @@
 	lastHeard time.Time
 }
 
-// NewTable returns an empty table. gone is called for each server that left.
+// NewTable returns an empty table. gone is called for each server that left, and
+// when one started again: what is believed of it is to be dropped.
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
-		log: log, gone: gone,
+		log: log, gone: gone, Known: func(string) bool { return true },
 		entries: map[string]*entry{}, wanted: map[string][]wanted{}, others: newLoads(),
 	}
 }
 
-// Register takes a server's own entry of the store.
+// Register takes a server's own entry of the store. A server that started again
+// under its ID begins anew: its flights, failures, weights and whatever the
+// callback drops belonged to the earlier start. Late word of an earlier start
+// changes nothing.
 func (t *Table) Register(reg platform.Registration, offset int64) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	e := t.entries[reg.ID]
+	if e != nil && reg.Started != 0 && reg.Started < e.reg.Started {
+		t.mu.Unlock()
+		t.log.WithFields(logrus.Fields{"replica": reg.ID, "started": reg.Started, "known": e.reg.Started, "offset": offset}).Info("entry of an earlier start ignored")
+		return
+	}
+	restarted := e != nil && e.reg.Started != 0 && reg.Started > e.reg.Started
+	address := ""
+	if restarted {
+		address = t.remove(reg.ID, e, "started again")
+		t.others.forget(reg.ID)
+	}
+	t.register(reg, offset)
+	t.mu.Unlock()
+	if restarted {
+		t.gone(reg.ID, address)
+	}
+}
+
+func (t *Table) register(reg platform.Registration, offset int64) {
 	e := t.entries[reg.ID]
 	if e == nil {
 		e = &entry{machine: newMachine(), weights: map[string]int64{}, flights: map[*Flight]bool{}}
 		t.entries[reg.ID] = e
-		t.log.WithFields(logrus.Fields{"replica": reg.ID, "service": reg.Service, "address": reg.Address, "offset": offset}).Info("replica registered")
+		t.log.WithFields(logrus.Fields{"replica": reg.ID, "service": reg.Service, "address": reg.Address, "started": reg.Started, "offset": offset}).Info("replica registered")
 	}
 	e.reg = reg
 	for model, version := range reg.Weights {
@@ -196,6 +224,8 @@
 	Address string
 	Service string
 	Weights map[string]int64
+	// Started is as in platform.Registration.
+	Started int64
 	// Requests of all hosts are not finished.
 	Requests int
 	// Down servers are thought unreachable or hanging.
@@ -214,12 +244,12 @@
 	defer t.mu.Unlock()
 	var out []Server
 	for id, e := range t.entries {
-		if len(e.weights) == 0 || !want(e) || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
+		if len(e.weights) == 0 || !want(e) || !t.Known(e.reg.Service) || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
 			continue
 		}
 		down, _ := e.health.state(now)
 		s := Server{
-			ID: id, Address: e.reg.Address, Service: e.reg.Service, Weights: map[string]int64{},
+			ID: id, Address: e.reg.Address, Service: e.reg.Service, Started: e.reg.Started, Weights: map[string]int64{},
 			Requests: int(t.load(e, now).Requests), Down: down || e.silence(now) > hangAfter,
 		}
 		for model, version := range e.weights {
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -37,6 +37,8 @@
 	version  int64
 	sequence int64
 	busy     bool
+	// started is the time of its start.
+	started int64
 }
 
 func newFakeFleet(n int) *fakeFleet {
@@ -60,7 +62,7 @@
 	defer f.mu.Unlock()
 	var out []replica.Server
 	for id, version := range f.known {
-		out = append(out, replica.Server{ID: id, Address: id, Weights: map[string]int64{testModel: version}, Down: f.down[id]})
+		out = append(out, replica.Server{ID: id, Address: id, Started: f.actual[id].started, Weights: map[string]int64{testModel: version}, Down: f.down[id]})
 	}
 	return out
 }
@@ -105,7 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.actual[address]
-	return platform.EngineReport{Weights: map[string]int64{testModel: r.version}, Loading: r.busy, Sequence: r.sequence}, nil
+	return platform.EngineReport{Weights: map[string]int64{testModel: r.version}, Loading: r.busy, Sequence: r.sequence, Started: r.started}, nil
 }
 
 // Order plays the fault in force: an answer that is lost, an order that is
@@ -144,16 +146,20 @@
 	}
 	r.sequence++
 	r.busy = true
+	start := r.started
 	f.atOnce++
 	f.mostOnce = max(f.mostOnce, f.atOnce)
 	time.AfterFunc(600*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		f.atOnce--
+		if r.started != start {
+			return
+		}
 		if o.Version < r.version {
 			f.thrown += 1000
 		}
 		r.version, r.busy = o.Version, false
-		f.atOnce--
 	})
 	return platform.OrderAccepted
 }
@@ -172,6 +178,35 @@
 	time.Sleep(10 * time.Second)
 }
 
+// TestReplicaThatStartsAgainWhileLoadingIsOrderedAnew: its count of orders began
+// anew and the one under way is void. Waited for to the end, it would stay on the
+// old weights for four seconds more.
+func TestReplicaThatStartsAgainWhileLoadingIsOrderedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(1)
+		fleet.actual["i-0"].started = 1000
+		roll(fleet, func() {
+			time.Sleep(time.Second)
+			fleet.set(func() { fleet.wanted = 2 })
+			for !fleet.loads("i-0") {
+				time.Sleep(time.Millisecond)
+			}
+			fleet.set(func() { *fleet.actual["i-0"] = fakeReplica{version: 1, started: 2000} })
+			time.Sleep(2500 * time.Millisecond)
+			if n := fleet.behind(); n != 0 {
+				t.Errorf("%d replicas lack the weights 2.5 s after the restart", n)
+			}
+		})
+	})
+}
+
+// loads reports whether a replica is loading weights.
+func (f *fakeFleet) loads(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.actual[id].busy
+}
+
 // behind returns how many replicas lack the wanted weights.
 func (f *fakeFleet) behind() int {
 	f.mu.Lock()
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -138,15 +138,17 @@
 		l.setSequence(t.server.ID, sequence+1)
 		return true, nil
 	case platform.OrderConflict:
-		l.forget(t.server.ID)
+		l.Forget(t.server.ID)
 		return false, nil
 	default:
-		l.forget(t.server.ID)
+		l.Forget(t.server.ID)
 		return false, errOrderRefused
 	}
 }
 
-func (l *Loader) forget(id string) {
+// Forget drops what is known of a replica's orders: it left or started again,
+// and counts its orders from zero.
+func (l *Loader) Forget(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.sequences, id)
@@ -175,6 +177,10 @@
 			continue
 		}
 		failures = 0
+		if t.server.Started != 0 && report.Started > t.server.Started {
+			l.Forget(t.server.ID)
+			return errRestarted
+		}
 		if l.holds(t, report) {
 			return nil
 		}
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -105,7 +105,7 @@
 	}
 	f.Access.Succeeded(time.Now())
 	f.Table.Read(time.Now())
-	f.Table.Merge(page.Records, from+int64(len(page.Records)), f.Access.Stable(time.Now()))
+	f.Table.Merge(page.Records, from+int64(len(page.Records)+page.Unreadable), f.Access.Stable(time.Now()))
 	f.tell()
 	return true, nil
 }
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -18,8 +18,10 @@
 
 // Options describe a backend server.
 type Options struct {
-	// ID names this start of the server.
+	// ID names the server, Started this start of it, in Unix milliseconds; 0 is not
+	// told.
 	ID      string
+	Started int64
 	Service string
 	Address string
 	Zone    string
@@ -111,12 +113,13 @@
 	ColdLeftMs int
 	Models     []model `json:",omitempty"`
 	Seq        int64
+	Born       int64 `json:"born,omitempty"`
 }
 
 // Register writes the server's entry to the store through put.
 func (e *Engine) Register(put func(key string, entry any) error, draining bool) error {
 	e.mu.Lock()
-	reg := registration{Service: e.Service, Addr: e.Address, Zone: e.Zone, Version: "v1", Slots: e.Slots, State: "ready"}
+	reg := registration{Service: e.Service, Addr: e.Address, Zone: e.Zone, Version: "v1", Slots: e.Slots, State: "ready", Born: e.Started}
 	if draining {
 		reg.State = "draining"
 	}
