--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -88,9 +88,15 @@
 }
 
 // operatorsAge returns the time in which a newer configuration could have been
-// missed: since the store answered this host, or one that has applied no more.
+// missed: since this host read it, or another one that has applied no more. A host
+// that waits for records at the store misses none while the store answers its other
+// calls.
 func (n *Node) operatorsAge(now time.Time) time.Duration {
-	return min(n.access.Age(now), n.operatorsFresh.Age(now))
+	age := min(n.operators.Age(now), n.operatorsFresh.Age(now))
+	if n.waitsForOperators.Load() {
+		age = min(age, n.access.Age(now))
+	}
+	return age
 }
 
 // entriesAge is the same for the backend servers' entries.
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -22,8 +22,13 @@
 	frontReaders = 3
 	// operatorReaders is how many hosts wait at the store for what operators write;
 	// the others have it from them within a heartbeat. More would cost a call each
-	// for each record; fewer could all be out of the store's reach at once.
-	operatorReaders = 16
+	// for each record. Where all of them are out of the store's reach, others step in.
+	operatorReaders = 6
+	// operatorsLate is the age of what is known of operators' records from which
+	// another host waits for them too, and operatorsStagger what is added for each host
+	// that comes before it. It lies above the wait of the front readers.
+	operatorsLate    = 2 * time.Second
+	operatorsStagger = 50 * time.Millisecond
 	// hostInterval is how often hosts' addresses are read. Heartbeats tell of them
 	// as well, and a read that waited would return for each host that starts.
 	hostInterval = 25 * time.Second
@@ -65,7 +70,7 @@
 	}
 	operators := follow(n.operators, configWait, configGap)
 	operators.WaitNow = func() time.Duration { return operatorWait(n.rank()) }
-	operators.Fresh = func() bool { return n.rank() >= operatorReaders }
+	operators.Fresh = n.operatorsKnown
 	operators.Hold = n.holdFirst
 	hosts := follow(n.hosts, 0, hostInterval)
 	hosts.Fresh = func() bool { return n.members.Relayed(time.Now()) }
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -19,3 +19,33 @@
 		t.Errorf("%d of 9 hosts read again soon; want a few", short)
 	}
 }
+
+// TestOperatorsRecordsAreReadByAFew: a record costs a call for each host that waits
+// for it. Others step in one by one once those know nothing new, standby hosts that
+// are told do not.
+func TestOperatorsRecordsAreReadByAFew(t *testing.T) {
+	readers := func(hosts, relayed int, age time.Duration) int {
+		n := 0
+		for rank := range hosts {
+			if !operatorsByOthers(rank, rank >= hosts-relayed, age) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, c := range []struct {
+		hosts, relayed int
+		age            time.Duration
+		want           int
+	}{
+		{295, 277, 100 * time.Millisecond, operatorReaders},
+		{295, 277, operatorsLate + 200*time.Millisecond, operatorReaders + 5},
+		{295, 277, 10 * time.Second, 18},
+		{9, 0, 100 * time.Millisecond, operatorReaders},
+		{3, 0, 0, 3},
+	} {
+		if got := readers(c.hosts, c.relayed, c.age); got != c.want {
+			t.Errorf("%d of %d hosts read at an age of %v, want %d", got, c.hosts, c.age, c.want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,8 @@
 	// number of peers that are fetching from this host.
 	fetching sync.Map
 	serving  atomic.Int32
+	// waitsForOperators is whether this host reads operators' records itself.
+	waitsForOperators atomic.Bool
 	// operatorsFresh and entriesFresh are since when the topics are known whole by
 	// other hosts' word.
 	operatorsFresh, entriesFresh member.Freshness
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -43,6 +43,28 @@
 // followsLease reports whether this host is among those that may take the lease.
 func (n *Node) followsLease() bool { return !n.holdFirst() && n.rank() < leaseFollowers }
 
+// operatorsKnown reports whether other hosts wait for operators' records and this
+// one need not.
+func (n *Node) operatorsKnown() bool {
+	now := time.Now()
+	known := operatorsByOthers(n.rank(), n.members.Relayed(now), n.operatorsAge(now))
+	n.waitsForOperators.Store(!known)
+	return known
+}
+
+// operatorsByOthers is operatorsKnown for a rank, on standby with a relay or not, and
+// an age of what is known.
+func operatorsByOthers(rank int, relayed bool, age time.Duration) bool {
+	switch {
+	case rank < operatorReaders:
+		return false
+	case relayed:
+		return true
+	default:
+		return age < operatorsLate+time.Duration(rank-operatorReaders)*operatorsStagger
+	}
+}
+
 // entriesKnown reports whether some live host has just read the backend servers'
 // entries and this one lacks none of them. A standby host leaves that to those that
 // tell it.
