--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,22 +23,10 @@
 	// idleOnce is the longest that a connection may have been idle for a request
 	// that may not be repeated: if the replica closes it meanwhile, the request is
 	// lost, and a new connection costs a millisecond.
-	idleOnce = time.Second
-	// watchInterval is how often a hanging replica is looked for.
-	watchInterval = 100 * time.Millisecond
-	// leastSilence is the shortest silence at which a replica is given up for
-	// another one.
-	leastSilence = 500 * time.Millisecond
-	// silentTargets is that silence in latency targets.
-	silentTargets = 1.0
-	// stalledPauses is the pause, in pause targets, after which a stream is
-	// continued elsewhere. Callers give up after eight.
-	stalledPauses = 4
+	idleOnce      = time.Second
 	contentEvents = "text/event-stream"
 )
 
-var errSilent = errors.New("the replica gives no sign of life")
-
 // exchange is one attempt at one replica.
 type exchange struct {
 	*run
@@ -81,24 +68,6 @@
 	r.report.Tries = append(r.report.Tries, Try{choice.ID, result.String(), reason, time.Since(began).Milliseconds()})
 }
 
-// watchSilence ends the attempt when the replica hangs and another may be tried.
-func (x *exchange) watchSilence() {
-	route := x.req.Route
-	if !route.Repeatable() || x.report.Ran+1 >= route.Attempts {
-		return
-	}
-	limit := max(leastSilence, time.Duration(silentTargets*float64(route.LatencyTarget)))
-	check := func() {
-		if x.choice.Flight.Silence(time.Now()) > limit || x.choice.Flight.Lost() {
-			x.cancel(errSilent)
-			return
-		}
-		x.watch.Reset(watchInterval)
-	}
-	x.watch = time.AfterFunc(time.Hour, check)
-	x.watch.Reset(watchInterval)
-}
-
 func (x *exchange) send(ctx context.Context) (replica.Result, error) {
 	x.report.Sends++
 	resp, err := x.d.pool.Send(ctx, x.choice.Address, x.upstreamRequest())
@@ -191,156 +160,3 @@
 	}
 	return min(rank, maxPriority)
 }
-
-// refused takes a true "not run".
-func (x *exchange) refused(resp *upstream.Response) (replica.Result, error) {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWhole))
-	resp.Finish(err == nil)
-	if resp.Status == http.StatusMisdirectedRequest {
-		x.d.misdirected(x.choice, resp.Answer, x.req.Caller.Model)
-	}
-	return replica.Refused, errkind.New(errkind.BackendRefused, fmt.Sprintf("the replica refused with %d", resp.Status))
-}
-
-// misdirected learns from a replica that is not the one expected: another start
-// has its address, or its weights are not those expected.
-func (d *Dispatcher) misdirected(choice *schedule.Choice, a platform.ReplicaAnswer, model string) {
-	if a.Instance != "" && a.Instance != choice.ID {
-		d.replicas.Remove(choice.ID, true)
-		return
-	}
-	// Which weights it holds it does not say: those wanted by now may have overtaken
-	// those of a late order.
-	d.replicas.MarkUnsure(choice.ID, model, choice.Weights, time.Now())
-}
-
-// whole reads the answer to its end before any of it is passed on, so that a
-// broken one can be replaced.
-func (x *exchange) whole(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
-	resp.Finish(err == nil)
-	now := time.Now()
-	if err != nil {
-		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
-			return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
-		}
-		return replica.Lost, errkind.Wrap(errkind.BackendLost, err, "the answer was cut")
-	}
-	x.choice.Flight.First(now)
-	x.report.First = now.Sub(x.run.began)
-	header := platform.AnswerHeaders(resp.Header)
-	if resp.Status >= http.StatusInternalServerError {
-		x.failure = &whole{resp.Status, header, body}
-		return replica.Failed, errkind.New(errkind.BackendError, fmt.Sprintf("the replica answered %d", resp.Status))
-	}
-	x.report.Status = resp.Status
-	if err := x.out.Whole(resp.Status, header, body); err != nil {
-		return replica.Answered, errkind.Wrap(errkind.CallerGone, err, "the caller left")
-	}
-	return replica.Answered, nil
-}
-
-// stream passes events on as they come.
-func (x *exchange) stream(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
-	x.fire(eventStream)
-	events := newEventReader(resp.Body)
-	stall := x.watchStall()
-	defer stall.stop()
-	for {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			resp.Finish(true)
-			return x.streamEnded(resp)
-		}
-		if err == nil {
-			err = x.inOrder(ev)
-		}
-		if err != nil {
-			resp.Finish(false)
-			return x.streamLost(ctx, err)
-		}
-		stall.feed()
-		if err := x.passOn(resp, ev); err != nil {
-			resp.Finish(false)
-			return replica.Cancelled, errkind.Wrap(errkind.CallerGone, err, "the caller left")
-		}
-	}
-}
-
-// inOrder checks that an event follows the one before it.
-func (x *exchange) inOrder(ev event) error {
-	if ev.number == 0 || x.lastEvent > 0 && ev.number != x.lastEvent+1 {
-		return errEventNumber
-	}
-	return nil
-}
-
-func (x *exchange) passOn(resp *upstream.Response, ev event) error {
-	now := time.Now()
-	x.choice.Flight.First(now)
-	if !x.started {
-		x.started = true
-		x.report.First = now.Sub(x.run.began)
-		x.report.Status = resp.Status
-		x.d.scheduler.Read(x.choice, now)
-		if err := x.out.Start(resp.Status, platform.AnswerHeaders(resp.Header)); err != nil {
-			return err
-		}
-	}
-	x.lastEvent = ev.number
-	return x.out.Event(ev.data)
-}
-
-// streamEnded ends a stream that its replica ended cleanly.
-func (x *exchange) streamEnded(resp *upstream.Response) (replica.Result, error) {
-	if x.started {
-		return replica.Answered, nil
-	}
-	// A resumed stream may have nothing left to say.
-	x.started = true
-	x.report.Status = resp.Status
-	if err := x.out.Start(resp.Status, platform.AnswerHeaders(resp.Header)); err != nil {
-		return replica.Answered, errkind.Wrap(errkind.CallerGone, err, "the caller left")
-	}
-	return replica.Answered, nil
-}
-
-func (x *exchange) streamLost(ctx context.Context, err error) (replica.Result, error) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
-		return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
-	}
-	if x.lastEvent > 0 {
-		x.report.Resumed++
-	}
-	return replica.Lost, errkind.Wrap(errkind.BackendLost, err, "the stream was cut")
-}
-
-// stallWatch ends an attempt whose stream stalls while it may be continued
-// elsewhere.
-type stallWatch struct {
-	timer *time.Timer
-	limit time.Duration
-}
-
-func (x *exchange) watchStall() *stallWatch {
-	route := x.req.Route
-	if !route.Resumable || x.report.Ran >= route.Attempts || route.PauseTarget <= 0 {
-		return &stallWatch{}
-	}
-	limit := max(2*leastSilence, stalledPauses*route.PauseTarget)
-	// Until the first event the replica's silence is watched instead.
-	timer := time.AfterFunc(time.Hour, func() { x.cancel(errSilent) })
-	return &stallWatch{timer, limit}
-}
-
-func (w *stallWatch) feed() {
-	if w.timer != nil {
-		w.timer.Reset(w.limit)
-	}
-}
-
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -49,3 +49,21 @@
 		}
 	}
 }
+
+// TestCutOffHostsKeepTheirShareOfRetries: a host that hears of fewer routing hosts
+// must not spend the others' share while they spend it too; once they are gone for
+// two windows, it is shared anew.
+func TestCutOffHostsKeepTheirShareOfRetries(t *testing.T) {
+	var s sharers
+	now := time.Unix(1000, 0)
+	for _, step := range []struct {
+		after time.Duration
+		hosts int
+		want  int
+	}{{0, 18, 18}, {time.Second, 3, 18}, {10 * time.Second, 3, 18}, {10 * time.Second, 3, 3}, {time.Second, 18, 18}} {
+		now = now.Add(step.after)
+		if got := s.most(step.hosts, now); got != step.want {
+			t.Errorf("%d hosts known: shared among %d, want %d", step.hosts, got, step.want)
+		}
+	}
+}
--- a/internal/obs/traffic.go
+++ b/internal/obs/traffic.go
@@ -2,18 +2,15 @@
 
 import "github.com/uber-go/tally/v4"
 
-// Traffic names what hosts send, for what it costs between zones.
+// Traffic names what hosts send to each other, for what it costs between zones.
 type Traffic string
 
-// What hosts send.
+// What hosts send to each other.
 const (
 	// Heartbeats are datagrams to other hosts.
 	Heartbeats Traffic = "heartbeats"
 	// Records are answers to other hosts that lack records.
 	Records Traffic = "records"
-	// Requests and Answers pass between this host and backend servers.
-	Requests Traffic = "requests"
-	Answers  Traffic = "answers"
 )
 
 // moved counts messages and bytes of one kind.
@@ -26,7 +23,7 @@
 
 func newMoved(scope tally.Scope) map[movedKey]moved {
 	out := map[movedKey]moved{}
-	for _, traffic := range []Traffic{Heartbeats, Records, Requests, Answers} {
+	for _, traffic := range []Traffic{Heartbeats, Records} {
 		for zone, reach := range map[bool]string{true: "zone", false: "zones"} {
 			tagged := scope.Tagged(map[string]string{"kind": string(traffic), "reach": reach})
 			out[movedKey{traffic, zone}] = moved{tagged.Counter("moved_messages"), tagged.Counter("moved_bytes")}
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -337,6 +337,40 @@
 	})
 }
 
+// TestStartingHostWaitsToBeTold: where other hosts tell all records meanwhile, the
+// store is asked for nothing; where nobody does, it is asked once the wait is over.
+func TestStartingHostWaitsToBeTold(t *testing.T) {
+	for name, told := range map[string]bool{"told": true, "alone": false} {
+		synctest.Test(t, func(t *testing.T) {
+			reader := &fakeReader{truth: history{put("a", 0)}}
+			table := NewTable("keyed.x", func(platform.Record, bool) {})
+			began := time.Now()
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
+				f.Hold = func() bool { return time.Since(began) < time.Second }
+				f.Fresh = func() bool { return told }
+				f.Run(ctx)
+			}()
+			time.Sleep(500 * time.Millisecond)
+			if told {
+				table.MergeAll(reader.truth, 1, true)
+			}
+			if reader.calls() != 0 {
+				t.Errorf("%s: asked while it waits", name)
+			}
+			time.Sleep(time.Second)
+			if asked := reader.calls() > 0; asked == told {
+				t.Errorf("%s: %d calls after the wait", name, reader.calls())
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
 // TestWaitingReadEndsWithTheOutage: it may hang on a connection that the outage
 // has silenced, while another call shows that the store is back.
 func TestWaitingReadEndsWithTheOutage(t *testing.T) {
