--- a/internal/prefix/index_test.go
+++ b/internal/prefix/index_test.go
@@ -1,6 +1,7 @@
 package prefix
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -114,3 +115,34 @@
 		x.Held("r", p, now)
 	}
 }
+
+// BenchmarkBytesOfAPart reports the memory that one believed part takes: it bounds
+// how many a host can know of.
+func BenchmarkBytesOfAPart(b *testing.B) {
+	const parts = 200_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := NewIndex()
+		now := time.Now()
+		for i := range parts {
+			x.Stored("holder", Hash(i), blockTokens, parts*blockTokens, now)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/parts, "B/part")
+		runtime.KeepAlive(x)
+	}
+}
+
+// BenchmarkStored is the cost of one cache event.
+func BenchmarkStored(b *testing.B) {
+	x := NewIndex()
+	now := time.Now()
+	i := 0
+	for b.Loop() {
+		i++
+		x.Stored("holder", Hash(i%50_000), blockTokens, 1<<30, now)
+	}
+}
