--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -109,7 +109,7 @@
 		b := proto.CloneOf(h.self)
 		b.Routing, b.ToAll, b.Asks = v.Here, v.All, v.All || kind.ask
 		if !kind.ask {
-			b.Members = h.table.PassOn(kind.standby, s.now)
+			b.Members = h.table.MemberStates(kind.standby, s.now)
 		}
 		for _, part := range Split(b, func() uint64 { h.sequence++; return h.sequence }) {
 			size := proto.Size(part)
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -18,22 +18,22 @@
 	// listenFor is how long a standby host is told after it last asked: a few of its
 	// heartbeats.
 	listenFor = 2500 * time.Millisecond
-	// tries is the number of strangers that are told in an interval, and lonelyTries
+	// probesEach is the number of probes that are sent in an interval, and probesAlone
 	// the same while no other host is heard from.
-	tries       = 3
-	lonelyTries = 8
-	// tryPause is the shortest time between two tries of one address.
-	tryPause = 500 * time.Millisecond
-	// passedRouting and passedOthers are the numbers of routing hosts and of others
+	probesEach  = 3
+	probesAlone = 8
+	// probePause is the shortest time between two tries of one address.
+	probePause = 500 * time.Millisecond
+	// statesRouting and statesOthers are the numbers of routing hosts and of others
 	// that one heartbeat passes on: with some 75 bytes each they fit into a datagram.
-	passedRouting = 7
-	passedOthers  = 6
-	// passedAmong is the number of routing hosts that one heartbeat to another routing
+	statesRouting = 7
+	statesOthers  = 6
+	// statesAmong is the number of routing hosts that one heartbeat to another routing
 	// host passes on: they hear each other, once they have found each other.
-	passedAmong = 2
-	// allTurns is the number of heartbeats in a small fleet of which one passes on
+	statesAmong = 2
+	// statesEvery is the number of heartbeats in a small fleet of which one passes on
 	// others.
-	allTurns = 5
+	statesEvery = 5
 )
 
 // Audience is whom one heartbeat goes to, by peer address.
@@ -66,7 +66,7 @@
 	if !v.All && tick%listenTicks == 0 {
 		a.Brief = append(a.Brief, t.listeners(now)...)
 	}
-	a.Ask = append(a.Ask, t.tryStrangers(now)...)
+	a.Ask = append(a.Ask, t.probeTargets(now)...)
 	return a
 }
 
@@ -141,19 +141,19 @@
 	return heard == len(v.Relays) && heard > 0
 }
 
-// tryStrangers returns addresses that may or may not have a host, those tried
+// probeTargets returns addresses that may or may not have a host, those tried
 // least lately first.
-func (t *Table) tryStrangers(now time.Time) []string {
+func (t *Table) probeTargets(now time.Time) []string {
 	due := map[string]*time.Time{}
-	for peer, s := range t.strangers {
-		if now.Sub(s.tried) >= tryPause {
+	for peer, s := range t.probes {
+		if now.Sub(s.tried) >= probePause {
 			due[peer] = &s.tried
 		}
 	}
-	most := lonelyTries
+	most := probesAlone
 	for _, h := range t.hosts {
-		if !h.missed {
-			most = tries
+		if !h.dead {
+			most = probesEach
 		}
 	}
 	var peers []string
@@ -168,18 +168,18 @@
 	return peers
 }
 
-// PassOn returns some other hosts for a heartbeat to routing hosts, or to standby
+// MemberStates returns some other hosts for a heartbeat to routing hosts, or to standby
 // ones, in turn. Routing hosts hear each other; they are passed on mostly the standby
 // hosts that tell this one. Standby hosts are passed on all, the routing hosts more
 // often: they are to know of those soon.
-func (t *Table) PassOn(standby bool, now time.Time) []*pb.MemberState {
+func (t *Table) MemberStates(standby bool, now time.Time) []*pb.MemberState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.viewAt(now)
 	if v.All && v.Live > 1 {
 		// Who tells everybody needs to pass on little: that a newcomer finds the others.
-		t.allTurn++
-		if t.allTurn%allTurns != 1 {
+		t.heartbeats++
+		if t.heartbeats%statesEvery != 1 {
 			return nil
 		}
 	}
@@ -193,20 +193,20 @@
 			others = append(others, h)
 		}
 	}
-	among, turns := passedAmong, &t.routingTurns
+	among, cursors := statesAmong, &t.routingCursors
 	if standby || v.All {
-		among, turns = passedRouting, &t.standbyTurns
+		among, cursors = statesRouting, &t.standbyCursors
 	}
-	out := t.passOn(nil, routing, among, &turns.routing, now)
-	return t.passOn(out, others, passedOthers, &turns.others, now)
+	out := t.nextStates(nil, routing, among, &cursors.routing, now)
+	return t.nextStates(out, others, statesOthers, &cursors.others, now)
 }
 
-// passOn adds up to n hosts, beginning where the last round ended.
-func (t *Table) passOn(out []*pb.MemberState, hosts []*host, n int, turn *int, now time.Time) []*pb.MemberState {
+// nextStates adds up to n hosts, beginning where the last round ended.
+func (t *Table) nextStates(out []*pb.MemberState, hosts []*host, n int, cursor *int, now time.Time) []*pb.MemberState {
 	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.beat.Host, b.beat.Host) })
 	n = min(n, len(hosts))
 	for i := range n {
-		h := hosts[(*turn+i)%len(hosts)]
+		h := hosts[(*cursor+i)%len(hosts)]
 		b := h.beat
 		out = append(out, &pb.MemberState{
 			Host: b.Host, Incarnation: b.Incarnation, Sequence: b.Sequence, AvailabilityZone: b.AvailabilityZone,
@@ -215,7 +215,7 @@
 		})
 	}
 	if n > 0 {
-		*turn = (*turn + n) % len(hosts)
+		*cursor = (*cursor + n) % len(hosts)
 	}
 	return out
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -19,16 +19,16 @@
 )
 
 const (
-	// vouchedFactor times the silence of a dead host is how old other hosts' word of a
+	// relayedFactor times the silence of a dead host is how old other hosts' word of a
 	// routing host may be: it is passed on about once in half that time, and a datagram
 	// or two may be lost.
-	vouchedFactor = 2.5
+	relayedFactor = 2.5
 	// standbySilence is how long a standby host may be silent that tells this one. Its
 	// life matters only once it is to route, and then it is heard of soon.
 	standbySilence = 30 * time.Second
-	// rumourSilence is the same for standby hosts that tell others: with hundreds of
+	// relayedStandbySilence is the same for standby hosts that tell others: with hundreds of
 	// them each is passed on every ten seconds or so.
-	rumourSilence = time.Minute
+	relayedStandbySilence = time.Minute
 	// forgetAfter is the silence after which an address is given up.
 	forgetAfter = 3 * time.Minute
 )
@@ -47,23 +47,24 @@
 	ordered []*host
 	// zones holds the availability zone of each peer address.
 	zones map[string]string
-	// strangers are peer addresses without a host that was heard of lately.
-	strangers map[string]*stranger
-	view      *View
+	// probes are peer addresses that may or may not have a host: seeds, those read from
+	// the store, those of dead hosts.
+	probes map[string]*probe
+	view   *View
 	// died holds the hosts that were found dead since Expire was last called.
 	died []string
 	// expected holds the hosts that tell this one each interval or two, by the last
 	// view: their silence means something.
 	expected map[string]bool
-	// allTurn counts heartbeats of a small fleet.
-	allTurn int
-	// routingTurns and standbyTurns are where the next rounds of passing on hosts begin,
+	// heartbeats counts those sent in a small fleet.
+	heartbeats int
+	// routingCursors and standbyCursors are where the next rounds of passing on hosts begin,
 	// to routing hosts and to standby ones.
-	routingTurns, standbyTurns turns
+	routingCursors, standbyCursors cursors
 }
 
-// turns are places in the lists of hosts that are passed on.
-type turns struct{ routing, others int }
+// cursors are places in the lists of hosts that are passed on.
+type cursors struct{ routing, others int }
 
 // host is what is known of another host.
 type host struct {
@@ -80,12 +81,12 @@
 	order uint64
 	// chosen is since when this host counts it among the routing ones, or zero.
 	chosen time.Time
-	// missed is set while the host is thought dead.
-	missed bool
+	// dead is set until the host is heard of again.
+	dead bool
 }
 
-// stranger is an address that is tried.
-type stranger struct {
+// probe is an address of which no host was heard of lately.
+type probe struct {
 	since time.Time
 	tried time.Time
 }
@@ -96,7 +97,7 @@
 	return &Table{
 		self: self, deadAfter: deadAfter, choose: Routing,
 		ordered: []*host{{beat: self, order: xxh3.HashString(self.Host)}},
-		hosts:   map[string]*host{}, zones: map[string]string{}, strangers: map[string]*stranger{},
+		hosts:   map[string]*host{}, zones: map[string]string{}, probes: map[string]*probe{},
 	}
 }
 
@@ -119,7 +120,7 @@
 }
 
 func (t *Table) learn(peer string, now time.Time) {
-	if peer == "" || peer == t.self.PeerAddress || t.strangers[peer] != nil {
+	if peer == "" || peer == t.self.PeerAddress || t.probes[peer] != nil {
 		return
 	}
 	for _, h := range t.hosts {
@@ -127,7 +128,7 @@
 			return
 		}
 	}
-	t.strangers[peer] = &stranger{since: now}
+	t.probes[peer] = &probe{since: now}
 }
 
 // ZoneOf returns the availability zone of the host with a peer address, or "".
@@ -158,7 +159,7 @@
 		return h.beat, false
 	}
 	for _, m := range b.Members {
-		t.vouched(m, now)
+		t.takeState(m, now)
 	}
 	h = t.hosts[b.Host]
 	if h != nil {
@@ -182,12 +183,12 @@
 		at, _ := slices.BinarySearchFunc(t.ordered, h, byOrder)
 		t.ordered = slices.Insert(t.ordered, at, h)
 		t.view = nil
-	} else if h.missed || h.beat.Ready != b.Ready || h.beat.Leaving != b.Leaving || h.beat.Incarnation != b.Incarnation {
+	} else if h.dead || h.beat.Ready != b.Ready || h.beat.Leaving != b.Leaving || h.beat.Incarnation != b.Incarnation {
 		t.view = nil
 	}
-	delete(t.strangers, b.PeerAddress)
+	delete(t.probes, b.PeerAddress)
 	t.zones[b.PeerAddress] = b.AvailabilityZone
-	h.beat, h.missed = b, false
+	h.beat, h.dead = b, false
 	h.heard = latest(h.heard, heard)
 	return h
 }
@@ -204,8 +205,8 @@
 	return b
 }
 
-// vouched takes another host's word of a third one. An older word changes nothing.
-func (t *Table) vouched(m *pb.MemberState, now time.Time) {
+// takeState takes another host's word of a third one. An older word changes nothing.
+func (t *Table) takeState(m *pb.MemberState, now time.Time) {
 	if m.Host == t.self.Host {
 		return
 	}
@@ -214,7 +215,7 @@
 	if h != nil && !sent.After(h.heard) {
 		return
 	}
-	if now.Sub(sent) > rumourSilence {
+	if now.Sub(sent) > relayedStandbySilence {
 		return
 	}
 	if h != nil && h.beat.Incarnation == m.Incarnation && h.beat.Sequence >= m.Sequence {
@@ -235,18 +236,18 @@
 	case h.direct && t.expected[h.beat.Host]:
 		return t.deadAfter
 	case h.beat.Routing || !h.chosen.IsZero():
-		return time.Duration(vouchedFactor * float64(t.deadAfter))
+		return time.Duration(relayedFactor * float64(t.deadAfter))
 	case h.direct:
 		return standbySilence
 	default:
-		return rumourSilence
+		return relayedStandbySilence
 	}
 }
 
 // alive reports whether the host is thought to live. One that has just been chosen
 // to route has time to be heard of from then on.
 func (t *Table) alive(h *host, now time.Time) bool {
-	if h.missed {
+	if h.dead {
 		return false
 	}
 	last := h.heard
@@ -256,15 +257,15 @@
 	return now.Sub(last) < t.silence(h)
 }
 
-// bury marks the hosts that have died. Their addresses are still tried for a while:
+// markDead marks the hosts that have died. Their addresses are still tried for a while:
 // a host that was cut off, or that starts again while the store is down, learns of
 // the others only from their heartbeats.
-func (t *Table) bury(now time.Time) {
+func (t *Table) markDead(now time.Time) {
 	for id, h := range t.hosts {
-		if !h.missed && !t.alive(h, now) {
-			h.missed = true
+		if !h.dead && !t.alive(h, now) {
+			h.dead = true
 			t.view = nil
-			t.strangers[h.beat.PeerAddress] = &stranger{since: now}
+			t.probes[h.beat.PeerAddress] = &probe{since: now}
 			t.died = append(t.died, id)
 		}
 	}
@@ -275,19 +276,19 @@
 func (t *Table) Expire(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.bury(now)
+	t.markDead(now)
 	died := t.died
 	t.died = nil
 	for id, h := range t.hosts {
-		if h.missed && now.Sub(h.heard) > rumourSilence {
+		if h.dead && now.Sub(h.heard) > relayedStandbySilence {
 			delete(t.hosts, id)
 			t.ordered = slices.DeleteFunc(t.ordered, func(other *host) bool { return other == h })
 			delete(t.zones, h.beat.PeerAddress)
 		}
 	}
-	for peer, s := range t.strangers {
+	for peer, s := range t.probes {
 		if now.Sub(s.since) > forgetAfter {
-			delete(t.strangers, peer)
+			delete(t.probes, peer)
 		}
 	}
 	slices.Sort(died)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -64,7 +64,7 @@
 }
 
 func (t *Table) newView(now time.Time) *View {
-	t.bury(now)
+	t.markDead(now)
 	live := t.live(now)
 	candidates := make([]Candidate, len(live))
 	for i, h := range live {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -83,14 +83,14 @@
 	if len(to.Full) > 0 {
 		full := n.state(now)
 		if round {
-			full.Members = n.members.PassOn(false, now)
+			full.Members = n.members.MemberStates(false, now)
 		}
 		n.addWork(full, round, now)
 		n.gossip.Send(member.Split(full, n.nextSequence), to.Full)
 	}
 	if len(to.Brief) > 0 {
 		brief := n.state(now)
-		brief.Members = n.members.PassOn(true, now)
+		brief.Members = n.members.MemberStates(true, now)
 		n.gossip.Send(member.Split(brief, n.nextSequence), to.Brief)
 	}
 	if len(to.Ask) > 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -214,7 +214,7 @@
 	}
 }
 
-// TestConfigurationReachesHostsWithoutTheStore: the store turns one host away and
+// TestConfigurationReachesHostsWithoutTheStore: the store cursors one host away and
 // serves the other.
 func TestConfigurationReachesHostsWithoutTheStore(t *testing.T) {
 	s := newSite(t)
@@ -246,7 +246,7 @@
 		}
 		return false
 	})
-	// A host that starts while the store turns it away learns from the others.
+	// A host that starts while the store cursors it away learns from the others.
 	c := s.host("c", gate, a)
 	eventually(t, "readiness of c", c.ready)
 }
