admin: hosts and replicas counted by zone, those off the norm listed

Cause: 295 hosts and 140 replicas filled screens; what was wrong stood somewhere among them.

A host's status says whether it routes and whether it is heard directly.

Ruled out: paging; the count by zone is what is looked for first.

--- a/cmd/briarlink/admin.go
+++ b/cmd/briarlink/admin.go
@@ -7,7 +7,6 @@
 	"maps"
 	"os"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -31,10 +30,14 @@
 }
 
 type (
-	statusCmd   struct{}
-	hostsCmd    struct{}
-	replicasCmd struct{}
-	weightsCmd  struct{}
+	statusCmd struct{}
+	hostsCmd  struct {
+		All bool `help:"Print every host, not only those that are dead, leaving or not ready."`
+	}
+	replicasCmd struct {
+		All bool `help:"Print every backend server, not only those that do not serve or hold other weights than most."`
+	}
+	weightsCmd struct{}
 )
 
 // Run implements the status command.
@@ -43,20 +46,24 @@
 		fmt.Fprintf(w, "host\t%s\t%s\tconfiguration %d\n", s.Host, s.State, s.ConfigVersion)
 		printLease(w, s)
 		fmt.Fprintln(w)
-		printHosts(w, s)
+		printHosts(w, s, false)
 		fmt.Fprintln(w)
-		printReplicas(w, s)
+		printReplicas(w, s, false)
 	})
 }
 
 // Run implements the hosts command.
-func (hostsCmd) Run(a *adminCmd) error {
-	return a.show(func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }, printHosts)
+func (c hostsCmd) Run(a *adminCmd) error {
+	return a.show(func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }, func(w io.Writer, s *pb.StatusResponse) {
+		printHosts(w, s, c.All)
+	})
 }
 
 // Run implements the replicas command.
-func (replicasCmd) Run(a *adminCmd) error {
-	return a.show(func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }, printReplicas)
+func (c replicasCmd) Run(a *adminCmd) error {
+	return a.show(func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }, func(w io.Writer, s *pb.StatusResponse) {
+		printReplicas(w, s, c.All)
+	})
 }
 
 // Run implements the weights command.
@@ -93,21 +100,6 @@
 	fmt.Fprintf(w, "lease\t%s\tfencing token %d\theld here: %t\n", s.Lease.GetHolder(), s.Lease.GetFencingToken(), s.Lease.GetHeldHere())
 }
 
-func printHosts(w io.Writer, s *pb.StatusResponse) {
-	fmt.Fprintln(w, "HOST\tZONE\tADDRESS\tREADY\tLEAVING\tAGE MS")
-	for _, h := range s.Hosts {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\n", h.Id, h.AvailabilityZone, h.CallerAddress, h.Ready && h.Alive, h.Leaving, h.AgeMs)
-	}
-}
-
-func printReplicas(w io.Writer, s *pb.StatusResponse) {
-	fmt.Fprintln(w, "REPLICA\tSERVICE\tADDRESS\tZONE\tSTATE\tWEIGHTS\tREQUESTS\tPREFILL")
-	for _, r := range s.Replicas {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", r.Id, r.Service, r.Address, r.AvailabilityZone, r.State,
-			strings.Join(r.Weights, ","), r.Requests, r.PrefillTokens)
-	}
-}
-
 // printWeights counts the backend servers by the weights that they hold.
 func printWeights(w io.Writer, s *pb.StatusResponse) {
 	counts := map[string]int{}
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -62,7 +61,11 @@
 func TestAdminTables(t *testing.T) {
 	status := &pb.StatusResponse{
 		Lease: &pb.LeaseStatus{Holder: "edge-1", FencingToken: 7},
-		Hosts: []*pb.HostStatus{{Id: "edge-1", AvailabilityZone: "a", CallerAddress: "10.0.0.1:80", Alive: true, Ready: true, AgeMs: 12}},
+		Hosts: []*pb.HostStatus{
+			{Id: "edge-1", AvailabilityZone: "a", CallerAddress: "10.0.0.1:80", Alive: true, Ready: true, Routing: true, Direct: true, AgeMs: 12},
+			{Id: "edge-2", AvailabilityZone: "a", CallerAddress: "10.0.0.2:80", Alive: true, Ready: true, AgeMs: 4200},
+			{Id: "edge-3", AvailabilityZone: "b", CallerAddress: "10.0.1.1:80", Ready: true, Routing: true, AgeMs: 9000},
+		},
 		Replicas: []*pb.ReplicaStatus{
 			{Id: "i-1", Service: "writer", State: "serving", Weights: []string{"m=2"}, Requests: 3, PrefillTokens: 900},
 			{Id: "i-2", Service: "writer", State: "serving", Weights: []string{"m=1"}},
@@ -70,8 +73,11 @@
 		},
 	}
 	var out bytes.Buffer
-	for _, print := range []func(io.Writer, *pb.StatusResponse){printLease, printHosts, printReplicas, printWeights} {
-		print(&out, status)
+	printLease(&out, status)
+	for _, all := range []bool{false, true} {
+		printHosts(&out, status, all)
+		printReplicas(&out, status, all)
 	}
+	printWeights(&out, status)
 	goldie.New(t).Assert(t, "admin-tables", out.Bytes())
 }
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -101,6 +101,7 @@
 		out.Hosts = append(out.Hosts, &pb.HostStatus{
 			Id: h.Beat.Host, AvailabilityZone: h.Beat.AvailabilityZone, CallerAddress: h.Beat.CallerAddress,
 			Alive: h.Alive, Ready: h.Beat.Ready, Leaving: h.Beat.Leaving, AgeMs: h.Age.Milliseconds(),
+			Routing: h.Beat.Routing, Direct: h.Direct,
 		})
 	}
 	out.Lease.Holder, out.Lease.FencingToken, out.Lease.HeldHere = n.lease.Holder()
