explain: a lost answer only by evidence; nothing is expected after 0 ms

Cause: a verdict took any line on a lost answer of the replica for this request's, and said 'expected after 0 ms' where no expectation was written.

Ruled out: the request's ID in that line; answers are matched by the replica's table, which holds no IDs.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -35,6 +35,11 @@
 	"answer-lost": `
 8.9 edge-1 {"level":"info","msg":"answer thought lost: later requests were answered","replica":"i-1","waited_ms":1100,"time":"2026-06-01T10:00:08.9Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the caller left","ms":3200,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"cancelled","Reason":"ended","Ms":3190}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"answer-of-its-own-lost": `
+8.0 edge-1 {"level":"info","msg":"answer thought lost: later requests were answered","replica":"i-1","waited_ms":1100,"time":"2026-06-01T10:00:08.010Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the caller left","ms":3200,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"cancelled","Reason":"ended","Ms":3190}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"nothing-expected": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"deadline_exceeded","error":"deadline_exceeded: the deadline passed","ms":800,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"failed","tries":[{"Replica":"i-1","Result":"cancelled","Reason":"ended","Ms":790}],"time":"2026-06-01T10:00:10.1Z"}`,
 	"configuration-changed": `
 9.5 edge-1 {"level":"info","msg":"configuration in force","version":8,"time":"2026-06-01T10:00:09.5Z"}
 10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":1400,"first_ms":1390,"expected_ms":60,"target_ms":150,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -16,7 +16,7 @@
 
 // verdict says in a sentence what the caller got, why, and which line shows it.
 func verdict(r *logline.Request, end *logline.Line, near, all []logline.Line) string {
-	text := got(r, near)
+	text := got(r, end, near)
 	if evidence := evidence(r, near); evidence != "" {
 		text += "; " + evidence
 	}
@@ -30,7 +30,7 @@
 }
 
 // got says what the caller got.
-func got(r *logline.Request, near []logline.Line) string {
+func got(r *logline.Request, end *logline.Line, near []logline.Line) string {
 	if r.Outcome == obs.OutcomeOK {
 		return answered(r)
 	}
@@ -49,7 +49,7 @@
 		}
 		return fmt.Sprintf("the caller got %d after %.0f ms: replica %s was lost before an answer, and may have run it", errkind.BackendLost.Answer().Status, r.Ms, r.Replica)
 	case errkind.CallerGone, errkind.DeadlineExceeded:
-		return unanswered(r, near)
+		return unanswered(r, end.At, near)
 	default:
 		return fmt.Sprintf("the caller got %s after %.0f ms (%s)", r.Outcome, r.Ms, r.Error)
 	}
@@ -74,7 +74,7 @@
 }
 
 // unanswered tells a caller that left from an answer that never came.
-func unanswered(r *logline.Request, near []logline.Line) string {
+func unanswered(r *logline.Request, end time.Time, near []logline.Line) string {
 	who := "the caller left"
 	if r.Outcome == errkind.DeadlineExceeded.String() {
 		who = "the deadline passed"
@@ -82,8 +82,12 @@
 	switch {
 	case r.FirstMs > 0:
 		return fmt.Sprintf("%s after %.0f ms, in the middle of the answer", who, r.Ms)
-	case find(near, "answer thought lost: later requests were answered", r.Replica) != nil:
+	case r.Sends > 0 && lostHere(r, end, near):
 		return fmt.Sprintf("%s after %.0f ms without an answer: replica %s lost it silently", who, r.Ms, r.Replica)
+	case find(near, lineLost, r.Replica) != nil:
+		return fmt.Sprintf("%s after %.0f ms without an answer; replica %s lost another one silently, whether this one too is not known", who, r.Ms, r.Replica)
+	case r.Sends > 0 && r.ExpectedMs == 0:
+		return fmt.Sprintf("%s after %.0f ms without an answer of replica %s; when one was expected is not known", who, r.Ms, r.Replica)
 	case r.Sends > 0 && r.Ms > lateFactor*r.ExpectedMs:
 		return fmt.Sprintf("%s after %.0f ms without an answer of replica %s, expected after %.0f ms", who, r.Ms, r.Replica, r.ExpectedMs)
 	case r.Sends == 0:
@@ -93,6 +97,35 @@
 	}
 }
 
+// lineLost is written when a later request of a replica is answered long after an
+// earlier one was due.
+const lineLost = "answer thought lost: later requests were answered"
+
+// sameSend is how far apart two accounts of one moment may lie: lines have whole
+// milliseconds and are written a little later.
+const sameSend = 100 * time.Millisecond
+
+// lostHere reports whether a line says so of this very request: one that the replica
+// had been sent when this one was.
+func lostHere(r *logline.Request, end time.Time, near []logline.Line) bool {
+	if len(r.Tries) == 0 {
+		return false
+	}
+	last := r.Tries[len(r.Tries)-1]
+	sent := end.Add(-time.Duration(last.Ms) * time.Millisecond)
+	for i := range near {
+		l := &near[i]
+		if l.Message != lineLost || l.Text("replica") != last.Replica {
+			continue
+		}
+		other := l.At.Add(-time.Duration(l.Number("waited_ms") * float64(time.Millisecond)))
+		if other.Sub(sent).Abs() <= sameSend {
+			return true
+		}
+	}
+	return false
+}
+
 // causes are the lines on a lost replica, the most telling first.
 var causes = []string{"replica thought down", "replica changed state", "replica gives no sign of life", "replica avoided: another host finds it down"}
 
