A server that one host found down is not kept idle, and on old weights, for ever

With 130 others to choose from, and a price of 250 ms on the trial, none was sent; all hosts avoided the replica, the holder of the lease passed it over, and it kept the weights that hosts which had lost all memory then used.

Change: a host tells of a server for 1 s after it could connect again, and the loader orders suspected servers too, after the others; only what it has seen itself makes it pass one over.

Ruled out: the lease (held by one host from 2.04 s on) and the order of loading (every other replica held version 2 by 8 s). Open: a host that restarts counts a version's age from when it learns of it.

Before: TestSuspicionAloneDoesNotKeepWeightsOld and TestSuspectedReplicasComeLast fail without the change.

--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -55,6 +55,11 @@
 	suspectHold = 400 * time.Millisecond
 	// heardLately is how recent a sign of life must be to outweigh that word.
 	heardLately = 300 * time.Millisecond
+	// tellAfterReached is how long others are told of a server that was down once a
+	// connection to it could be opened. It may still hang; but where many servers serve,
+	// the one request that would clear it here may not come for long, and all others
+	// would leave it idle at one host's word.
+	tellAfterReached = time.Second
 	// maxSlow bounds what one answer can say of a server's speed.
 	maxSlow = 12.0
 )
@@ -73,6 +78,8 @@
 	// reached is set once a connection could be opened again: one request may then
 	// try the server.
 	reached bool
+	// reachedAt is when that was.
+	reachedAt time.Time
 	// trying is true while that request is on its way.
 	trying bool
 	// suspected is until when other hosts' word counts that it is down.
@@ -90,6 +97,11 @@
 	return false, true
 }
 
+// tells reports whether other hosts are told that the server is down.
+func (h *health) tells(now time.Time) bool {
+	return h.pause > 0 && (!h.reached || now.Sub(h.reachedAt) < tellAfterReached)
+}
+
 // fail marks the server as down for a pause that doubles each time.
 func (h *health) fail(now time.Time) {
 	h.pause = min(max(2*h.pause, downFirst), downMost)
@@ -142,15 +154,15 @@
 
 func weightsText(model string, version int64) string { return fmt.Sprintf("%s=%d", model, version) }
 
-// Down returns the servers that this host itself thinks down, and the addresses
-// of those that are due for another try to connect.
+// Down returns the servers that other hosts are to know as down, by what this host
+// itself has seen, and the addresses of those that are due for another try to connect.
 func (t *Table) Down(now time.Time) (ids []string, due map[string]string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	due = map[string]string{}
 	for id, e := range t.entries {
 		t.noteHang(e, now)
-		if e.health.pause > 0 || e.hanging {
+		if e.hanging || e.health.tells(now) {
 			ids = append(ids, id)
 		}
 		if e.health.pause > 0 && !e.health.reached && !now.Before(e.health.downUntil) {
@@ -169,6 +181,9 @@
 	switch {
 	case e == nil:
 	case ok:
+		if !e.health.reached {
+			e.health.reachedAt = now
+		}
 		e.health.reached, e.health.unreachable = true, false
 	default:
 		t.judge(e, "no connection", now, func(h *health) {
--- a/internal/replica/restart_test.go
+++ b/internal/replica/restart_test.go
@@ -70,3 +70,35 @@
 		t.Errorf("servers %+v", got)
 	}
 }
+
+// TestSuspicionAloneDoesNotKeepWeightsOld: a host that found a server down tells so
+// until a request succeeds there. On old weights the server is given none, so that the
+// suspicion would last for ever if it kept the server from being ordered.
+func TestSuspicionAloneDoesNotKeepWeightsOld(t *testing.T) {
+	there, here := newTestTable("a"), newTestTable("a")
+	now := time.Now()
+	there.Begin("a", Work{}, now).End(Unreachable, now)
+	there.Reached("a", true, now)
+	down, _ := there.Down(now)
+	if len(down) != 1 {
+		t.Fatalf("told as down: %v", down)
+	}
+	here.Suspect("there", down, now)
+	s := here.Servers(now)[0]
+	if s.Down || !s.Suspected {
+		t.Errorf("here it is %+v, want suspected and not down", s)
+	}
+	if r := here.Snapshot(testService, testModel, 1000, now)[0]; !r.Doubted {
+		t.Error("requests are not kept from a server that another host finds down")
+	}
+	// One host's word ends soon after it could connect again, though no request has
+	// succeeded there: with a hundred other servers none may come for long.
+	if down, _ := there.Down(now.Add(2 * tellAfterReached)); len(down) != 0 {
+		t.Errorf("still told as down: %v", down)
+	}
+	// What this host has seen itself still counts.
+	here.Begin("a", Work{}, now).End(Unreachable, now)
+	if s := here.Servers(now)[0]; !s.Down {
+		t.Error("a server that this host cannot reach is not down")
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -228,8 +228,10 @@
 	Started int64
 	// Requests of all hosts are not finished.
 	Requests int
-	// Down servers are thought unreachable or hanging.
-	Down bool
+	// Down servers are thought unreachable or hanging by this host itself, Suspected
+	// ones by another.
+	Down      bool
+	Suspected bool
 }
 
 // Servers returns the servers that are neither leaving nor gone and hold
@@ -248,9 +250,10 @@
 			continue
 		}
 		down, _ := e.health.state(now)
+		suspected := e.health.pause == 0 && down
 		s := Server{
 			ID: id, Address: e.reg.Address, Service: e.reg.Service, Started: e.reg.Started, Weights: map[string]int64{},
-			Requests: int(t.load(e, now).Requests), Down: down || e.silence(now) > hangAfter,
+			Requests: int(t.load(e, now).Requests), Down: down && !suspected || e.silence(now) > hangAfter, Suspected: suspected,
 		}
 		for model, version := range e.weights {
 			s.Weights[model] = version
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -177,7 +177,8 @@
 
 // behind returns the reachable replicas without the wanted weights: those with the oldest
 // first, whose deadline is nearest, then those with the fewest requests, which
-// are ready soonest.
+// are ready soonest. Those that only another host suspects come last: the suspicion
+// may be wrong, and lasts until a request succeeds, which none does on old weights.
 func (l *Loader) behind() []target {
 	var out []target
 	for _, s := range l.replicas.Servers(time.Now()) {
@@ -192,6 +193,9 @@
 	}
 	sort.SliceStable(out, func(i, j int) bool {
 		a, b := out[i].server, out[j].server
+		if a.Suspected != b.Suspected {
+			return b.Suspected
+		}
 		if va, vb := a.Weights[out[i].model], b.Weights[out[j].model]; va != vb {
 			return va < vb
 		}
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -18,17 +18,19 @@
 
 // fakeFleet is the replicas of one model, their orders and what hosts know.
 type fakeFleet struct {
-	mu       sync.Mutex
-	actual   map[string]*fakeReplica
-	known    map[string]int64
-	wanted   int64
-	loading  map[string]time.Time
-	waiting  map[string]int
-	fault    string
-	down     map[string]bool
-	unsure   map[string]bool
-	atOnce   int
-	mostOnce int
+	mu      sync.Mutex
+	actual  map[string]*fakeReplica
+	known   map[string]int64
+	wanted  int64
+	loading map[string]time.Time
+	waiting map[string]int
+	fault   string
+	down    map[string]bool
+	// suspected are those that another host thinks down.
+	suspected map[string]bool
+	unsure    map[string]bool
+	atOnce    int
+	mostOnce  int
 	// thrown counts orders that a replica got while it was reading prompts.
 	thrown int
 }
@@ -62,7 +64,7 @@
 	defer f.mu.Unlock()
 	var out []replica.Server
 	for id, version := range f.known {
-		out = append(out, replica.Server{ID: id, Address: id, Started: f.actual[id].started, Weights: map[string]int64{testModel: version}, Down: f.down[id]})
+		out = append(out, replica.Server{ID: id, Address: id, Started: f.actual[id].started, Weights: map[string]int64{testModel: version}, Down: f.down[id], Suspected: f.suspected[id]})
 	}
 	return out
 }
@@ -309,6 +311,29 @@
 	})
 }
 
+// TestSuspectedReplicasComeLast, and they come: a suspicion may outlive its cause.
+func TestSuspectedReplicasComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(6)
+		fleet.suspected = map[string]bool{"i-0": true, "i-1": true}
+		roll(fleet, func() {
+			fleet.set(func() { fleet.wanted = 2 })
+			for fleet.behind() > 2 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			fleet.set(func() {
+				if fleet.actual["i-0"].version != 1 || fleet.actual["i-1"].version != 1 {
+					t.Error("a suspected replica came before others")
+				}
+			})
+			time.Sleep(4 * time.Second)
+		})
+		if fleet.behind() > 0 {
+			t.Errorf("%d left behind", fleet.behind())
+		}
+	})
+}
+
 // TestFewLoadAtOnce: more would only take longer each.
 func TestFewLoadAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
