One piece of code to wait for a while, and one to call something again and again

Change: package clock has Sleep and Every; topic, rollout, cachesync, dispatch and node call them. What they do is the same.

Ruled out: merging a starting host's wait with the one of a synced follower; their conditions differ after trimmed history.

Tests of the six packages and make lint pass.

--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -75,11 +76,7 @@
 // Run follows the holder until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := f.step(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		clock.Sleep(ctx, f.step(ctx))
 	}
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/mechanism"
@@ -33,10 +34,7 @@
 		return false
 	}
 	r.report.Holds++
-	select {
-	case <-ctx.Done():
-	case <-time.After(choice.Hold):
-	}
+	clock.Sleep(ctx, choice.Hold)
 	return true
 }
 
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/briarlink/briarlink/internal/cachesync"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/mechanism"
 )
 
@@ -33,10 +34,7 @@
 		if len(following) == 0 {
 			pause = firstScan
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		clock.Sleep(ctx, pause)
 	}
 }
 
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -42,20 +43,6 @@
 	announceRetry = time.Second
 )
 
-// every calls f at once and then each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // loops returns the host's background work.
 func (n *Node) loops() []func(context.Context) {
 	follow := func(t *topic.Table, wait, gap time.Duration) *topic.Follower {
@@ -72,9 +59,10 @@
 	operators.WaitNow = func() time.Duration { return operatorWait(n.rank()) }
 	operators.Fresh = n.operatorsKnown
 	operators.Hold = n.holdFirst
+	relayed := func() bool { return n.members.Relayed(time.Now()) }
 	hosts := follow(n.hosts, 0, hostInterval)
-	hosts.Fresh = func() bool { return n.members.Relayed(time.Now()) }
-	hosts.Hold = func() bool { return n.holdFirst() || n.members.Relayed(time.Now()) }
+	hosts.Fresh = relayed
+	hosts.Hold = func() bool { return n.holdFirst() || relayed() }
 	return []func(context.Context){
 		operators.Run,
 		entries.Run,
@@ -108,16 +96,13 @@
 			return
 		}
 		n.log.WithError(err).Info("this host's address was not written; trying again")
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceRetry):
-		}
+		clock.Sleep(ctx, announceRetry)
 	}
 }
 
 // sweep does what is due now and then.
 func (n *Node) sweep(ctx context.Context) {
-	every(ctx, sweepInterval, func() {
+	clock.Every(ctx, sweepInterval, func() {
 		now := time.Now()
 		n.pool.Sweep(now)
 		n.expireHosts(now)
@@ -152,7 +137,7 @@
 // reconnect tries to connect to servers that are thought down, so that no
 // request has to wait for a server that is dark.
 func (n *Node) reconnect(ctx context.Context) {
-	every(ctx, reconnectInterval, func() {
+	clock.Every(ctx, reconnectInterval, func() {
 		_, due := n.replicas.Down(time.Now())
 		for id, address := range due {
 			n.pool.Forget(address)
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -110,10 +111,7 @@
 func (l *Lease) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if l.told() || !l.Follows() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(readPause):
-			}
+			clock.Sleep(ctx, readPause)
 			continue
 		}
 		l.mu.Lock()
@@ -125,10 +123,7 @@
 		l.mu.Unlock()
 		page, err := l.store.Read(ctx, platform.LeaseTopic, from, wait)
 		if !l.took(page, from, err) {
-			select {
-			case <-ctx.Done():
-			case <-time.After(readPause):
-			}
+			clock.Sleep(ctx, readPause)
 		}
 	}
 }
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -116,18 +117,11 @@
 func (l *Loader) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
+	clock.Every(ctx, tick, func() {
 		for _, o := range l.plan(ctx, time.Now()) {
 			wg.Go(func() { l.load(ctx, o) })
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // target is a replica that is to load a version.
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/replica"
 )
 
@@ -15,18 +16,11 @@
 // ends. An order that was carried out seconds late leaves a replica on weights that
 // nobody expects of it.
 func (l *Loader) Verify(ctx context.Context) {
-	ticker := time.NewTicker(verifyInterval)
-	defer ticker.Stop()
-	for {
+	clock.Every(ctx, verifyInterval, func() {
 		for _, s := range l.replicas.Unsure(time.Now()) {
 			l.verify(ctx, s)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (l *Loader) verify(ctx context.Context, s replica.Server) {
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -55,18 +56,12 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := firstBackoff
 	for f.Hold != nil && f.Hold() && !f.Table.Synced() && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(freshCheck):
-		}
+		clock.Sleep(ctx, freshCheck)
 	}
 	synced := f.Table.Synced()
 	for ctx.Err() == nil {
 		if synced && f.Fresh != nil && f.Fresh() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(freshCheck + rand.N(freshCheck)):
-			}
+			clock.Sleep(ctx, freshCheck+rand.N(freshCheck))
 			continue
 		}
 		var err error
@@ -78,10 +73,7 @@
 		} else {
 			backoff = firstBackoff
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		clock.Sleep(ctx, pause)
 	}
 }
 
