Membership and heartbeats: what stood twice, what nothing read, what was done again

Cause: reading the whole change. Whether a relay tells this host was checked in two places; a host's being on its way out was written three times, learning seeds twice; a heartbeat's own fields were copied by hand, so that a new one would be lost without a word; the field to_all had no reader left; a heartbeat's state was made anew for each audience; hosts kept in order were gathered unordered and sorted again at each heartbeat; a counter stood in for a semaphore that x/sync has.

Ruled out: telling the table of this host's state at its changes alone: two at one moment could leave the wrong one for good. One message for a heartbeat and what is passed on of it: states would carry positions and grow.

Tests of member and node pass with -race.

--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		b := proto.CloneOf(h.self)
-		b.Routing, b.ToAll, b.Asks = v.Here, v.All, v.All || kind.ask
+		b.Routing, b.Asks = v.Here, v.All || kind.ask
 		if !kind.ask {
 			b.Members = h.table.MemberStates(kind.standby, s.now)
 		}
--- a/internal/member/routing.go
+++ b/internal/member/routing.go
@@ -85,8 +85,8 @@
 	return sum
 }
 
-// bySize parts hosts into the large ones and the others. Where all are of one
-// size, none is large in a fleet that needs a choice.
+// bySize parts hosts into the large ones and the others; where all are of one size,
+// all are large.
 func bySize(hosts []Candidate) (large, small []Candidate) {
 	most := 0.0
 	for _, h := range hosts {
--- a/internal/member/split.go
+++ b/internal/member/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
@@ -30,13 +31,17 @@
 	return s.out
 }
 
+// withoutLists returns what a heartbeat says of the host itself: every field that is
+// no list, and how far it has applied each topic.
 func withoutLists(b *pb.Heartbeat) *pb.Heartbeat {
-	return &pb.Heartbeat{
-		Host: b.Host, Incarnation: b.Incarnation, AvailabilityZone: b.AvailabilityZone,
-		CallerAddress: b.CallerAddress, PeerAddress: b.PeerAddress, Ready: b.Ready, Leaving: b.Leaving,
-		Positions: b.Positions, OperatorsAgeMs: b.OperatorsAgeMs, EntriesAgeMs: b.EntriesAgeMs,
-		LeaseEnd: b.LeaseEnd, Cores: b.Cores, Routing: b.Routing, ToAll: b.ToAll, Asks: b.Asks,
-	}
+	out := &pb.Heartbeat{Positions: b.Positions}
+	b.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		if !field.IsList() {
+			out.ProtoReflect().Set(field, value)
+		}
+		return true
+	})
+	return out
 }
 
 type splitter struct {
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -60,7 +60,7 @@
 	case v.All:
 	case v.Here || working || t.self.Leaving:
 		a.Full = t.others(v.Routing)
-	case tick%standbyTicks == 0 || !t.self.Ready || !t.heardRelays(v, now):
+	case tick%standbyTicks == 0 || !t.self.Ready || t.heardRelays(v, now) < max(1, len(v.Relays)):
 		a.Ask = t.others(v.Relays)
 	}
 	if !v.All && tick%listenTicks == 0 {
@@ -103,12 +103,11 @@
 func (t *Table) everybody(v *View, now time.Time) Audience {
 	var a Audience
 	a.Full = t.others(v.Routing)
-	for _, h := range t.hosts {
+	for h := range t.known() {
 		if t.alive(h, now) && !slices.Contains(a.Full, h.beat.PeerAddress) {
 			a.Brief = append(a.Brief, h.beat.PeerAddress)
 		}
 	}
-	slices.Sort(a.Brief)
 	return a
 }
 
@@ -117,7 +116,7 @@
 // no relay that would tell them.
 func (t *Table) listeners(now time.Time) []string {
 	var out []string
-	for _, h := range t.hosts {
+	for h := range t.known() {
 		if !h.chosen.IsZero() {
 			continue
 		}
@@ -125,29 +124,18 @@
 			out = append(out, h.beat.PeerAddress)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
 func recent(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < listenFor }
 
-func (t *Table) heardRelays(v *View, now time.Time) bool {
-	heard := 0
-	for _, b := range v.Relays {
-		if h := t.hosts[b.Host]; h != nil && h.direct && now.Sub(h.listened) < t.deadAfter {
-			heard++
-		}
-	}
-	return heard == len(v.Relays) && heard > 0
-}
-
 // probeTargets returns addresses that may or may not have a host, those tried
 // least lately first.
 func (t *Table) probeTargets(now time.Time) []string {
 	due := map[string]*time.Time{}
-	for peer, s := range t.probes {
-		if now.Sub(s.tried) >= probePause {
-			due[peer] = &s.tried
+	for peer, p := range t.probes {
+		if now.Sub(p.tried) >= probePause {
+			due[peer] = &p.tried
 		}
 	}
 	most := probesAlone
@@ -184,7 +172,7 @@
 		}
 	}
 	var routing, others []*host
-	for _, h := range t.hosts {
+	for h := range t.known() {
 		switch {
 		case !t.alive(h, now):
 		case !h.chosen.IsZero():
@@ -203,7 +191,6 @@
 
 // nextStates adds up to n hosts, beginning where the last round ended.
 func (t *Table) nextStates(out []*pb.MemberState, hosts []*host, n int, cursor *int, now time.Time) []*pb.MemberState {
-	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.beat.Host, b.beat.Host) })
 	n = min(n, len(hosts))
 	for i := range n {
 		h := hosts[(*cursor+i)%len(hosts)]
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -193,6 +194,17 @@
 	return h
 }
 
+// known returns the other hosts in their order.
+func (t *Table) known() iter.Seq[*host] {
+	return func(yield func(*host) bool) {
+		for _, h := range t.ordered {
+			if h.beat != t.self && !yield(h) {
+				return
+			}
+		}
+	}
+}
+
 // byOrder compares hosts by an order that is the same for all who know them.
 func byOrder(a, b *host) int {
 	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.beat.Host, b.beat.Host))
@@ -286,8 +298,8 @@
 			delete(t.zones, h.beat.PeerAddress)
 		}
 	}
-	for peer, s := range t.probes {
-		if now.Sub(s.since) > forgetAfter {
+	for peer, p := range t.probes {
+		if now.Sub(p.since) > forgetAfter {
 			delete(t.probes, peer)
 		}
 	}
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -15,7 +15,7 @@
 }
 
 func beat(host string, incarnation, sequence uint64) *pb.Heartbeat {
-	return &pb.Heartbeat{Host: host, Incarnation: incarnation, Sequence: sequence, Ready: true, ToAll: true, CallerAddress: host, PeerAddress: host + ":1"}
+	return &pb.Heartbeat{Host: host, Incarnation: incarnation, Sequence: sequence, Ready: true, CallerAddress: host, PeerAddress: host + ":1"}
 }
 
 func servingOf(t *Table, now time.Time) string {
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -100,11 +100,14 @@
 		if h.beat.Ready {
 			ready = append(ready, h.beat)
 		}
+		if routes && h.beat.Ready {
+			v.Serving = append(v.Serving, h.beat)
+		}
 	}
 	if !v.Here {
 		v.Rank = len(v.Routing) + before
 	}
-	if v.Serving = serving(v.Routing); len(v.Serving) == 0 {
+	if len(v.Serving) == 0 {
 		v.Serving = ready
 	}
 }
@@ -128,16 +131,6 @@
 	}
 }
 
-func serving(hosts []*pb.Heartbeat) []*pb.Heartbeat {
-	var out []*pb.Heartbeat
-	for _, b := range hosts {
-		if b.Ready {
-			out = append(out, b)
-		}
-	}
-	return out
-}
-
 func (t *Table) noteChosen(chosen map[string]bool, now time.Time) {
 	for _, h := range t.ordered {
 		switch {
@@ -170,11 +163,16 @@
 func (t *Table) Relayed(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.viewAt(now)
+	return t.heardRelays(t.viewAt(now), now) > 0
+}
+
+// heardRelays returns the number of this host's relays that tell it.
+func (t *Table) heardRelays(v *View, now time.Time) int {
+	heard := 0
 	for _, b := range v.Relays {
 		if h := t.hosts[b.Host]; h != nil && h.direct && now.Sub(h.listened) < t.deadAfter {
-			return true
+			heard++
 		}
 	}
-	return false
+	return heard
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
@@ -31,10 +33,7 @@
 func (n *Node) heartbeats(ctx context.Context) {
 	ticker := time.NewTicker(n.settings.Member.HeartbeatInterval.AsDuration())
 	defer ticker.Stop()
-	now := time.Now()
-	for _, seed := range n.settings.Member.Seeds {
-		n.members.Learn(n.peerAt(seed), now)
-	}
+	n.learnSeeds(n.settings.Member.Seeds)
 	for tick := 0; ; {
 		now := time.Now()
 		n.setState()
@@ -62,9 +61,13 @@
 	n.beat(n.members.Now(all, now), false, now)
 }
 
-func (n *Node) setState() {
-	n.members.SetState(n.machine.Is(StateReady), n.machine.Is(StateLeaving) || n.machine.Is(StateClosing))
-}
+// setState tells the table of hosts of this host's own state: after each change, so
+// that callers' directory has it at once, and with each heartbeat, since two changes
+// at one moment may be told in the wrong order.
+func (n *Node) setState() { n.members.SetState(n.machine.Is(StateReady), n.leaving()) }
+
+// leaving reports whether callers should connect elsewhere.
+func (n *Node) leaving() bool { return n.machine.Is(StateLeaving) || n.machine.Is(StateClosing) }
 
 // self returns what does not change in this host's heartbeats.
 func (n *Node) self() *pb.Heartbeat {
@@ -80,26 +83,30 @@
 
 // beat sends one heartbeat; a round is one of an interval.
 func (n *Node) beat(to member.Audience, round bool, now time.Time) {
+	state := n.state(now)
 	if len(to.Full) > 0 {
-		full := n.state(now)
+		full := proto.CloneOf(state)
 		if round {
 			full.Members = n.members.MemberStates(false, now)
 		}
 		n.addWork(full, round, now)
-		n.gossip.Send(member.Split(full, n.nextSequence), to.Full)
+		n.send(full, to.Full)
 	}
 	if len(to.Brief) > 0 {
-		brief := n.state(now)
+		brief := proto.CloneOf(state)
 		brief.Members = n.members.MemberStates(true, now)
-		n.gossip.Send(member.Split(brief, n.nextSequence), to.Brief)
+		n.send(brief, to.Brief)
 	}
 	if len(to.Ask) > 0 {
-		ask := n.state(now)
-		ask.Asks = true
-		n.gossip.Send(member.Split(ask, n.nextSequence), to.Ask)
+		state.Asks = true
+		n.send(state, to.Ask)
 	}
 }
 
+func (n *Node) send(b *pb.Heartbeat, to []string) {
+	n.gossip.Send(member.Split(b, n.nextSequence), to)
+}
+
 func (n *Node) nextSequence() uint64 { return n.sequence.Add(1) }
 
 // state returns what every host may know of this one.
@@ -107,8 +114,8 @@
 	b := n.self()
 	v := n.members.View(now)
 	b.Ready = n.machine.Is(StateReady)
-	b.Leaving = n.machine.Is(StateLeaving) || n.machine.Is(StateClosing)
-	b.Routing, b.ToAll, b.Asks = v.Here, v.All, v.All
+	b.Leaving = n.leaving()
+	b.Routing, b.Asks = v.Here, v.All
 	b.OperatorsAgeMs = ageMs(n.operatorsAge(now))
 	b.EntriesAgeMs = ageMs(n.entriesAge(now))
 	b.LeaseEnd = n.lease.HeldEnd()
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -41,7 +41,7 @@
 	}
 	n.heardSent(b)
 	n.heardFresh(b, now)
-	n.catchUp(b, now)
+	n.catchUp(b)
 }
 
 func (n *Node) heardSent(b *pb.Heartbeat) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/looplab/fsm"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/addr"
@@ -117,10 +118,10 @@
 	toAll atomic.Bool
 	// told is what the others know of this host's work; the heartbeats' alone.
 	told replica.Told
-	// fetching holds the topics that are being fetched from a peer; serving is the
-	// number of peers that are fetching from this host.
+	// fetching holds the topics that are being fetched from a peer; serving bounds the
+	// peers that fetch from this host at once.
 	fetching sync.Map
-	serving  atomic.Int32
+	serving  *semaphore.Weighted
 	// waitsForOperators is whether this host reads operators' records itself.
 	waitsForOperators atomic.Bool
 	// operatorsFresh and entriesFresh are since when the topics are known whole by
@@ -145,6 +146,7 @@
 		index:       prefix.NewIndex(),
 		pool:        upstream.NewPool(),
 		kick:        make(chan struct{}, 1),
+		serving:     semaphore.NewWeighted(maxServed),
 		started:     time.Now(),
 		holdFor:     firstHold(s.Member),
 	}
@@ -240,7 +242,7 @@
 		View:            n.view,
 		Refuse:          n.refuse,
 		Ready:           func() bool { return n.machine.Is(StateReady) },
-		Closing:         func() bool { return n.machine.Is(StateLeaving) || n.machine.Is(StateClosing) },
+		Closing:         n.leaving,
 		Directory:       n.directory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
 		Dispatcher:      dispatcher,
@@ -327,14 +329,19 @@
 		return errors.Wrap(err, "log level")
 	}
 	n.log.SetLevel(level)
-	now := time.Now()
-	for _, seed := range s.Member.Seeds {
-		n.members.Learn(n.peerAt(seed), now)
-	}
+	n.learnSeeds(s.Member.Seeds)
 	n.log.Info("settings reloaded")
 	return nil
 }
 
+// learnSeeds takes the IP addresses of hosts to try.
+func (n *Node) learnSeeds(ips []string) {
+	now := time.Now()
+	for _, ip := range ips {
+		n.members.Learn(n.peerAt(ip), now)
+	}
+}
+
 // peerAt returns the peer address of a host: ports are the same on all hosts.
 func (n *Node) peerAt(ip string) string {
 	return addr.OnHost(ip, n.settings.Listen.Peer)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -24,7 +24,7 @@
 )
 
 // catchUp fetches records that another host has applied and this one lacks.
-func (n *Node) catchUp(b *pb.Heartbeat, now time.Time) {
+func (n *Node) catchUp(b *pb.Heartbeat) {
 	for _, t := range n.shared() {
 		ahead := position(b, t.Name()) > t.End() || !t.Synced() && position(b, t.Name()) > 0
 		if !ahead {
@@ -75,11 +75,10 @@
 
 // FetchRecords implements the peer service.
 func (p *peerService) FetchRecords(_ context.Context, in *pb.FetchRecordsRequest) (*pb.FetchRecordsResponse, error) {
-	if p.n.serving.Add(1) > maxServed {
-		p.n.serving.Add(-1)
+	if !p.n.serving.TryAcquire(1) {
 		return nil, errBusy
 	}
-	defer p.n.serving.Add(-1)
+	defer p.n.serving.Release(1)
 	for _, t := range p.n.shared() {
 		if t.Name() != in.Topic || !t.Synced() {
 			continue
