--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/briarlink/briarlink/internal/errkind"
@@ -113,17 +114,10 @@
 	}
 	last := r.Tries[len(r.Tries)-1]
 	sent := end.Add(-time.Duration(last.Ms) * time.Millisecond)
-	for i := range near {
-		l := &near[i]
-		if l.Message != lineLost || l.Text("replica") != last.Replica {
-			continue
-		}
+	return slices.ContainsFunc(near, func(l logline.Line) bool {
 		other := l.At.Add(-time.Duration(l.Number("waited_ms") * float64(time.Millisecond)))
-		if other.Sub(sent).Abs() <= sameSend {
-			return true
-		}
-	}
-	return false
+		return l.Message == lineLost && l.Text("replica") == last.Replica && other.Sub(sent).Abs() <= sameSend
+	})
 }
 
 // causes are the lines on a lost replica, the most telling first.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -129,7 +129,7 @@
 
 // ageMs returns an age for a heartbeat: -1 for never.
 func ageMs(age time.Duration) int64 {
-	if age >= member.NeverFresh {
+	if age >= topic.NeverFresh {
 		return -1
 	}
 	return age.Milliseconds()
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -6,7 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
-	"github.com/briarlink/briarlink/internal/member"
+	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -82,7 +82,7 @@
 
 func millisAge(ms int64) time.Duration {
 	if ms < 0 {
-		return member.NeverFresh
+		return topic.NeverFresh
 	}
 	return time.Duration(ms) * time.Millisecond
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 	waitsForOperators atomic.Bool
 	// operatorsFresh and entriesFresh are since when the topics are known whole by
 	// other hosts' word.
-	operatorsFresh, entriesFresh member.Freshness
+	operatorsFresh, entriesFresh topic.Freshness
 }
 
 // New returns a host that is not running yet. lines is the log's writer; the
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -75,11 +75,9 @@
 	downUntil time.Time
 	// unreachable is set while connections to the server fail.
 	unreachable bool
-	// reached is set once a connection could be opened again: one request may then
-	// try the server.
-	reached bool
-	// reachedAt is when that was.
-	reachedAt time.Time
+	// reached is since when a connection can be opened again, or zero: one request may
+	// then try the server.
+	reached time.Time
 	// trying is true while that request is on its way.
 	trying bool
 	// suspected is until when other hosts' word counts that it is down.
@@ -89,24 +87,28 @@
 // state returns whether the server is down, or due for a trial.
 func (h *health) state(now time.Time) (down, trial bool) {
 	if h.pause == 0 {
-		return now.Before(h.suspected), false
+		return h.onlySuspected(now), false
 	}
-	if now.Before(h.downUntil) || h.trying || !h.reached {
+	if now.Before(h.downUntil) || h.trying || h.reached.IsZero() {
 		return true, false
 	}
 	return false, true
 }
 
+// onlySuspected reports whether nothing but another host's word speaks against the
+// server.
+func (h *health) onlySuspected(now time.Time) bool { return h.pause == 0 && now.Before(h.suspected) }
+
 // tells reports whether other hosts are told that the server is down.
 func (h *health) tells(now time.Time) bool {
-	return h.pause > 0 && (!h.reached || now.Sub(h.reachedAt) < tellAfterReached)
+	return h.pause > 0 && (h.reached.IsZero() || now.Sub(h.reached) < tellAfterReached)
 }
 
 // fail marks the server as down for a pause that doubles each time.
 func (h *health) fail(now time.Time) {
 	h.pause = min(max(2*h.pause, downFirst), downMost)
 	h.downUntil = now.Add(h.pause)
-	h.reached = false
+	h.reached = time.Time{}
 }
 
 // slow returns how many times as long as expected answers take. It falls back to
@@ -165,7 +167,7 @@
 		if e.hanging || e.health.tells(now) {
 			ids = append(ids, id)
 		}
-		if e.health.pause > 0 && !e.health.reached && !now.Before(e.health.downUntil) {
+		if e.health.pause > 0 && e.health.reached.IsZero() && !now.Before(e.health.downUntil) {
 			due[id] = e.reg.Address
 		}
 	}
@@ -181,10 +183,10 @@
 	switch {
 	case e == nil:
 	case ok:
-		if !e.health.reached {
-			e.health.reachedAt = now
+		if e.health.reached.IsZero() {
+			e.health.reached = now
 		}
-		e.health.reached, e.health.unreachable = true, false
+		e.health.unreachable = false
 	default:
 		t.judge(e, "no connection", now, func(h *health) {
 			h.unreachable = true
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -250,7 +250,7 @@
 			continue
 		}
 		down, _ := e.health.state(now)
-		suspected := e.health.pause == 0 && down
+		suspected := e.health.onlySuspected(now)
 		s := Server{
 			ID: id, Address: e.reg.Address, Service: e.reg.Service, Started: e.reg.Started, Weights: map[string]int64{},
 			Requests: int(t.load(e, now).Requests), Down: down && !suspected || e.silence(now) > hangAfter, Suspected: suspected,
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -183,7 +183,8 @@
 	lost time.Time
 	// regained is when the last outage ended.
 	regained time.Time
-	success  time.Time
+	// success is when the store last answered.
+	success Freshness
 	// back is closed and replaced when an outage ends.
 	back chan struct{}
 }
@@ -204,7 +205,7 @@
 func (a *Access) Succeeded(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.success = now
+	a.success.Note(now)
 	if a.lost.IsZero() {
 		return
 	}
@@ -233,14 +234,4 @@
 }
 
 // Age returns the time since the store last answered.
-func (a *Access) Age(now time.Time) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.success.IsZero() {
-		return neverAnswered
-	}
-	return now.Sub(a.success)
-}
-
-// neverAnswered stands for an age without a start.
-const neverAnswered = 24 * time.Hour
+func (a *Access) Age(now time.Time) time.Duration { return a.success.Age(now) }
--- a/internal/member/fresh.go
+++ b/internal/topic/fresh.go
@@ -1,19 +1,19 @@
-package member
+package topic
 
 import (
 	"sync"
 	"time"
 )
 
-// Freshness is the moment up to which a topic is known whole: since then a record
-// may have been missed. It moves on with this host's own reads, and with the word
-// of hosts that have applied no more than this one. It is safe for concurrent use.
+// Freshness is the moment up to which something is known: that the store answers, or
+// a topic whole. Since then a record may have been missed. It moves on with this
+// host's own reads, or with the word of hosts that have applied no more than this one. It is safe for concurrent use.
 type Freshness struct {
 	mu sync.Mutex
 	at time.Time
 }
 
-// Note records that the topic is known whole up to a moment.
+// Note records that it is known up to a moment.
 func (f *Freshness) Note(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -32,10 +32,10 @@
 	f.Note(now.Add(-age))
 }
 
-// NeverFresh is the age of a topic that was never known whole.
+// NeverFresh is the age of what was never known.
 const NeverFresh = 24 * time.Hour
 
-// Age returns the time since the topic was known whole.
+// Age returns the time since it was known.
 func (f *Freshness) Age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/member/fresh_test.go
+++ b/internal/topic/fresh_test.go
@@ -1,4 +1,4 @@
-package member
+package topic
 
 import (
 	"testing"
--- a/internal/topic/table.go
+++ b/internal/topic/table.go
@@ -22,8 +22,8 @@
 	// end is the first offset not yet applied.
 	end    int64
 	synced bool
-	// read is when this host itself last read the topic.
-	read time.Time
+	// read is up to when this host itself has read the topic.
+	read Freshness
 }
 
 // maxRemoved bounds the removals that are remembered for other hosts.
@@ -54,21 +54,10 @@
 }
 
 // Read records that this host has just read the topic from the store.
-func (t *Table) Read(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.read = now
-}
+func (t *Table) Read(now time.Time) { t.read.Note(now) }
 
 // Age returns how long ago this host itself read the topic.
-func (t *Table) Age(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.read.IsZero() {
-		return neverAnswered
-	}
-	return now.Sub(t.read)
-}
+func (t *Table) Age(now time.Time) time.Duration { return t.read.Age(now) }
 
 // Merge takes records of a read, which must be all up to end. It returns how
 // many were new.
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -155,6 +155,20 @@
 	return platform.Page{Records: truth[from:], End: int64(len(truth)), First: first}, nil
 }
 
+// start runs a follower and returns what ends it.
+func start(f *Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // notes is a map that a follower's callback may fill beside its test.
 type notes struct {
 	mu sync.Mutex
@@ -199,12 +213,7 @@
 			}
 		})
 		access := NewAccess(grace, quietLog())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			(&Follower{Store: reader, Table: table, Access: access, Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
-		}()
+		defer start(&Follower{Store: reader, Table: table, Access: access, Gap: 100 * time.Millisecond, Log: quietLog()})()
 		time.Sleep(time.Second)
 		reader.change(func() { reader.down = true })
 		time.Sleep(3 * time.Second)
@@ -223,8 +232,6 @@
 		if !trust.is("b") {
 			t.Error("a removal long after the outage is not trusted")
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -234,12 +241,7 @@
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
 		var held notes
 		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, !rec.Removed) })
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}).Run(ctx)
-		}()
+		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()})()
 		time.Sleep(time.Second)
 		reader.change(func() {
 			reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}, put("c", 3))
@@ -249,8 +251,6 @@
 		if held.is("a") || !held.is("b") || !held.is("c") {
 			t.Errorf("held: %v", held.m)
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -259,18 +259,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{down: true}
 		table := NewTable("keyed.x", func(platform.Record, bool) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()}).Run(ctx)
-		}()
+		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()})()
 		time.Sleep(10 * time.Second)
 		if reader.calls() > 40 {
 			t.Errorf("%d reads in 10 s", reader.calls())
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -281,12 +274,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{down: true}
 		table := NewTable("keyed.x", func(platform.Record, bool) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()}).Run(ctx)
-		}()
+		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()})()
 		synctest.Wait()
 		// Off the beat of whole milliseconds, so that no read coincides with a look.
 		time.Sleep(time.Microsecond)
@@ -303,8 +291,6 @@
 		if longest > maxBackoff {
 			t.Errorf("no read for %v in an outage, want %v at the most", longest, maxBackoff)
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -315,14 +301,9 @@
 		table := NewTable("keyed.x", func(platform.Record, bool) {})
 		var fresh atomic.Bool
 		fresh.Store(true)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
-			f.Fresh = fresh.Load
-			f.Run(ctx)
-		}()
+		f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
+		f.Fresh = fresh.Load
+		defer start(f)()
 		time.Sleep(5 * time.Second)
 		if reader.calls() != 1 {
 			t.Errorf("%d reads while others read, want the first", reader.calls())
@@ -332,8 +313,6 @@
 		if reader.calls() < 8 {
 			t.Errorf("%d reads once nobody does", reader.calls())
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -345,15 +324,10 @@
 			reader := &fakeReader{truth: history{put("a", 0)}}
 			table := NewTable("keyed.x", func(platform.Record, bool) {})
 			began := time.Now()
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
-				f.Hold = func() bool { return time.Since(began) < time.Second }
-				f.Fresh = func() bool { return told }
-				f.Run(ctx)
-			}()
+			f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
+			f.Hold = func() bool { return time.Since(began) < time.Second }
+			f.Fresh = func() bool { return told }
+			defer start(f)()
 			time.Sleep(500 * time.Millisecond)
 			if told {
 				table.MergeAll(reader.truth, 1, true)
@@ -365,8 +339,6 @@
 			if asked := reader.calls() > 0; asked == told {
 				t.Errorf("%s: %d calls after the wait", name, reader.calls())
 			}
-			cancel()
-			<-done
 		})
 	}
 }
@@ -379,12 +351,7 @@
 		var held notes
 		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, true) })
 		access := NewAccess(0, quietLog())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			(&Follower{Store: reader, Table: table, Access: access, Wait: time.Minute, Log: quietLog()}).Run(ctx)
-		}()
+		defer start(&Follower{Store: reader, Table: table, Access: access, Wait: time.Minute, Log: quietLog()})()
 		time.Sleep(time.Second)
 		// The waiting read does not see the new record, as it hangs.
 		reader.change(func() { reader.truth = append(reader.truth, put("b", 1)) })
@@ -395,7 +362,5 @@
 		if !held.is("b") {
 			t.Error("the record was not read after the outage")
 		}
-		cancel()
-		<-done
 	})
 }
