Records that cannot be read are left out with a line that says so

Change: one warning a page, with the topic and their number.

Ruled out: a metric; malformed entries have one, and these are of all topics.

Figures: TestUnreadableRecordsArePassedOver fails without the change (no line) and passes with it; what stands after such a record was read before, too.

--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -104,6 +104,7 @@
 		f.failed(ctx, err)
 		return true, err
 	}
+	f.noteUnreadable(page)
 	f.Access.Succeeded(time.Now())
 	f.Table.Read(time.Now())
 	f.Table.Merge(page.Records, from+int64(len(page.Records)+page.Unreadable), f.Access.Stable(time.Now()))
@@ -150,6 +151,7 @@
 		f.failed(ctx, err)
 		return false, err
 	}
+	f.noteUnreadable(page)
 	f.Access.Succeeded(time.Now())
 	if !f.Table.Snapshot(page, f.Access.Stable(time.Now())) {
 		return false, errors.New("the store's view is older than this host's")
@@ -159,6 +161,14 @@
 	return true, nil
 }
 
+// noteUnreadable says that a page left records out. Each is read once, and again
+// after trimmed history, so that such writes bound the lines.
+func (f *Follower) noteUnreadable(page platform.Page) {
+	if page.Unreadable > 0 {
+		f.Log.WithFields(logrus.Fields{"topic": f.Table.Name(), "records": page.Unreadable}).Warn("records that cannot be read were left out")
+	}
+}
+
 func (f *Follower) tell() {
 	if f.OnRead != nil {
 		f.OnRead()
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"pgregory.net/rapid"
 
 	"github.com/briarlink/briarlink/platform"
@@ -343,6 +344,38 @@
 	}
 }
 
+// unreadable is a reader of a topic with records that nobody can read.
+type unreadable struct{ *fakeReader }
+
+func (u unreadable) Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Page, error) {
+	page, err := u.fakeReader.Read(ctx, topic, from, wait)
+	if from == 1 && err == nil && len(page.Records) > 0 {
+		page.Records, page.Unreadable = page.Records[1:], 1
+	}
+	return page, err
+}
+
+// TestUnreadableRecordsArePassedOver, with a line that says so: what stands after them
+// is read, and they are not read again.
+func TestUnreadableRecordsArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, lines := logtest.NewNullLogger()
+		reader := &fakeReader{truth: history{put("a", 0)}}
+		var held notes
+		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, true) })
+		defer start(&Follower{Store: unreadable{reader}, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: log})()
+		time.Sleep(time.Second)
+		reader.change(func() { reader.truth = append(reader.truth, put("?", 1), put("b", 2)) })
+		time.Sleep(time.Second)
+		if !held.is("b") || table.End() != 3 {
+			t.Errorf("held %v up to %d, want b up to 3", held.m, table.End())
+		}
+		if n := len(lines.AllEntries()); n != 1 {
+			t.Errorf("%d lines, want one", n)
+		}
+	})
+}
+
 // TestWaitingReadEndsWithTheOutage: it may hang on a connection that the outage
 // has silenced, while another call shows that the store is back.
 func TestWaitingReadEndsWithTheOutage(t *testing.T) {
