An order turned down for an old count is given again at once

Cause: a host remembers how many orders each replica has accepted. Where another host held the lease in between, the replica answers "conflict", and the host then waited for the order until its timeout of 4 s, for a count above its own passed for a sign that the order was accepted. With a fifth of the replicas at a time that is 4 s five times over.

Change: a conflict on a remembered count makes the host ask the replica for its count and order again at once. An order that was not seen to be accepted is given up as soon as nothing loads and the count has passed the one it names. A replica that says it already holds the weights tells nothing of its count, which was counted up; it is asked next time.

Ruled out: forgetting every count when the lease is taken: a report for each replica of each rollout, where mostly the same host gave the orders before.

--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -37,21 +37,28 @@
 func (l *Loader) bring(ctx context.Context, t target) error {
 	l.drain(ctx, t)
 	sequence, known := l.sequence(t.server.ID)
-	if !known {
-		report, err := l.report(ctx, t)
+	if known {
+		result, err := l.order(ctx, t, sequence)
 		if err != nil {
 			return err
 		}
-		if l.holds(t, report) {
-			return nil
+		if result != platform.OrderConflict {
+			return l.await(ctx, t, sequence, result)
 		}
-		sequence = report.Sequence
+		// Another host has given orders since: only the replica knows how many.
+	}
+	report, err := l.report(ctx, t)
+	if err != nil {
+		return err
 	}
-	accepted, err := l.order(ctx, t, sequence)
+	if l.holds(t, report) {
+		return nil
+	}
+	result, err := l.order(ctx, t, report.Sequence)
 	if err != nil {
 		return err
 	}
-	return l.await(ctx, t, sequence, accepted)
+	return l.await(ctx, t, report.Sequence, result)
 }
 
 // drain keeps new requests away from the replica until it has read the prompts
@@ -110,9 +117,9 @@
 	return true
 }
 
-// order sends the order right after checking the lease. It reports whether the
-// replica surely accepted it.
-func (l *Loader) order(ctx context.Context, t target, sequence int64) (bool, error) {
+// order sends the order right after checking the lease. An order without an answer may
+// have been accepted.
+func (l *Loader) order(ctx context.Context, t target, sequence int64) (platform.OrderResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o := platform.LoadOrder{
@@ -120,7 +127,7 @@
 		Holder: l.holder, Fencing: l.lease.Fencing(), Sequence: sequence,
 	}
 	if !l.lease.Valid() {
-		return false, errLeaseEnded
+		return platform.OrderRefused, errLeaseEnded
 	}
 	l.Ordered()
 	result, err := l.engine.Order(ctx, t.server.Address, o)
@@ -128,22 +135,21 @@
 		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(),
 	})
 	if err != nil {
-		// It may have been accepted: the reports show it.
+		// The reports show whether it was accepted.
 		line.WithError(err).Warn("order to load weights without an answer")
-		return false, nil
+		return platform.OrderLost, nil
 	}
 	line.Info("order to load weights")
-	switch result {
-	case platform.OrderAccepted, platform.OrderHolds:
+	if result == platform.OrderAccepted {
 		l.setSequence(t.server.ID, sequence+1)
-		return true, nil
-	case platform.OrderConflict:
-		l.Forget(t.server.ID)
-		return false, nil
-	default:
-		l.Forget(t.server.ID)
-		return false, errOrderRefused
+		return result, nil
+	}
+	// The count is not what was believed, or nothing was said of it.
+	l.Forget(t.server.ID)
+	if result == platform.OrderHolds || result == platform.OrderConflict {
+		return result, nil
 	}
+	return result, errOrderRefused
 }
 
 // Forget drops what is known of a replica's orders: it left or started again,
@@ -154,9 +160,10 @@
 	delete(l.sequences, id)
 }
 
-// await asks the replica until it holds the target's weights. An order that was
-// surely not accepted ends it early, so that the next plan orders again.
-func (l *Loader) await(ctx context.Context, t target, sequence int64, accepted bool) error {
+// await asks the replica until it holds the target's weights. An order that was not
+// accepted, and will not be, ends the wait early, so that the next plan orders again.
+func (l *Loader) await(ctx context.Context, t target, sequence int64, result platform.OrderResult) error {
+	accepted := result == platform.OrderAccepted || result == platform.OrderHolds
 	began := time.Now()
 	pause := firstReport
 	failures := 0
@@ -184,9 +191,19 @@
 		if l.holds(t, report) {
 			return nil
 		}
-		waited := time.Since(began)
-		if !accepted && !report.Loading && report.Sequence <= sequence && waited > resendAfter {
+		if !accepted && isVoid(report, sequence, time.Since(began)) {
 			return errOrderLost
 		}
 	}
 }
+
+// isVoid reports whether an order that the replica was not seen to accept need not be
+// waited for: its condition cannot come true any more, since others were accepted and
+// have ended, or it had time enough to arrive. Without the first a host whose count of
+// a replica's orders is old would lose loadTimeout to each replica.
+func isVoid(report platform.EngineReport, sequence int64, waited time.Duration) bool {
+	if report.Loading {
+		return false
+	}
+	return report.Sequence > sequence || waited > resendAfter
+}
