A test that fails: a holder that does not reach some replicas keeps the lease

A holder that gets no answer from some replicas tries them for ever and renews the lease meanwhile, also where it believes others to be down and passes those over. Ruled out: a holder that believes replicas down and has nothing else to do; its lease ends, and another host takes over.

--- a/internal/rollout/handover_test.go
+++ b/internal/rollout/handover_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -81,3 +82,71 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// hostView is what one host sees of the fleet, and which replicas it reaches.
+type hostView struct {
+	*fakeFleet
+	// cut replicas do not answer this host, down ones it believes to be down.
+	cut, down map[string]bool
+}
+
+func (v hostView) Servers(now time.Time) []replica.Server {
+	servers := v.fakeFleet.Servers(now)
+	for i := range servers {
+		servers[i].Down = v.down[servers[i].ID]
+	}
+	return servers
+}
+
+func (v hostView) Report(ctx context.Context, address, id string) (platform.EngineReport, error) {
+	if v.cut[address] {
+		time.Sleep(callTimeout)
+		return platform.EngineReport{}, errLost
+	}
+	return v.fakeFleet.Report(ctx, address, id)
+}
+
+func (v hostView) Order(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error) {
+	if v.cut[address] {
+		time.Sleep(callTimeout)
+		return platform.OrderLost, errLost
+	}
+	return v.fakeFleet.Order(ctx, address, o)
+}
+
+// TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost: the holder of the lease,
+// well in all else, gets no answer from some replicas, and believes others to be down.
+// It went on trying and kept the lease for ever, so that no other host could give orders.
+// Every replica is to be loaded well before the deadline of new weights.
+func TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost(t *testing.T) {
+	for name, first := range map[string]hostView{
+		"no answers":             {cut: map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
+		"no answer, others down": {cut: map[string]bool{"i-0": true}, down: map[string]bool{"i-1": true, "i-2": true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog()
+				fleet := newFakeFleet(6)
+				first.fakeFleet = fleet
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				for rank, v := range []hostView{first, {fakeFleet: fleet}} {
+					lease := NewLease(&view{log: log}, quietLog(), string(rune('a'+rank)), uint64(rank+1), testTTL)
+					loader := NewLoader(lease, v, v, quietLog(), string(rune('a'+rank)), platform.LoadQueue, 2)
+					loader.Rank = func() int { return rank }
+					wg.Go(func() { lease.Follow(ctx) })
+					wg.Go(func() { loader.Run(ctx) })
+				}
+				time.Sleep(time.Second)
+				fleet.set(func() { fleet.wanted = 2 })
+				time.Sleep(10 * time.Second)
+				if left := fleet.behind(); left > 0 {
+					t.Errorf("%d of 6 replicas lack the weights after 10s", left)
+				}
+				cancel()
+				wg.Wait()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
