A holder that none of the replicas left answers leaves the lease to another host

Cause: whether a replica gets its weights rested on the view of the lease's holder, which went on for ever where it alone did not reach some. Change: once no replica that lacks weights has answered the holder for 1.5 s, it does not renew the lease for 8 s, unless others come to lack weights. The lease ends as usual, so that the wait between the orders of two hosts stays as it was; the next host tries, and leaves it to a third in the same way. Ruled out: orders to replicas that the holder believes down: with nothing else to do its lease ends already. Orders that are lost while reports are answered do not count: the next one may arrive.

--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -66,6 +66,14 @@
 	loadingPart = 5
 	// recentFor is how long other hosts are told of loaded weights.
 	recentFor = 3 * time.Second
+	// yieldAfter is how long none of the replicas that are left may have answered this
+	// host before it leaves the lease to another one: two calls without an answer. With
+	// the rest of the lease and a load that is some 6 s, within the shortest deadline of
+	// new weights that is in use.
+	yieldAfter = 1500 * time.Millisecond
+	// yieldFor is how long it stays away, so that another host can take the lease, find
+	// the replicas out of reach itself, and leave them to a third.
+	yieldFor = 8 * time.Second
 )
 
 // Loader brings replicas to the wanted weights while this host holds the lease.
@@ -93,7 +101,11 @@
 	// sequences holds the orders that each replica has accepted, where known.
 	sequences map[string]int64
 	failed    map[string]time.Time
-	recent    []loaded
+	// silent is since when a replica has not answered this host's reports and orders.
+	silent map[string]time.Time
+	// yielded is until when this host leaves the lease to others.
+	yielded time.Time
+	recent  []loaded
 	// needed is since when some replica lacks the wanted weights.
 	needed time.Time
 }
@@ -109,7 +121,7 @@
 	return &Loader{
 		lease: lease, engine: engine, replicas: replicas, log: log, holder: holder, mode: mode, atOnce: atOnce,
 		Rank: func() int { return 0 }, Changed: func() {}, Loaded: func(string) {}, Ordered: func() {},
-		busy: map[string]bool{}, sequences: map[string]int64{}, failed: map[string]time.Time{},
+		busy: map[string]bool{}, sequences: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]time.Time{},
 	}
 }
 
@@ -144,13 +156,39 @@
 		l.needed = now
 	}
 	waited := now.Sub(l.needed)
+	yields := l.yields(behind, now)
 	l.mu.Unlock()
-	if waited < time.Duration(l.Rank())*rankDelay || !l.lease.Try(ctx) {
+	if yields || waited < time.Duration(l.Rank())*rankDelay || !l.lease.Try(ctx) {
 		return nil
 	}
 	return l.take(behind, l.room(behind), now)
 }
 
+// yields reports whether this host leaves the lease to others, by not renewing it: of the
+// replicas that are left none has answered it for a while. Another host may reach them;
+// by this one's view alone they would keep their old weights. l.mu is held.
+func (l *Loader) yields(behind []target, now time.Time) bool {
+	if len(behind) == 0 {
+		return false
+	}
+	for _, t := range behind {
+		since, silent := l.silent[t.server.ID]
+		if !silent || now.Sub(since) < yieldAfter {
+			return false
+		}
+	}
+	if l.yielded.IsZero() {
+		l.yielded = now.Add(yieldFor)
+		l.log.WithFields(logrus.Fields{"replicas": len(behind), "replica": behind[0].server.ID}).Warn("no replica that lacks weights answers; the lease is left to another host")
+	}
+	if now.Before(l.yielded) {
+		return true
+	}
+	l.yielded = time.Time{}
+	clear(l.silent)
+	return false
+}
+
 // room returns how many replicas may load at once: the setting, more where there
 // are many, and never more than half of those of a model, so that the others
 // serve meanwhile.
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -98,10 +98,24 @@
 	l.sequences[id] = n
 }
 
+// noteAnswer notes whether a replica answered a report or an order.
+func (l *Loader) noteAnswer(id string, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answered {
+		delete(l.silent, id)
+		return
+	}
+	if _, silent := l.silent[id]; !silent {
+		l.silent[id] = time.Now()
+	}
+}
+
 func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
+	l.noteAnswer(t.server.ID, err == nil)
 	if err == nil {
 		l.setSequence(t.server.ID, report.Sequence)
 	}
@@ -131,6 +145,7 @@
 	}
 	l.Ordered()
 	result, err := l.engine.Order(ctx, t.server.Address, o)
+	l.noteAnswer(t.server.ID, err == nil)
 	line := l.log.WithFields(logrus.Fields{
 		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(),
 	})
@@ -158,6 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.sequences, id)
+	delete(l.silent, id)
 }
 
 // await asks the replica until it holds the target's weights. An order that was not
