Metrics of replicas that lack the wanted weights, and for how long

Change: two gauges on every host. Ruled out: a line for each replica: the holder's lines tell of each order already ("result":"conflict", "weights not loaded").

--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -202,6 +202,9 @@
 	m.Hosts.Update(float64(v.Live))
 	m.RoutingHosts.Update(float64(len(v.Routing)))
 	m.Replicas.Update(float64(n.replicas.Count()))
+	lacking, longest := n.replicas.Lacking(now)
+	m.Lacking.Update(float64(lacking))
+	m.LackingAge.Update(longest.Seconds())
 	_, _, here := n.lease.Holder()
 	held := 0.0
 	if here {
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -41,6 +41,10 @@
 	Hosts        tally.Gauge
 	RoutingHosts tally.Gauge
 	Replicas     tally.Gauge
+	// Lacking is the number of replicas that lack the wanted weights, and LackingAge
+	// the longest time, in seconds, for which one of them has, as this host believes.
+	Lacking    tally.Gauge
+	LackingAge tally.Gauge
 	// LeaseHeld is 1 while this host holds the lease for weights.
 	LeaseHeld tally.Gauge
 	Orders    tally.Counter
@@ -82,6 +86,8 @@
 		Hosts:         scope.Gauge("hosts"),
 		RoutingHosts:  scope.Gauge("routing_hosts"),
 		Replicas:      scope.Gauge("replicas"),
+		Lacking:       scope.Gauge("replicas_lacking_weights"),
+		LackingAge:    scope.Gauge("replicas_lacking_weights_seconds"),
 		LeaseHeld:     scope.Gauge("lease_held"),
 		Orders:        scope.Counter("load_orders"),
 		Connections:   scope.Gauge("backend_connections_opened"),
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// TestReplicasThatLackWeightsAreCounted for operators, who see a rollout that stands still.
+func TestReplicasThatLackWeightsAreCounted(t *testing.T) {
+	table := newTestTable("a", "b", "c")
+	start := time.Now()
+	table.Want(testModel, 2, start)
+	table.Holds("a", testModel, 2)
+	table.Want(testModel, 3, start.Add(3*time.Second))
+	n, longest := table.Lacking(start.Add(8 * time.Second))
+	if n != 3 || longest != 8*time.Second {
+		t.Errorf("%d lack weights, one for %v; want 3, for 8s", n, longest)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		table.Holds(id, testModel, 3)
+	}
+	if n, longest := table.Lacking(start.Add(9 * time.Second)); n != 0 || longest != 0 {
+		t.Errorf("%d lack weights, one for %v; want none", n, longest)
+	}
+}
+
 // TestLapsedEntryServesUntilTheOutageIsOver: an entry that went missing in an
 // outage means nothing at first, and that its server is gone afterwards.
 func TestLapsedEntryServesUntilTheOutageIsOver(t *testing.T) {
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -87,6 +87,23 @@
 	return false
 }
 
+// Lacking returns how many servers lack the wanted weights, and the longest time for
+// which one of them has.
+func (t *Table) Lacking(now time.Time) (servers int, longest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if !t.lacks(e) || e.machine.Is(StateDraining) {
+			continue
+		}
+		servers++
+		for model, version := range e.weights {
+			longest = max(longest, t.behind(model, version, now))
+		}
+	}
+	return servers, longest
+}
+
 // unsureFor is how long a server that refused the weights it was believed to hold
 // gets no requests, unless its own report tells before: reports are some hundred
 // milliseconds old.
