A replica that reports older weights than believed is loaded again

One that refuses the weights it is believed to hold is asked; a report of older ones was thrown away, so that nobody would order it again. Change: its own report counts, unless something newer was learned meanwhile. Ruled out: that reports are some hundred milliseconds old: the belief comes from an earlier report or entry of the same start, so that a later report cannot lag behind it. Before: TestReplicaThatWentBackIsLoadedAgain failed (believed 3, holds 2). After: passes.

--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// TestOwnReportOfOlderWeightsCounts, unless it is older than what is believed by now.
+func TestOwnReportOfOlderWeightsCounts(t *testing.T) {
+	table := newTestTable("a")
+	now := time.Now()
+	table.Want(testModel, 4, now)
+	table.Holds("a", testModel, 3)
+	if table.HoldsOlder("a", testModel, 2, 1) {
+		t.Error("a report overtaken by newer weights was taken")
+	}
+	if !table.HoldsOlder("a", testModel, 3, 2) || table.Servers(now)[0].Weights[testModel] != 2 {
+		t.Errorf("weights %v, want version 2", table.Servers(now)[0].Weights)
+	}
+}
+
 // TestReplicasThatLackWeightsAreCounted for operators, who see a rollout that stands still.
 func TestReplicasThatLackWeightsAreCounted(t *testing.T) {
 	table := newTestTable("a", "b", "c")
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -52,8 +52,8 @@
 	return 0
 }
 
-// Holds records weights that a server was seen to hold; they never go back
-// within a start. It reports whether they are new.
+// Holds records weights that a server was seen to hold. Late word of older ones changes
+// nothing: see HoldsOlder. It reports whether they are new.
 func (t *Table) Holds(id, model string, version int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,6 +66,19 @@
 	return true
 }
 
+// HoldsOlder records that a server itself reports older weights than those it was believed
+// to hold, unless something newer was learned meanwhile. It reports whether it did.
+func (t *Table) HoldsOlder(id, model string, believed, version int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.weights[model] != believed {
+		return false
+	}
+	e.weights[model] = version
+	return true
+}
+
 // Loading records that a server is being ordered to load weights. Until then it
 // is given no requests, unless it is seen to hold the weights before. Late word
 // of a server that holds the wanted weights already changes nothing.
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -24,6 +24,7 @@
 	Servers(now time.Time) []replica.Server
 	Wanted(model string) int64
 	Holds(id, model string, version int64) bool
+	HoldsOlder(id, model string, believed, version int64) bool
 	Loading(id string, until time.Time)
 	Waiting(id string, now time.Time) int
 	Unsure(now time.Time) []replica.Server
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -83,6 +83,16 @@
 	return newer
 }
 
+func (f *fakeFleet) HoldsOlder(id, _ string, believed, version int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.known[id] != believed {
+		return false
+	}
+	f.known[id] = version
+	return true
+}
+
 func (f *fakeFleet) Loading(id string, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -370,3 +380,26 @@
 		}
 	})
 }
+
+// TestReplicaThatWentBackIsLoadedAgain: an order was carried out after a newer one, as one
+// that outlives a replica's start may be. The replica refuses requests for the weights that
+// it is believed to hold; its own report outweighs that belief, for otherwise nobody would
+// order it again.
+func TestReplicaThatWentBackIsLoadedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(2)
+		fleet.wanted = 3
+		for id := range fleet.actual {
+			fleet.actual[id].version, fleet.known[id] = 3, 3
+		}
+		fleet.actual["i-0"].version = 2
+		fleet.unsure = map[string]bool{"i-0": true}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		loader := NewLoader(nil, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
+		loader.Verify(ctx)
+		if fleet.known["i-0"] != 2 || fleet.known["i-1"] != 3 {
+			t.Errorf("believed: %v", fleet.known)
+		}
+	})
+}
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/replica"
 )
@@ -32,12 +34,27 @@
 		return
 	}
 	for model, version := range report.Weights {
-		if version > s.Weights[model] {
+		switch believed := s.Weights[model]; {
+		case version > believed:
 			l.learn(s.ID, model, version)
+		case version < believed && !report.Loading:
+			l.wentBack(s.ID, model, believed, version)
 		}
 	}
 }
 
+// wentBack records that a replica which refused the weights it was believed to hold
+// reports older ones: an order was carried out after a newer one. Unless it is ordered
+// again it keeps them.
+func (l *Loader) wentBack(id, model string, believed, version int64) {
+	if !l.replicas.HoldsOlder(id, model, believed, version) {
+		return
+	}
+	l.log.WithFields(logrus.Fields{"replica": id, "model": model, "believed": believed, "version": version}).Warn("replica went back to older weights")
+	l.Forget(id)
+	l.Loaded(id)
+}
+
 // learn records weights that a replica itself reported, for this host and others.
 func (l *Loader) learn(id, model string, version int64) {
 	l.replicas.Holds(id, model, version)
