A read of the lease's log that lost its answer is given up on a conflict

Where the store swallows it while a holder renews and dies, the next host tries to take the lease at an end that is no longer the log's, is refused each 3 s, and looks again only when the read times out. Change: a refused append ends the read that waits; the next one shows what stands there.

--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -100,6 +100,8 @@
 	heard time.Time
 	// uncertain is set while an append without an answer may yet show on the log.
 	uncertain time.Time
+	// reread ends the read that waits, whose answer may have been lost.
+	reread context.CancelFunc
 }
 
 // NewLease returns the lease for one process of a host.
@@ -121,13 +123,23 @@
 			wait = 0
 		}
 		l.mu.Unlock()
-		page, err := l.store.Read(ctx, platform.LeaseTopic, from, wait)
+		page, err := l.read(ctx, from, wait)
 		if !l.took(page, from, err) {
 			clock.Sleep(ctx, readPause)
 		}
 	}
 }
 
+// read reads the log from an offset on, until an append shows that it has gone on there.
+func (l *Lease) read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mu.Lock()
+	l.reread = cancel
+	l.mu.Unlock()
+	return l.store.Read(ctx, platform.LeaseTopic, from, wait)
+}
+
 // told reports whether the holder's own word makes a read needless: each record
 // would wake every host.
 func (l *Lease) told() bool {
@@ -294,8 +306,12 @@
 			l.log.WithField("fencing", l.fencing).Warn("lease for weights lost: the log has another end")
 			statemachine.Fire(l.machine, eventEnd)
 		}
-		// What stands there is read before another try.
+		// What stands there is read before another try. A read that waits for it all the
+		// same has lost its answer.
 		l.uncertain = sent
+		if l.reread != nil {
+			l.reread()
+		}
 	case errors.As(err, &status):
 		// Refused: nothing was done.
 	default:
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -60,10 +60,11 @@
 
 type faults struct {
 	// down refuses every call; lossy loses answers of appends; late carries an
-	// append out after a delay.
-	down  bool
-	lossy bool
-	late  time.Duration
+	// append out after a delay; swallows lets reads that wait go without an answer.
+	down     bool
+	lossy    bool
+	late     time.Duration
+	swallows bool
 }
 
 func (v *view) set(f faults) {
@@ -97,6 +98,9 @@
 		}
 		select {
 		case <-changed:
+			if v.now().swallows {
+				return v.swallow(ctx, deadline)
+			}
 		case <-deadline:
 			wait = 0
 		case <-ctx.Done():
@@ -105,6 +109,16 @@
 	}
 }
 
+// swallow ends a read whose answer is lost when its caller gives it up.
+func (v *view) swallow(ctx context.Context, deadline <-chan time.Time) (platform.Page, error) {
+	select {
+	case <-deadline:
+		return platform.Page{}, errLost
+	case <-ctx.Done():
+		return platform.Page{}, ctx.Err()
+	}
+}
+
 func (v *view) Append(_ context.Context, _ string, rec platform.Record, at int64) (int64, error) {
 	time.Sleep(5 * time.Millisecond)
 	f := v.now()
@@ -265,3 +279,37 @@
 		wg.Wait()
 	})
 }
+
+// TestSwallowedReadDoesNotHideTheLeasesLog: the store swallowed a read that waits, and the
+// holder renewed the lease and died before it told of that. The next host then tries to
+// take the lease where the log no longer ends; it must not wait for the read to time out
+// before it looks again.
+func TestSwallowedReadDoesNotHideTheLeasesLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		way := &view{log: log}
+		holder := NewLease(&view{log: log}, quietLog(), "a", 1, testTTL)
+		other := NewLease(way, quietLog(), "b", 2, testTTL)
+		wg.Go(func() { holder.Follow(ctx) })
+		wg.Go(func() { other.Follow(ctx) })
+		synctest.Wait()
+		holder.Try(ctx)
+		synctest.Wait()
+		way.set(faults{swallows: true})
+		time.Sleep(time.Second)
+		holder.Try(ctx)
+		synctest.Wait()
+		way.set(faults{})
+		began := time.Now()
+		for !other.Try(ctx) && time.Since(began) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if took := time.Since(began); took > 3*testTTL {
+			t.Errorf("taken over after %v", took)
+		}
+		cancel()
+		wg.Wait()
+	})
+}
