Hosts that want a vacant lease follow each other by rank

Cause: the pause by rank counted from when replicas came to lack weights. Where the holder is lost, or leaves the lease, in the middle of a rollout, that is long past for every host that follows, and all append at once. Change: it counts from when the lease became vacant, if that is later. Ruled out: a random pause: the first host by rank hears soonest what is under way.

--- a/internal/rollout/handover_test.go
+++ b/internal/rollout/handover_test.go
@@ -150,3 +150,38 @@
 		})
 	}
 }
+
+// TestLeaseOfALostHolderIsTakenInOrder: replicas lack weights when the holder is lost, so
+// that every host that follows the lease wants it at the moment at which it ends. They try
+// one after the other; all at once they would cost the store a refused call each.
+func TestLeaseOfALostHolderIsTakenInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		fleet := newFakeFleet(12)
+		ctx, cancel := context.WithCancel(t.Context())
+		holderCtx, lose := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for rank := range 8 {
+			host := newRolloutHost(t, string(rune('a'+rank)), uint64(rank+1), log, fleet)
+			host.loader.Rank = func() int { return rank }
+			run := ctx
+			if rank == 0 {
+				run = holderCtx
+			}
+			wg.Go(func() { host.loader.Run(run) })
+		}
+		fleet.set(func() { fleet.wanted = 2 })
+		time.Sleep(time.Second)
+		lose()
+		time.Sleep(15 * time.Second)
+		if left := fleet.behind(); left > 0 {
+			t.Errorf("%d of 12 replicas lack the weights", left)
+		}
+		if refused := log.refused(); refused > 1 {
+			t.Errorf("%d appends to the lease's log were refused", refused)
+		}
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -98,6 +98,8 @@
 	fencing int64
 	// heard is when the holder itself last told of the lease.
 	heard time.Time
+	// vacant is since when nobody has held the lease, in StateFree.
+	vacant time.Time
 	// uncertain is set while an append without an answer may yet show on the log.
 	uncertain time.Time
 	// reread ends the read that waits, whose answer may have been lost.
@@ -191,7 +193,7 @@
 		return true
 	case errors.As(err, &status) && status.Status == http.StatusNotFound:
 		// Nobody has held the lease yet.
-		statemachine.Fire(l.machine, eventRead)
+		l.vacate(eventRead)
 		return false
 	case err != nil:
 		return false
@@ -200,7 +202,7 @@
 		l.observe(rec)
 	}
 	if l.end >= page.End {
-		statemachine.Fire(l.machine, eventRead)
+		l.vacate(eventRead)
 	}
 	return len(page.Records) > 0 || page.End > from || !l.machine.Is(StateUnknown)
 }
@@ -270,12 +272,31 @@
 	switch {
 	case l.machine.Is(StateHeld) && now.Sub(l.renewed) > l.ttl:
 		l.log.WithField("fencing", l.fencing).Warn("lease for weights ended without a renewal")
-		statemachine.Fire(l.machine, eventEnd)
+		l.vacate(eventEnd)
 	case l.machine.Is(StateOther) && now.Sub(l.seen) > l.ttl+takeOverMargin:
-		statemachine.Fire(l.machine, eventEnd)
+		l.vacate(eventEnd)
 	}
 }
 
+// vacate notes that nobody holds the lease, unless the event says nothing new.
+func (l *Lease) vacate(event string) {
+	if statemachine.Fire(l.machine, event) {
+		l.vacant = time.Now()
+	}
+}
+
+// VacantSince returns since when nobody has held the lease, as far as this host knows, or
+// zero.
+func (l *Lease) VacantSince(now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if !l.machine.Is(StateFree) {
+		return time.Time{}
+	}
+	return l.vacant
+}
+
 func (l *Lease) appended(rec platform.LeaseRecord, offset, at int64, sent time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -304,7 +325,7 @@
 	case errors.Is(err, platform.ErrConflict):
 		if l.machine.Is(StateHeld) {
 			l.log.WithField("fencing", l.fencing).Warn("lease for weights lost: the log has another end")
-			statemachine.Fire(l.machine, eventEnd)
+			l.vacate(eventEnd)
 		}
 		// What stands there is read before another try. A read that waits for it all the
 		// same has lost its answer.
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex
 	records []platform.Record
 	changed chan struct{}
+	// conflicts counts refused appends.
+	conflicts int
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{changed: make(chan struct{})} }
@@ -41,6 +43,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at >= 0 && at != int64(len(f.records)) {
+		f.conflicts++
 		return 0, platform.ErrConflict
 	}
 	rec.Offset = int64(len(f.records))
@@ -50,6 +53,12 @@
 	return rec.Offset, nil
 }
 
+func (f *fakeLog) refused() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conflicts
+}
+
 // view is one host's way to the log.
 type view struct {
 	log *fakeLog
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -156,15 +156,25 @@
 	if l.needed.IsZero() {
 		l.needed = now
 	}
-	waited := now.Sub(l.needed)
+	needed := l.needed
 	yields := l.yields(behind, now)
 	l.mu.Unlock()
-	if yields || waited < time.Duration(l.Rank())*rankDelay || !l.lease.Try(ctx) {
+	if yields || !l.due(needed, now) || !l.lease.Try(ctx) {
 		return nil
 	}
 	return l.take(behind, l.room(behind), now)
 }
 
+// due reports whether it is this host's turn to want the lease: the hosts follow each
+// other by rank from when it was needed, or has been vacant, whichever is later.
+func (l *Loader) due(needed, now time.Time) bool {
+	since := needed
+	if vacant := l.lease.VacantSince(now); vacant.After(since) {
+		since = vacant
+	}
+	return now.Sub(since) >= time.Duration(l.Rank())*rankDelay
+}
+
 // yields reports whether this host leaves the lease to others, by not renewing it: of the
 // replicas that are left none has answered it for a while. Another host may reach them;
 // by this one's view alone they would keep their old weights. l.mu is held.
