--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -358,6 +358,17 @@
 	})
 }
 
+// verified returns a loader that has looked, for a second, after a replica which refused
+// the weights it was believed to hold.
+func verified(t *testing.T, fleet *fakeFleet, unsure string) *Loader {
+	fleet.unsure = map[string]bool{unsure: true}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	loader := NewLoader(nil, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
+	loader.Verify(ctx)
+	return loader
+}
+
 // TestUnexpectedWeightsAreAskedFor: a replica carried out an order late, so that it
 // holds weights between those believed and those wanted.
 func TestUnexpectedWeightsAreAskedFor(t *testing.T) {
@@ -365,11 +376,7 @@
 		fleet := newFakeFleet(2)
 		fleet.wanted = 3
 		fleet.actual["i-0"].version = 2
-		fleet.unsure = map[string]bool{"i-0": true}
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		loader := NewLoader(nil, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
-		loader.Verify(ctx)
+		loader := verified(t, fleet, "i-0")
 		if fleet.known["i-0"] != 2 || fleet.known["i-1"] != 1 {
 			t.Errorf("believed: %v", fleet.known)
 		}
@@ -393,11 +400,7 @@
 			fleet.actual[id].version, fleet.known[id] = 3, 3
 		}
 		fleet.actual["i-0"].version = 2
-		fleet.unsure = map[string]bool{"i-0": true}
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		loader := NewLoader(nil, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
-		loader.Verify(ctx)
+		verified(t, fleet, "i-0")
 		if fleet.known["i-0"] != 2 || fleet.known["i-1"] != 3 {
 			t.Errorf("believed: %v", fleet.known)
 		}
