Known red: a starting host takes wanted weights for new

Cause: replica.Table.Want counts a version's time from when this host learned of it. A host that starts finds it with its first read of the operators' records, or in the first fetch from another host, and neither tells when a record was written.

One hands a starting host the heartbeats of a host that saw the version being named, the other starts a host that nobody tells anything.

Ruled out: hosts over sockets; time counts here, and the tests run in virtual time.

--- /dev/null
+++ b/internal/node/beliefs_test.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/obs"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/settings"
+	"github.com/briarlink/briarlink/platform"
+)
+
+// idle returns a host that runs no loops; tests hand it what it would hear.
+func idle(t *testing.T, id string) *Node {
+	t.Helper()
+	set := settings.Defaults()
+	set.Host.Id, set.Host.AvailabilityZone = id, "z1"
+	set.Listen = &pb.ListenSettings{Caller: id + ":1", Ready: id + ":2", Directory: id + ":3", Operator: id + ":4", Peer: id + ":5"}
+	set.Platform.Address = "store:1"
+	log, lines := obs.NewLogger(set.Log, io.Discard)
+	t.Cleanup(func() { _ = lines.Close() })
+	return New(set, nil, log, lines)
+}
+
+// holding registers a replica with a weights version.
+func (n *Node) holding(id string, version int64) {
+	n.replicas.Register(platform.Registration{ID: id, Service: "writer", Address: id + ":1", Slots: 8, Weights: map[string]int64{"m": version}}, 0)
+}
+
+// behind returns for how long a replica is thought to be on older weights.
+func (n *Node) behind(id string) time.Duration {
+	for _, r := range n.replicas.Snapshot("writer", "m", 0, time.Now()) {
+		if r.ID == id {
+			return r.Behind
+		}
+	}
+	return -1
+}
+
+// naming is the page of operators' records in which a weights version is named.
+func naming() platform.Page {
+	return platform.Page{Records: []platform.Record{{Key: "version/m", Value: []byte(`{"Model":"m","Version":2}`)}}, End: 1}
+}
+
+// work is a heartbeat with all that routing hosts tell each other.
+func (n *Node) work() *pb.Heartbeat {
+	now := time.Now()
+	b := n.state(now)
+	n.addWork(b, true, now)
+	b.Sequence = n.nextSequence()
+	return b
+}
+
+// TestStartingHostIsToldWhenWeightsWereNamed: a host that started beside others sent
+// requests to replicas on older weights up to the whole deadline after its start,
+// though the newer ones had been named long before: their time counted from the
+// host's first read of the store, which does not tell when a record was written. A
+// live host has seen it come and tells in its heartbeats.
+func TestStartingHostIsToldWhenWeightsWereNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		live, starting := idle(t, "live"), idle(t, "starting")
+		for _, n := range []*Node{live, starting} {
+			n.holding("a", 1)
+		}
+		live.operators.Snapshot(platform.Page{}, true)
+		live.operators.Merge(naming().Records, naming().End, true)
+		const since = 6 * time.Second
+		time.Sleep(since)
+		starting.operators.Snapshot(naming(), true)
+		starting.heard(live.work())
+		if got := starting.behind("a"); got != since {
+			t.Errorf("behind for %v at the host that starts, want %v", got, since)
+		}
+		time.Sleep(time.Second)
+		// The starting host's word makes nothing younger, and outlives the other host.
+		live.heard(starting.work())
+		next := idle(t, "next")
+		next.holding("a", 1)
+		next.operators.Snapshot(naming(), true)
+		next.heard(starting.work())
+		for id, n := range map[string]*Node{"live": live, "next": next} {
+			if got := n.behind("a"); got != since+time.Second {
+				t.Errorf("behind for %v at %s, want %v", got, id, since+time.Second)
+			}
+		}
+	})
+}
+
+// TestWeightsOfUnknownAge: after a whole fleet lost power, its hosts sent requests to
+// the replicas that had missed a rollout, up to the whole deadline after their start:
+// nobody knew how long ago the version had been named, and it was taken for new. A
+// version that some replica holds has been named for a while, so that older ones are
+// not used. One that nobody holds was most probably named a moment ago: it must not end
+// all service until the first replica has loaded it.
+func TestWeightsOfUnknownAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		deadline := route.DefaultPolicy().WeightsDeadline
+		n := idle(t, "a")
+		n.holding("missed", 1)
+		n.operators.Snapshot(naming(), true)
+		time.Sleep(time.Second)
+		if got := n.behind("missed"); got != time.Second {
+			t.Errorf("behind for %v while nobody holds the version, want 1s", got)
+		}
+		n.holding("loaded", 2)
+		if got := n.behind("missed"); got < deadline {
+			t.Errorf("behind for %v once another replica holds the version, want %v or more", got, deadline)
+		}
+		if got := n.behind("loaded"); got != 0 {
+			t.Errorf("the newest weights are behind for %v", got)
+		}
+	})
+}
