A wanted version's age is counted from when the first host saw it named

Cause: replica.Table.Want counted from when this host learned of a version. A host that starts beside others finds a version that may have been named minutes ago, and sent requests to replicas that lack it up to the whole deadline after its own start; so did a fleet after a loss of power.

Change: topic tells with each record whether it came before this host knew the topic whole (Origin.First). Such a version has no known age (Table.Find); others were named as this host followed (Table.Want). Heartbeats between routing hosts carry how long ago the versions were named that some replica lacks, from hosts that know, and the oldest word holds. That includes versions that were overtaken before a host started: the newest record of a key no longer shows them. Where nobody knows the age, older weights are used from when the version was found, but not at all once a server of the service was seen to hold it. The tests hand a host its service's name (Known), as operators' configuration does elsewhere, since only servers that may be ordered count.

Ruled out: the least upper bound of the age, told by peers: each word loses its time on the way, hosts that tell each other several times a second would lose the age itself; ages with fetched records alone: a host that asks the store first has nothing to fetch, and overtaken versions have no record; counting a version that was read from when the topic was last known whole: after an outage of the store all replicas would be past the deadline at once, and in calm it would take up to some 0.7 s (reckoned from freshEntries, its stagger and the heartbeat interval; not measured) of the deadline from every rollout. The rule's time does not run while the store or links are harmed; where only this host's were, the others tell it the age. A record of a version that is known changes nothing: operators may write it twice.

Left: a fleet whose hosts were all frozen together counts from when it goes on. After the loss of a whole fleet's power in the middle of a rollout, the replicas that have the new weights serve alone until the others have loaded them.

--- a/internal/member/split_test.go
+++ b/internal/member/split_test.go
@@ -13,6 +13,7 @@
 // them down, tells all of it, in order, in datagrams of one packet each.
 func TestEveryDatagramFitsIntoAPacket(t *testing.T) {
 	whole := &pb.Heartbeat{Host: "edge-heredia-a-1", Incarnation: 7, AvailabilityZone: "heredia-a", Routing: true, Positions: []*pb.TopicPosition{{Topic: "keyed.op", End: 900}}}
+	whole.Named = []*pb.NamedWeights{{Model: "m", Version: 2, AgeMs: 700}}
 	const replicas = 5300
 	for i := range replicas {
 		id := fmt.Sprintf("i-%08x", i)
@@ -34,10 +35,14 @@
 		joined.Loads = append(joined.Loads, part.Loads...)
 		joined.Down = append(joined.Down, part.Down...)
 		joined.Sent = append(joined.Sent, part.Sent...)
+		joined.Named = append(joined.Named, part.Named...)
 	}
 	if len(joined.Loads) != replicas || len(joined.Down) != len(whole.Down) || len(joined.Sent) != len(whole.Sent) {
 		t.Errorf("%d loads, %d down and %d prompts arrive", len(joined.Loads), len(joined.Down), len(joined.Sent))
 	}
+	if len(joined.Named) != 1 || !proto.Equal(joined.Named[0], whole.Named[0]) {
+		t.Errorf("named weights arrive as %v", joined.Named)
+	}
 	if joined.Loads[replicas-1].Replica != whole.Loads[replicas-1].Replica {
 		t.Error("the order has changed")
 	}
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -7,11 +7,12 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/entry"
+	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
 )
 
 // operatorRecord takes a record that operators wrote.
-func (n *Node) operatorRecord(rec platform.Record, _ bool) {
+func (n *Node) operatorRecord(rec platform.Record, from topic.Origin) {
 	if c, ok, err := platform.DecodeConfig(rec); ok {
 		if err != nil {
 			n.log.WithError(err).WithField("offset", rec.Offset).Error("configuration not taken")
@@ -33,16 +34,23 @@
 		n.log.WithError(err).WithField("offset", rec.Offset).Error("wanted weights not taken")
 		return
 	}
-	if ok && n.replicas.Want(w.Model, w.Version, time.Now()) {
+	if !ok {
+		return
+	}
+	take := n.replicas.Want
+	if from.First {
+		take = n.replicas.Find
+	}
+	if take(w.Model, w.Version, time.Now()) {
 		n.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version, "offset": rec.Offset}).Info("weights wanted")
 		n.beatNow()
 	}
 }
 
 // replicaRecord takes a backend server's entry.
-func (n *Node) replicaRecord(rec platform.Record, trusted bool) {
+func (n *Node) replicaRecord(rec platform.Record, from topic.Origin) {
 	if rec.Removed {
-		n.replicas.Remove(rec.Key, trusted)
+		n.replicas.Remove(rec.Key, from.Trusted)
 		n.beatNow()
 		return
 	}
@@ -67,7 +75,7 @@
 }
 
 // hostRecord takes an entry host's address.
-func (n *Node) hostRecord(rec platform.Record, _ bool) {
+func (n *Node) hostRecord(rec platform.Record, _ topic.Origin) {
 	if rec.Removed || rec.Key == n.settings.Host.Id {
 		return
 	}
--- a/internal/node/beliefs_test.go
+++ b/internal/node/beliefs_test.go
@@ -22,7 +22,10 @@
 	set.Platform.Address = "store:1"
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	t.Cleanup(func() { _ = lines.Close() })
-	return New(set, nil, log, lines)
+	n := New(set, nil, log, lines)
+	// No configuration names the service here.
+	n.replicas.Known = func(string) bool { return true }
+	return n
 }
 
 // holding registers a replica with a weights version.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -141,6 +141,7 @@
 	b.Sent = n.scheduler.TakeSent()
 	b.Loading = n.loader.Busy()
 	b.Down, _ = n.replicas.Down(now)
+	b.Named = n.replicas.Named(now)
 	n.loader.Recent(now, func(id, model string, version int64) {
 		b.Weights = append(b.Weights, &pb.ReplicaWeights{Replica: id, Model: model, Version: version})
 	})
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -34,6 +34,7 @@
 	for _, id := range b.Loading {
 		n.replicas.Loading(id, now.Add(loadingHold))
 	}
+	n.heardNamed(b, now)
 	for _, w := range b.Weights {
 		if n.replicas.Holds(w.Replica, w.Model, w.Version) {
 			n.index.Clear(w.Replica)
@@ -44,6 +45,16 @@
 	n.catchUp(b)
 }
 
+// heardNamed takes when weights versions were named.
+func (n *Node) heardNamed(b *pb.Heartbeat, now time.Time) {
+	for _, w := range b.Named {
+		if n.replicas.HeardNamed(w, now) {
+			n.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version, "host": b.Host}).Info("weights wanted")
+			n.beatNow()
+		}
+	}
+}
+
 func (n *Node) heardSent(b *pb.Heartbeat) {
 	c := n.config.Load()
 	if c == nil || len(b.Sent) == 0 {
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -66,6 +66,9 @@
 	entries map[string]*entry
 	// wanted holds the versions of each model, the newest last.
 	wanted map[string][]wanted
+	// held is the newest version of each model that any server of a service was seen to
+	// hold.
+	held map[serviceModel]int64
 	// others is the work of other hosts.
 	others loads
 }
@@ -94,7 +97,7 @@
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
 		log: log, gone: gone, Known: func(string) bool { return true },
-		entries: map[string]*entry{}, wanted: map[string][]wanted{}, others: newLoads(),
+		entries: map[string]*entry{}, wanted: map[string][]wanted{}, held: map[serviceModel]int64{}, others: newLoads(),
 	}
 }
 
@@ -132,7 +135,7 @@
 	}
 	e.reg = reg
 	for model, version := range reg.Weights {
-		e.weights[model] = max(e.weights[model], version)
+		t.setWeights(e, model, version)
 	}
 	if reg.Draining {
 		t.fire(e, eventDrain, "registered as draining")
@@ -211,7 +214,7 @@
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
 		Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
-		Weights: e.weights[model], Behind: t.behind(model, e.weights[model], now), Slots: e.reg.Slots,
+		Weights: e.weights[model], Behind: t.behind(e.reg.Service, model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(load.Requests), PrefillTokens: int(load.PrefillTokens),
 		MemoryTokens: int(load.MemoryTokens), CacheTokens: cacheTokens,
 		Slow: e.health.slow(now), Errors: t.failed(e, now).share(), Silence: silence,
@@ -240,13 +243,18 @@
 	return t.servers(now, func(*entry) bool { return true })
 }
 
+// takesOrders reports whether a server may be ordered to load weights.
+func (t *Table) takesOrders(e *entry) bool {
+	return len(e.weights) > 0 && t.Known(e.reg.Service) && (e.machine.Is(StateServing) || e.machine.Is(StateLapsed))
+}
+
 // servers returns those of these servers that are wanted.
 func (t *Table) servers(now time.Time, want func(*entry) bool) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Server
 	for id, e := range t.entries {
-		if len(e.weights) == 0 || !want(e) || !t.Known(e.reg.Service) || !e.machine.Is(StateServing) && !e.machine.Is(StateLapsed) {
+		if !t.takesOrders(e) || !want(e) {
 			continue
 		}
 		down, _ := e.health.state(now)
--- a/internal/topic/table.go
+++ b/internal/topic/table.go
@@ -11,11 +11,20 @@
 	"github.com/briarlink/briarlink/platform"
 )
 
+// Origin is how a record came to be known.
+type Origin struct {
+	// Trusted means that a removal is no trace of an outage of the store.
+	Trusted bool
+	// First means that the record came before this host knew the topic whole: it may
+	// have been written at any time. Others were written since what was known before.
+	First bool
+}
+
 // Table holds the newest record of each key of one topic. It is safe for
 // concurrent use; mu is its only lock and is not held while onRecord runs.
 type Table struct {
 	name     string
-	onRecord func(rec platform.Record, trusted bool)
+	onRecord func(rec platform.Record, from Origin)
 
 	mu      sync.Mutex
 	records map[string]platform.Record
@@ -30,9 +39,8 @@
 const maxRemoved = 4096
 
 // NewTable returns an empty table. onRecord is called for each newer record, in
-// the order of offsets within one merge; trusted says that a removal is no trace
-// of an outage of the store.
-func NewTable(name string, onRecord func(rec platform.Record, trusted bool)) *Table {
+// the order of offsets within one merge.
+func NewTable(name string, onRecord func(rec platform.Record, from Origin)) *Table {
 	return &Table{name: name, onRecord: onRecord, records: map[string]platform.Record{}}
 }
 
@@ -63,10 +71,11 @@
 // many were new.
 func (t *Table) Merge(records []platform.Record, end int64, trusted bool) int {
 	t.mu.Lock()
+	from := Origin{Trusted: trusted, First: !t.synced}
 	fresh := t.merge(records)
 	t.end = max(t.end, end)
 	t.mu.Unlock()
-	t.tell(fresh, trusted)
+	t.tell(fresh, from)
 	return len(fresh)
 }
 
@@ -89,11 +98,12 @@
 		t.mu.Unlock()
 		return false
 	}
+	from := Origin{Trusted: trusted, First: !t.synced}
 	fresh := t.merge(append(page.Records, t.missing(page)...))
 	t.end = page.End
 	t.synced = true
 	t.mu.Unlock()
-	t.tell(fresh, trusted)
+	t.tell(fresh, from)
 	return true
 }
 
@@ -147,9 +157,9 @@
 	}
 }
 
-func (t *Table) tell(fresh []platform.Record, trusted bool) {
+func (t *Table) tell(fresh []platform.Record, from Origin) {
 	for _, rec := range fresh {
-		t.onRecord(rec, trusted)
+		t.onRecord(rec, from)
 	}
 }
 
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -53,7 +53,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var truth history
 		told := map[string]platform.Record{}
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) {
+		table := NewTable("keyed.x", func(rec platform.Record, _ Origin) {
 			if old, ok := told[rec.Key]; ok && rec.Offset <= old.Offset {
 				t.Fatalf("key %s went from offset %d to %d", rec.Key, old.Offset, rec.Offset)
 			}
@@ -81,7 +81,7 @@
 			},
 			"records of another host": func(t *rapid.T) {
 				end := rapid.IntRange(0, len(truth)).Draw(t, "its end")
-				other := NewTable("keyed.x", func(platform.Record, bool) {})
+				other := NewTable("keyed.x", func(platform.Record, Origin) {})
 				other.Merge(truth[:end], int64(end), true)
 				records, otherEnd := other.From(table.End())
 				table.MergeAll(records, otherEnd, true)
@@ -208,9 +208,9 @@
 		const grace = 2 * time.Second
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
 		var trust notes
-		table := NewTable("keyed.x", func(rec platform.Record, trusted bool) {
+		table := NewTable("keyed.x", func(rec platform.Record, from Origin) {
 			if rec.Removed {
-				trust.set(rec.Key, trusted)
+				trust.set(rec.Key, from.Trusted)
 			}
 		})
 		access := NewAccess(grace, quietLog())
@@ -241,7 +241,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
 		var held notes
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, !rec.Removed) })
+		table := NewTable("keyed.x", func(rec platform.Record, _ Origin) { held.set(rec.Key, !rec.Removed) })
 		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()})()
 		time.Sleep(time.Second)
 		reader.change(func() {
@@ -255,11 +255,34 @@
 	})
 }
 
+// TestOriginTellsFirstViews: what came before the topic was known whole may have been
+// written at any time; what came later was written since, however it was read.
+func TestOriginTellsFirstViews(t *testing.T) {
+	for name, take := range map[string]func(*Table, history){
+		"store":                        func(table *Table, h history) { table.Snapshot(platform.Page{Records: h, End: 1}, true) },
+		"another host":                 func(table *Table, h history) { table.MergeAll(h, 1, true) },
+		"another host, from the start": func(table *Table, h history) { table.Merge(h, 1, true); table.MergeAll(nil, 1, true) },
+	} {
+		first := map[string]bool{}
+		table := NewTable("keyed.x", func(rec platform.Record, from Origin) { first[rec.Key] = from.First })
+		take(table, history{put("found", 0)})
+		table.Merge(history{put("read", 1)}, 2, true)
+		table.MergeAll(history{put("fetched", 2)}, 3, true)
+		// History that was trimmed is read anew.
+		table.Snapshot(platform.Page{Records: history{put("found", 0), put("read", 1), put("fetched", 2), put("listed", 3)}, End: 4}, true)
+		for key, want := range map[string]bool{"found": true, "read": false, "fetched": false, "listed": false} {
+			if got, told := first[key]; !told || got != want {
+				t.Errorf("%s: %s is told as first: %v, told: %v, want %v", name, key, got, told, want)
+			}
+		}
+	}
+}
+
 // TestFailedReadsBackOff bounds what an outage costs in calls.
 func TestFailedReadsBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{down: true}
-		table := NewTable("keyed.x", func(platform.Record, bool) {})
+		table := NewTable("keyed.x", func(platform.Record, Origin) {})
 		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()})()
 		time.Sleep(10 * time.Second)
 		if reader.calls() > 40 {
@@ -274,7 +297,7 @@
 func TestReturnOfTheStoreIsSeenInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{down: true}
-		table := NewTable("keyed.x", func(platform.Record, bool) {})
+		table := NewTable("keyed.x", func(platform.Record, Origin) {})
 		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Log: quietLog()})()
 		synctest.Wait()
 		// Off the beat of whole milliseconds, so that no read coincides with a look.
@@ -299,7 +322,7 @@
 func TestOtherHostsReadsSpareCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0)}}
-		table := NewTable("keyed.x", func(platform.Record, bool) {})
+		table := NewTable("keyed.x", func(platform.Record, Origin) {})
 		var fresh atomic.Bool
 		fresh.Store(true)
 		f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
@@ -323,7 +346,7 @@
 	for name, told := range map[string]bool{"told": true, "alone": false} {
 		synctest.Test(t, func(t *testing.T) {
 			reader := &fakeReader{truth: history{put("a", 0)}}
-			table := NewTable("keyed.x", func(platform.Record, bool) {})
+			table := NewTable("keyed.x", func(platform.Record, Origin) {})
 			began := time.Now()
 			f := &Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()}
 			f.Hold = func() bool { return time.Since(began) < time.Second }
@@ -362,7 +385,7 @@
 		log, lines := logtest.NewNullLogger()
 		reader := &fakeReader{truth: history{put("a", 0)}}
 		var held notes
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, true) })
+		table := NewTable("keyed.x", func(rec platform.Record, _ Origin) { held.set(rec.Key, true) })
 		defer start(&Follower{Store: unreadable{reader}, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: log})()
 		time.Sleep(time.Second)
 		reader.change(func() { reader.truth = append(reader.truth, put("?", 1), put("b", 2)) })
@@ -382,7 +405,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		reader := &fakeReader{truth: history{put("a", 0)}}
 		var held notes
-		table := NewTable("keyed.x", func(rec platform.Record, _ bool) { held.set(rec.Key, true) })
+		table := NewTable("keyed.x", func(rec platform.Record, _ Origin) { held.set(rec.Key, true) })
 		access := NewAccess(0, quietLog())
 		defer start(&Follower{Store: reader, Table: table, Access: access, Wait: time.Minute, Log: quietLog()})()
 		time.Sleep(time.Second)
