Known red: the age of a read that hosts tell each other hardly grows

Cause: a heartbeat tells how long ago its host knew a topic whole, by its own reads or by others' word; the receiver counts it from its arrival and passes it on. The time on the way is lost with every hop, and Freshness keeps the latest moment: what a host has told comes back younger.

Eight hosts hear each other's heartbeats 20 ms late after one read of the store.

Ruled out: nothing yet.

--- a/internal/node/beliefs_test.go
+++ b/internal/node/beliefs_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -92,6 +93,50 @@
 	})
 }
 
+// TestWordOfAReadAges: with 20 ms on the way, eight hosts thought 5 s after the last
+// read of the store that it was 1 s old. None steps in in time for a reader that is
+// lost, and strange keys are denied at an old view. Each told the others'
+// word as its own; a word's time on the way is not known, and what came back was younger
+// than what had been told, round by round. Routing hosts tell each other of their own
+// reads alone.
+func TestWordOfAReadAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			interval = 200 * time.Millisecond
+			onTheWay = 20 * time.Millisecond
+			rounds   = 25
+		)
+		var hosts []*Node
+		for i := range 8 {
+			n := idle(t, fmt.Sprint("host-", i))
+			n.operators.Snapshot(platform.Page{}, true)
+			n.servers.Snapshot(platform.Page{}, true)
+			hosts = append(hosts, n)
+		}
+		began := time.Now()
+		hosts[0].operators.Read(began)
+		hosts[0].servers.Read(began)
+		for range rounds {
+			for _, from := range hosts {
+				b := from.work()
+				time.Sleep(onTheWay)
+				for _, to := range hosts {
+					to.heard(b)
+				}
+				time.Sleep(interval/time.Duration(len(hosts)) - onTheWay)
+			}
+		}
+		now := time.Now()
+		for _, n := range hosts {
+			for name, age := range map[string]time.Duration{"operators": n.operatorsAge(now), "entries": n.entriesAge(now)} {
+				if least := now.Sub(began) - onTheWay - time.Millisecond; age < least || age > now.Sub(began) {
+					t.Errorf("%s: read of %s thought %v old, want %v or more", n.settings.Host.Id, name, age, least)
+				}
+			}
+		}
+	})
+}
+
 // TestWeightsOfUnknownAge: after a whole fleet lost power, its hosts sent requests to
 // the replicas that had missed a rollout, up to the whole deadline after their start:
 // nobody knew how long ago the version had been named, and it was taken for new. A
