Routing hosts tell each other of their own reads alone, so that a read ages

Cause: every heartbeat told how long ago its host knew the topics whole, by its own reads or by others' word. A receiver cannot know how long the word was on its way and keeps the latest moment, so that each host made the word younger, and it went round in circles. Other hosts step in for a lost reader, and a strange key is answered 503 in place of 401, by that age.

Change: a heartbeat tells of the host's own reads. Routing hosts all hear each other; only what a routing host tells hosts on standby holds others' word too, and those pass nothing on. A word so makes two hops at most, from reader to relay to standby host.

Ruled out: naming each read by its host and a number, with the earliest moment kept of each: sound over any path, but a table of all hosts for each topic in every host, and more to send; a least advance below which a word is ignored: time on the way is longer than any on a busy host; not counting others' words at all: every host would read.

Left: while hosts differ on who routes, two that each count the other as standby tell each other of all reads.

--- a/internal/node/beliefs_test.go
+++ b/internal/node/beliefs_test.go
@@ -137,6 +137,33 @@
 	})
 }
 
+// TestStandbyHostsAreToldOfAllReads by a routing host, and tell nobody of others'.
+func TestStandbyHostsAreToldOfAllReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, host := idle(t, "reader"), idle(t, "host")
+		for _, n := range []*Node{reader, host} {
+			n.operators.Snapshot(platform.Page{}, true)
+			n.servers.Snapshot(platform.Page{}, true)
+		}
+		reader.operators.Read(time.Now())
+		reader.servers.Read(time.Now())
+		host.heard(reader.work())
+		const later = 300 * time.Millisecond
+		time.Sleep(later)
+		now := time.Now()
+		for routing, want := range map[bool]int64{true: later.Milliseconds(), false: -1} {
+			state := host.state(now)
+			state.Routing = routing
+			if b := host.brief(state, now); b.OperatorsAgeMs != want || b.EntriesAgeMs != want {
+				t.Errorf("routing: %v, tells of reads %d and %d ms ago, want %d", routing, b.OperatorsAgeMs, b.EntriesAgeMs, want)
+			}
+			if state.OperatorsAgeMs != -1 || state.EntriesAgeMs != -1 {
+				t.Errorf("tells all hosts of reads %d and %d ms ago, which were not its own", state.OperatorsAgeMs, state.EntriesAgeMs)
+			}
+		}
+	})
+}
+
 // TestWeightsOfUnknownAge: after a whole fleet lost power, its hosts sent requests to
 // the replicas that had missed a rollout, up to the whole deadline after their start:
 // nobody knew how long ago the version had been named, and it was taken for new. A
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -93,9 +93,7 @@
 		n.send(full, to.Full)
 	}
 	if len(to.Brief) > 0 {
-		brief := proto.CloneOf(state)
-		brief.Members = n.members.MemberStates(true, now)
-		n.send(brief, to.Brief)
+		n.send(n.brief(state, now), to.Brief)
 	}
 	if len(to.Ask) > 0 {
 		state.Asks = true
@@ -109,6 +107,20 @@
 
 func (n *Node) nextSequence() uint64 { return n.sequence.Add(1) }
 
+// brief returns what standby hosts are told. They do not hear all routing hosts: one
+// of these passes on how long ago any host read the topics. Nobody else does, as the word
+// would come back to those that told it, younger by its time on the way each time: a
+// topic that nobody reads any more would hardly age.
+func (n *Node) brief(state *pb.Heartbeat, now time.Time) *pb.Heartbeat {
+	out := proto.CloneOf(state)
+	out.Members = n.members.MemberStates(true, now)
+	if out.Routing {
+		out.OperatorsAgeMs = ageMs(n.operatorsAge(now))
+		out.EntriesAgeMs = ageMs(n.entriesAge(now))
+	}
+	return out
+}
+
 // state returns what every host may know of this one.
 func (n *Node) state(now time.Time) *pb.Heartbeat {
 	b := n.self()
@@ -116,8 +128,8 @@
 	b.Ready = n.machine.Is(StateReady)
 	b.Leaving = n.leaving()
 	b.Routing, b.Asks = v.Here, v.All
-	b.OperatorsAgeMs = ageMs(n.operatorsAge(now))
-	b.EntriesAgeMs = ageMs(n.entriesAge(now))
+	b.OperatorsAgeMs = ageMs(n.operatorsRead(now))
+	b.EntriesAgeMs = ageMs(n.servers.Age(now))
 	b.LeaseEnd = n.lease.HeldEnd()
 	for _, t := range n.shared() {
 		if t.Synced() {
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -99,18 +99,22 @@
 }
 
 // operatorsAge returns the time in which a newer configuration could have been
-// missed: since this host read it, or another one that has applied no more. A host
-// that waits for records at the store misses none while the store answers its other
-// calls.
+// missed: since this host read it, or another one that has applied no more.
 func (n *Node) operatorsAge(now time.Time) time.Duration {
-	age := min(n.operators.Age(now), n.operatorsFresh.Age(now))
+	return min(n.operatorsRead(now), n.operatorsFresh.Age(now))
+}
+
+// operatorsRead is operatorsAge by this host's own reads alone. A host that waits for
+// records at the store misses none while the store answers its other calls.
+func (n *Node) operatorsRead(now time.Time) time.Duration {
+	age := n.operators.Age(now)
 	if n.waitsForOperators.Load() {
 		age = min(age, n.access.Age(now))
 	}
 	return age
 }
 
-// entriesAge is the same for the backend servers' entries.
+// entriesAge is operatorsAge for the backend servers' entries.
 func (n *Node) entriesAge(now time.Time) time.Duration {
 	return min(n.servers.Age(now), n.entriesFresh.Age(now))
 }
