Rollout: who is tried in vain comes last; a stalled holder leaves the lease for long

A holder that left the lease for 8 s was due again before a third host had its turn. What it remembered of silent replicas outlived their return. One replica that answers, but refuses orders, kept the lease with a host that reaches no other.

Change: a replica that was tried in vain comes after the others, the one tried longest ago first. A host that has tried all that are left in vain, for 1.5 s where they are silent and 5 s where they answer, does not renew the lease, and wants it again 2.4 s after its turn. What was tried counts for one version and one term of the lease. Order counts are dropped where another host held the lease in between, which spares an order turned down for each replica. Hosts that do not follow the lease's log do not take it. A server that reports older weights is not asked again at once, and one that has moved is not removed for what its old address answers.

Ruled out: no pause at all after leaving: the first by rank takes the lease back at once.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -30,7 +30,7 @@
 // has its address, or its weights are not those expected.
 func (d *Dispatcher) misdirected(choice *schedule.Choice, a platform.ReplicaAnswer, model string) {
 	if a.Instance != "" && a.Instance != choice.ID {
-		d.replicas.Remove(choice.ID, true)
+		d.replicas.RemoveAt(choice.ID, choice.Address)
 		return
 	}
 	// Which weights it holds it does not say: those wanted by now may have overtaken
--- a/internal/replica/restart_test.go
+++ b/internal/replica/restart_test.go
@@ -102,3 +102,20 @@
 		t.Error("a server that this host cannot reach is not down")
 	}
 }
+
+// TestAnswerOfAnotherServerAtAnOldAddress: a request was sent to the address that a server
+// has left; the answer of its new owner says nothing of the server.
+func TestAnswerOfAnotherServerAtAnOldAddress(t *testing.T) {
+	table := newTestTable("a")
+	before := table.Servers(time.Now())[0].Address
+	moved := platform.Registration{ID: "a", Service: testService, Address: "10.0.0.9:80", Weights: map[string]int64{testModel: 1}}
+	table.Register(moved, 9)
+	table.RemoveAt("a", before)
+	if table.Count() != 1 {
+		t.Error("a server that has moved was removed")
+	}
+	table.RemoveAt("a", moved.Address)
+	if table.Count() != 0 {
+		t.Error("a server whose address answers for another one was kept")
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -163,6 +163,20 @@
 	t.gone(id, address)
 }
 
+// RemoveAt removes a server whose address answers for another one, unless it has
+// registered elsewhere since the request was sent there.
+func (t *Table) RemoveAt(id, address string) {
+	t.mu.Lock()
+	e := t.entries[id]
+	if e == nil || e.reg.Address != address {
+		t.mu.Unlock()
+		return
+	}
+	t.remove(id, e, "its address answers for another server")
+	t.mu.Unlock()
+	t.gone(id, address)
+}
+
 // Settle removes the servers whose entries are still missing after an outage.
 func (t *Table) Settle() {
 	t.mu.Lock()
--- a/internal/replica/weights.go
+++ b/internal/replica/weights.go
@@ -178,6 +178,7 @@
 		return false
 	}
 	e.weights[model] = version
+	e.loadingUntil, e.unsure = time.Time{}, time.Time{}
 	return true
 }
 
--- a/internal/rollout/follow.go
+++ b/internal/rollout/follow.go
@@ -121,7 +121,7 @@
 	}
 	l.last = lease
 	l.seen = time.Now()
-	if lease.Holder == l.holder && lease.Incarnation == l.incarnation {
+	if l.wrote(lease) {
 		l.uncertain = time.Time{}
 		return
 	}
--- a/internal/rollout/handover_test.go
+++ b/internal/rollout/handover_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -40,12 +39,11 @@
 	return took
 }
 
-// TestLeaseThatComesBackFindsOrdersOfAnotherHost: seven of sixty replicas still lacked a
-// version 23 s after it was named; a rollout takes 5 s. The host that rolled it out had
-// rolled out the version before the last. Another one had given the orders in between,
-// so that every order named an old count and was turned down; the host then waited 4 s
-// for each replica, as if the order might yet be carried out. Rolled out by three hosts
-// in turn the same versions take no longer than the first.
+// TestLeaseThatComesBackFindsOrdersOfAnotherHost: some replicas lacked a version four times
+// as long as a rollout takes. The host that rolled it out had rolled out the version before
+// the last, and another one that in between. Every order named an old count and was turned
+// down; the host then waited 4 s for each replica, as if the order might yet be carried out.
+// The third rollout is to take no longer than the first.
 func TestLeaseThatComesBackFindsOrdersOfAnotherHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newFakeLog()
@@ -83,74 +81,6 @@
 	})
 }
 
-// hostView is what one host sees of the fleet, and which replicas it reaches.
-type hostView struct {
-	*fakeFleet
-	// cut replicas do not answer this host, down ones it believes to be down.
-	cut, down map[string]bool
-}
-
-func (v hostView) Servers(now time.Time) []replica.Server {
-	servers := v.fakeFleet.Servers(now)
-	for i := range servers {
-		servers[i].Down = v.down[servers[i].ID]
-	}
-	return servers
-}
-
-func (v hostView) Report(ctx context.Context, address, id string) (platform.EngineReport, error) {
-	if v.cut[address] {
-		time.Sleep(callTimeout)
-		return platform.EngineReport{}, errLost
-	}
-	return v.fakeFleet.Report(ctx, address, id)
-}
-
-func (v hostView) Order(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error) {
-	if v.cut[address] {
-		time.Sleep(callTimeout)
-		return platform.OrderLost, errLost
-	}
-	return v.fakeFleet.Order(ctx, address, o)
-}
-
-// TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost: the holder of the lease,
-// well in all else, gets no answer from some replicas, and believes others to be down.
-// It went on trying and kept the lease for ever, so that no other host could give orders.
-// Every replica is to be loaded well before the deadline of new weights.
-func TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost(t *testing.T) {
-	for name, first := range map[string]hostView{
-		"no answers":             {cut: map[string]bool{"i-0": true, "i-1": true, "i-2": true}},
-		"no answer, others down": {cut: map[string]bool{"i-0": true}, down: map[string]bool{"i-1": true, "i-2": true}},
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				log := newFakeLog()
-				fleet := newFakeFleet(6)
-				first.fakeFleet = fleet
-				ctx, cancel := context.WithCancel(t.Context())
-				var wg sync.WaitGroup
-				for rank, v := range []hostView{first, {fakeFleet: fleet}} {
-					lease := NewLease(&view{log: log}, quietLog(), string(rune('a'+rank)), uint64(rank+1), testTTL)
-					loader := NewLoader(lease, v, v, quietLog(), string(rune('a'+rank)), platform.LoadQueue, 2)
-					loader.Rank = func() int { return rank }
-					wg.Go(func() { lease.Follow(ctx) })
-					wg.Go(func() { loader.Run(ctx) })
-				}
-				time.Sleep(time.Second)
-				fleet.set(func() { fleet.wanted = 2 })
-				time.Sleep(10 * time.Second)
-				if left := fleet.behind(); left > 0 {
-					t.Errorf("%d of 6 replicas lack the weights after 10s", left)
-				}
-				cancel()
-				wg.Wait()
-				time.Sleep(10 * time.Second)
-			})
-		})
-	}
-}
-
 // TestLeaseOfALostHolderIsTakenInOrder: replicas lack weights when the holder is lost, so
 // that every host that follows the lease wants it at the moment at which it ends. They try
 // one after the other; all at once they would cost the store a refused call each.
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -88,6 +88,8 @@
 	// renewed is when the last successful grant or renewal was sent.
 	renewed time.Time
 	fencing int64
+	// fromOther is whether another process held the lease before this one took it.
+	fromOther bool
 	// heard is when the holder itself last told of the lease.
 	heard time.Time
 	// vacant is since when nobody has held the lease, in StateFree.
@@ -103,6 +105,19 @@
 	return &Lease{store: store, log: log, holder: holder, incarnation: incarnation, ttl: ttl, Follows: func() bool { return true }, machine: newLeaseMachine()}
 }
 
+// wrote reports whether this process wrote a record.
+func (l *Lease) wrote(rec platform.LeaseRecord) bool {
+	return rec.Holder == l.holder && rec.Incarnation == l.incarnation
+}
+
+// Term returns the fencing token with which this process took the lease last, and whether
+// another one held it before.
+func (l *Lease) Term() (fencing int64, fromOther bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fencing, l.fromOther
+}
+
 // HeldEnd returns the end of the log while this process holds the lease, or 0.
 func (l *Lease) HeldEnd() int64 {
 	l.mu.Lock()
@@ -191,8 +206,10 @@
 		return
 	}
 	l.end = max(l.end, offset+1)
+	before := l.last
 	l.last, l.seen, l.renewed = rec, time.Now(), sent
 	if rec.Fencing == 0 {
+		l.fromOther = before.Holder != "" && !l.wrote(before)
 		// Offsets begin at 0, fencing tokens at 1.
 		l.fencing = offset + 1
 		statemachine.Fire(l.machine, eventGrant)
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -67,14 +67,15 @@
 	loadingPart = 5
 	// recentFor is how long other hosts are told of loaded weights.
 	recentFor = 3 * time.Second
-	// yieldAfter is how long none of the replicas that are left may have answered this
-	// host before it leaves the lease to another one: two calls without an answer. With
-	// the rest of the lease and a load that is some 6 s, within the shortest deadline of
-	// new weights that is in use.
-	yieldAfter = 1500 * time.Millisecond
-	// yieldFor is how long it stays away, so that another host can take the lease, find
-	// the replicas out of reach itself, and leave them to a third.
-	yieldFor = 8 * time.Second
+	// silentAfter and stalledAfter are how long a holder tries a replica in vain before it
+	// leaves the lease to another host, if none is left that it could load: two calls more
+	// without an answer; where the replica answers, a few orders more, for orders may get
+	// lost. The next host takes over once the lease has ended, 3.3 s later.
+	silentAfter  = 1500 * time.Millisecond
+	stalledAfter = 5 * time.Second
+	// standBack is how much later than its turn such a host wants the lease again, so that
+	// others come first: as many as follow the lease's log.
+	standBack = 16 * rankDelay
 )
 
 // Loader brings replicas to the wanted weights while this host holds the lease.
@@ -98,19 +99,41 @@
 
 	mu sync.Mutex
 	// busy holds the replicas that are being ordered.
-	busy map[string]bool
+	busy map[string]*try
 	// sequences holds the orders that each replica has accepted, where known.
 	sequences map[string]int64
-	failed    map[string]time.Time
-	// silent is since when a replica has not answered this host's reports and orders.
-	silent map[string]time.Time
-	// yielded is until when this host leaves the lease to others.
-	yielded time.Time
-	recent  []loaded
+	// failed holds the replicas that this host tried in vain since it took the lease.
+	failed map[string]failure
+	// term is the fencing token of the lease as it was last taken, left the one with which
+	// it was left to another host.
+	term, left int64
+
+	recent []loaded
 	// needed is since when some replica lacks the wanted weights.
 	needed time.Time
 }
 
+// try is one to bring a replica to a version; answered is whether the replica answered
+// any call of it.
+type try struct{ answered bool }
+
+// failure is one or more tries in a row that failed.
+type failure struct {
+	// since is when the first of them ended, at when the last one did.
+	since, at time.Time
+	version   int64
+	// answered is whether the replica answered any call of the last one.
+	answered bool
+}
+
+// patience is how long a host goes on in vain.
+func (f failure) patience() time.Duration {
+	if f.answered {
+		return stalledAfter
+	}
+	return silentAfter
+}
+
 type loaded struct {
 	id, model string
 	version   int64
@@ -122,7 +145,7 @@
 	return &Loader{
 		lease: lease, engine: engine, replicas: replicas, log: log, holder: holder, mode: mode, atOnce: atOnce,
 		Rank: func() int { return 0 }, Changed: func() {}, Loaded: func(string) {}, Ordered: func() {},
-		busy: map[string]bool{}, sequences: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]time.Time{},
+		busy: map[string]*try{}, sequences: map[string]int64{}, failed: map[string]failure{},
 	}
 }
 
@@ -157,47 +180,78 @@
 		l.needed = now
 	}
 	needed := l.needed
-	yields := l.yields(behind, now)
+	stalled := l.stalled(behind, now)
 	l.mu.Unlock()
-	if yields || !l.due(needed, now) || !l.lease.Try(ctx) {
+	if !l.due(needed, stalled, now) || !l.lease.Try(ctx) {
 		return nil
 	}
+	l.noteTerm()
 	return l.take(behind, l.room(behind), now)
 }
 
-// due reports whether it is this host's turn to want the lease: the hosts follow each
-// other by rank from when it was needed, or has been vacant, whichever is later.
-func (l *Loader) due(needed, now time.Time) bool {
-	since := needed
-	if vacant := l.lease.VacantSince(now); vacant.After(since) {
-		since = vacant
+// due reports whether it is this host's turn to hold the lease. Hosts that may need it
+// follow each other by rank from when replicas came to lack weights, or it became vacant,
+// whichever is later. A holder that is stalled does not renew it, and comes last then.
+func (l *Loader) due(needed time.Time, stalled bool, now time.Time) bool {
+	delay := time.Duration(l.Rank()) * rankDelay
+	vacant := l.lease.VacantSince(now)
+	if vacant.IsZero() {
+		l.noteStalled(stalled)
+		return !stalled && now.Sub(needed) >= delay
+	}
+	if stalled {
+		delay += standBack
 	}
-	return now.Sub(since) >= time.Duration(l.Rank())*rankDelay
+	if vacant.After(needed) {
+		needed = vacant
+	}
+	return l.lease.Follows() && now.Sub(needed) >= delay
 }
 
-// yields reports whether this host leaves the lease to others, by not renewing it: of the
-// replicas that are left none has answered it for a while. Another host may reach them;
-// by this one's view alone they would keep their old weights. l.mu is held.
-func (l *Loader) yields(behind []target, now time.Time) bool {
-	if len(behind) == 0 {
-		return false
-	}
+// stalled reports whether this host has for a while tried all replicas that are left in
+// vain. Another host may reach them; by the view of one host alone they would keep their old
+// weights. l.mu is held.
+func (l *Loader) stalled(behind []target, now time.Time) bool {
 	for _, t := range behind {
-		since, silent := l.silent[t.server.ID]
-		if !silent || now.Sub(since) < yieldAfter {
+		f, failed := l.failure(t)
+		if !failed || now.Sub(f.since) < f.patience() {
 			return false
 		}
 	}
-	if l.yielded.IsZero() {
-		l.yielded = now.Add(yieldFor)
-		l.log.WithFields(logrus.Fields{"replicas": len(behind), "replica": behind[0].server.ID}).Warn("no replica that lacks weights answers; the lease is left to another host")
+	return len(behind) > 0
+}
+
+// noteStalled says once for each term that the lease is left to another host.
+func (l *Loader) noteStalled(stalled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !stalled || l.left == l.term {
+		return
+	}
+	l.left = l.term
+	l.log.WithFields(logrus.Fields{"fencing": l.term, "replicas": len(l.failed)}).Warn("lease for weights left to another host: the replicas that lack them are tried in vain")
+}
+
+// failure returns the tries of a target that failed. l.mu is held.
+func (l *Loader) failure(t target) (failure, bool) {
+	f, failed := l.failed[t.server.ID]
+	return f, failed && f.version == t.version
+}
+
+// noteTerm begins anew where the lease was taken anew. Where another host held it before,
+// that one has given orders, and the counts of them are out of date.
+func (l *Loader) noteTerm() {
+	term, fromOther := l.lease.Term()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term == l.term {
+		return
 	}
-	if now.Before(l.yielded) {
-		return true
+	l.term = term
+	clear(l.failed)
+	if fromOther {
+		clear(l.sequences)
 	}
-	l.yielded = time.Time{}
-	clear(l.silent)
-	return false
 }
 
 // room returns how many replicas may load at once: the setting, more where there
@@ -247,18 +301,29 @@
 	return out
 }
 
+// take returns those of the replicas behind for which there is room, and marks them as
+// busy. Those that were tried in vain come last, the one tried longest ago first: a few
+// that do not answer would keep the rest from being ordered.
 func (l *Loader) take(behind []target, room int, now time.Time) []target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sort.SliceStable(behind, func(i, j int) bool {
+		a, aFailed := l.failure(behind[i])
+		b, bFailed := l.failure(behind[j])
+		if !aFailed || !bFailed {
+			return !aFailed && bFailed
+		}
+		return a.at.Before(b.at)
+	})
 	var out []target
 	for _, t := range behind {
 		if len(l.busy) >= room {
 			break
 		}
-		if l.busy[t.server.ID] || now.Sub(l.failed[t.server.ID]) < retryPause {
+		if f, failed := l.failure(t); l.busy[t.server.ID] != nil || failed && now.Sub(f.at) < retryPause {
 			continue
 		}
-		l.busy[t.server.ID] = true
+		l.busy[t.server.ID] = &try{}
 		out = append(out, t)
 	}
 	return out
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarlink/briarlink/platform"
@@ -15,14 +16,7 @@
 	defer cancel()
 	began := time.Now()
 	err := l.bring(ctx, t)
-	l.mu.Lock()
-	delete(l.busy, t.server.ID)
-	if err != nil {
-		l.failed[t.server.ID] = time.Now()
-	} else {
-		delete(l.failed, t.server.ID)
-	}
-	l.mu.Unlock()
+	l.ended(t, err)
 	line := l.log.WithFields(logrus.Fields{
 		"replica": t.server.ID, "model": t.model, "version": t.version,
 		"fencing": l.lease.Fencing(), "ms": time.Since(began).Milliseconds(),
@@ -34,6 +28,29 @@
 	line.Info("weights loaded")
 }
 
+// ended records how a try ended. One that the end of the lease cut says nothing of the
+// replica.
+func (l *Loader) ended(t target, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answered := l.busy[t.server.ID].answered
+	delete(l.busy, t.server.ID)
+	if err == nil {
+		delete(l.failed, t.server.ID)
+		return
+	}
+	if errors.Is(err, errLeaseEnded) {
+		return
+	}
+	now := time.Now()
+	f, again := l.failure(t)
+	if !again {
+		f.since = now
+	}
+	f.at, f.version, f.answered = now, t.version, answered
+	l.failed[t.server.ID] = f
+}
+
 func (l *Loader) bring(ctx context.Context, t target) error {
 	l.drain(ctx, t)
 	sequence, known := l.sequence(t.server.ID)
@@ -98,16 +115,12 @@
 	l.sequences[id] = n
 }
 
-// noteAnswer notes whether a replica answered a report or an order.
-func (l *Loader) noteAnswer(id string, answered bool) {
+// noteAnswer notes that a replica answered a report or an order.
+func (l *Loader) noteAnswer(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answered {
-		delete(l.silent, id)
-		return
-	}
-	if _, silent := l.silent[id]; !silent {
-		l.silent[id] = time.Now()
+	if try := l.busy[id]; try != nil {
+		try.answered = true
 	}
 }
 
@@ -115,8 +128,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
-	l.noteAnswer(t.server.ID, err == nil)
 	if err == nil {
+		l.noteAnswer(t.server.ID)
 		l.setSequence(t.server.ID, report.Sequence)
 	}
 	return report, err
@@ -145,7 +158,6 @@
 	}
 	l.Ordered()
 	result, err := l.engine.Order(ctx, t.server.Address, o)
-	l.noteAnswer(t.server.ID, err == nil)
 	line := l.log.WithFields(logrus.Fields{
 		"replica": t.server.ID, "version": t.version, "fencing": o.Fencing, "sequence": sequence, "result": result.String(),
 	})
@@ -154,6 +166,7 @@
 		line.WithError(err).Warn("order to load weights without an answer")
 		return platform.OrderLost, nil
 	}
+	l.noteAnswer(t.server.ID)
 	line.Info("order to load weights")
 	if result == platform.OrderAccepted {
 		l.setSequence(t.server.ID, sequence+1)
@@ -173,7 +186,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.sequences, id)
-	delete(l.silent, id)
 }
 
 // await asks the replica until it holds the target's weights. An order that was not
--- /dev/null
+++ b/internal/rollout/stalled_test.go
@@ -0,0 +1,173 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/platform"
+)
+
+// hostView is what one host sees of the fleet, and which replicas it reaches.
+type hostView struct {
+	*fakeFleet
+	// cut replicas do not answer this host, down ones it believes to be down, refusing
+	// ones turn its orders down.
+	cut, down, refusing map[string]bool
+}
+
+func (v hostView) Servers(now time.Time) []replica.Server {
+	servers := v.fakeFleet.Servers(now)
+	for i := range servers {
+		servers[i].Down = v.down[servers[i].ID]
+	}
+	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	return servers
+}
+
+func (v hostView) isCut(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cut[id]
+}
+
+func (v hostView) Report(ctx context.Context, address, id string) (platform.EngineReport, error) {
+	if v.isCut(address) {
+		time.Sleep(callTimeout)
+		return platform.EngineReport{}, errLost
+	}
+	return v.fakeFleet.Report(ctx, address, id)
+}
+
+func (v hostView) Order(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error) {
+	switch {
+	case v.isCut(address):
+		time.Sleep(callTimeout)
+		return platform.OrderLost, errLost
+	case v.refusing[address]:
+		return platform.OrderRefused, nil
+	}
+	return v.fakeFleet.Order(ctx, address, o)
+}
+
+// replicas returns the IDs of the first n replicas of a fleet.
+func replicas(n int) map[string]bool {
+	ids := map[string]bool{}
+	for i := range n {
+		ids[fmt.Sprint("i-", i)] = true
+	}
+	return ids
+}
+
+// runHosts names a version to hosts that see the fleet differently, in the order in which
+// they would take the lease, and returns how long the replicas that can load it took, or
+// a minute. meanwhile, if not nil, runs beside them.
+func runHosts(t *testing.T, fleet *fakeFleet, unable int, meanwhile func(), views ...hostView) time.Duration {
+	log := newFakeLog()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for rank, v := range views {
+		v.fakeFleet = fleet
+		name := fmt.Sprint("host-", rank)
+		lease := NewLease(&view{log: log}, quietLog(), name, uint64(rank+1), testTTL)
+		loader := NewLoader(lease, v, v, quietLog(), name, platform.LoadQueue, 2)
+		loader.Rank = func() int { return rank }
+		wg.Go(func() { lease.Follow(ctx) })
+		wg.Go(func() { loader.Run(ctx) })
+	}
+	time.Sleep(time.Second)
+	fleet.set(func() { fleet.wanted = 2 })
+	if meanwhile != nil {
+		wg.Go(meanwhile)
+	}
+	began := time.Now()
+	for fleet.behind() > unable && time.Since(began) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+	took := time.Since(began)
+	cancel()
+	wg.Wait()
+	time.Sleep(10 * time.Second)
+	return took
+}
+
+// TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost: the holder of the lease,
+// well in all else, gets no answer from some replicas, and believes others to be down.
+// It went on trying and kept the lease for ever, so that no other host could give orders.
+// Every replica is to be loaded well before the deadline of new weights.
+func TestReplicasThatTheHolderDoesNotReachAreLeftToAnotherHost(t *testing.T) {
+	for name, c := range map[string]struct {
+		first    hostView
+		replicas int
+		within   time.Duration
+	}{
+		"no answers":             {hostView{cut: replicas(3)}, 6, 10 * time.Second},
+		"no answer, others down": {hostView{cut: replicas(1), down: map[string]bool{"i-1": true, "i-2": true}}, 6, 10 * time.Second},
+		"no answers at all":      {hostView{cut: replicas(60)}, 60, 15 * time.Second},
+		"one refuses":            {hostView{cut: map[string]bool{"i-1": true, "i-2": true}, refusing: replicas(1)}, 6, 14 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if took := runHosts(t, newFakeFleet(c.replicas), 0, nil, c.first, hostView{}); took > c.within {
+					t.Errorf("all replicas had the weights after %v, want %v", took, c.within)
+				}
+			})
+		})
+	}
+}
+
+// TestSeveralHostsThatDoNotReachAReplica leave the lease to one that does, also where
+// the first would be due again before it: hosts of one zone may lack the same way.
+func TestSeveralHostsThatDoNotReachAReplica(t *testing.T) {
+	for _, bad := range []int{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			var views []hostView
+			for range bad {
+				views = append(views, hostView{cut: replicas(2)})
+			}
+			for len(views) < 16 {
+				views = append(views, hostView{})
+			}
+			within := 10*time.Second + time.Duration(bad-1)*7*time.Second
+			if took := runHosts(t, newFakeFleet(12), 0, nil, views...); took > within {
+				t.Errorf("%d hosts do not reach two replicas: loaded after %v, want %v", bad, took, within)
+			}
+		})
+	}
+}
+
+// TestSilentReplicasKeepNobodyFromBeingOrdered: replicas that answer nobody came first
+// again after each try, for they have few requests, and took all places by turns; the
+// others were never ordered.
+func TestSilentReplicasKeepNobodyFromBeingOrdered(t *testing.T) {
+	for _, n := range []int{12, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			silent := n * 2 / 5
+			v := hostView{cut: replicas(silent)}
+			if took := runHosts(t, newFakeFleet(n), silent, nil, v, v, v); took > 12*time.Second {
+				t.Errorf("%d of %d replicas are silent: the others had the weights after %v", silent, n, took)
+			}
+		})
+	}
+}
+
+// TestReplicaThatAnswersAgainIsOrderedSoon by the host that found it silent before.
+func TestReplicaThatAnswersAgainIsOrderedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(2)
+		v := hostView{cut: replicas(1)}
+		const back = 20 * time.Second
+		took := runHosts(t, fleet, 0, func() {
+			time.Sleep(back)
+			fleet.set(func() { delete(v.cut, "i-0") })
+		}, v)
+		if took-back > 8*time.Second {
+			t.Errorf("loaded %v after it answered again", took-back)
+		}
+	})
+}
