Ablation: plays are kept in a file, pairs without processor time, a table of several sites

The outcome of a play was written by several goroutines to one error: mended. Ruled out: rows in parallel in one process (a row needs a deploy file of its own; sites run as a process each).

--- a/test/ablation/main.go
+++ b/test/ablation/main.go
@@ -1,6 +1,7 @@
 // Command ablation plays days of a deployment with one mechanism switched off at a
 // time and prints what each is worth: the mean worth with all of them, less the mean
-// without it, over the same days and seeds.
+// without it, over the same days and seeds. Plays that were made are kept in a file, so
+// that a long series can be stopped and gone on with.
 //
 // It is run in the repository:
 //
@@ -10,12 +11,14 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -25,12 +28,15 @@
 )
 
 type options struct {
-	Bench   string   `required:"" type:"existingfile" help:"The users' bench."`
-	Site    string   `required:"" type:"existingfile" help:"The deployment's file."`
-	Day     []string `required:"" help:"Days to play."`
-	Seeds   int      `default:"2" help:"Plays of each day, the first with the day's own seed."`
-	Jobs    int      `default:"4" help:"Plays at once."`
-	Without []string `help:"Mechanisms to switch off, one at a time; all by default."`
+	Bench   string        `required:"" type:"existingfile" help:"The users' bench."`
+	Site    string        `required:"" type:"existingfile" help:"The deployment's file."`
+	Day     []string      `required:"" help:"Days to play."`
+	Seeds   int           `default:"2" help:"Plays of each day, the first with the day's own seed."`
+	Jobs    int           `default:"4" help:"Plays at once."`
+	Without []string      `help:"Mechanisms to switch off, one at a time; all by default."`
+	NoCPU   bool          `name:"no-cpu" help:"Charge no processor time: a play then repeats, so that pairs differ by the mechanism alone."`
+	Plays   string        `default:"target/ablation.csv" help:"File of the plays made; those in it are not made again."`
+	For     time.Duration `default:"24h" help:"Begin no row of a seed after this long; the table shows what was played."`
 }
 
 // firstSeed is the first of the seeds beside a day's own.
@@ -49,88 +55,96 @@
 	if _, err := mechanism.Parse(o.Without); err != nil {
 		return err
 	}
-	names := o.Without
-	if len(names) == 0 {
-		for _, n := range mechanism.All() {
-			names = append(names, string(n))
-		}
-	}
-	full, err := o.play("")
+	plays, err := readPlays(o.Plays)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("| switched off | mean worth | worth | standard error | rules broken |\n|---|---|---|---|---|\n")
-	fmt.Printf("| nothing | %.4f | | | %d |\n", full.mean(), full.broken)
-	for _, name := range names {
-		less, err := o.play(name)
-		if err != nil {
-			return err
-		}
-		mean, se := full.over(less)
-		fmt.Printf("| %s | %.4f | %+.4f | %.4f | %d |\n", name, less.mean(), mean, se, less.broken)
+	if plays, err = o.playMissing(plays); err != nil {
+		return err
+	}
+	for _, line := range table(plays) {
+		fmt.Println(line)
 	}
 	return nil
 }
 
-// results are the worths of the plays, in the same order each time.
-type results struct {
-	worth  []float64
-	broken int
+// playMissing makes the plays that are not there yet: every row with one seed before
+// any row with the next.
+func (o *options) playMissing(plays []play) ([]play, error) {
+	dir, err := copySources()
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	stop := time.Now().Add(o.For)
+	for seed := range o.Seeds {
+		for _, without := range o.rows() {
+			missing := o.missing(plays, without, seed)
+			if len(missing) == 0 {
+				continue
+			}
+			if time.Now().After(stop) {
+				return plays, nil
+			}
+			made, err := o.playRow(dir, missing)
+			if err != nil {
+				return nil, err
+			}
+			plays = append(plays, made...)
+			fmt.Fprintf(os.Stderr, "%s seed %d without %q: played\n", o.siteName(), seed, without)
+		}
+	}
+	return plays, nil
 }
 
-func (r results) mean() float64 {
-	sum := 0.0
-	for _, w := range r.worth {
-		sum += w
+// rows are the mechanisms to switch off, after nothing.
+func (o *options) rows() []mechanism.Name {
+	names := []mechanism.Name{nothing}
+	if len(o.Without) == 0 {
+		return append(names, mechanism.All()...)
+	}
+	for _, n := range o.Without {
+		names = append(names, mechanism.Name(strings.TrimSpace(n)))
 	}
-	return sum / float64(len(r.worth))
+	return names
 }
 
-// over returns the mean of the differences to other results, play by play, and its
-// standard error.
-func (r results) over(other results) (mean, se float64) {
-	n := float64(len(r.worth))
-	for i, w := range r.worth {
-		mean += (w - other.worth[i]) / n
-	}
-	sum := 0.0
-	for i, w := range r.worth {
-		d := w - other.worth[i] - mean
-		sum += d * d
+func (o *options) siteName() string {
+	return strings.TrimSuffix(filepath.Base(o.Site), filepath.Ext(o.Site))
+}
+
+func (o *options) missing(plays []play, without mechanism.Name, seed int) []play {
+	var missing []play
+	for _, day := range o.Day {
+		p := play{setting: setting{site: o.siteName(), day: day, seed: seed}, without: without}
+		if !slices.ContainsFunc(plays, p.same) {
+			missing = append(missing, p)
+		}
 	}
-	return mean, math.Sqrt(sum/max(1, n-1)) / math.Sqrt(n)
+	return missing
 }
 
-// play plays every day with every seed in a copy of the sources whose hosts run
-// without a mechanism.
-func (o *options) play(without string) (results, error) {
-	dir, err := o.copySources(without)
-	if err != nil {
-		return results{}, err
+// playRow makes plays without one mechanism and keeps them.
+func (o *options) playRow(dir string, row []play) ([]play, error) {
+	if err := switchOff(dir, row[0].without); err != nil {
+		return nil, err
 	}
-	defer os.RemoveAll(dir)
 	if out, err := o.command(dir, "build").CombinedOutput(); err != nil {
-		return results{}, errors.Wrapf(err, "build: %s", out)
+		return nil, errors.Wrapf(err, "build: %s", out)
 	}
-	r := results{worth: make([]float64, len(o.Day)*o.Seeds)}
-	broken := make([]bool, len(r.worth))
 	var group errgroup.Group
 	group.SetLimit(o.Jobs)
-	for i := range r.worth {
-		group.Go(func() error {
-			r.worth[i], broken[i], err = o.one(dir, without, o.Day[i/o.Seeds], i%o.Seeds)
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return r, err
-	}
-	for _, b := range broken {
-		if b {
-			r.broken++
-		}
+	for i := range row {
+		group.Go(func() error { return o.one(dir, &row[i]) })
+	}
+	playErr := group.Wait()
+	if err := keepJournal(dir); err != nil {
+		return nil, err
+	}
+	if playErr != nil {
+		return nil, playErr
 	}
-	return r, o.keepJournal(dir)
+	return row, appendPlays(o.Plays, row)
 }
 
 // report is what the bench says of a day.
@@ -140,22 +154,31 @@
 	Breaks map[string]any
 }
 
-func (o *options) one(dir, without, day string, seed int) (worth float64, broken bool, err error) {
-	file := filepath.Join(dir, "target", fmt.Sprintf("report-%s-%d.json", day, seed))
-	args := []string{"run", o.Site, day, "--report", file, "--why", "Ablation, without: " + without}
-	if seed > 0 {
-		args = append(args, "--seed", strconv.Itoa(firstSeed+seed))
-	}
-	out, runErr := o.command(dir, args...).CombinedOutput()
+// one makes a play and notes its outcome in it.
+func (o *options) one(dir string, p *play) error {
+	file := filepath.Join(dir, "target", fmt.Sprintf("report-%s-%s-%d.json", p.without, p.day, p.seed))
+	out, runErr := o.command(dir, o.arguments(p, file)...).CombinedOutput()
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return 0, false, errors.Wrapf(err, "%s was not played (%v): %.400s", day, runErr, out)
+		return errors.Wrapf(err, "%s was not played (%v): %.400s", p.day, runErr, out)
 	}
 	var r report
 	if err := json.Unmarshal(data, &r); err != nil {
-		return 0, false, errors.Wrap(err, "read a report")
+		return errors.Wrap(err, "read a report")
+	}
+	p.worth, p.broken = r.G, slices.Sorted(maps.Keys(r.Breaks))
+	return nil
+}
+
+func (o *options) arguments(p *play, file string) []string {
+	args := []string{"run", o.Site, p.day, "--report", file, "--why", "Ablation, without: " + string(p.without)}
+	if p.seed > 0 {
+		args = append(args, "--seed", strconv.Itoa(firstSeed+p.seed))
+	}
+	if o.NoCPU {
+		args = append(args, "--no-cpu")
 	}
-	return r.G, len(r.Breaks) > 0, nil
+	return args
 }
 
 func (o *options) command(dir string, args ...string) *exec.Cmd {
@@ -164,9 +187,9 @@
 	return cmd
 }
 
-// copySources returns a copy of the sources as committed, with the flag that
-// switches the mechanism off in the deploy file.
-func (o *options) copySources(without string) (string, error) {
+// copySources returns a copy of the sources as committed. All rows use it one after
+// another, as sources in another folder would be compiled again.
+func copySources() (string, error) {
 	dir, err := os.MkdirTemp("", "ablation")
 	if err != nil {
 		return "", errors.Wrap(err, "make a folder for the sources")
@@ -174,20 +197,40 @@
 	if out, err := exec.Command("git", "clone", "-q", "--depth", "1", "file://"+mustGetwd(), dir).CombinedOutput(); err != nil {
 		return "", errors.Wrapf(err, "copy the sources: %s", out)
 	}
-	if without == "" {
-		return dir, nil
+	return dir, nil
+}
+
+// switchOff puts the flag that switches the mechanism off into the deploy file as
+// committed.
+func switchOff(dir string, without mechanism.Name) error {
+	if out, err := exec.Command("git", "-C", dir, "checkout", "-q", "deploy").CombinedOutput(); err != nil {
+		return errors.Wrapf(err, "restore the deploy file: %s", out)
+	}
+	if without == nothing {
+		return nil
 	}
 	file := filepath.Join(dir, "deploy", "system.toml")
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", errors.Wrap(err, "read the deploy file")
+		return errors.Wrap(err, "read the deploy file")
+	}
+	text, err := withFlag(string(data), without)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write the deploy file")
+}
+
+func withFlag(deploy string, without mechanism.Name) (string, error) {
+	const serve = "briarlink serve"
+	if !strings.Contains(deploy, serve) {
+		return "", errors.Errorf("the deploy file does not run %q", serve)
 	}
-	text := strings.Replace(string(data), "briarlink serve", "briarlink serve --without="+without, 1)
-	return dir, errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write the deploy file")
+	return strings.Replace(deploy, serve, serve+" --without="+string(without), 1), nil
 }
 
 // keepJournal moves the entries of the plays to the repository's journal.
-func (o *options) keepJournal(dir string) error {
+func keepJournal(dir string) error {
 	entries, err := filepath.Glob(filepath.Join(dir, "journal", "*.json"))
 	if err != nil {
 		return errors.Wrap(err, "find the journal's entries")
