A host's sockets are opened before it runs and handed over; a taken port ends it

Cause: two faults with one root, that a host opened its sockets while it was being started. The tests of internal/node found free ports by opening and closing them, and hosts bound them later; in between any connection or other test process could take them ('bind: address already in use'). And a host of which any port but the first was taken did not end: Run returned an error only after its HTTP servers, already serving, had ended, which nobody asked of them. It hung without a line.

Change: node.Listen opens every socket that the settings name, or none; Run takes them and has no way to fail. Heartbeats are opened at the port of the peers' listener, so that a port that the system chooses is held for both. Tests let the system choose and write the ports into the settings. They also keep the heartbeat ports of stopped hosts until all hosts of their site have stopped, since what the others still send there could reach a host of another test process.

Ruled out: a range of ports a process, and trying again after a failure: rarer, not impossible. test/soak and test/run.sh use fixed ports below those that the system gives out, and its proxies port 0; nothing there is freed and bound again.

That heartbeats reach another test's host was not seen; it follows from the code.

--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -62,6 +62,11 @@
 	defer lines.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	listeners, err := node.Listen(s.Listen)
+	if err != nil {
+		log.WithError(err).Error("ended")
+		return err
+	}
 	n := node.New(s, off, log, lines)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -72,10 +77,7 @@
 			}
 		}
 	}()
-	if err := n.Run(ctx); err != nil {
-		log.WithError(err).Error("ended")
-		return err
-	}
+	n.Run(ctx, listeners)
 	return nil
 }
 
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/sebdah/goldie/v2"
@@ -57,6 +60,37 @@
 	}
 }
 
+// TestServeEndsWhereAPortIsTaken: a host that cannot listen at one of its addresses
+// ends at once, and does not stay with the others open.
+func TestServeEndsWhereAPortIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	_, port, err := net.SplitHostPort(taken.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "host.hujson")
+	text := fmt.Sprintf(`{"host": {"id": "a", "availability_zone": "z"},
+"listen": {"caller": "127.0.0.2:%[1]s", "ready": "127.0.0.1:%[1]s", "peer": "127.0.0.3:%[1]s"},
+"platform": {"address": "127.0.0.1:1"}}`, port)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code := make(chan int, 1)
+	go func() { code <- run([]string{"serve", "--settings", file}) }()
+	select {
+	case got := <-code:
+		if got != exitFailed {
+			t.Errorf("exit code %d, want %d", got, exitFailed)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the host did not end")
+	}
+}
+
 // TestAdminTables prints a host's answer by command.
 func TestAdminTables(t *testing.T) {
 	status := &pb.StatusResponse{
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -29,17 +29,9 @@
 	Sent func(to string, bytes int)
 }
 
-// Listen opens the socket at an IP:port.
-func Listen(address string, log *logrus.Logger) (*Gossip, error) {
-	udp, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "parse the peer address")
-	}
-	conn, err := net.ListenUDP("udp4", udp)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for heartbeats")
-	}
-	return &Gossip{conn: conn, log: log}, nil
+// NewGossip returns heartbeats over a socket, which Close closes.
+func NewGossip(conn *net.UDPConn, log *logrus.Logger) *Gossip {
+	return &Gossip{conn: conn, log: log}
 }
 
 // Close ends Receive.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/admin"
 	"github.com/briarlink/briarlink/internal/peer"
 )
@@ -17,6 +18,63 @@
 // headerTimeout is how long a caller may take to send a request's head.
 const headerTimeout = 10 * time.Second
 
+// Listeners are the open sockets of one host, from Listen to the end of Run. Those
+// that the settings leave out are nil.
+type Listeners struct {
+	callers, ready, directory, operators, metrics, peers net.Listener
+	heartbeats                                           *net.UDPConn
+}
+
+// Listen opens every socket that the settings name, or none. Heartbeats come to the
+// port of the peers' listener, also where its address leaves the choice to the system.
+func Listen(s *pb.ListenSettings) (*Listeners, error) {
+	l := &Listeners{}
+	if err := l.open(s); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Listeners) open(s *pb.ListenSettings) error {
+	for _, item := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"callers", s.Caller, &l.callers},
+		{"ready", s.Ready, &l.ready},
+		{"directory", s.Directory, &l.directory},
+		{"operators", s.Operator, &l.operators},
+		{"metrics", s.Metrics, &l.metrics},
+		{"peers", s.Peer, &l.peers},
+	} {
+		if item.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp4", item.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", item.name)
+		}
+		*item.listener = listener
+	}
+	var err error
+	l.heartbeats, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(l.peers.Addr().(*net.TCPAddr).AddrPort()))
+	return errors.Wrap(err, "listen for heartbeats")
+}
+
+// close closes what is open of listeners that nobody serves: a failure to would
+// change nothing.
+func (l *Listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.directory, l.operators, l.metrics, l.peers} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if l.heartbeats != nil {
+		_ = l.heartbeats.Close()
+	}
+}
+
 // server is one HTTP listener.
 type server struct {
 	http *http.Server
@@ -34,46 +92,33 @@
 	}
 }
 
-// listen opens every listener that the settings name and serves on it.
-func (n *Node) listen(ctx context.Context, wg *sync.WaitGroup, metrics http.Handler) ([]*server, error) {
-	l := n.settings.Listen
+// serve serves on every listener.
+func (n *Node) serve(ctx context.Context, wg *sync.WaitGroup, l *Listeners, metrics http.Handler) []*server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
 	operators := http.NewServeMux()
 	operators.Handle(admin.New(n.status).Handler())
 	var servers []*server
 	for _, item := range []struct {
-		name, address string
-		handler       http.Handler
+		name     string
+		listener net.Listener
+		handler  http.Handler
 	}{
-		{"callers", l.Caller, n.entry.Handler()},
-		{"ready", l.Ready, n.entry.ReadyHandler()},
-		{"directory", l.Directory, n.entry.DirectoryHandler()},
-		{"operators", l.Operator, operators},
-		{"metrics", l.Metrics, mux},
+		{"callers", l.callers, n.entry.Handler()},
+		{"ready", l.ready, n.entry.ReadyHandler()},
+		{"directory", l.directory, n.entry.DirectoryHandler()},
+		{"operators", l.operators, operators},
+		{"metrics", l.metrics, mux},
 	} {
-		if item.address == "" {
-			continue
+		if item.listener != nil {
+			servers = append(servers, n.serveHTTP(wg, item.name, item.listener, item.handler))
 		}
-		s, err := n.serveHTTP(wg, item.name, item.address, item.handler)
-		if err != nil {
-			return nil, err
-		}
-		servers = append(servers, s)
-	}
-	listener, err := net.Listen("tcp4", l.Peer)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for peers")
 	}
-	wg.Go(func() { n.ended("peers", peer.Serve(ctx, listener, &peerService{n: n})) })
-	return servers, nil
+	wg.Go(func() { n.ended("peers", peer.Serve(ctx, l.peers, &peerService{n: n})) })
+	return servers
 }
 
-func (n *Node) serveHTTP(wg *sync.WaitGroup, name, address string, handler http.Handler) (*server, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", name)
-	}
+func (n *Node) serveHTTP(wg *sync.WaitGroup, name string, listener net.Listener, handler http.Handler) *server {
 	s := &server{
 		http: &http.Server{
 			Handler:           handler,
@@ -85,7 +130,7 @@
 		log: n.log,
 	}
 	wg.Go(func() { n.ended(name, s.http.Serve(listener)) })
-	return s, nil
+	return s
 }
 
 func (n *Node) ended(name string, err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,8 +187,9 @@
 // begins a little earlier or later.
 const slackShare = 0.7
 
-// Run serves until ctx ends, then stops gracefully.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves on the listeners until ctx ends, then stops gracefully and has closed
+// them.
+func (n *Node) Run(ctx context.Context, l *Listeners) {
 	if mb := n.settings.Host.MemoryMb; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
@@ -196,11 +197,7 @@
 	defer closer.Close()
 	n.metrics = metrics
 	n.buildEntry()
-	gossip, err := member.Listen(n.settings.Listen.Peer, n.log)
-	if err != nil {
-		return err
-	}
-	n.gossip = gossip
+	n.gossip = member.NewGossip(l.heartbeats, n.log)
 	n.gossip.Sent = n.countSent
 	// Background work outlives ctx: a graceful stop still needs it.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -208,10 +205,7 @@
 	defer wg.Wait()
 	defer n.closeClients()
 	defer cancel()
-	servers, err := n.listen(work, &wg, metricsHandler)
-	if err != nil {
-		return err
-	}
+	servers := n.serve(work, &wg, l, metricsHandler)
 	for _, loop := range n.loops() {
 		wg.Go(func() { loop(work) })
 	}
@@ -221,7 +215,6 @@
 	}).Info("started")
 	<-ctx.Done()
 	n.stop(servers)
-	return nil
 }
 
 func (n *Node) closeClients() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,9 +10,11 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
@@ -36,11 +38,20 @@
 	address string
 	engines []*engine.Engine
 	jobs    *engine.Engine
+	// ports keeps hosts' ports for heartbeats until all hosts have stopped: what those
+	// that run still send to one that has stopped must reach no other test's host.
+	ports []*os.File
 }
 
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, store: store.New()}
+	// Runs after the cleanups of the hosts, which come later.
+	t.Cleanup(func() {
+		for _, p := range s.ports {
+			p.Close()
+		}
+	})
 	s.address = serve(t, s.store.Handler())
 	for i := range 2 {
 		s.engines = append(s.engines, s.backend(engine.Options{ID: fmt.Sprint("i-writer-", i), Service: "writer", Model: "m", Events: 6, Pace: time.Millisecond, LoadTime: 50 * time.Millisecond}))
@@ -91,21 +102,35 @@
 	done     chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
+// openAnywhere opens a host's sockets at ports that the system chooses, and returns
+// them with their addresses. A port that is free
+// for TCP may be taken for heartbeats; then it asks for others.
+func openAnywhere(t *testing.T) (*Listeners, *pb.ListenSettings) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	const anyPort = "127.0.0.1:0"
+	wanted := &pb.ListenSettings{Caller: anyPort, Ready: anyPort, Directory: anyPort, Operator: anyPort, Peer: anyPort}
+	l, err := Listen(wanted)
+	for errors.Is(err, syscall.EADDRINUSE) {
+		l, err = Listen(wanted)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	at := func(l net.Listener) string { return l.Addr().String() }
+	return l, &pb.ListenSettings{Caller: at(l.callers), Ready: at(l.ready), Directory: at(l.directory), Operator: at(l.operators), Peer: at(l.peers)}
 }
 
 func (s *site) host(id, storeAddress string, peers ...*host) *host {
 	s.t.Helper()
 	set := settings.Defaults()
 	set.Host.Id, set.Host.AvailabilityZone = id, "z1"
-	set.Listen = &pb.ListenSettings{Caller: freeAddress(s.t), Ready: freeAddress(s.t), Directory: freeAddress(s.t), Operator: freeAddress(s.t), Peer: freeAddress(s.t)}
+	listeners, addresses := openAnywhere(s.t)
+	set.Listen = addresses
+	port, err := listeners.heartbeats.File()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.ports = append(s.ports, port)
 	set.Platform.Address = storeAddress
 	set.Platform.CallTimeout = durationpb.New(300 * time.Millisecond)
 	set.Replica.PollInterval = durationpb.New(20 * time.Millisecond)
@@ -119,9 +144,7 @@
 	h := &host{set, n, stop, make(chan struct{})}
 	go func() {
 		defer close(h.done)
-		if err := n.Run(ctx); err != nil {
-			s.t.Error(err)
-		}
+		n.Run(ctx, listeners)
 		_ = lines.Close()
 	}()
 	s.t.Cleanup(func() {
