The address at which nobody listens stays held in its test

Cause: TestWhetherAnythingWasSent opened a port, closed it and expected nobody to listen there; another process may take it in between, and answer. Not seen to fail.

Change: the port is bound and not listened on until the test ends: connections are refused, and the system gives it to nobody else. The assertions are the same.

Ruled out: a port that is never in use, such as 1: it is a guess about the machine.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +39,26 @@
 	return listener.Addr().String()
 }
 
+// heldAddress returns an address at which nobody listens, and nobody else can until
+// the test ends: its port is bound.
+func heldAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := bound.(*syscall.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)).String()
+}
+
 // readRequest reads a whole request and returns its ID and body.
 func readRequest(r *bufio.Reader) (id, body string, err error) {
 	req, err := http.ReadRequest(r)
@@ -149,12 +171,7 @@
 
 // TestWhetherAnythingWasSent: only then may the request have run.
 func TestWhetherAnythingWasSent(t *testing.T) {
-	closed, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	nobody := closed.Addr().String()
-	closed.Close()
+	nobody := heldAddress(t)
 	cut := script(t, func(_ net.Conn, r *bufio.Reader) { _, _, _ = readRequest(r) })
 	garbage := script(t, func(c net.Conn, r *bufio.Reader) {
 		_, _, _ = readRequest(r)
