--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,8 @@
 //
 // Lock order: every table (topic.Table, member.Table, replica.Table,
 // prefix.Index, retry.Budget, rollout.Lease, rollout.Loader) is locked alone; no
-// lock is held over a call to another table or process.
+// lock is held over a call to another table or process, but for Node.stating, which
+// comes before member.Table.
 package node
 
 import (
@@ -103,6 +104,9 @@
 	metrics   *obs.Metrics
 	entry     *entry.Server
 
+	// stating is held while the table of hosts is told of this host's state, and over
+	// no other call.
+	stating  sync.Mutex
 	sequence atomic.Uint64
 	sharers  sharers
 	// started is when the process began; holdFor is how long it waits for other hosts'
@@ -187,8 +191,9 @@
 // begins a little earlier or later.
 const slackShare = 0.7
 
-// Run serves until ctx ends, then stops gracefully.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves on the listeners until ctx ends, then stops gracefully and has closed
+// them.
+func (n *Node) Run(ctx context.Context, l *Listeners) {
 	if mb := n.settings.Host.MemoryMb; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
 	}
@@ -196,11 +201,7 @@
 	defer closer.Close()
 	n.metrics = metrics
 	n.buildEntry()
-	gossip, err := member.Listen(n.settings.Listen.Peer, n.log)
-	if err != nil {
-		return err
-	}
-	n.gossip = gossip
+	n.gossip = member.NewGossip(l.heartbeats, n.log)
 	n.gossip.Sent = n.countSent
 	// Background work outlives ctx: a graceful stop still needs it.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -208,10 +209,7 @@
 	defer wg.Wait()
 	defer n.closeClients()
 	defer cancel()
-	servers, err := n.listen(work, &wg, metricsHandler)
-	if err != nil {
-		return err
-	}
+	servers := n.serve(work, &wg, l, metricsHandler)
 	for _, loop := range n.loops() {
 		wg.Go(func() { loop(work) })
 	}
@@ -221,7 +219,6 @@
 	}).Info("started")
 	<-ctx.Done()
 	n.stop(servers)
-	return nil
 }
 
 func (n *Node) closeClients() {
@@ -241,7 +238,7 @@
 	n.entry = entry.New(entry.Deps{
 		View:            n.view,
 		Refuse:          n.refuse,
-		Ready:           func() bool { return n.machine.Is(StateReady) },
+		Ready:           n.ready,
 		Closing:         n.leaving,
 		Directory:       n.directory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
@@ -301,8 +298,9 @@
 	for n.entry.Open() > 0 && time.Since(began) < part(grace, endAfter) {
 		time.Sleep(stopPoll)
 	}
+	// A request that is no longer open may still have the end of its answer on the way.
 	for _, s := range servers {
-		s.close(part(grace, shutdownTime))
+		s.close(max(part(grace, endAfter)-time.Since(began), part(grace, shutdownTime)))
 	}
 	n.log.WithFields(logrus.Fields{"open": n.entry.Open(), "ms": time.Since(began).Milliseconds()}).Info("stopped")
 }
@@ -311,9 +309,9 @@
 	// closeAfter of the grace time new requests are refused: callers had three
 	// times an answer's lifetime to go elsewhere.
 	closeAfter = 0.42
-	// endAfter of the grace time open requests are given up.
+	// endAfter of the grace time open requests are given up, and answers on their way.
 	endAfter = 0.9
-	// shutdownTime of the grace time is left for connections to close.
+	// shutdownTime of the grace time is left for connections to close after that.
 	shutdownTime = 0.02
 	stopPoll     = 20 * time.Millisecond
 )
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,14 +10,17 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/settings"
+	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/caller"
 	"github.com/briarlink/briarlink/test/standin/engine"
@@ -36,11 +39,20 @@
 	address string
 	engines []*engine.Engine
 	jobs    *engine.Engine
+	// ports keeps hosts' ports for heartbeats until all hosts have stopped: what those
+	// that run still send to one that has stopped must reach no other test's host.
+	ports []*os.File
 }
 
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, store: store.New()}
+	// Runs after the cleanups of the hosts, which come later.
+	t.Cleanup(func() {
+		for _, p := range s.ports {
+			p.Close()
+		}
+	})
 	s.address = serve(t, s.store.Handler())
 	for i := range 2 {
 		s.engines = append(s.engines, s.backend(engine.Options{ID: fmt.Sprint("i-writer-", i), Service: "writer", Model: "m", Events: 6, Pace: time.Millisecond, LoadTime: 50 * time.Millisecond}))
@@ -91,21 +103,35 @@
 	done     chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
+// openAnywhere opens a host's sockets at ports that the system chooses, and returns
+// them with their addresses. A port that is free
+// for TCP may be taken for heartbeats; then it asks for others.
+func openAnywhere(t *testing.T) (*Listeners, *pb.ListenSettings) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	const anyPort = "127.0.0.1:0"
+	wanted := &pb.ListenSettings{Caller: anyPort, Ready: anyPort, Directory: anyPort, Operator: anyPort, Peer: anyPort}
+	l, err := Listen(wanted)
+	for errors.Is(err, syscall.EADDRINUSE) {
+		l, err = Listen(wanted)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	at := func(l net.Listener) string { return l.Addr().String() }
+	return l, &pb.ListenSettings{Caller: at(l.callers), Ready: at(l.ready), Directory: at(l.directory), Operator: at(l.operators), Peer: at(l.peers)}
 }
 
 func (s *site) host(id, storeAddress string, peers ...*host) *host {
 	s.t.Helper()
 	set := settings.Defaults()
 	set.Host.Id, set.Host.AvailabilityZone = id, "z1"
-	set.Listen = &pb.ListenSettings{Caller: freeAddress(s.t), Ready: freeAddress(s.t), Directory: freeAddress(s.t), Operator: freeAddress(s.t), Peer: freeAddress(s.t)}
+	listeners, addresses := openAnywhere(s.t)
+	set.Listen = addresses
+	port, err := listeners.heartbeats.File()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.ports = append(s.ports, port)
 	set.Platform.Address = storeAddress
 	set.Platform.CallTimeout = durationpb.New(300 * time.Millisecond)
 	set.Replica.PollInterval = durationpb.New(20 * time.Millisecond)
@@ -119,9 +145,7 @@
 	h := &host{set, n, stop, make(chan struct{})}
 	go func() {
 		defer close(h.done)
-		if err := n.Run(ctx); err != nil {
-			s.t.Error(err)
-		}
+		n.Run(ctx, listeners)
 		_ = lines.Close()
 	}()
 	s.t.Cleanup(func() {
@@ -131,7 +155,7 @@
 	return h
 }
 
-func (h *host) ready() bool { return h.node.machine.Is(StateReady) }
+func (h *host) ready() bool { return h.node.ready() }
 
 func (h *host) caller() *caller.Caller {
 	return &caller.Caller{Directories: []string{h.settings.Listen.Directory}, HostName: "museum.example", Zone: "z1", Key: "key-of-museum-a"}
@@ -156,6 +180,25 @@
 	return answer
 }
 
+// TestReadyHostsAreNamed by their own directory: a caller may come as soon as a host
+// says that it is ready.
+func TestReadyHostsAreNamed(t *testing.T) {
+	set := settings.Defaults()
+	set.Host.Id, set.Host.AvailabilityZone = "a", "z1"
+	set.Listen = &pb.ListenSettings{Caller: "127.0.0.1:1", Peer: "127.0.0.1:2"}
+	log, lines := obs.NewLogger(set.Log, io.Discard)
+	defer lines.Close()
+	n := New(set, nil, log, lines)
+	statemachine.Fire(n.machine, eventKnow)
+	if names := n.directory("z1"); n.ready() || len(names) > 0 {
+		t.Errorf("before its directory is told: ready %v, named %v", n.ready(), names)
+	}
+	n.setState()
+	if names := n.directory("z1"); !n.ready() || len(names) != 1 {
+		t.Errorf("once its directory is told: ready %v, named %v", n.ready(), names)
+	}
+}
+
 func TestWholePath(t *testing.T) {
 	s := newSite(t)
 	h := s.host("a", s.address)
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -98,6 +98,38 @@
 	})
 }
 
+// TestSyncedOnceAllIsTold: a host is ready once its topics are synced. Were it so
+// before each record is told, it would refuse requests for want of servers that it
+// has read; of two merges at once, the later must not end the wait for the first.
+func TestSyncedOnceAllIsTold(t *testing.T) {
+	records := []platform.Record{put("a", 0), put("b", 1)}
+	for name, take := range map[string]func(*Table){
+		"read":            func(table *Table) { table.Snapshot(platform.Page{Records: records, End: 2}, true) },
+		"by another host": func(table *Table) { table.MergeAll(records, 2, true) },
+	} {
+		telling, goOn := make(chan struct{}), make(chan struct{})
+		table := NewTable("keyed.x", func(platform.Record, Origin) {
+			telling <- struct{}{}
+			<-goOn
+		})
+		var wg sync.WaitGroup
+		wg.Go(func() { take(table) })
+		for range records {
+			<-telling
+			table.MergeAll(records, 2, true)
+			table.Merge(nil, 2, true)
+			if table.Synced() {
+				t.Errorf("%s: synced while records are told", name)
+			}
+			goOn <- struct{}{}
+		}
+		wg.Wait()
+		if !table.Synced() {
+			t.Errorf("%s: not synced once all are told", name)
+		}
+	}
+}
+
 // fakeReader plays a topic whose calls fail while down.
 type fakeReader struct {
 	mu    sync.Mutex
@@ -242,16 +274,20 @@
 		reader := &fakeReader{truth: history{put("a", 0), put("b", 1)}}
 		var held notes
 		table := NewTable("keyed.x", func(rec platform.Record, _ Origin) { held.set(rec.Key, !rec.Removed) })
-		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: quietLog()})()
+		log, lines := logtest.NewNullLogger()
+		defer start(&Follower{Store: reader, Table: table, Access: NewAccess(0, quietLog()), Gap: 100 * time.Millisecond, Log: log})()
 		time.Sleep(time.Second)
 		reader.change(func() {
 			reader.truth = append(reader.truth, platform.Record{Key: "a", Offset: 2, Removed: true}, put("c", 3))
+			reader.first = 4
 		})
-		reader.change(func() { reader.first = 4 })
 		time.Sleep(time.Second)
 		if held.is("a") || !held.is("b") || !held.is("c") {
 			t.Errorf("held: %v", held.m)
 		}
+		if n := len(lines.AllEntries()); n != 1 {
+			t.Errorf("%d lines, want the one that says that records were trimmed", n)
+		}
 	})
 }
 
