Soak: runs beside each other, and none leaves processes behind

Besides, a run that was ended with SIGTERM left its hosts running: four of four. Change: a seed takes the first block of addresses whose store port is free; a run that is asked to end kills its hosts for good first. Results are printed as they come. Ruled out: Pdeathsig, which follows the thread that started a process, not the run.

--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -30,6 +30,7 @@
 	exited  chan struct{}
 	started time.Time
 	boot    int
+	ended   bool
 }
 
 // settingsFor returns a host's settings; all hosts use the same ports.
@@ -46,11 +47,11 @@
 func (h *host) caller() string    { return h.ip + ":18000" }
 func (h *host) directory() string { return h.ip + ":18002" }
 
-// start starts the process unless it runs.
+// start starts the process unless it runs, or has been ended for good.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd != nil {
+	if h.cmd != nil || h.ended {
 		return nil
 	}
 	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -123,6 +124,14 @@
 	h.wait(grace)
 }
 
+// end kills the process for good.
+func (h *host) end() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.kill()
+}
+
 // currentBoot counts the starts so far.
 func (h *host) currentBoot() int {
 	h.mu.Lock()
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -10,8 +10,10 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -27,6 +29,9 @@
 	Length time.Duration `default:"8s" help:"How long a seed's faults come."`
 	Jobs   int           `default:"4" help:"Seeds at once."`
 	Keep   string        `default:"" help:"Directory for the logs of seeds that failed; a temporary one if empty."`
+
+	mu     sync.Mutex
+	worlds []*world
 }
 
 const (
@@ -51,22 +56,41 @@
 	for n := uint64(0); len(c.Seed) == 0 && n < c.Seeds; n++ {
 		seeds = append(seeds, c.First+n)
 	}
-	slots := make(chan int, c.Jobs)
-	for slot := range c.Jobs {
-		slots <- slot
-	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	// Who ends the run does not leave its processes behind.
+	defer context.AfterFunc(ctx, func() {
+		c.stop()
+		os.Exit(1)
+	})()
 	results := make(chan result, len(seeds))
+	go c.playAll(seeds, results)
+	return report(results)
+}
+
+func (c *cli) playAll(seeds []uint64, results chan<- result) {
+	defer close(results)
+	free := make(chan bool, c.Jobs)
 	var wg sync.WaitGroup
+	defer wg.Wait()
 	for _, seed := range seeds {
-		slot := <-slots
+		free <- true
 		wg.Go(func() {
-			results <- c.play(seed, slot)
-			slots <- slot
+			results <- c.play(seed)
+			<-free
 		})
 	}
-	wg.Wait()
-	close(results)
-	return report(results)
+}
+
+// stop ends every process of every seed, for good.
+func (c *cli) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.worlds {
+		for _, h := range w.hosts {
+			h.end()
+		}
+	}
 }
 
 func report(results <-chan result) error {
@@ -91,18 +115,22 @@
 }
 
 // play plays one seed; the logs of a seed that failed stay.
-func (c *cli) play(seed uint64, slot int) result {
+func (c *cli) play(seed uint64) result {
 	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("seed-%d-", seed))
 	if err != nil {
 		return result{seed: seed, err: err}
 	}
-	w, err := newWorld(c.Binary, dir, slot)
-	if w != nil {
-		defer w.stop()
-	}
+	w, err := newWorld(c.Binary, dir)
 	if err != nil {
 		return result{seed: seed, err: err}
 	}
+	defer w.stop()
+	c.mu.Lock()
+	c.worlds = append(c.worlds, w)
+	c.mu.Unlock()
+	if err := w.startHosts(); err != nil {
+		return result{seed: seed, err: err}
+	}
 	r := w.play(seed, c.Length)
 	if len(r.broken) == 0 && r.err == nil {
 		r.err = os.RemoveAll(dir)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -61,16 +61,33 @@
 	faults  *disturbances
 }
 
-func newWorld(binary, dir string, slot int) (*world, error) {
-	w := &world{
-		dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
-		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", 40+slot, i) },
+// firstBlock is the first of the blocks 127.0.N.0/24, and storePort the store's port in
+// each: who listens there has the block.
+const (
+	firstBlock, lastBlock = 60, 250
+	storePort             = 18100
+)
+
+// claim takes a block that no other run on this machine has, and listens for its store.
+func claim() (block int, store net.Listener, err error) {
+	for block = firstBlock; block <= lastBlock; block++ {
+		if store, err = net.Listen("tcp4", fmt.Sprintf("127.0.%d.1:%d", block, storePort)); err == nil {
+			break
+		}
 	}
-	w.config = newOperator(w.store)
-	listener, err := net.Listen("tcp4", w.ip(1)+":0")
+	return block, store, err
+}
+
+func newWorld(binary, dir string) (*world, error) {
+	block, listener, err := claim()
 	if err != nil {
 		return nil, err
 	}
+	w := &world{
+		dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
+		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
+	}
+	w.config = newOperator(w.store)
 	w.backend = listener.Addr().String()
 	w.http = &http.Server{Handler: w.store.Handler()}
 	go w.http.Serve(listener)
@@ -91,6 +108,15 @@
 	return w, nil
 }
 
+func (w *world) startHosts() error {
+	for _, h := range w.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (w *world) addHost(i int, binary, seeds string) error {
 	front, err := newProxy(w.ip(10+i)+":0", w.backend)
 	if err != nil {
@@ -103,7 +129,7 @@
 		return err
 	}
 	w.hosts = append(w.hosts, h)
-	return h.start()
+	return nil
 }
 
 func (w *world) addServer(i int) error {
@@ -181,7 +207,7 @@
 // stop ends everything that the world started.
 func (w *world) stop() {
 	for _, h := range w.hosts {
-		h.kill()
+		h.end()
 		h.store.close()
 	}
 	for _, s := range w.servers {
