Soak: fleets of 64 hosts, two sizes, restarts under an ID, malformed entries, routing hosts lost

Cause: the soak had four hosts of one size, all of them routing. What stands by, what takes over, a server that starts again under its ID and entries that name no server were never met by real processes. Change: seeds from 3000 on have eight hosts of two sizes, from 100000 on 64; their series also restart servers under their IDs, write malformed entries by the dozen and kill the hosts that the directory names. At the end, with all else calm, all routing hosts are lost at once: the others must name living ones, serve every kind and have new weights loaded. An address that only malformed entries name must get nothing. Hosts serve in the last check side by side, as 64 would take minutes. Callers that keep to a host and use its connections until it is gone were there.

--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/caller"
 	"github.com/briarlink/briarlink/test/standin/engine"
 	"github.com/briarlink/briarlink/test/standin/store"
@@ -167,3 +170,53 @@
 		t.Error("still disturbed long after")
 	}
 }
+
+// TestMalformedEntriesNameNoServer: none of them could be taken by a sound host, and
+// what is sent to their address is seen.
+func TestMalformedEntriesNameNoServer(t *testing.T) {
+	for _, entry := range malformed {
+		rec := platform.Record{Key: "stranger-1", Value: fmt.Appendf(nil, entry, "127.0.0.1:80")}
+		if reg, err := platform.DecodeReplica(rec); err == nil {
+			t.Errorf("%s names %+v", entry, reg)
+		}
+	}
+	w := testWorld()
+	tr, err := newTrap("127.0.0.1:0", w.seen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tr.http.Close()
+	resp, err := http.Get("http://" + tr.address + "/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if len(w.seen.broken) != 1 {
+		t.Errorf("broken: %q", w.seen.broken)
+	}
+}
+
+// TestSeries: a seed's series stays, and one of planned work alone has nothing else.
+func TestSeries(t *testing.T) {
+	const length = 5 * time.Second
+	names := func(series []fault) (out []string) {
+		for _, f := range series {
+			out = append(out, fmt.Sprint(f.at, f.name))
+		}
+		return out
+	}
+	unplanned := func(f fault) bool { return !f.planned }
+	alone := 0
+	for seed := uint64(sizedSeeds); seed < sizedSeeds+20; seed++ {
+		series := seriesOf(seed, sizeOf(seed), length)
+		if !slices.Equal(names(series), names(seriesOf(seed, sizeOf(seed), length))) {
+			t.Errorf("seed %d has two series", seed)
+		}
+		if !slices.ContainsFunc(series, unplanned) {
+			alone++
+		}
+	}
+	if alone == 0 || alone == 20 {
+		t.Errorf("%d of 20 series are of planned work alone", alone)
+	}
+}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -31,16 +31,28 @@
 	longest = 3500 * time.Millisecond
 )
 
-// plan draws a seed's faults: the same seed, the same series. In one of three
-// seeds nothing but planned work is done, so that promises which faults would
-// excuse are held to as well.
-func plan(rng *rand.Rand, length time.Duration) []fault {
+// seriesOf returns a seed's faults: the same seed, the same series.
+func seriesOf(seed uint64, s size, length time.Duration) []fault {
+	series := plan(rand.New(rand.NewPCG(seed, 0)), s, length)
+	plannedOnly := !slices.ContainsFunc(series, func(f fault) bool { return !f.planned })
+	if seed >= lossSeeds && (seed < sizedSeeds || !plannedOnly) {
+		series = withLosses(series, rand.New(rand.NewPCG(seed, lossSeeds)), s, length)
+	}
+	if seed >= sizedSeeds {
+		series = withSized(series, rand.New(rand.NewPCG(seed, sizedSeeds)), s, length, plannedOnly)
+	}
+	return series
+}
+
+// plan draws the faults that every seed has. In one of three seeds nothing but planned
+// work is done, so that promises which faults would excuse are held to as well.
+func plan(rng *rand.Rand, s size, length time.Duration) []fault {
 	var out []fault
 	plannedOnly := rng.IntN(3) == 0
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * meanGap))) {
-		f := draw(rng)
+		f := draw(rng, s)
 		for plannedOnly && !f.planned {
-			f = draw(rng)
+			f = draw(rng, s)
 		}
 		f.at = at
 		out = append(out, f)
@@ -54,9 +66,9 @@
 
 // withLosses adds servers that run requests and lose their answers without a sign,
 // some of them crashing soon after.
-func withLosses(series []fault, rng *rand.Rand, length time.Duration) []fault {
+func withLosses(series []fault, rng *rand.Rand, s size, length time.Duration) []fault {
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(4 * meanGap))) {
-		j, crash := rng.IntN(writers+jobs), rng.IntN(3) == 0
+		j, crash := rng.IntN(s.writers+s.jobs), rng.IntN(3) == 0
 		series = append(series, fault{at: at, name: fmt.Sprintf("server %d loses answers, crashes: %v", j, crash), do: func(w *world) {
 			w.servers[j].current().Next(engine.Lose, engine.Lose)
 			if crash {
@@ -73,9 +85,9 @@
 var proxyModes = []mode{silence, oneWay, delay, refuse, hush}
 
 // draw draws one fault. Changes and plain crashes come more often than outages.
-func draw(rng *rand.Rand) fault {
+func draw(rng *rand.Rand, s size) fault {
 	for_ := time.Duration(rng.Int64N(int64(longest)))
-	i, j, m := rng.IntN(hosts), rng.IntN(writers+jobs), proxyModes[rng.IntN(len(proxyModes))]
+	i, j, m := rng.IntN(s.hosts), rng.IntN(s.writers+s.jobs), proxyModes[rng.IntN(len(proxyModes))]
 	named := func(do func(w *world), format string, args ...any) fault {
 		return fault{name: fmt.Sprintf(format, args...), do: do}
 	}
@@ -92,7 +104,7 @@
 	case 4:
 		return planned(func(w *world) { w.reloadHost(i) }, "reload host %d", i)
 	case 5:
-		return planned(func(w *world) { w.rollHosts(for_ / 4) }, "stop hosts in turn, each %v", for_/4)
+		return planned(func(w *world) { w.rollHosts(for_ / time.Duration(s.hosts)) }, "stop hosts in turn, each %v", for_/time.Duration(s.hosts))
 	case 6:
 		return named(func(w *world) { w.killAll(for_ / 3) }, "kill all hosts, start after %v", for_/3)
 	case 7:
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -20,6 +20,7 @@
 // host is one entry host: a process of the product's binary.
 type host struct {
 	id, ip, zone string
+	cores        int
 	binary       string
 	settings     string
 	log          string
@@ -36,12 +37,12 @@
 // settingsFor returns a host's settings; all hosts use the same ports.
 func settingsFor(h *host, seeds string) string {
 	return fmt.Sprintf(`{
-  "host": {"id": %q, "availability_zone": %q},
+  "host": {"id": %q, "availability_zone": %q, "cores": %[7]d},
   "listen": {"caller": "%[3]s:18000", "ready": "%[3]s:18001", "directory": "%[3]s:18002", "operator": "%[3]s:18003", "peer": "%[3]s:18004", "metrics": "%[3]s:18005"},
   "platform": {"address": %[4]q},
   "member": {"seeds": [%[5]s]},
   "stop": {"grace": "%[6]s"},
-}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace)
+}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores)
 }
 
 func (h *host) caller() string    { return h.ip + ":18000" }
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -69,17 +69,17 @@
 	err    error
 }
 
-// press sends requests until ctx ends. Every other caller keeps to one host, and
-// uses its connections until the process is gone.
+// press sends requests until ctx ends. Every other caller keeps to one host, whether
+// callers are sent there or not, and uses its connections until the process is gone.
 func (w *world) press(ctx context.Context, n int, rng *rand.Rand) {
-	c := w.newCaller()
+	c := w.newCaller(w.hosts)
 	for range pressLimit {
 		if ctx.Err() != nil {
 			return
 		}
 		s := &sent{kind: kinds[rng.IntN(len(kinds))], key: w.pickKey(rng)}
 		if n%2 == 0 {
-			s.host = w.hosts[n/2%hosts]
+			s.host = w.hosts[n/2*max(1, 2*w.size.hosts/callers)%w.size.hosts]
 		}
 		w.send(context.WithoutCancel(ctx), c, s, rng)
 		select {
@@ -89,9 +89,9 @@
 	}
 }
 
-func (w *world) newCaller() *caller.Caller {
+func (w *world) newCaller(of []*host) *caller.Caller {
 	c := &caller.Caller{HostName: hostName, Zone: "zone-0"}
-	for _, h := range w.hosts {
+	for _, h := range of {
 		c.Directories = append(c.Directories, h.directory())
 	}
 	c.KeepConnections()
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return result{seed: seed, err: err}
 	}
-	w, err := newWorld(c.Binary, dir)
+	w, err := newWorld(c.Binary, dir, sizeOf(seed))
 	if err != nil {
 		return result{seed: seed, err: err}
 	}
@@ -141,11 +141,7 @@
 }
 
 func (w *world) play(seed uint64, length time.Duration) result {
-	rng := rand.New(rand.NewPCG(seed, 0))
-	series := plan(rng, length)
-	if seed >= lossSeeds {
-		series = withLosses(series, rand.New(rand.NewPCG(seed, lossSeeds)), length)
-	}
+	series := seriesOf(seed, w.size, length)
 	journal, err := os.Create(filepath.Join(w.dir, "faults.log"))
 	if err != nil {
 		return result{seed: seed, err: err}
@@ -164,7 +160,11 @@
 	w.harm(context.Background(), series, func(name string) {
 		fmt.Fprintln(journal, time.Now().Format("15:04:05.000"), name)
 	})
-	w.recovered()
+	w.calm()
+	w.recovered(w.hosts)
+	if seed >= sizedSeeds {
+		w.replaced()
+	}
 	stopPress()
 	callersDone.Wait()
 	w.judgeAll()
@@ -180,26 +180,29 @@
 				ready++
 			}
 		}
-		if ready == hosts {
+		if ready == len(w.hosts) {
 			return
 		}
 	}
 	w.seen.fail("not every host is ready after %v", settle)
 }
 
-// recovered checks that, once every fault is over, every host serves every kind
-// of request and every engine has the weights wanted last.
-func (w *world) recovered() {
-	w.calm()
+// recovered checks that, once every fault is over, each of these hosts serves every
+// kind of request and every engine has the weights wanted last.
+func (w *world) recovered(hosts []*host) {
 	began := time.Now()
-	for _, h := range w.hosts {
-		for _, k := range kinds {
-			if !w.serves(h, k, began.Add(settle)) {
-				w.seen.fail("%s serves no %s %v after the last fault", h.id, k.name, settle)
+	var wg sync.WaitGroup
+	for _, h := range hosts {
+		wg.Go(func() {
+			for _, k := range kinds {
+				if !w.serves(h, k, began.Add(settle)) {
+					w.seen.fail("%s serves no %s %v after the last fault", h.id, k.name, settle)
+				}
 			}
-		}
+		})
 	}
-	for _, s := range w.servers[:writers] {
+	wg.Wait()
+	for _, s := range w.servers[:w.size.writers] {
 		for s.current().Version() < w.config.wanted() && time.Since(began) < 2*settle {
 			time.Sleep(settlePoll)
 		}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -17,15 +17,41 @@
 )
 
 const (
-	hosts    = 4
-	writers  = 3
-	jobs     = 2
 	model    = "m"
 	hostName = "museum.example"
 	// heartbeat is how often a server renews its entry.
 	heartbeat = 400 * time.Millisecond
 )
 
+// size is how many there are in a seed: hosts, the first of which are large, and
+// servers of either service.
+type size struct {
+	hosts, large  int
+	writers, jobs int
+}
+
+const (
+	// sizedSeeds is the first of the seeds with hosts of two sizes, servers that start
+	// again under their IDs, malformed entries, and routing hosts lost together.
+	sizedSeeds = 3000
+	// fleetSeeds is the first of the seeds with a fleet, of which most hosts stand by.
+	// Its processes take some 1.5 GB of memory, so that two fit beside each other.
+	fleetSeeds = 100000
+	// largeCores and smallCores are what hosts of the two sizes have.
+	largeCores, smallCores = 4, 1
+)
+
+func sizeOf(seed uint64) size {
+	switch {
+	case seed >= fleetSeeds:
+		return size{hosts: 64, large: 10, writers: 8, jobs: 4}
+	case seed >= sizedSeeds:
+		return size{hosts: 8, large: 4, writers: 4, jobs: 2}
+	default:
+		return size{hosts: 4, large: 4, writers: 3, jobs: 2}
+	}
+}
+
 // server is one address of a backend server, with the start that has it now.
 type server struct {
 	service string
@@ -49,11 +75,13 @@
 
 // world is everything around the hosts, and what was seen there.
 type world struct {
+	size    size
 	dir     string
 	ip      func(i int) string
 	store   *store.Store
 	backend string
 	http    *http.Server
+	trap    *trap
 	hosts   []*host
 	servers []*server
 	config  *operator
@@ -78,29 +106,32 @@
 	return block, store, err
 }
 
-func newWorld(binary, dir string) (*world, error) {
+func newWorld(binary, dir string, s size) (*world, error) {
 	block, listener, err := claim()
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
+		size: s, dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
 		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
 	}
 	w.config = newOperator(w.store)
 	w.backend = listener.Addr().String()
 	w.http = &http.Server{Handler: w.store.Handler()}
 	go w.http.Serve(listener)
-	for i := range writers + jobs {
+	if w.trap, err = newTrap(w.ip(2)+":0", w.seen); err != nil {
+		return nil, err
+	}
+	for i := range s.writers + s.jobs {
 		if err := w.addServer(i); err != nil {
 			return nil, err
 		}
 	}
 	var seeds []string
-	for i := range hosts {
+	for i := range s.hosts {
 		seeds = append(seeds, fmt.Sprintf("%q", w.ip(10+i)))
 	}
-	for i := range hosts {
+	for i := range s.hosts {
 		if err := w.addHost(i, binary, strings.Join(seeds, ",")); err != nil {
 			return nil, err
 		}
@@ -122,8 +153,11 @@
 	if err != nil {
 		return err
 	}
-	id := fmt.Sprintf("entry-%d", i)
-	h := &host{id: id, ip: w.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: filepath.Join(w.dir, id+".log")}
+	id, cores := fmt.Sprintf("entry-%d", i), smallCores
+	if i < w.size.large {
+		cores = largeCores
+	}
+	h := &host{id: id, cores: cores, ip: w.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: filepath.Join(w.dir, id+".log")}
 	h.settings = filepath.Join(w.dir, id+".hujson")
 	if err := os.WriteFile(h.settings, []byte(settingsFor(h, seeds)), 0o644); err != nil {
 		return err
@@ -138,7 +172,7 @@
 		return err
 	}
 	s := &server{service: "writer", back: listener.Addr().String()}
-	if i >= writers {
+	if i >= w.size.writers {
 		s.service = "jobs"
 	}
 	if s.front, err = newProxy(w.ip(100+i)+":0", s.back); err != nil {
@@ -151,21 +185,26 @@
 	return nil
 }
 
-// begin starts a server anew under another ID, with the weights wanted last.
+// begin starts a server anew under another ID.
 func (w *world) begin(s *server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starts++
-	id := fmt.Sprintf("i-%s-%d", strings.ReplaceAll(strings.Split(s.back, ":")[0], ".", "-"), s.starts)
+	w.startAs(s, fmt.Sprintf("i-%s-%d", strings.ReplaceAll(strings.Split(s.back, ":")[0], ".", "-"), s.starts))
+	s.draining = false
+}
+
+// startAs starts a server with the first weights; s.mu is held. Plain servers don't
+// tell when they started.
+func (w *world) startAs(s *server, id string) {
 	o := engine.Options{ID: id, Service: s.service, Address: s.front.address(), Zone: "zone-0", Slots: 8, Events: streamEvents, Pace: 40 * time.Millisecond, LoadTime: 250 * time.Millisecond}
 	if s.service == "writer" {
-		o.Model = model
+		o.Model, o.Started = model, time.Now().UnixMilli()
 	}
 	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
 	o.OnFault = w.seen.spoils
 	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
 	s.engine = engine.New(o)
-	s.draining = false
 }
 
 // heartbeats renews the servers' entries.
@@ -214,5 +253,6 @@
 		s.front.close()
 		s.http.Close()
 	}
+	w.trap.http.Close()
 	w.http.Close()
 }
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -271,6 +271,7 @@
 	Models []model
 	Busy   bool
 	Seq    int64
+	Born   int64 `json:"born,omitempty"`
 }
 
 func (e *Engine) report(w http.ResponseWriter, r *http.Request) {
@@ -278,7 +279,7 @@
 		return
 	}
 	e.mu.Lock()
-	answer := reportAnswer{"colocated", []model{{e.Model, e.version}}, e.loading, e.orders}
+	answer := reportAnswer{"colocated", []model{{e.Model, e.version}}, e.loading, e.orders, e.Started}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, answer)
 }
@@ -343,7 +344,7 @@
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	for {
 		e.mu.Lock()
-		answer := eventsAnswer{BootEpoch: 1, Next: len(e.events), Events: [][]any{}}
+		answer := eventsAnswer{BootEpoch: 1 + e.Started, Next: len(e.events), Events: [][]any{}}
 		if since < len(e.events) {
 			answer.Events = append(answer.Events, e.events[since:]...)
 		}
