--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -20,6 +20,7 @@
 // host is one entry host: a process of the product's binary.
 type host struct {
 	id, ip, zone string
+	cores        int
 	binary       string
 	settings     string
 	log          string
@@ -30,27 +31,28 @@
 	exited  chan struct{}
 	started time.Time
 	boot    int
+	ended   bool
 }
 
 // settingsFor returns a host's settings; all hosts use the same ports.
 func settingsFor(h *host, seeds string) string {
 	return fmt.Sprintf(`{
-  "host": {"id": %q, "availability_zone": %q},
+  "host": {"id": %q, "availability_zone": %q, "cores": %[7]d},
   "listen": {"caller": "%[3]s:18000", "ready": "%[3]s:18001", "directory": "%[3]s:18002", "operator": "%[3]s:18003", "peer": "%[3]s:18004", "metrics": "%[3]s:18005"},
   "platform": {"address": %[4]q},
   "member": {"seeds": [%[5]s]},
   "stop": {"grace": "%[6]s"},
-}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace)
+}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores)
 }
 
 func (h *host) caller() string    { return h.ip + ":18000" }
 func (h *host) directory() string { return h.ip + ":18002" }
 
-// start starts the process unless it runs.
+// start starts the process unless it runs, or has been ended for good.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd != nil {
+	if h.cmd != nil || h.ended {
 		return nil
 	}
 	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -123,6 +125,14 @@
 	h.wait(grace)
 }
 
+// end kills the process for good.
+func (h *host) end() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.kill()
+}
+
 // currentBoot counts the starts so far.
 func (h *host) currentBoot() int {
 	h.mu.Lock()
