A holder that gets nothing loaded leaves the lease; replicas it finds down are ordered last

Replicas that hung for the holder's own requests were passed over for 10 s and more, each request after the other, until the lease went to another host.

Change: a holder that has seen no replica load for 2.5 s, although some are left, leaves the lease; a newer version begins anew. What the holder itself finds down is ordered too, after all others. The fake fleet's down replicas answer nothing now, as they would: they were ordered by nobody before, so that their answers did not matter.

Ruled out: counting replicas tried in vain alone: of sixty most are not tried yet.

--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -98,6 +98,10 @@
 	// term is the fencing token of the lease as it was last taken, left the one with which
 	// it was left to another host.
 	term, left int64
+	// progress is when a replica was last seen to load, or there was none to load.
+	progress time.Time
+	// newest is the newest version that a replica of each model lacked.
+	newest map[string]int64
 
 	recent []loaded
 	// needed is since when some replica lacks the wanted weights.
@@ -119,7 +123,7 @@
 	return &Loader{
 		lease: lease, engine: engine, replicas: replicas, log: log, holder: holder, mode: mode, atOnce: atOnce,
 		Rank: func() int { return 0 }, Changed: func() {}, Loaded: func(string) {}, Ordered: func() {},
-		busy: map[string]*try{}, sequences: map[string]int64{}, failed: map[string]failure{},
+		busy: map[string]*try{}, sequences: map[string]int64{}, failed: map[string]failure{}, newest: map[string]int64{},
 	}
 }
 
@@ -144,7 +148,11 @@
 // plan returns the replicas to order now and marks them as busy.
 func (l *Loader) plan(ctx context.Context, now time.Time) []target {
 	behind := l.behind()
+	held := l.lease.HeldEnd() != 0
 	l.mu.Lock()
+	if len(behind) == 0 {
+		l.progress = now
+	}
 	if len(behind) == 0 && len(l.busy) == 0 {
 		l.needed = time.Time{}
 		l.mu.Unlock()
@@ -154,12 +162,12 @@
 		l.needed = now
 	}
 	needed := l.needed
-	stalled := l.stalled(behind, now)
+	left := l.leaves(behind, held, now)
 	l.mu.Unlock()
-	if !l.due(needed, stalled, now) || !l.lease.Try(ctx) {
+	if !l.due(needed, left, now) || !l.lease.Try(ctx) {
 		return nil
 	}
-	l.noteTerm()
+	l.noteTerm(now)
 	return l.take(behind, l.room(behind), now)
 }
 
@@ -181,16 +189,14 @@
 	return room
 }
 
-// behind returns the reachable replicas without the wanted weights: those with the oldest
-// first, whose deadline is nearest, then those with the fewest requests, which
-// are ready soonest. Those that only another host suspects come last: the suspicion
-// may be wrong, and lasts until a request succeeds, which none does on old weights.
+// behind returns the replicas without the wanted weights: those with the oldest first,
+// whose deadline is nearest, then those with the fewest requests, which are ready soonest.
+// Those that another host suspects come after them, and those that this host finds down
+// last: that may be wrong, and lasts until a request succeeds, which none does on old
+// weights.
 func (l *Loader) behind() []target {
 	var out []target
 	for _, s := range l.replicas.Servers(time.Now()) {
-		if s.Down {
-			continue
-		}
 		for model, version := range s.Weights {
 			if wanted := l.replicas.Wanted(model); wanted > version {
 				out = append(out, target{s, model, wanted})
@@ -199,6 +205,9 @@
 	}
 	sort.SliceStable(out, func(i, j int) bool {
 		a, b := out[i].server, out[j].server
+		if a.Down != b.Down {
+			return b.Down
+		}
 		if a.Suspected != b.Suspected {
 			return b.Suspected
 		}
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -25,7 +25,8 @@
 	loading map[string]time.Time
 	waiting map[string]int
 	fault   string
-	down    map[string]bool
+	// down replicas are thought so by the host, and answer nothing.
+	down map[string]bool
 	// suspected are those that another host thinks down.
 	suspected map[string]bool
 	unsure    map[string]bool
@@ -119,6 +120,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.actual[address]
+	if f.down[address] {
+		return platform.EngineReport{}, errLost
+	}
 	return platform.EngineReport{Weights: map[string]int64{testModel: r.version}, Loading: r.busy, Sequence: r.sequence, Started: r.started}, nil
 }
 
@@ -127,6 +131,9 @@
 func (f *fakeFleet) Order(_ context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.down[address] {
+		return platform.OrderLost, errLost
+	}
 	if f.waiting[address] > 0 {
 		f.thrown++
 	}
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -36,6 +36,7 @@
 	answered := l.busy[t.server.ID].answered
 	delete(l.busy, t.server.ID)
 	if err == nil {
+		l.progress = time.Now()
 		delete(l.failed, t.server.ID)
 		return
 	}
@@ -124,13 +125,24 @@
 	}
 }
 
+// noteReport notes what a replica reports of its orders.
+func (l *Loader) noteReport(id string, report platform.EngineReport) {
+	l.noteAnswer(id)
+	l.setSequence(id, report.Sequence)
+	if !report.Loading {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progress = time.Now()
+}
+
 func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := l.engine.Report(ctx, t.server.Address, t.server.ID)
 	if err == nil {
-		l.noteAnswer(t.server.ID)
-		l.setSequence(t.server.ID, report.Sequence)
+		l.noteReport(t.server.ID, report)
 	}
 	return report, err
 }
--- a/internal/rollout/stalled_test.go
+++ b/internal/rollout/stalled_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,8 +20,13 @@
 	// cut replicas do not answer this host, down ones it believes to be down, refusing
 	// ones turn its orders down.
 	cut, down, refusing map[string]bool
+	// calls, if not nil, counts the calls of a host that is slow: one in ten is answered
+	// before it gives up.
+	calls *atomic.Int64
 }
 
+func (v hostView) tooSlow() bool { return v.calls != nil && v.calls.Add(1)%10 != 0 }
+
 func (v hostView) Servers(now time.Time) []replica.Server {
 	servers := v.fakeFleet.Servers(now)
 	for i := range servers {
@@ -37,7 +43,7 @@
 }
 
 func (v hostView) Report(ctx context.Context, address, id string) (platform.EngineReport, error) {
-	if v.isCut(address) {
+	if v.isCut(address) || v.tooSlow() {
 		time.Sleep(callTimeout)
 		return platform.EngineReport{}, errLost
 	}
@@ -46,7 +52,7 @@
 
 func (v hostView) Order(ctx context.Context, address string, o platform.LoadOrder) (platform.OrderResult, error) {
 	switch {
-	case v.isCut(address):
+	case v.isCut(address) || v.tooSlow():
 		time.Sleep(callTimeout)
 		return platform.OrderLost, errLost
 	case v.refusing[address]:
@@ -171,3 +177,26 @@
 		}
 	})
 }
+
+// TestSlowHolderLeavesTheLease: a host that ran at a ninth of its speed renewed the lease
+// in time, and got hardly any order or report answered before it gave up on it. Fourteen of
+// sixty replicas lacked a version after 15 s, when another host would have needed 5 s.
+func TestSlowHolderLeavesTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := hostView{calls: &atomic.Int64{}}
+		if took := runHosts(t, newFakeFleet(60), 0, nil, slow, hostView{}); took > 15*time.Second {
+			t.Errorf("all replicas had the weights after %v", took)
+		}
+	})
+}
+
+// TestReplicasThatTheHolderFindsDownAreOrdered, after all others: requests of its own that
+// hang there one after the other kept it from ordering them for 10 s and more, though they
+// would have answered an order.
+func TestReplicasThatTheHolderFindsDownAreOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if took := runHosts(t, newFakeFleet(6), 0, nil, hostView{down: replicas(3)}); took > 5*time.Second {
+			t.Errorf("all replicas had the weights after %v", took)
+		}
+	})
+}
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -13,6 +13,10 @@
 	// lost. The next host takes over once the lease has ended, 3.3 s later.
 	silentAfter  = 1500 * time.Millisecond
 	stalledAfter = 5 * time.Second
+	// slowAfter is how long a holder keeps the lease while it gets nothing loaded, although
+	// replicas are left: a host that has become slow renews it in time, and fails at
+	// all else. The first replicas of a rollout load within 2 s.
+	slowAfter = 2500 * time.Millisecond
 	// standBack is how much later than its turn such a host wants the lease again, so that
 	// others come first: as many as follow the lease's log.
 	standBack = 16 * rankDelay
@@ -37,17 +41,14 @@
 
 // due reports whether it is this host's turn to hold the lease. Hosts that may need it
 // follow each other by rank from when replicas came to lack weights, or it became vacant,
-// whichever is later. A holder that is stalled does not renew it, and comes last then.
-func (l *Loader) due(needed time.Time, stalled bool, now time.Time) bool {
+// whichever is later. A host that has left the lease does not renew it, and comes last then.
+func (l *Loader) due(needed time.Time, left bool, now time.Time) bool {
 	delay := time.Duration(l.Rank()) * rankDelay
 	vacant := l.lease.VacantSince(now)
 	if vacant.IsZero() {
-		if stalled && l.lease.HeldEnd() != 0 {
-			l.noteLeft()
-		}
-		return !stalled && now.Sub(needed) >= delay
+		return !left && now.Sub(needed) >= delay
 	}
-	if stalled {
+	if left {
 		delay += standBack
 	}
 	if vacant.After(needed) {
@@ -56,10 +57,34 @@
 	return l.lease.Follows() && now.Sub(needed) >= delay
 }
 
-// stalled reports whether this host has for a while tried all replicas that are left in
+// leaves reports whether this host leaves the lease to others, and has since it took it
+// last. l.mu is held.
+func (l *Loader) leaves(behind []target, held bool, now time.Time) bool {
+	l.noteNewest(behind, now)
+	if held && l.left != l.term && (l.inVain(behind, now) || now.Sub(l.progress) >= slowAfter) {
+		l.left = l.term
+		l.log.WithFields(logrus.Fields{
+			"fencing": l.term, "replicas": len(behind), "in_vain": len(l.failed), "progress_ms": now.Sub(l.progress).Milliseconds(),
+		}).Warn("lease for weights left to another host: the replicas that lack them are not loaded")
+	}
+	return l.term != 0 && l.left == l.term
+}
+
+// noteNewest begins anew when a newer version is wanted: a host that left the lease in vain
+// of a few replicas may well load the others. l.mu is held.
+func (l *Loader) noteNewest(behind []target, now time.Time) {
+	for _, t := range behind {
+		if t.version > l.newest[t.model] {
+			l.newest[t.model] = t.version
+			l.progress, l.left = now, 0
+		}
+	}
+}
+
+// inVain reports whether this host has for a while tried all replicas that are left in
 // vain. Another host may reach them; by the view of one host alone they would keep their old
 // weights. l.mu is held.
-func (l *Loader) stalled(behind []target, now time.Time) bool {
+func (l *Loader) inVain(behind []target, now time.Time) bool {
 	for _, t := range behind {
 		f, failed := l.failure(t)
 		if !failed || now.Sub(f.since) < f.patience() {
@@ -69,17 +94,6 @@
 	return len(behind) > 0
 }
 
-// noteLeft says once for each term that the lease is left to another host.
-func (l *Loader) noteLeft() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.left == l.term {
-		return
-	}
-	l.left = l.term
-	l.log.WithFields(logrus.Fields{"fencing": l.term, "replicas": len(l.failed)}).Warn("lease for weights left to another host: the replicas that lack them are tried in vain")
-}
-
 // failure returns the tries of a target that failed. l.mu is held.
 func (l *Loader) failure(t target) (failure, bool) {
 	f, failed := l.failed[t.server.ID]
@@ -88,14 +102,14 @@
 
 // noteTerm begins anew where the lease was taken anew. Where another host held it before,
 // that one has given orders, and the counts of them are out of date.
-func (l *Loader) noteTerm() {
+func (l *Loader) noteTerm(now time.Time) {
 	term, fromOther := l.lease.Term()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if term == l.term {
 		return
 	}
-	l.term = term
+	l.term, l.progress = term, now
 	clear(l.failed)
 	if fromOther {
 		clear(l.sequences)
