Simulated fleets are played side by side

Cause: the tests of internal/member took 54 s of the 59 s of all tests. The profile shows simulated heartbeats on one processor, half of it the race detector's own work, and no one place that costs; the fleets have nothing in common.

Change: the tests of fleets, and the three fleets of the test of costs, are parallel. Sizes, seeds, times and assertions are the same.

Ruled out: smaller fleets or shorter plays; playing the hosts of one fleet in parallel, since more had to change than the time is worth.

--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -210,22 +210,18 @@
 // host of 300 sent and heard a thousand datagrams a second and more. A standby host's
 // cost is the same in every fleet; a routing one hears its part of the standby hosts.
 func TestCostOfAHostDoesNotGrowWithTheFleet(t *testing.T) {
-	type cost struct{ standby, routing int }
-	costs := map[int]cost{}
-	for _, small := range []int{6, 22, 47} {
-		s := newSim(t, 6, 3, small)
-		s.until("start", 0, 5*time.Second)
-		s.run(6 * time.Second)
-		sent, heard, bytes := s.load(4*time.Second, false)
-		if sent+heard > 20 || bytes > 4096 {
-			t.Errorf("%d hosts: a standby host sends %d datagrams of %d bytes a second and hears %d", len(s.hosts), sent, bytes, heard)
+	t.Parallel()
+	costs := map[int]*cost{6: {}, 22: {}, 47: {}}
+	t.Run("fleets", func(t *testing.T) {
+		for small, of := range costs {
+			t.Run(fmt.Sprint(small), func(t *testing.T) {
+				t.Parallel()
+				*of = costOf(t, small)
+			})
 		}
-		routingSent, routingHeard, _ := s.load(4*time.Second, true)
-		costs[small] = cost{sent + heard, routingSent + routingHeard}
-		t.Logf("%d hosts: standby %d sent, %d heard, %d bytes; routing %d sent, %d heard", len(s.hosts), sent, heard, bytes, routingSent, routingHeard)
-	}
+	})
 	if costs[22].standby > costs[6].standby*3/2 || costs[47].standby > costs[6].standby*3/2 {
-		t.Errorf("the cost of a standby host grows: %v", costs)
+		t.Errorf("the cost of a standby host grows from %v by %v to %v", *costs[6], *costs[22], *costs[47])
 	}
 	// 18 routing hosts tell each other seven times a second: 240 datagrams.
 	if costs[47].routing > 700 {
@@ -233,9 +229,27 @@
 	}
 }
 
+// cost is the number of datagrams that a host sends and hears a second, by its kind.
+type cost struct{ standby, routing int }
+
+// costOf measures it in a fleet with so many small hosts a zone.
+func costOf(t *testing.T, small int) cost {
+	s := newSim(t, 6, 3, small)
+	s.until("start", 0, 5*time.Second)
+	s.run(6 * time.Second)
+	sent, heard, bytes := s.load(4*time.Second, false)
+	if sent+heard > 20 || bytes > 4096 {
+		t.Errorf("%d hosts: a standby host sends %d datagrams of %d bytes a second and hears %d", len(s.hosts), sent, bytes, heard)
+	}
+	routingSent, routingHeard, _ := s.load(4*time.Second, true)
+	t.Logf("%d hosts: standby %d sent, %d heard, %d bytes; routing %d sent, %d heard", len(s.hosts), sent, heard, bytes, routingSent, routingHeard)
+	return cost{sent + heard, routingSent + routingHeard}
+}
+
 // TestFleetStartsAtOnce: 300 hosts that know three seeds agree on who routes. The
 // first callers come seconds later.
 func TestFleetStartsAtOnce(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 6, 3, 47)
 	took := s.until("start", 0, 3*time.Second)
 	t.Logf("agreed after %v", took)
@@ -244,6 +258,7 @@
 // TestLargeHostsLostAtOnce: all of them die at one moment. Their silence is known
 // after 1 s to those they told, and after 2.5 s to all; then small hosts route.
 func TestLargeHostsLostAtOnce(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4, 3, 34)
 	s.until("start", 0, 3*time.Second)
 	s.run(8 * time.Second)
@@ -268,6 +283,7 @@
 // TestSmallHostsLostAtOnce: half of the small ones, without a word. Nobody routes to
 // them, and of the rest nobody is thought dead.
 func TestSmallHostsLostAtOnce(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4, 3, 34)
 	s.until("start", 0, 3*time.Second)
 	s.run(8 * time.Second)
@@ -290,6 +306,7 @@
 // TestZoneCutOff: the hosts of a zone and the others lose each other, choose among
 // those they reach, and agree soon after the cut has healed.
 func TestZoneCutOff(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4, 3, 34)
 	s.until("start", 0, 3*time.Second)
 	s.run(8 * time.Second)
@@ -316,6 +333,7 @@
 // TestFleetOfOneSize: no host is large, and the first three, which all know, are like
 // the others.
 func TestFleetOfOneSize(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4, 0, 30)
 	t.Logf("agreed after %v", s.until("start", 4, 8*time.Second))
 	s.run(4 * time.Second)
@@ -331,6 +349,7 @@
 
 // TestRollingRestart: the hosts leave in turn and start again.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4, 2, 20)
 	s.until("start", 0, 3*time.Second)
 	for i := range s.hosts {
