A host says that it is ready once its own directory names it

Cause: TestWholePath failed in 1 of 160 runs of its package beside seven others: 'the directory named no address', asked as soon as the host was ready. A fault of the product, short as it is: the state changed first and the table of hosts, from which the directory is made, was told after it. Besides, a heartbeat that had read the state before the change could tell it after; the next heartbeat put that right.

Change: ready, for /-/readyz and heartbeats, is the state and the table's word of it; telling it is locked, so that it cannot be told in the wrong order, and heartbeats need not repeat it. Tests wait for ready as the product says it.

Ruled out: tests that wait for the directory: callers do not. The lock stands above member.Table alone, and the package comment says so.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// SaysReady reports whether this host was last said to be ready.
+func (t *Table) SaysReady() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self.Ready
+}
+
 // Heard takes a heartbeat and what it passes on of others. It returns the host's
 // last heartbeat before, and whether this one is newer. Another incarnation always
 // is: only one process can send from a host's address.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -36,7 +36,6 @@
 	n.learnSeeds(n.settings.Member.Seeds)
 	for tick := 0; ; {
 		now := time.Now()
-		n.setState()
 		n.beat(n.members.Tick(tick, n.replicas.Working(), now), true, now)
 		tick++
 		for waiting := true; waiting; {
@@ -57,14 +56,21 @@
 func (n *Node) kicked() {
 	now := time.Now()
 	all := n.toAll.Swap(false)
-	n.setState()
 	n.beat(n.members.Now(all, now), false, now)
 }
 
-// setState tells the table of hosts of this host's own state: after each change, so
-// that callers' directory has it at once, and with each heartbeat, since two changes
-// at one moment may be told in the wrong order.
-func (n *Node) setState() { n.members.SetState(n.machine.Is(StateReady), n.leaving()) }
+// setState tells the table of hosts of this host's own state after each change, so
+// that callers' directory has it at once. The lock keeps what was read before another
+// change from being told after it.
+func (n *Node) setState() {
+	n.stating.Lock()
+	defer n.stating.Unlock()
+	n.members.SetState(n.machine.Is(StateReady), n.leaving())
+}
+
+// ready reports whether this host says that it is ready: once its own directory
+// names it, or callers that come at once would be named nobody.
+func (n *Node) ready() bool { return n.machine.Is(StateReady) && n.members.SaysReady() }
 
 // leaving reports whether callers should connect elsewhere.
 func (n *Node) leaving() bool { return n.machine.Is(StateLeaving) || n.machine.Is(StateClosing) }
@@ -113,7 +119,7 @@
 func (n *Node) state(now time.Time) *pb.Heartbeat {
 	b := n.self()
 	v := n.members.View(now)
-	b.Ready = n.machine.Is(StateReady)
+	b.Ready = n.ready()
 	b.Leaving = n.leaving()
 	b.Routing, b.Asks = v.Here, v.All
 	b.OperatorsAgeMs = ageMs(n.operatorsAge(now))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,8 @@
 //
 // Lock order: every table (topic.Table, member.Table, replica.Table,
 // prefix.Index, retry.Budget, rollout.Lease, rollout.Loader) is locked alone; no
-// lock is held over a call to another table or process.
+// lock is held over a call to another table or process, but for Node.stating, which
+// comes before member.Table.
 package node
 
 import (
@@ -103,6 +104,9 @@
 	metrics   *obs.Metrics
 	entry     *entry.Server
 
+	// stating is held while the table of hosts is told of this host's state, and over
+	// no other call.
+	stating  sync.Mutex
 	sequence atomic.Uint64
 	sharers  sharers
 	// started is when the process began; holdFor is how long it waits for other hosts'
@@ -234,7 +238,7 @@
 	n.entry = entry.New(entry.Deps{
 		View:            n.view,
 		Refuse:          n.refuse,
-		Ready:           func() bool { return n.machine.Is(StateReady) },
+		Ready:           n.ready,
 		Closing:         n.leaving,
 		Directory:       n.directory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/settings"
+	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/caller"
 	"github.com/briarlink/briarlink/test/standin/engine"
@@ -154,7 +155,7 @@
 	return h
 }
 
-func (h *host) ready() bool { return h.node.machine.Is(StateReady) }
+func (h *host) ready() bool { return h.node.ready() }
 
 func (h *host) caller() *caller.Caller {
 	return &caller.Caller{Directories: []string{h.settings.Listen.Directory}, HostName: "museum.example", Zone: "z1", Key: "key-of-museum-a"}
@@ -179,6 +180,25 @@
 	return answer
 }
 
+// TestReadyHostsAreNamed by their own directory: a caller may come as soon as a host
+// says that it is ready.
+func TestReadyHostsAreNamed(t *testing.T) {
+	set := settings.Defaults()
+	set.Host.Id, set.Host.AvailabilityZone = "a", "z1"
+	set.Listen = &pb.ListenSettings{Caller: "127.0.0.1:1", Peer: "127.0.0.1:2"}
+	log, lines := obs.NewLogger(set.Log, io.Discard)
+	defer lines.Close()
+	n := New(set, nil, log, lines)
+	statemachine.Fire(n.machine, eventKnow)
+	if names := n.directory("z1"); n.ready() || len(names) > 0 {
+		t.Errorf("before its directory is told: ready %v, named %v", n.ready(), names)
+	}
+	n.setState()
+	if names := n.directory("z1"); !n.ready() || len(names) != 1 {
+		t.Errorf("once its directory is told: ready %v, named %v", n.ready(), names)
+	}
+}
+
 func TestWholePath(t *testing.T) {
 	s := newSite(t)
 	h := s.host("a", s.address)
