Test: replicas that come back after the holder has left the lease

The holder leaves the lease 1.5 s after it first tried the replicas that are left in vain. It does so even while one of them carries out an order that it has just accepted, and the other one waits; it then takes no notice of replicas that answer again until the lease has run out (3.3 s) and, alone, 2.4 s more have passed.

Ruled out: the order of the fake fleet's map as the cause: it only moves the moment of the last try before the replicas are back. A test too strict: 5.4 s without orders are real.

--- a/internal/rollout/stalled_test.go
+++ b/internal/rollout/stalled_test.go
@@ -178,6 +178,42 @@
 	})
 }
 
+// TestReplicasThatComeBackAreOrderedAtOnce, whenever that is. The holder had tried them in
+// vain and left the lease: while it ran out, 3.3 s, nobody ordered, and a host alone stood
+// back for 2.4 s more. It left the lease also while one of them was carrying out an order
+// that it had accepted, and the other one waited. Loading takes 0.8 s, a call that gets no
+// answer 0.7 s.
+func TestReplicasThatComeBackAreOrderedAtOnce(t *testing.T) {
+	const within = 3500 * time.Millisecond
+	for _, hosts := range []int{1, 3} {
+		late := 0
+		for back := 1500 * time.Millisecond; back < 15*time.Second; back += 170 * time.Millisecond {
+			var took time.Duration
+			synctest.Test(t, func(t *testing.T) { took = comeBack(t, hosts, back) })
+			if took > within {
+				late++
+				t.Logf("%d hosts, back after %v: loaded %v later", hosts, back, took)
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d hosts: late %d times", hosts, late)
+		}
+	}
+}
+
+// comeBack returns how long two of six replicas, silent for so long after a version was
+// named, take to load it.
+func comeBack(t *testing.T, hosts int, silent time.Duration) time.Duration {
+	fleet := newFakeFleet(6)
+	v := hostView{cut: replicas(2)}
+	views := []hostView{v, v, v}
+	took := runHosts(t, fleet, 0, func() {
+		time.Sleep(silent)
+		fleet.set(func() { clear(v.cut) })
+	}, views[:hosts]...)
+	return took - silent
+}
+
 // TestSlowHolderLeavesTheLease: a host that ran at a ninth of its speed renewed the lease
 // in time, and got hardly any order or report answered before it gave up on it. Fourteen of
 // sixty replicas lacked a version after 15 s, when another host would have needed 5 s.
