A holder that has left the lease keeps it if a replica answers again

Cause: a holder that had tried the replicas that are left in vain for 1.5 s did not renew the lease, and took no notice of what became of them: also not of one that carried out an order accepted a moment ago. Where no host reached them, and they came back, nobody ordered until the lease had run out (3.3 s) and, for a host alone, 2.4 s more.

Change: a replica that answers the try under way is not tried in vain. A host that has left the lease asks, as long as no other one takes it, at most four of the silent replicas each 750 ms for a report, and goes on if one answers; a second time only if a replica has loaded since.

--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -98,7 +98,9 @@
 	// term is the fencing token of the lease as it was last taken, left the one with which
 	// it was left to another host.
 	term, left int64
-	progress   progress
+	// resumed is when this host last went on after it had left the lease.
+	resumed  time.Time
+	progress progress
 	// newest is the newest version that a replica of each model lacked.
 	newest map[string]int64
 
@@ -131,8 +133,13 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	clock.Every(ctx, tick, func() {
-		for _, o := range l.plan(ctx, time.Now()) {
-			wg.Go(func() { l.load(ctx, o) })
+		now := time.Now()
+		behind := l.behind()
+		for _, t := range l.plan(ctx, behind, now) {
+			wg.Go(func() { l.load(ctx, t) })
+		}
+		for _, t := range l.silent(behind, now) {
+			wg.Go(func() { l.ask(ctx, t) })
 		}
 	})
 }
@@ -145,8 +152,7 @@
 }
 
 // plan returns the replicas to order now and marks them as busy.
-func (l *Loader) plan(ctx context.Context, now time.Time) []target {
-	behind := l.behind()
+func (l *Loader) plan(ctx context.Context, behind []target, now time.Time) []target {
 	held := l.lease.HeldEnd() != 0
 	l.mu.Lock()
 	if len(behind) == 0 {
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -28,7 +28,9 @@
 type failure struct {
 	// since is when the first of them ended, at when the last one did.
 	since, at time.Time
-	version   int64
+	// asked is when the replica was last asked whether it answers again.
+	asked   time.Time
+	version int64
 	// answered is whether the replica answered any call of the last one.
 	answered bool
 }
@@ -99,7 +101,7 @@
 	for _, t := range behind {
 		if t.version > l.newest[t.model] {
 			l.newest[t.model] = t.version
-			l.progress, l.left = progress{at: now}, 0
+			l.progress, l.left, l.resumed = progress{at: now}, 0, time.Time{}
 		}
 	}
 }
@@ -110,13 +112,20 @@
 func (l *Loader) inVain(behind []target, now time.Time) bool {
 	for _, t := range behind {
 		f, failed := l.failure(t)
-		if !failed || now.Sub(f.since) < f.patience() {
+		if !failed || now.Sub(f.since) < f.patience() || l.answersAgain(t, f) {
 			return false
 		}
 	}
 	return len(behind) > 0
 }
 
+// answersAgain reports whether a replica that was silent answers the try that is under way.
+// l.mu is held.
+func (l *Loader) answersAgain(t target, f failure) bool {
+	try := l.busy[t.server.ID]
+	return !f.answered && try != nil && try.answered
+}
+
 // failure returns the tries of a target that failed. l.mu is held.
 func (l *Loader) failure(t target) (failure, bool) {
 	f, failed := l.failed[t.server.ID]
@@ -132,7 +141,7 @@
 	if term == l.term {
 		return
 	}
-	l.term, l.progress = term, progress{at: now}
+	l.term, l.progress, l.resumed = term, progress{at: now}, time.Time{}
 	clear(l.failed)
 	if fromOther {
 		clear(l.sequences)
