Records of two merges at once are told in order

Cause: topic.Table took records under its lock and told of them after it, each merge its own. A read of the store and another host's records are merged by two goroutines; while the one was being told, the other told a newer record of a later key at once, and the older one came after it. The comparison of configurations and its replacement were two steps that two goroutines could interleave; found by reading, no test, and ruled out now as records are told one at a time. An old weights version could not win: replica.Table compares under its lock.

Change: merges leave what is new in one queue, under the lock; the first tells it, without the lock, and those that come meanwhile leave theirs to it and return. Order of locks: none is held while a record is told, so the callback may read the table and merge into it. Ruled out: a second lock held while records are told (a callback that merges would wait for itself, and TestSyncedOnceAllIsTold, which merges while one is told, would stand still); leaving out the older record (a weights version that was overtaken tells since when a replica is behind).

Conclusion: of each key what is told only moves on, whatever merges meet.

--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -11,7 +11,8 @@
 	"github.com/briarlink/briarlink/platform"
 )
 
-// operatorRecord takes a record that operators wrote.
+// operatorRecord takes a record that operators wrote. One is told at a time, so that the
+// configuration which a newer one replaces is the one that it was compared with.
 func (n *Node) operatorRecord(rec platform.Record, from topic.Origin) {
 	if c, ok, err := platform.DecodeConfig(rec); ok {
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,8 @@
 // Lock order: every table (topic.Table, member.Table, replica.Table,
 // prefix.Index, retry.Budget, rollout.Lease, rollout.Loader) is locked alone; no
 // lock is held over a call to another table or process, but for Node.stating, which
-// comes before member.Table.
+// comes before member.Table. A topic.Table tells of one record at a time, without its
+// lock.
 package node
 
 import (
--- a/internal/topic/table.go
+++ b/internal/topic/table.go
@@ -21,7 +21,8 @@
 }
 
 // Table holds the newest record of each key of one topic. It is safe for
-// concurrent use; mu is its only lock and is not held while onRecord runs.
+// concurrent use; mu is its only lock and is not held while onRecord runs, which may
+// call the table.
 type Table struct {
 	name     string
 	onRecord func(rec platform.Record, from Origin)
@@ -31,18 +32,29 @@
 	// end is the first offset not yet applied.
 	end int64
 	// whole is whether the whole topic was merged once; synced whether its records
-	// were told too. telling counts the merges whose records are being told.
+	// were told too.
 	whole, synced bool
-	telling       int
+	// untold are the records that were merged and not told yet, in the order in which
+	// they are told; telling is whether a merge is telling them.
+	untold  []news
+	telling bool
 	// read is up to when this host itself has read the topic.
 	read Freshness
 }
 
+// news is a record that is newer than what was known.
+type news struct {
+	rec  platform.Record
+	from Origin
+}
+
 // maxRemoved bounds the removals that are remembered for other hosts.
 const maxRemoved = 4096
 
-// NewTable returns an empty table. onRecord is called for each newer record, in
-// the order of offsets within one merge.
+// NewTable returns an empty table. onRecord is called for each newer record, for one
+// at a time, in the order of offsets within one merge and merge by merge: of a key it is
+// told of no older record after a newer one, however many sources are merged at once. What
+// it has put in force would else be replaced by what that had overtaken, for good.
 func NewTable(name string, onRecord func(rec platform.Record, from Origin)) *Table {
 	return &Table{name: name, onRecord: onRecord, records: map[string]platform.Record{}}
 }
@@ -71,7 +83,8 @@
 func (t *Table) Age(now time.Time) time.Duration { return t.read.Age(now) }
 
 // Merge takes records of a read, which must be all up to end. It returns how
-// many were new.
+// many were new. Where another merge is just telling of its records, it tells of these
+// too, and Merge does not wait for it; the same holds for MergeAll and Snapshot.
 func (t *Table) Merge(records []platform.Record, end int64, trusted bool) int {
 	return t.take(records, end, false, trusted)
 }
@@ -85,14 +98,12 @@
 // take takes records, whole where with them the whole topic is known.
 func (t *Table) take(records []platform.Record, end int64, whole, trusted bool) int {
 	t.mu.Lock()
-	from := Origin{Trusted: trusted, First: !t.whole}
-	fresh := t.merge(records)
+	fresh := t.merge(records, trusted)
 	t.end = max(t.end, end)
 	t.whole = t.whole || whole
-	t.telling++
 	t.mu.Unlock()
-	t.tell(fresh, from)
-	return len(fresh)
+	t.tell()
+	return fresh
 }
 
 // Snapshot takes the newest record of every key. Keys that are missing and older
@@ -104,13 +115,11 @@
 		t.mu.Unlock()
 		return false
 	}
-	from := Origin{Trusted: trusted, First: !t.whole}
-	fresh := t.merge(append(page.Records, t.missing(page)...))
+	t.merge(append(page.Records, t.missing(page)...), trusted)
 	t.end = page.End
 	t.whole = true
-	t.telling++
 	t.mu.Unlock()
-	t.tell(fresh, from)
+	t.tell()
 	return true
 }
 
@@ -129,7 +138,9 @@
 	return out
 }
 
-func (t *Table) merge(records []platform.Record) []platform.Record {
+// merge takes the newer ones of these records, leaves them to be told, and returns how
+// many they are.
+func (t *Table) merge(records []platform.Record, trusted bool) int {
 	var fresh []platform.Record
 	for _, rec := range records {
 		old, known := t.records[rec.Key]
@@ -141,7 +152,11 @@
 	}
 	t.forget()
 	sort.SliceStable(fresh, func(i, j int) bool { return fresh[i].Offset < fresh[j].Offset })
-	return fresh
+	from := Origin{Trusted: trusted, First: !t.whole}
+	for _, rec := range fresh {
+		t.untold = append(t.untold, news{rec, from})
+	}
+	return len(fresh)
 }
 
 // forget drops the oldest removals beyond maxRemoved.
@@ -164,16 +179,32 @@
 	}
 }
 
-// tell tells of a merge's records. The table is synced once no merge is being told:
-// of two at once, the second finds little new while the first still tells the rest.
-func (t *Table) tell(fresh []platform.Record, from Origin) {
-	for _, rec := range fresh {
-		t.onRecord(rec, from)
+// tell tells of what was merged and not told yet, unless another merge is telling.
+func (t *Table) tell() {
+	for first := true; ; first = false {
+		batch := t.takeUntold(first)
+		if len(batch) == 0 {
+			return
+		}
+		for _, n := range batch {
+			t.onRecord(n.rec, n.from)
+		}
 	}
+}
+
+// takeUntold returns the records that the caller is to tell: none while another merge is
+// telling, or once all are told. Only then is the table synced.
+func (t *Table) takeUntold(first bool) []news {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.telling--
-	t.synced = t.synced || t.whole && t.telling == 0
+	if first && t.telling {
+		return nil
+	}
+	batch := t.untold
+	t.untold = nil
+	t.telling = len(batch) > 0
+	t.synced = t.synced || t.whole && !t.telling
+	return batch
 }
 
 // From returns the newest records from an offset on and the table's end.
