--- a/internal/topic/order_test.go
+++ b/internal/topic/order_test.go
@@ -22,8 +22,10 @@
 	// Each record comes with what its own merge knew.
 	want := []string{"0 {Trusted:true First:true}", "1 {Trusted:true First:true}", "2 {Trusted:false First:false}"}
 	for name, take := range map[string]func(*Table){
-		"read":            func(table *Table) { table.Merge(newer, 3, false) },
-		"listed":          func(table *Table) { table.Snapshot(platform.Page{Records: append(first[:1:1], newer...), End: 3}, false) },
+		"read": func(table *Table) { table.Merge(newer, 3, false) },
+		"listed": func(table *Table) {
+			table.Snapshot(platform.Page{Records: append(first[:1:1], newer...), End: 3}, false)
+		},
 		"by another host": func(table *Table) { table.MergeAll(newer, 3, false) },
 	} {
 		telling, goOn := make(chan struct{}), make(chan struct{})
