A host that lost the store asks again although others read for it

Cause (found by reading, shown by a test in virtual time): a follower skips its reads while another host's word of the topic is fresh, also after a read of its own has failed. Nothing then ended the outage for that host: removals stayed untrusted and what had lapsed was not settled, for as long as others told, or until the host's next own call, up to 25 s.

Change: while the store counts as lost, a read is skipped for at most 2 s. Ruled out: no skipping at all while it is lost (a call each 0.4 to 0.8 s from every routing host that the store turns away); taking the word of others for an own success (a host that is turned away alone would trust removals that it could not have read).

--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -27,6 +27,10 @@
 	// freshCheck is how often a skipped read is thought over; a random part keeps
 	// hosts from reading in step.
 	freshCheck = 40 * time.Millisecond
+	// lostCheck is how often a host that has lost the store reads by itself while other
+	// hosts' word would spare it that: nothing else tells it that the store is back. Turned
+	// away alone, it costs the store a call in this time.
+	lostCheck = 2 * time.Second
 )
 
 // Follower keeps a table up to date from the store.
@@ -59,13 +63,15 @@
 		clock.Sleep(ctx, freshCheck)
 	}
 	synced := f.Table.Synced()
+	var last time.Time
 	for ctx.Err() == nil {
-		if synced && f.Fresh != nil && f.Fresh() {
+		if synced && f.spared(last) {
 			clock.Sleep(ctx, freshCheck+rand.N(freshCheck))
 			continue
 		}
 		var err error
 		synced, err = f.step(ctx, synced)
+		last = time.Now()
 		pause := f.Gap
 		if err != nil {
 			pause = jitter(backoff)
@@ -77,6 +83,15 @@
 	}
 }
 
+// spared reports whether other hosts' word makes a read needless now. A host that has lost
+// the store reads all the same after lostCheck.
+func (f *Follower) spared(last time.Time) bool {
+	if f.Fresh == nil || !f.Fresh() {
+		return false
+	}
+	return !f.Access.Lost() || time.Since(last) < lostCheck
+}
+
 // jitter returns a pause between half of backoff and all of it: hosts that lost
 // the store together do not come back in step, and none waits longer than backoff.
 func jitter(backoff time.Duration) time.Duration {
@@ -236,6 +251,13 @@
 	}
 }
 
+// Lost reports whether the store has not answered since a call to it failed.
+func (a *Access) Lost() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.lost.IsZero()
+}
+
 // Stable reports whether the store is reached and was for the grace time.
 func (a *Access) Stable(now time.Time) bool {
 	a.mu.Lock()
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -376,6 +376,42 @@
 	})
 }
 
+// TestStoreIsRegainedWhileOthersRead: other hosts read for this one, so that it never asked
+// the store again after a read of its own had failed, and counted it as lost for as long as
+// they told: it settled nothing that had lapsed in the outage. It is to ask now and then,
+// rarely enough for a store that turns a part of the fleet away.
+func TestStoreIsRegainedWhileOthersRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = time.Minute
+		reader := &fakeReader{truth: history{put("a", 0)}}
+		table := NewTable("keyed.x", func(platform.Record, Origin) {})
+		access := NewAccess(0, quietLog())
+		var fresh atomic.Bool
+		f := &Follower{Store: reader, Table: table, Access: access, Gap: 100 * time.Millisecond, Log: quietLog()}
+		f.Fresh = fresh.Load
+		defer start(f)()
+		time.Sleep(time.Second)
+		reader.change(func() { reader.down = true })
+		time.Sleep(time.Second)
+		fresh.Store(true)
+		before := reader.calls()
+		time.Sleep(outage)
+		if calls := reader.calls() - before; calls > int(outage/lostCheck)+1 {
+			t.Errorf("%d reads in %v while others read", calls, outage)
+		}
+		reader.change(func() { reader.down = false })
+		time.Sleep(2 * lostCheck)
+		if !access.Stable(time.Now()) {
+			t.Errorf("the store counts as lost %v after it was back", 2*lostCheck)
+		}
+		before = reader.calls()
+		time.Sleep(outage)
+		if calls := reader.calls() - before; calls > 0 {
+			t.Errorf("%d reads in %v once it was regained", calls, outage)
+		}
+	})
+}
+
 // TestStartingHostWaitsToBeTold: where other hosts tell all records meanwhile, the
 // store is asked for nothing; where nobody does, it is asked once the wait is over.
 func TestStartingHostWaitsToBeTold(t *testing.T) {
