Whom to follow for cache events is looked up without building all servers

Cause: each routing host looked every 200 ms for the replicas to follow by the sorted list of all servers with their weights and work, of which it needs the address. Change: Table.Endpoints. Ruled out: a look only on change: the members who follow change as well. Tests of replica and node with -race.

--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -73,7 +73,7 @@
 	for _, s := range c.Stores() {
 		follow(cachesync.Holder{Name: s.Address, Address: s.Address, Capacity: s.CacheTokens, Store: true}, s.EventReaders)
 	}
-	for _, server := range n.replicas.Servers(now) {
+	for _, server := range n.replicas.Endpoints() {
 		if service := c.Services[server.Service]; service != nil && service.Engine != nil {
 			follow(cachesync.Holder{Name: server.ID, Address: server.Address, Started: server.Started, Capacity: service.Engine.CacheTokens}, service.Engine.EventReaders)
 		}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -266,6 +266,26 @@
 	return t.servers(now, t.lacks)
 }
 
+// Endpoint is where a server that holds weights of some model answers.
+type Endpoint struct {
+	ID, Address, Service string
+	// Started is as in platform.Registration.
+	Started int64
+}
+
+// Endpoints returns those of the servers that Servers returns, in no order.
+func (t *Table) Endpoints() []Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Endpoint, 0, len(t.entries))
+	for id, e := range t.entries {
+		if t.takesOrders(e) {
+			out = append(out, Endpoint{ID: id, Address: e.reg.Address, Service: e.reg.Service, Started: e.reg.Started})
+		}
+	}
+	return out
+}
+
 // takesOrders reports whether a server may be ordered to load weights.
 func (t *Table) takesOrders(e *entry) bool {
 	return len(e.weights) > 0 && t.Known(e.reg.Service) && (e.machine.Is(StateServing) || e.machine.Is(StateLapsed))
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -353,15 +353,28 @@
 	})
 }
 
+// BenchmarkEndpoints: what each routing host asks every 200 ms to follow caches.
+func BenchmarkEndpoints(b *testing.B) {
+	table := newTestTable(manyIDs()...)
+	for b.Loop() {
+		table.Endpoints()
+	}
+}
+
 // BenchmarkLagging: what each host asks every 60 ms while nothing is to be loaded.
 func BenchmarkLagging(b *testing.B) {
-	ids := make([]string, 1000)
-	for i := range ids {
-		ids[i] = fmt.Sprint("i-", i)
-	}
-	table := newTestTable(ids...)
+	table := newTestTable(manyIDs()...)
 	now := time.Now()
 	for b.Loop() {
 		table.Lagging(now)
 	}
 }
+
+// manyIDs returns the IDs of a large fleet's servers.
+func manyIDs() []string {
+	ids := make([]string, 1000)
+	for i := range ids {
+		ids[i] = fmt.Sprint("i-", i)
+	}
+	return ids
+}
