--- a/cmd/briarlink/admin.go
+++ b/cmd/briarlink/admin.go
@@ -21,7 +21,7 @@
 type adminCmd struct {
 	Address string        `required:"" env:"BRIARLINK_ADDRESS" help:"IP:port of any entry host's operator listener."`
 	Output  string        `enum:"json,table" default:"table" help:"Output format: json or table."`
-	Timeout time.Duration `default:"10s" help:"Limit on the whole command."`
+	Timeout time.Duration `default:"10s" help:"Limit on each call of the host."`
 
 	Status   statusCmd   `cmd:"" help:"Print what a host believes: hosts, backend servers, versions, lease."`
 	Hosts    hostsCmd    `cmd:"" help:"Print the entry hosts that a host knows."`
@@ -33,9 +33,11 @@
 	statusCmd struct{}
 	hostsCmd  struct {
 		All bool `help:"Print every host, not only those that are dead, leaving or not ready."`
+		watchFlags
 	}
 	replicasCmd struct {
 		All bool `help:"Print every backend server, not only those that do not serve or hold other weights than most."`
+		watchFlags
 	}
 	weightsCmd struct{}
 )
@@ -53,16 +55,18 @@
 }
 
 // Run implements the hosts command.
-func (c hostsCmd) Run(a *adminCmd) error {
-	return a.show(func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }, func(w io.Writer, s *pb.StatusResponse) {
-		printHosts(w, s, c.All)
+func (c *hostsCmd) Run(a *adminCmd) error {
+	only := func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }
+	return c.run(func(ctx context.Context, w io.Writer) error {
+		return a.print(ctx, w, only, func(w io.Writer, s *pb.StatusResponse) { printHosts(w, s, c.All) })
 	})
 }
 
 // Run implements the replicas command.
-func (c replicasCmd) Run(a *adminCmd) error {
-	return a.show(func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }, func(w io.Writer, s *pb.StatusResponse) {
-		printReplicas(w, s, c.All)
+func (c *replicasCmd) Run(a *adminCmd) error {
+	only := func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }
+	return c.run(func(ctx context.Context, w io.Writer) error {
+		return a.print(ctx, w, only, func(w io.Writer, s *pb.StatusResponse) { printReplicas(w, s, c.All) })
 	})
 }
 
@@ -75,10 +79,15 @@
 	})
 }
 
-// show asks the host and prints its answer as a table, or what only leaves of it as
-// JSON.
+// show asks the host and prints its answer on standard output.
 func (a *adminCmd) show(only func(*pb.StatusResponse), table func(io.Writer, *pb.StatusResponse)) error {
-	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+	return a.print(context.Background(), os.Stdout, only, table)
+}
+
+// print asks the host and prints its answer as a table, or what only leaves of it as
+// JSON.
+func (a *adminCmd) print(ctx context.Context, out io.Writer, only func(*pb.StatusResponse), table func(io.Writer, *pb.StatusResponse)) error {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	resp, err := admin.NewClient(a.Address).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
 	if err != nil {
@@ -88,10 +97,10 @@
 		if only != nil {
 			only(resp.Msg)
 		}
-		fmt.Println(protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(resp.Msg))
-		return nil
+		_, err := fmt.Fprintln(out, protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Format(resp.Msg))
+		return errors.Wrap(err, "print")
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	table(w, resp.Msg)
 	return errors.Wrap(w.Flush(), "print")
 }
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -50,6 +50,8 @@
 		{"admin --address 127.0.0.1:1 --output xml status", exitUsage},
 		{"admin --address 127.0.0.1:1 status", exitFailed},
 		{"admin --address 127.0.0.1:1 weights", exitFailed},
+		{"admin --address 127.0.0.1:1 hosts", exitFailed},
+		{"admin --address 127.0.0.1:1 hosts --watch --interval 0s", exitUsage},
 		{"explain r-1 /does/not/exist", exitFailed},
 		{"logs check /does/not/exist", exitFailed},
 		{"logs check " + bad, exitUsage},
