make run: wait for backend servers by the command that lists all

Cause: admin status lists only the backend servers that are not as they should be since, so that the run waited for three lines that never came and ended with "backend servers are not known" after 10 s, each time (2 of 2 runs). Ruled out: load of the machine; the hosts' logs of the failed run show all three servers registered within 0.1 s.

--- a/test/run.sh
+++ b/test/run.sh
@@ -47,7 +47,7 @@
   bin/standin call --directory 127.0.0.1:17411 --directory 127.0.0.1:17412 --host museum.example "$@" | grep -v '^$'
 }
 for try in $(seq 100); do
-  [ "$(bin/briarlink admin --address 127.0.0.1:17501 status | grep -c serving)" = 3 ] && break
+  [ "$(bin/briarlink admin --address 127.0.0.1:17501 replicas --all | grep -c serving)" = 3 ] && break
   [ "$try" -lt 100 ] || { echo "backend servers are not known"; exit 1; }
   sleep 0.1
 done
@@ -64,7 +64,7 @@
 echo '{"Model":"m","Version":2}' >"$work/weights.json"
 bin/standin put --store 127.0.0.1:17001 version/m "$work/weights.json"
 for try in $(seq 100); do
-  [ "$(bin/briarlink admin --address 127.0.0.1:17501 status | grep -c 'm=2')" = 2 ] && break
+  [ "$(bin/briarlink admin --address 127.0.0.1:17501 replicas --all | grep -c 'm=2')" = 2 ] && break
   [ "$try" -lt 100 ] || { echo "weights were not loaded"; exit 1; }
   sleep 0.1
 done
