Log: lines on heartbeats and on fetches are one a second

Cause: some lines were written for each datagram that a host hears or sends (malformed heartbeats, addresses that are none, heartbeats that cannot be encoded) and for each fetch of records from another host. The log's rate bounds them together with the lines of requests, which were left out instead. Change: each of them passes a limiter, by topic for fetches; others counts those left out. Ruled out: a limiter for lines on lost answers: explain needs the one of each request. Lines on other hosts and on malformed entries had limiters; those on replicas are written when a state changes. Conclusion: no line grows with the heartbeats heard.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/obs"
 )
 
 const (
@@ -25,6 +26,8 @@
 type Gossip struct {
 	conn *net.UDPConn
 	log  *logrus.Logger
+	// unread, unsent and unencoded bound the lines on heartbeats, which grow with the hosts.
+	unread, unsent, unencoded obs.Limiter
 	// Sent is told of each datagram that is sent; it may be nil and is set before use.
 	Sent func(to string, bytes int)
 }
@@ -51,13 +54,19 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		b := &pb.Heartbeat{}
-		if err := proto.Unmarshal(buf[:n], b); err != nil {
-			g.log.WithError(err).Warn("malformed heartbeat dropped")
-			continue
+		g.take(buf[:n], heard)
+	}
+}
+
+func (g *Gossip) take(data []byte, heard func(*pb.Heartbeat)) {
+	b := &pb.Heartbeat{}
+	if err := proto.Unmarshal(data, b); err != nil {
+		if others, ok := g.unread.Allow(time.Now()); ok {
+			g.log.WithError(err).WithField("others", others).Warn("malformed heartbeat dropped")
 		}
-		heard(b)
+		return
 	}
+	heard(b)
 }
 
 // Send sends heartbeats to each address. A datagram that is lost is made up for by
@@ -69,7 +78,9 @@
 	for _, b := range beats {
 		data, err := proto.Marshal(b)
 		if err != nil {
-			g.log.WithError(err).Error("heartbeat not encoded")
+			if others, ok := g.unencoded.Allow(time.Now()); ok {
+				g.log.WithError(err).WithField("others", others).Error("heartbeat not encoded")
+			}
 			continue
 		}
 		for _, address := range to {
@@ -81,7 +92,9 @@
 func (g *Gossip) send(data []byte, address string) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
-		g.log.WithError(err).WithField("address", address).Warn("malformed peer address")
+		if others, ok := g.unsent.Allow(time.Now()); ok {
+			g.log.WithError(err).WithFields(logrus.Fields{"address": address, "others": others}).Warn("malformed peer address")
+		}
 		return
 	}
 	if _, err := g.conn.WriteToUDPAddrPort(data, to); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,8 @@
 	// malformed bounds the lines about records that are not what they should be,
 	// changes those about other hosts.
 	malformed, changes obs.Limiter
+	// fetchLines bounds those about fetches, by topic.
+	fetchLines map[string]*fetchLines
 	// kick asks for a heartbeat at once.
 	kick chan struct{}
 	// toAll is set while the next heartbeat is for every host.
@@ -161,6 +163,10 @@
 	n.operators = topic.NewTable(platform.OperatorTopic, n.operatorRecord)
 	n.servers = topic.NewTable(platform.ReplicaTopic, n.replicaRecord)
 	n.hosts = topic.NewTable(platform.HostTopic, n.hostRecord)
+	n.fetchLines = map[string]*fetchLines{}
+	for _, t := range n.shared() {
+		n.fetchLines[t.Name()] = &fetchLines{}
+	}
 	n.replicas = replica.NewTable(log, func(id, address string) {
 		n.index.Clear(id)
 		n.pool.Forget(address)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -49,7 +49,7 @@
 	}
 	resp, err := n.peers.FetchRecords(ctx, address, &pb.FetchRecordsRequest{Topic: t.Name(), From: from, AvailabilityZone: n.settings.Host.AvailabilityZone})
 	if err != nil {
-		n.log.WithError(err).WithFields(logrus.Fields{"host": host, "topic": t.Name()}).Info("records not fetched from another host")
+		n.notFetched(t, host, err)
 		return
 	}
 	records := make([]platform.Record, 0, len(resp.Records))
@@ -59,7 +59,29 @@
 	taken := t.MergeAll(records, resp.End, resp.Trusted)
 	n.becomeReady()
 	if taken > 0 {
-		n.log.WithFields(logrus.Fields{"host": host, "topic": t.Name(), "records": taken, "end": resp.End}).Info("records taken from another host")
+		n.fetched(t, host, taken, resp.End)
+	}
+}
+
+// fetchLines bounds the lines on fetches of a topic: while the store is lost, each
+// heartbeat of a host that knows more leads to a fetch.
+type fetchLines struct{ taken, failed obs.Limiter }
+
+// fetched logs records that another host had.
+func (n *Node) fetched(t *topic.Table, host string, taken int, end int64) {
+	others, ok := n.fetchLines[t.Name()].taken.Allow(time.Now())
+	if !ok {
+		return
+	}
+	n.log.WithFields(logrus.Fields{
+		"host": host, "topic": t.Name(), "records": taken, "end": end, "others": others,
+	}).Info("records taken from another host")
+}
+
+// notFetched logs that another host did not give its records.
+func (n *Node) notFetched(t *topic.Table, host string, err error) {
+	if others, ok := n.fetchLines[t.Name()].failed.Allow(time.Now()); ok {
+		n.log.WithError(err).WithFields(logrus.Fields{"host": host, "topic": t.Name(), "others": others}).Info("records not fetched from another host")
 	}
 }
 
