Log: bytes a second are bounded, not only lines

Cause: the rate and the queue counted lines, of some 400 bytes as a rule. A caller may send an ID of 32 kB (request.max_header_bytes), which stands in its request's line. Ruled out: cutting lines, which would be no JSON; refusing long IDs, which is no matter of the log. Conclusion: 400 lines a second are 0.8 MB a second at the most, 1.6 MB with failures, beyond it one line at the most.

--- a/internal/obs/log.go
+++ b/internal/obs/log.go
@@ -12,9 +12,18 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
 
-// queueLines bounds the lines that wait for the output. A line is some 400 bytes,
-// so that the queue holds about 400 kB at most.
-const queueLines = 1000
+const (
+	// queueLines bounds the lines that wait for the output. A line is some 400 bytes,
+	// so that the queue mostly holds about 400 kB at most.
+	queueLines = 1000
+	// lineBytes is what a line may have to count as one; a longer one counts as several.
+	// A caller chooses its request's ID, of as much as a request's head takes, so that a
+	// rate of lines alone would bound no bytes. Lines on requests with several attempts
+	// are shorter.
+	lineBytes = 2 << 10
+	// queueBytes bounds the bytes that wait for the output.
+	queueBytes = queueLines * lineBytes
+)
 
 // NewLogger returns a structured logger to w that never waits for it. Close the
 // closer to write what is queued.
@@ -31,7 +40,7 @@
 }
 
 // Writer queues lines and writes them in the background. Lines beyond a rate, or
-// beyond the queue, are dropped and counted; lines of level info go first, so
+// beyond the queue, in number or in bytes, are dropped and counted; lines of level info go first, so
 // that those on failed requests are the last to be lost.
 type Writer struct {
 	w     io.Writer
@@ -44,6 +53,8 @@
 	second  int64
 	written int64
 	dropped int64
+	// queued is the number of bytes that wait.
+	queued int
 	// urgent is set by Fire for the line that is about to be written.
 	urgent bool
 	began  time.Time
@@ -89,9 +100,14 @@
 		o.dropped++
 		return len(line), nil
 	}
+	if o.queued+len(line) > queueBytes {
+		o.dropped++
+		return len(line), nil
+	}
 	select {
 	case o.lines <- append([]byte(nil), line...):
-		o.written++
+		o.written += 1 + int64(len(line)/lineBytes)
+		o.queued += len(line)
 	default:
 		o.dropped++
 	}
@@ -114,9 +130,17 @@
 			o.dropped++
 			o.mu.Unlock()
 		}
+		o.taken(len(line))
 	}
 }
 
+// taken notes that the output has taken bytes off the queue.
+func (o *Writer) taken(bytes int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.queued -= bytes
+}
+
 // Close writes what is queued and ends the writer.
 func (o *Writer) Close() error {
 	o.mu.Lock()
--- a/internal/obs/log_test.go
+++ b/internal/obs/log_test.go
@@ -84,3 +84,46 @@
 		log.WithField("request", "9c41d07be2a35f68").WithField("replica", "i-7f3a91c2").Info("request")
 	}
 }
+
+// TestLogBytesAreBounded: a caller may send an ID of 32 kB, which stands in the line that
+// ends its request. Lines were counted, whatever their length: 26 MB a second of those on
+// failures at the rate of 400 lines, and as much in the queue of an output that is stuck.
+func TestLogBytesAreBounded(t *testing.T) {
+	const (
+		rate    = 400
+		seconds = 3
+		id      = 32 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var buf bytes.Buffer
+		log, lines := NewLogger(&pb.LogSettings{Level: "info", LinesPerSecond: rate}, &buf)
+		for range seconds {
+			for range 1000 {
+				log.WithField("request", strings.Repeat("x", id)).Warn("request")
+				synctest.Wait()
+			}
+			time.Sleep(time.Second)
+		}
+		if err := lines.Close(); err != nil {
+			t.Error(err)
+		}
+		if most := seconds * (urgentShare*rate*lineBytes + 2*id); buf.Len() > most {
+			t.Errorf("%d bytes in %d s, want %d at the most", buf.Len(), seconds, most)
+		}
+		if buf.Len() < seconds*rate*lineBytes {
+			t.Errorf("only %d bytes", buf.Len())
+		}
+	})
+	out := stuck{make(chan struct{})}
+	log, lines := NewLogger(&pb.LogSettings{Level: "info", LinesPerSecond: 1e6}, out)
+	for range 1000 {
+		log.WithField("request", strings.Repeat("x", id)).Warn("request")
+	}
+	if most := int64(queueBytes / id); 1000-lines.Dropped() > most {
+		t.Errorf("%d lines of %d bytes wait, want %d at the most", 1000-lines.Dropped(), id, most)
+	}
+	close(out.release)
+	if err := lines.Close(); err != nil {
+		t.Error(err)
+	}
+}
