explain: the replica that was lost, not the last one tried; streams cut within a millisecond

Cause: tracing a failed request of the small fleet (both engines killed in the middle of a stream) gave "the caller got 502: replica X was lost before an answer". The caller had a stream of four events, of the other replica; X was tried after it and could not be reached. The verdict took the line's replica, which is the last, and took first_ms=0 for no first event, where it had come within a millisecond. Change: the lost replica is that of the last attempt that ended so; an answer has begun where the line has its status or first_ms. Ruled out: other fields of the line: the host's line is true as it stands. Figures: golden story stream-cut-and-no-other, which showed the wrong verdict before; no other golden story changed. Conclusion: the verdict names the cause in this case.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -28,6 +28,9 @@
 	"replica-lost": `
 10.0 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-1","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the stream was cut: unexpected EOF","ms":1800,"first_ms":240,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"lost","Reason":"cut","Ms":1790}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"stream-cut-and-no-other": `
+10.0 edge-1 {"level":"warning","msg":"replica thought down","replica":"i-2","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the replica was lost and no other could take over","ms":1001,"first_ms":0,"expected_ms":56,"status":200,"sends":2,"ran":1,"replica":"i-2","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"lost","Reason":"the stream was cut: unexpected EOF","Ms":1001},{"Replica":"i-2","Result":"unreachable","Reason":"nothing was sent: connection refused","Ms":0}],"time":"2026-06-01T10:00:10.1Z"}`,
 	"host-lost": `
 10.9 edge-2 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.9Z"}
 10.9 edge-3 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.95Z"}`,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -45,10 +45,10 @@
 	case errkind.Unauthenticated, errkind.NotFound:
 		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
 	case errkind.BackendLost:
-		if r.FirstMs > 0 {
-			return fmt.Sprintf("the caller's stream was cut after %.0f ms, its first event came after %.0f ms: replica %s was lost", r.Ms, r.FirstMs, r.Replica)
+		if r.Started() {
+			return fmt.Sprintf("the caller's stream was cut after %.0f ms, its first event came after %.0f ms: replica %s was lost", r.Ms, r.FirstMs, r.LostReplica())
 		}
-		return fmt.Sprintf("the caller got %d after %.0f ms: replica %s was lost before an answer, and may have run it", errkind.BackendLost.Answer().Status, r.Ms, r.Replica)
+		return fmt.Sprintf("the caller got %d after %.0f ms: replica %s was lost before an answer, and may have run it", errkind.BackendLost.Answer().Status, r.Ms, r.LostReplica())
 	case errkind.CallerGone, errkind.DeadlineExceeded:
 		return unanswered(r, end.At, near)
 	default:
@@ -81,7 +81,7 @@
 		who = "the deadline passed"
 	}
 	switch {
-	case r.FirstMs > 0:
+	case r.Started():
 		return fmt.Sprintf("%s after %.0f ms, in the middle of the answer", who, r.Ms)
 	case r.Sends > 0 && lostHere(r, end, near):
 		return fmt.Sprintf("%s after %.0f ms without an answer: replica %s lost it silently", who, r.Ms, r.Replica)
@@ -129,7 +129,7 @@
 		return ""
 	}
 	for _, message := range causes {
-		if l := find(near, message, r.Replica); l != nil {
+		if l := find(near, message, r.LostReplica()); l != nil {
 			return "the line that shows it: " + l.String()
 		}
 	}
@@ -146,7 +146,7 @@
 	case errkind.BackendLost.String():
 		return true
 	case errkind.CallerGone.String(), errkind.DeadlineExceeded.String():
-		return r.FirstMs == 0
+		return !r.Started()
 	default:
 		return false
 	}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -74,6 +74,25 @@
 // Late reports whether the answer came after the route's latency target.
 func (r *Request) Late() bool { return r.TargetMs > 0 && r.FirstMs > r.TargetMs }
 
+// Started reports whether the caller got the beginning of an answer: its first event may
+// have come within a millisecond, which the line calls 0.
+func (r *Request) Started() bool { return r.FirstMs > 0 || r.Status > 0 }
+
+// resultLost is the result of an attempt whose replica, or the link to it, was lost after
+// the request was sent.
+const resultLost = "lost"
+
+// LostReplica returns the last replica that was lost with the request. It is not the last
+// one that was tried where others could not be reached after it.
+func (r *Request) LostReplica() string {
+	for _, try := range slices.Backward(r.Tries) {
+		if try.Result == resultLost {
+			return try.Replica
+		}
+	}
+	return r.Replica
+}
+
 // Replicas returns the replicas that the request was sent to.
 func (r *Request) Replicas() map[string]bool {
 	out := map[string]bool{}
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -1,6 +1,10 @@
 package logline
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/briarlink/briarlink/internal/replica"
+)
 
 // TestHeadsAndLinesAgree: what is left out by its head must not be what the whole line
 // would have told, whatever the types of its fields.
@@ -89,3 +93,18 @@
 		})
 	}
 }
+
+// TestLostReplica: where the replicas tried after the lost one could not be reached, the
+// lost one is the cause, although the line's replica is the last.
+func TestLostReplica(t *testing.T) {
+	lost := replica.Lost.String()
+	for want, r := range map[string]Request{
+		"i-1": {Replica: "i-2", Tries: []Try{{Replica: "i-1", Result: lost}, {Replica: "i-2", Result: "unreachable"}}},
+		"i-2": {Replica: "i-2", Tries: []Try{{Replica: "i-1", Result: lost}, {Replica: "i-2", Result: lost}}},
+		"i-3": {Replica: "i-3"},
+	} {
+		if got := r.LostReplica(); got != want {
+			t.Errorf("%s was lost, want %s", got, want)
+		}
+	}
+}
