--- a/internal/member/gossip_test.go
+++ b/internal/member/gossip_test.go
@@ -39,6 +39,7 @@
 				bad(g)
 				time.Sleep(time.Second / heard)
 			}
+			t.Logf("%s: %d lines in %d s", name, strings.Count(out.String(), name), seconds)
 			if got := strings.Count(out.String(), name); got < seconds-1 || got > seconds {
 				t.Errorf("%s: %d lines in %d s", name, got, seconds)
 			}
--- a/internal/obs/log_test.go
+++ b/internal/obs/log_test.go
@@ -110,6 +110,7 @@
 		if most := seconds * (urgentShare*rate*lineBytes + 2*id); buf.Len() > most {
 			t.Errorf("%d bytes in %d s, want %d at the most", buf.Len(), seconds, most)
 		}
+		t.Logf("%d bytes in %d s", buf.Len(), seconds)
 		if buf.Len() < seconds*rate*lineBytes {
 			t.Errorf("only %d bytes", buf.Len())
 		}
