Commands on logs: errors name the file

Cause: a line beyond 1 MB, or one with a field of a wrong type, ended a report over hundreds of files with an error that named none. Change: the error begins with the file's name. Ruled out: leaving such lines out, as a request would be missing from every sum without a word. Figures: TestErrorsNameTheFile failed for both before ("read a log: bufio.Scanner: token too long"); cmd/briarlink passes with -race after. Conclusion: none further.

--- a/cmd/briarlink/logfiles.go
+++ b/cmd/briarlink/logfiles.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	defer file.Close()
-	return logline.Each(p.reader(file), f)
+	return errors.Wrap(logline.Each(p.reader(file), f), name)
 }
 
 // size returns how many bytes the files have together, 0 if one of them has no size. A
--- a/cmd/briarlink/logfiles_test.go
+++ b/cmd/briarlink/logfiles_test.go
@@ -163,3 +163,27 @@
 		}
 	})
 }
+
+// TestErrorsNameTheFile: among the logs of hundreds of hosts an operator must find the one
+// that cannot be read.
+func TestErrorsNameTheFile(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"mistyped.log": `{"msg":"request","ms":"three","time":"2026-06-01T10:00:00Z"}`,
+		"long.log":     strings.Repeat("x", 2<<20),
+	} {
+		name = filepath.Join(dir, name)
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		report, err := logreport.New(time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		logs := newLogFiles([]string{name})
+		if err := logs.Each(report.Add); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+		logs.Close()
+	}
+}
