A host that has just started has no part of the retry budget's slack before it knows the others

TestSharesOfHostsThatStartTogether holds the simulation to 1.1 times from 4 s on, and to the view that a start has. Ruled out: the first word of another host as the end of the wait (in a start all words are partial); the number of seeds (some of a fleet) and of addresses in the store (those of hosts that died long ago stay, and a lone host would wait for minutes); a 64th, the most hosts that may route, in place of nothing (0.5 of a repeat with the usual slack of 50, and no bound where all hosts route); the size of the fleet before a restart, which nothing remembers.

--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -365,3 +365,43 @@
 	}
 	s.until("the end of the roll", 0, 4*time.Second)
 }
+
+// TestSharesOfHostsThatStartTogether: a host that knows of few others counts on a large
+// part of what all share. As a fleet starts at once, the parts add up to many times the
+// whole; 4 s later to no more than a tenth above it, in fleets of one size and in those
+// with many large hosts.
+func TestSharesOfHostsThatStartTogether(t *testing.T) {
+	t.Parallel()
+	const (
+		known = 4 * time.Second
+		most  = 1.1
+	)
+	for _, fleet := range []struct{ large, small int }{{0, 30}, {10, 20}} {
+		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 4, fleet.large, fleet.small)
+			s.run(testInterval)
+			if sum := s.shares(); sum < 2 {
+				t.Errorf("the parts add up to %.2f at once, want what a start makes of them", sum)
+			}
+			s.run(known - testInterval)
+			for range 20 {
+				s.run(testInterval)
+				if sum := s.shares(); sum > most {
+					t.Errorf("the parts add up to %.2f after %v", sum, s.now.Sub(time.Unix(1_000_000, 0)))
+				}
+			}
+		})
+	}
+}
+
+// shares returns the sum of the parts on which live routing hosts count.
+func (s *sim) shares() float64 {
+	sum := 0.0
+	for _, h := range s.hosts {
+		if v := h.table.View(s.now); !h.down && v.Here {
+			sum += 1 / float64(len(v.Routing))
+		}
+	}
+	return sum
+}
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -67,3 +69,67 @@
 		}
 	}
 }
+
+// repeat takes all repeats that a host has left for a service, and returns how many.
+func (n *Node) repeat(service string) int {
+	for taken := 0; ; taken++ {
+		if !n.budget.Take(service, time.Now()) {
+			return taken
+		}
+	}
+}
+
+// TestHostsThatStartTogetherKeepTheRetryLimit: eight hosts that start at once, as after a
+// loss of power, and hear of each other two seconds later repeated 280 requests in a window
+// that allows 50. Each took itself for the only one to share the slack, and spent all of it,
+// until it heard of others and the next sweep.
+func TestHostsThatStartTogetherKeepTheRetryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silent = 2 * time.Second
+		var hosts []*Node
+		for i := range 8 {
+			hosts = append(hosts, idle(t, fmt.Sprint("host-", i)))
+		}
+		began := time.Now()
+		window := hosts[0].settings.Retry.Window.AsDuration()
+		repeats := 0
+		for time.Since(began) < window {
+			for _, n := range hosts {
+				repeats += n.repeat("writer")
+				n.shareBudget(time.Now())
+				repeats += n.repeat("writer")
+			}
+			time.Sleep(sweepInterval)
+			if time.Since(began) < silent {
+				continue
+			}
+			for _, from := range hosts {
+				b := from.work()
+				for _, to := range hosts {
+					to.heard(b)
+				}
+			}
+		}
+		if limit := int(hosts[0].settings.Retry.Slack); repeats > limit || repeats < limit/2 {
+			t.Errorf("%d repeats in a window without requests, want up to %d and half of it at least", repeats, limit)
+		}
+	})
+}
+
+// TestLoneHostRepeatsOnceItKnowsThatItIsAlone: it has no slack while others may not have
+// been heard of yet, and all of its part from then on.
+func TestLoneHostRepeatsOnceItKnowsThatItIsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := idle(t, "host")
+		whole := int(float64(n.settings.Retry.Slack) * slackShare)
+		began, repeats := time.Now(), n.repeat("writer")
+		for repeats == 0 && time.Since(began) < time.Minute {
+			n.shareBudget(time.Now())
+			repeats = n.repeat("writer")
+			time.Sleep(sweepInterval)
+		}
+		if took := time.Since(began); repeats != whole || took < firstView || took > firstView+2*sweepInterval {
+			t.Errorf("%d repeats %v after the start, want %d after %v", repeats, took, whole, firstView)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,7 +177,7 @@
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
 	n.scheduler.Tell = n.beatSoon
 	n.scheduler.Off = off
-	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), float64(s.Retry.Slack)*slackShare, 1, time.Now())
+	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), 0, 1, n.started)
 	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
 	n.lease.Follows = n.followsLease
 	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
