Stores: the second shared part decides which keeps a prompt

Of the tokens that could be matched, 60 % (and probably 80 %: the events of some removals are lost) had been dropped by every replica that had read them and were in no store. Stores were chosen by the leading part, and most prompts begin with few of them: of three stores one was asked for 73 % of the shared tokens, another for 3 %. The first dropped 5.5 of 8.2 million tokens, the other never filled.

Change: StorePart names the second shared part, or the leading one where no other is shared. A conversation stays in its store as it grows; the leading part is kept by each store that needs it (some hundred tokens).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -194,8 +194,8 @@
 // Stores returns the stores of kept KV cache by address.
 func (c *Config) Stores() []*CacheStore { return c.stores }
 
-// Store returns the store that keeps the prompts of a leading part, or nil. The
-// parts spread over all stores, by rendezvous hashing: each keeps its own share,
+// Store returns the store that keeps the prompts with a part, or nil. The parts
+// spread over all stores, by rendezvous hashing: each keeps its own share,
 // and one that comes or goes moves no other's.
 func (c *Config) Store(part uint64) *CacheStore {
 	var best *CacheStore
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -162,6 +162,20 @@
 	return uint64(prefix.HashOf("", parts[0].ID))
 }
 
+// StorePart is equal for requests whose prompts one store keeps. Callers' prompts begin
+// with few texts, such as a route's instructions, so that stores chosen by the leading
+// part alone are as unequal as these: of three on a fleet of 60 replicas, one was asked
+// for 73 % of the shared tokens, another for 3 %. The second shared part names the
+// document or the conversation; what follows it stays in its store, and each store keeps
+// the leading parts that it needs.
+func StorePart(parts []platform.Part) uint64 {
+	const document = 1
+	if len(parts) <= document+1 {
+		return LeadingPart(parts)
+	}
+	return uint64(prefix.HashOf("", parts[document].ID))
+}
+
 // choose turns a decision into a choice that is counted as sent, or says how long
 // the request had better wait.
 func (s *Scheduler) choose(req *Request, d route.Decision, prompts map[int64]prefix.Prompt, capacity int, now time.Time) (*Choice, error) {
