Upstream's tests do not depend on the machine's speed

Cause: found by reading, not by a failure (100 runs with -race beside two busy processes: none). All tests connected with the product's own timeout of 400 ms, which a host whose processors are all taken was seen to pass on loopback, and TestIdleConnectionsAreRetiredInTime left the machine 100 ms between two statements.

Change: the tests connect with a minute, which bounds and does not wait, and the test of idle connections runs in virtual time. What they ask for is unchanged.

Left: TestDroppedConnectionsTeachHowLongTheyAreKept has 210 ms between two statements.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,8 +11,10 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/briarlink/briarlink/internal/netdial"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
@@ -96,6 +98,17 @@
 	return string(body), err
 }
 
+// newTestPool returns a pool whose attempts to connect end after limit. That of the product
+// is short enough for a busy machine to pass it.
+func newTestPool(limit time.Duration) *Pool {
+	p := NewPool()
+	dialer := netdial.New(limit)
+	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
+	return p
+}
+
 func TestConnectionsAreUsedAgain(t *testing.T) {
 	address := script(t, func(c net.Conn, r *bufio.Reader) {
 		for {
@@ -106,7 +119,7 @@
 			_, _ = io.WriteString(c, answer(id, "to "+body))
 		}
 	})
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	defer p.Close()
 	for _, body := range []string{"a", "b", "c"} {
 		if got, err := exchange(t, p, address, request(body, body)); err != nil || got != "to "+body {
@@ -138,7 +151,7 @@
 				wrote <- struct{}{}
 			}
 		})
-		p := NewPool()
+		p := newTestPool(time.Minute)
 		first, err := exchange(t, p, address, request("1", ""))
 		if err != nil || first != "mine" {
 			t.Fatalf("%s: %q, %v", name, first, err)
@@ -162,7 +175,7 @@
 		}
 		_, _ = io.WriteString(c, answer("other", "not yours")+answer(id, "yours"))
 	})
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	defer p.Close()
 	if got, err := exchange(t, p, address, request("1", "")); err != nil || got != "yours" {
 		t.Errorf("%q, %v", got, err)
@@ -177,7 +190,7 @@
 		_, _, _ = readRequest(r)
 		_, _ = io.WriteString(c, "no answer at all\r\n\r\n")
 	})
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	defer p.Close()
 	for name, c := range map[string]struct {
 		address string
@@ -204,7 +217,7 @@
 		rest, _ := io.Copy(io.Discard, r)
 		got <- int(rest)
 	})
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	defer p.Close()
 	body, err := exchange(t, p, address, request("1", strings.Repeat("x", size)))
 	if err != nil || body != "early" {
@@ -228,7 +241,7 @@
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 		})
-		p := NewPool()
+		p := newTestPool(time.Minute)
 		body, err := exchange(t, p, address, request("1", "x"))
 		if !reset && (err != nil || body != "all of it") {
 			t.Errorf("clean end: %q, %v", body, err)
@@ -243,27 +256,29 @@
 // TestIdleConnectionsAreRetiredInTime: before the server closes them, and sooner
 // for what may not be repeated.
 func TestIdleConnectionsAreRetiredInTime(t *testing.T) {
-	p := NewPool()
-	defer p.Close()
-	near, far := net.Pipe()
-	defer far.Close()
-	put := func(age, timeout time.Duration) {
-		c := &conn{Conn: near, address: "a", reader: bufio.NewReader(near)}
-		p.put(c, timeout)
-		c.idleSince = time.Now().Add(-age)
-	}
-	put(1500*time.Millisecond, 2*time.Second)
-	if p.take("a", 0) == nil {
-		t.Error("a connection within its time was not used")
-	}
-	put(1700*time.Millisecond, 2*time.Second)
-	if p.take("a", 0) != nil {
-		t.Error("a connection was used too near its end")
-	}
-	put(1500*time.Millisecond, 5*time.Second)
-	if p.take("a", time.Second) != nil {
-		t.Error("an old connection was used for what may not be repeated")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool(time.Minute)
+		defer p.Close()
+		near, far := net.Pipe()
+		defer far.Close()
+		put := func(age, timeout time.Duration) {
+			c := &conn{Conn: near, address: "a", reader: bufio.NewReader(near)}
+			p.put(c, timeout)
+			c.idleSince = time.Now().Add(-age)
+		}
+		put(1500*time.Millisecond, 2*time.Second)
+		if p.take("a", 0) == nil {
+			t.Error("a connection within its time was not used")
+		}
+		put(1700*time.Millisecond, 2*time.Second)
+		if p.take("a", 0) != nil {
+			t.Error("a connection was used too near its end")
+		}
+		put(1500*time.Millisecond, 5*time.Second)
+		if p.take("a", time.Second) != nil {
+			t.Error("an old connection was used for what may not be repeated")
+		}
+	})
 }
 
 // resetSecond answers a connection's first request and resets it at the second.
@@ -282,7 +297,7 @@
 // connection loses one request, not one a connection.
 func TestDroppedConnectionsTeachHowLongTheyAreKept(t *testing.T) {
 	address := script(t, resetSecond)
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	p.resetWithin = time.Hour
 	defer p.Close()
 	// rest sends a request on a connection that has rested that long.
@@ -315,7 +330,7 @@
 // resets the connection too.
 func TestEndsOfServersTeachNothing(t *testing.T) {
 	address := script(t, resetSecond)
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	// Any reset comes later than this.
 	p.resetWithin = time.Nanosecond
 	defer p.Close()
@@ -340,7 +355,7 @@
 		_, _ = io.Copy(io.Discard, r)
 		close(gone)
 	})
-	p := NewPool()
+	p := newTestPool(time.Minute)
 	defer p.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
