logs report names the causes of denials

Cause: the report counted denied requests and listed causes of refused, failed and left ones only.

Change: everything that is neither served nor late has its cause counted.

Ruled out: a column for each kind of denial, as the causes' column lists all others.

Before: TestDenialsHaveACause failed (0 denials with a cause, want 1).

Conclusion: the first table tells missing keys from missing routes.

--- a/internal/logreport/logreport.go
+++ b/internal/logreport/logreport.go
@@ -49,7 +49,7 @@
 	// Group is the route or zone whose requests these are, where they are told apart.
 	Group  string
 	Counts [results]int
-	// Causes counts refused, failed and abandoned requests by error kind.
+	// Causes counts by error kind the requests that got no answer of a replica, or a failure.
 	Causes map[string]int
 	// Shared tokens were asked for; Held of them were expected at the replica or
 	// fetched.
@@ -132,7 +132,7 @@
 func (i *Interval) add(r *logline.Request) {
 	result := resultOf(r)
 	i.Counts[result]++
-	if result == Refused || result == Failed || result == Left {
+	if result != Served && result != Late {
 		i.Causes[r.Outcome]++
 	}
 	if r.Shared > 0 && r.Sends > 0 {
--- a/internal/logreport/logreport_test.go
+++ b/internal/logreport/logreport_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// TestDenialsHaveACause: a key that is taken away and a route that is not there call for
+// different looks. Of a day of 295 hosts one request in six was denied, and the report gave
+// no cause for any.
+func TestDenialsHaveACause(t *testing.T) {
+	if got := build(t)[1].Causes["not_found"]; got != 1 {
+		t.Errorf("%d denials with a cause, want 1", got)
+	}
+}
+
 // TestDrawings keeps the table and the drawing.
 func TestDrawings(t *testing.T) {
 	var table, drawing bytes.Buffer
