--- a/internal/logreport/logreport_test.go
+++ b/internal/logreport/logreport_test.go
@@ -55,7 +55,7 @@
 }
 
 // TestDenialsHaveACause: a key that is taken away and a route that is not there call for
-// different looks. Of a day of 295 hosts one request in six was denied, and the report gave
+// different looks. On a day of 295 hosts one request in eight was denied, and the report gave
 // no cause for any.
 func TestDenialsHaveACause(t *testing.T) {
 	if got := build(t)[1].Causes["not_found"]; got != 1 {
--- a/internal/node/beliefs_test.go
+++ b/internal/node/beliefs_test.go
@@ -18,7 +18,7 @@
 	"github.com/briarlink/briarlink/platform"
 )
 
-// TestKeysTakenAwayShowInTheLog: operators took most keys away, and one request in six was
+// TestKeysTakenAwayShowInTheLog: operators took keys away, and one request in nine was
 // denied. The lines of the configurations said how many organisations and routes there
 // were, which had not changed, so that no line told a configuration without keys from
 // callers with wrong ones.
