--- a/internal/rollout/ask_test.go
+++ b/internal/rollout/ask_test.go
@@ -83,6 +83,7 @@
 // soon as a replica answered it for a moment, before the host that reaches all came to its
 // turn, again and again for a minute.
 func TestFlappingReplicasAreLeftToAnotherHost(t *testing.T) {
+	t.Parallel()
 	const ms = time.Millisecond
 	late, worst := 0, time.Duration(0)
 	for range 50 {
@@ -100,6 +101,7 @@
 // TestHostWithAShareOfAnswersLeavesTheLease: one answer in a dozen tries under way kept the
 // lease with a host that gets fewer than half of its calls answered, for up to 39 s.
 func TestHostWithAShareOfAnswersLeavesTheLease(t *testing.T) {
+	t.Parallel()
 	late, worst := 0, time.Duration(0)
 	for seed := range uint64(15) {
 		var mu sync.Mutex
@@ -137,6 +139,7 @@
 // return says nothing of the others, and a host that took it for progress left the lease a
 // second time without asking the others.
 func TestOneReturnsWithTheWeights(t *testing.T) {
+	t.Parallel()
 	late := lateReturns(t, func(t *testing.T, back time.Duration) time.Duration {
 		fleet, v := newFakeFleet(6), hostView{cut: replicas(2)}
 		return runHosts(t, fleet, 0, func() {
@@ -156,6 +159,7 @@
 
 // TestOneReturnsWhileAnotherRefuses orders: it is asked all the same.
 func TestOneReturnsWhileAnotherRefuses(t *testing.T) {
+	t.Parallel()
 	late := lateReturns(t, func(t *testing.T, back time.Duration) time.Duration {
 		fleet, v := newFakeFleet(6), hostView{cut: map[string]bool{"i-1": true}, refusing: replicas(1)}
 		return runHosts(t, fleet, 1, func() {
@@ -172,6 +176,7 @@
 // is ordered while the lease lasts. It waited for the next term at 47 of these moments. Where
 // it joins between two terms, silent ones may be tried before it.
 func TestReplicaJoinsWhileTheLeaseIsLeft(t *testing.T) {
+	t.Parallel()
 	late := lateReturns(t, func(t *testing.T, back time.Duration) (took time.Duration) {
 		fleet := newFakeFleet(6)
 		runHosts(t, fleet, 0, func() {
@@ -213,6 +218,7 @@
 
 // TestQuestionsAreBounded: four in each interval, however many replicas are silent.
 func TestQuestionsAreBounded(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 12, 30} {
 		most := 0
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/rollout/stalled_test.go
+++ b/internal/rollout/stalled_test.go
@@ -190,6 +190,7 @@
 // back for 2.4 s more. It left the lease also while one of them was carrying out an order
 // that it had accepted, and the other one waited.
 func TestReplicasThatComeBackAreOrderedAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{1, 3} {
 		late := 0
 		for back := 1500 * time.Millisecond; back < 15*time.Second; back += 170 * time.Millisecond {
