--- a/cmd/briarlink/admin.go
+++ b/cmd/briarlink/admin.go
@@ -26,6 +26,7 @@
 	Status   statusCmd   `cmd:"" help:"Print what a host believes: hosts, backend servers, versions, lease."`
 	Hosts    hostsCmd    `cmd:"" help:"Print the entry hosts that a host knows."`
 	Replicas replicasCmd `cmd:"" help:"Print the backend servers that a host knows, and the work of all hosts there."`
+	Quotas   quotasCmd   `cmd:"" help:"Print the rate limits of organisations, and what stands against them, as a host sees it."`
 	Weights  weightsCmd  `cmd:"" help:"Print how many backend servers hold which weights, and who may order loads."`
 }
 
@@ -39,6 +40,10 @@
 		All bool `help:"Print every backend server, not only those that do not serve or hold other weights than most."`
 		watchFlags
 	}
+	quotasCmd struct {
+		All bool `help:"Print every organisation with a limit, not only those that use half of it or were refused something."`
+		watchFlags
+	}
 	weightsCmd struct{}
 )
 
@@ -56,7 +61,7 @@
 
 // Run implements the hosts command.
 func (c *hostsCmd) Run(a *adminCmd) error {
-	only := func(s *pb.StatusResponse) { s.Replicas, s.Lease = nil, nil }
+	only := func(s *pb.StatusResponse) { s.Replicas, s.Lease, s.Quotas = nil, nil, nil }
 	return c.run(func(ctx context.Context, w io.Writer) error {
 		return a.print(ctx, w, only, func(w io.Writer, s *pb.StatusResponse) { printHosts(w, s, c.All) })
 	})
@@ -64,15 +69,23 @@
 
 // Run implements the replicas command.
 func (c *replicasCmd) Run(a *adminCmd) error {
-	only := func(s *pb.StatusResponse) { s.Hosts, s.Lease = nil, nil }
+	only := func(s *pb.StatusResponse) { s.Hosts, s.Lease, s.Quotas = nil, nil, nil }
 	return c.run(func(ctx context.Context, w io.Writer) error {
 		return a.print(ctx, w, only, func(w io.Writer, s *pb.StatusResponse) { printReplicas(w, s, c.All) })
 	})
 }
 
+// Run implements the quotas command.
+func (c *quotasCmd) Run(a *adminCmd) error {
+	only := func(s *pb.StatusResponse) { s.Hosts, s.Replicas, s.Lease = nil, nil, nil }
+	return c.run(func(ctx context.Context, w io.Writer) error {
+		return a.print(ctx, w, only, func(w io.Writer, s *pb.StatusResponse) { printQuotas(w, s, c.All) })
+	})
+}
+
 // Run implements the weights command.
 func (weightsCmd) Run(a *adminCmd) error {
-	return a.show(func(s *pb.StatusResponse) { s.Hosts = nil }, func(w io.Writer, s *pb.StatusResponse) {
+	return a.show(func(s *pb.StatusResponse) { s.Hosts, s.Quotas = nil, nil }, func(w io.Writer, s *pb.StatusResponse) {
 		printLease(w, s)
 		fmt.Fprintln(w)
 		printWeights(w, s)
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -18,7 +18,7 @@
 
 // TestHelp keeps the help of every command in golden files; -update renews them.
 func TestHelp(t *testing.T) {
-	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "admin hosts", "admin replicas", "admin weights", "explain", "logs check", "logs report", "completion", "version"} {
+	for _, command := range []string{"", "serve", "settings check", "admin", "admin status", "admin hosts", "admin replicas", "admin quotas", "admin weights", "explain", "logs check", "logs report", "completion", "version"} {
 		var out bytes.Buffer
 		parser, err := newParser(kong.Writers(&out, &out), kong.Exit(func(int) { panic("exit") }))
 		if err != nil {
--- a/cmd/briarlink/tables.go
+++ b/cmd/briarlink/tables.go
@@ -105,3 +105,24 @@
 	}
 	return usual
 }
+
+// usedFrom is the share of its burst from which an organisation is listed.
+const usedFrom = 0.5
+
+// printQuotas lists the organisations whose limits are in use, or all that have one.
+func printQuotas(w io.Writer, s *pb.StatusResponse, all bool) {
+	var listed []*pb.QuotaStatus
+	for _, q := range s.Quotas {
+		if all || q.Level >= usedFrom*q.Burst || q.Refused > 0 {
+			listed = append(listed, q)
+		}
+	}
+	fmt.Fprintf(w, "organisations with a rate limit: %d, in use or refused something: %d\n", len(s.Quotas), len(listed))
+	if len(listed) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "ORGANISATION\tUNIT\tA SECOND\tBURST\tAGAINST IT\tLET IN HERE\tREFUSED HERE")
+	for _, q := range listed {
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%d\t%d\n", q.Organisation, q.Unit, q.PerSecond, q.Burst, q.Level, q.Used, q.Refused)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -108,6 +108,10 @@
 	HasPriority bool
 	// Isolated organisations share no cached prompt with any other.
 	Isolated bool
+	// RateLimit is what all hosts together may let in; nil for no limit.
+	RateLimit *RateLimit
+	// LimitError says why the operators' limit is not held to, nil where it is.
+	LimitError error
 }
 
 // Limits bound what callers may send.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -112,7 +112,7 @@
 		fields["deadline_ms"] = ex.deadline().Sub(ex.arrived).Milliseconds()
 	}
 	if ex.org != nil {
-		fields["organisation"] = ex.org.Name
+		fields["organisation"], fields["charged"] = ex.org.Name, ex.charged
 	}
 	if ex.report.Prompt > 0 {
 		fields["prompt"], fields["cached"], fields["fetched"] = ex.report.Prompt, ex.report.Cached, ex.report.Fetched
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/briarlink/briarlink/internal/netdial"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/route"
@@ -71,6 +72,8 @@
 		Directory:  func(string) []string { return []string{"10.0.0.1:1"} },
 		AnswerTTL:  time.Second,
 		Dispatcher: dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now())),
+		Limiter:    quota.NewLimiter(quota.Terms{Window: 10 * time.Second, Over: 0.1}, time.Second, time.Now().Add(-time.Minute)),
+		Tell:       func() {},
 		Metrics:    metrics, Log: log, MaxBodyBytes: 1 << 10, DefaultDeadline: 5 * time.Second,
 	}
 	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { New(f.deps).Handler().ServeHTTP(w, r) }))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -31,6 +31,8 @@
 	route   *config.Route
 	org     *config.Organisation
 	report  dispatch.Report
+	// charged is what the request counts against its organisation's rate limit.
+	charged int64
 	// answered is true once bytes of an answer were written.
 	answered bool
 }
@@ -65,6 +67,10 @@
 	if err := ex.admit(); err != nil {
 		return err
 	}
+	if err := ex.limit(); err != nil {
+		return err
+	}
+	defer ex.settle()
 	body, err := ex.body()
 	if err != nil {
 		return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/obs"
+	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -39,8 +40,12 @@
 	Directory  func(zone string) []string
 	AnswerTTL  time.Duration
 	Dispatcher *dispatch.Dispatcher
-	Metrics    *obs.Metrics
-	Log        *logrus.Logger
+	// Limiter keeps organisations within their rate limits, and Tell lets other hosts
+	// know at once what this one let in.
+	Limiter *quota.Limiter
+	Tell    func()
+	Metrics *obs.Metrics
+	Log     *logrus.Logger
 	// MaxBodyBytes and DefaultDeadline hold where neither the configuration nor
 	// the caller says.
 	MaxBodyBytes    int64
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -32,6 +32,7 @@
 	hostMessages = map[string]bool{
 		"started": true, "stopped": true, "stopping: callers are sent elsewhere": true,
 		"store lost": true, "store regained": true, configInForce: true,
+		"organisation over its rate limit": true, "rate limit changed": true, "rate limit not taken": true,
 	}
 )
 
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -36,6 +36,9 @@
 		return answered(r)
 	}
 	kind, _ := errkind.Named(r.Outcome)
+	if kind == errkind.QuotaExceeded {
+		return overLimit(r)
+	}
 	if kind.Answer().Refusal() {
 		return fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms; it has not run (%s)", r.Ms, r.RetryAfterMs, r.Error)
 	}
@@ -56,6 +59,12 @@
 	}
 }
 
+// overLimit tells a refusal for a rate limit from one that more replicas would have saved.
+func overLimit(r *logline.Request) string {
+	return fmt.Sprintf("the caller was refused for its organisation's rate limit, by configuration %d, and asked back after %.0f ms; it has not run, and no load of other organisations played a part (%s)",
+		r.Config, r.RetryAfterMs, r.Error)
+}
+
 func answered(r *logline.Request) string {
 	text := fmt.Sprintf("the caller got %d from replica %s after %.0f ms", statusOr(r.Status, http.StatusOK), r.Replica, r.Ms)
 	if r.FirstMs > 0 && r.ExpectedMs > 0 && r.FirstMs > lateFactor*r.ExpectedMs {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -46,6 +46,11 @@
 	CacheLists Name = "cache-lists"
 	// PrimaryHosts sends callers to the large hosts only.
 	PrimaryHosts Name = "primary-hosts"
+	// RateLimits keeps organisations within their rate limits.
+	RateLimits Name = "rate-limits"
+	// SharedCounts lets hosts tell each other what they let in of organisations with a
+	// rate limit; without it each keeps to an equal share of the limit.
+	SharedCounts Name = "shared-counts"
 )
 
 // All returns every name.
@@ -53,6 +58,7 @@
 	return []Name{
 		Affinity, RereadPrice, OldWeightsPrice, FailurePrice, MemoryWait, Holds, ReplicaFetch, StoreFetch,
 		IdleSaves, TellAtOnce, UrgentRefusal, LateRefusal, PeerDoubts, LostAnswers, CacheLists, PrimaryHosts,
+		RateLimits, SharedCounts,
 	}
 }
 
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -25,6 +25,7 @@
 			return
 		}
 		n.config.Store(c)
+		n.takeLimits(c)
 		n.log.WithFields(logrus.Fields{
 			"version": c.Version, "offset": rec.Offset,
 			"routes": len(c.Routes), "organisations": len(c.Organisations), "keys": c.Keys(),
@@ -116,6 +117,7 @@
 			Routing: h.Beat.Routing, Direct: h.Direct,
 		})
 	}
+	out.Quotas = n.quotas(now)
 	out.Lease.Holder, out.Lease.FencingToken, out.Lease.HeldHere = n.lease.Holder()
 	return out
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -36,7 +36,8 @@
 	n.learnSeeds(n.settings.Member.Seeds)
 	for tick := 0; ; {
 		now := time.Now()
-		n.beat(n.members.Tick(tick, n.replicas.Working(), now), true, now)
+		n.shareLimits(now)
+		n.beat(n.members.Tick(tick, n.replicas.Working() || n.limiter.Untold(), now), true, now)
 		tick++
 		for waiting := true; waiting; {
 			select {
@@ -120,6 +121,7 @@
 func (n *Node) brief(state *pb.Heartbeat, now time.Time) *pb.Heartbeat {
 	out := proto.CloneOf(state)
 	out.Members = n.members.MemberStates(true, now)
+	out.Uses = n.limiter.Full(now)
 	if out.Routing {
 		out.OperatorsAgeMs = ageMs(n.operatorsAge(now))
 		out.EntriesAgeMs = ageMs(n.entriesAge(now))
@@ -157,6 +159,7 @@
 func (n *Node) addWork(b *pb.Heartbeat, round bool, now time.Time) {
 	b.Loads = n.told.Changes(n.replicas.Loads(now), round)
 	b.Sent = n.scheduler.TakeSent()
+	b.Uses = n.limiter.Changes(now)
 	b.Loading = n.loader.Busy()
 	b.Down, _ = n.replicas.Down(now)
 	b.Named = n.replicas.Named(now)
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -29,6 +30,7 @@
 		n.replicas.DropLoads(b.Host)
 	}
 	n.replicas.SetLoads(b.Host, b.Loads, now)
+	n.limiter.Heard(quota.Word{Host: b.Host, Incarnation: b.Incarnation, Routing: b.Routing, Uses: b.Uses}, now)
 	n.lease.Heard(b.Host, b.LeaseEnd)
 	n.replicas.Suspect(b.Host, b.Down, now)
 	for _, id := range b.Loading {
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/quota"
+)
+
+// loggedLimits bounds the lines about limits that changed at once.
+const loggedLimits = 20
+
+// takeLimits puts a configuration's rate limits in force.
+func (n *Node) takeLimits(c *config.Config) {
+	if n.off[mechanism.RateLimits] {
+		return
+	}
+	for _, o := range c.Organisations {
+		if o.LimitError != nil {
+			n.log.WithError(o.LimitError).WithFields(logrus.Fields{"organisation": o.Name, "version": c.Version}).Error("rate limit not taken")
+		}
+	}
+	changes := n.limiter.SetLimits(c.Organisations, time.Now())
+	for i, change := range changes {
+		if i == loggedLimits {
+			break
+		}
+		n.log.WithFields(logrus.Fields{
+			"organisation": change.Organisation, "version": c.Version, "others": len(changes) - 1,
+			"before": describeLimit(change.Before), "limit": describeLimit(change.Now),
+		}).Info("rate limit changed")
+	}
+}
+
+// describeLimit returns a limit for a line of the log.
+func describeLimit(l *config.RateLimit) string {
+	if l == nil {
+		return "none"
+	}
+	return l.String()
+}
+
+// shareLimits tells the limiter of whom this host knows what they let in. A routing host
+// hears the other ones; one on standby hears of all of them from its relays.
+func (n *Node) shareLimits(now time.Time) {
+	v := n.members.View(now)
+	hosts := n.limitSharers.most(max(1, len(v.Routing)), now)
+	heard := n.limiter.Hears(v.Routing, now)
+	switch {
+	case v.Here:
+		heard++
+	case n.limiter.Hears(v.Relays, now) > 0:
+		heard = hosts
+	default:
+		heard = 1
+	}
+	n.limiter.SetHosts(hosts, heard, !v.Here, now)
+}
+
+// noteRefusals writes a line for each organisation that is no longer over its limit.
+func (n *Node) noteRefusals(now time.Time) {
+	for _, e := range n.limiter.Ended(now) {
+		n.log.WithFields(logrus.Fields{"organisation": e.Organisation, "refused": e.Refused}).Info("organisation below its rate limit again")
+	}
+}
+
+// quotas returns the organisations' limits for operators, the fullest first.
+func (n *Node) quotas(now time.Time) []*pb.QuotaStatus {
+	states := n.limiter.Status(now)
+	slices.SortFunc(states, func(a, b quota.Status) int {
+		return cmp.Or(cmp.Compare(b.Level/b.Limit.PerSecond, a.Level/a.Limit.PerSecond), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	out := make([]*pb.QuotaStatus, 0, len(states))
+	for _, s := range states {
+		out = append(out, &pb.QuotaStatus{
+			Organisation: s.Organisation, Unit: s.Limit.Unit.String(), PerSecond: s.Limit.PerSecond, Burst: s.Limit.Burst,
+			Level: s.Level, Used: s.Used, Refused: s.Refused,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/limits_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/briarlink/briarlink/platform"
+	"github.com/briarlink/briarlink/test/standin/caller"
+)
+
+// limitedConfig gives one organisation a limit of so many requests that a test has time to
+// use it up, and none to have it back.
+const (
+	unlimited = `{"Name": "museum-a", "ApiKeys": ["key-of-museum-a"], "Priority": 1}`
+	limited   = `{"Name": "museum-a", "ApiKeys": ["key-of-museum-a"], "Priority": 1, "RatePerS": 0.01, "Burst": 40}`
+)
+
+// TestLimitHoldsOverAllHosts: what an organisation may send it may send in all, whichever
+// hosts it asks; another organisation is served all the while, and a lifted limit is
+// lifted on each host. Before limits were read, all of these requests ran.
+func TestLimitHoldsOverAllHosts(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, unlimited, limited)
+	a := s.host("a", s.address)
+	b := s.host("b", s.address, a)
+	hosts := []*host{a, b}
+	eventually(t, "two ready hosts that know each other", func() bool {
+		return a.ready() && b.ready() && len(a.node.directory("z1")) == 2 && len(b.node.directory("z1")) == 2
+	})
+	view := caller.Request{ID: "v", Method: "GET", Path: "/views/1"}
+	served, refused := 0, 0
+	eventually(t, "refusals of every host", func() bool {
+		refusals := 0
+		for _, h := range hosts {
+			switch answer := send(t, h.caller(), view); answer.Status {
+			case 200:
+				served++
+			case 429:
+				refusals++
+				refused++
+			default:
+				t.Fatalf("answer %+v", answer)
+			}
+		}
+		return refusals == len(hosts) && served > 0
+	})
+	// Each host's view lacks what the other let in since its last heartbeat.
+	if served > 60 {
+		t.Errorf("%d requests served of a burst of 40, %d refused", served, refused)
+	}
+	other := a.caller()
+	other.Key = "key-of-museum-b"
+	if answer := send(t, other, view); answer.Status != 200 {
+		t.Errorf("another organisation: %+v", answer)
+	}
+	s.configure(2)
+	eventually(t, "the limit's end on both hosts", func() bool {
+		return send(t, a.caller(), view).Status == 200 && send(t, b.caller(), view).Status == 200
+	})
+}
+
+// TestChangedLimitsAreAudited: one line for each limit that changes, with what it was and
+// is; one that cannot be held to is said, and the rest of the configuration is in force.
+func TestChangedLimitsAreAudited(t *testing.T) {
+	n := idle(t, "a")
+	var out bytes.Buffer
+	n.log.SetOutput(&out)
+	put := func(offset int64, version, organisations string) {
+		n.operators.Merge([]platform.Record{{Key: "config", Offset: offset, Value: []byte(
+			`{"Version":` + version + `,"Tenants":[` + organisations + `]}`,
+		)}}, offset+1, false)
+	}
+	put(0, "1", `{"Name":"o","ApiKeys":["k"],"RatePerS":5,"Burst":7},{"Name":"p","ApiKeys":["l"],"RatePerS":5,"Unit":"furlong"}`)
+	put(1, "2", `{"Name":"o","ApiKeys":["k"],"RatePerS":9,"Burst":7},{"Name":"p","ApiKeys":["l"]}`)
+	text := out.String()
+	for line, times := range map[string]int{"rate limit changed": 2, "rate limit not taken": 1, "configuration in force": 2} {
+		if got := strings.Count(text, line); got != times {
+			t.Errorf("%d lines %q, want %d", got, line, times)
+		}
+	}
+	if !strings.Contains(text, "5 requests a second, burst 7") || !strings.Contains(text, "9 requests a second, burst 7") || !strings.Contains(text, "furlong") {
+		t.Error(text)
+	}
+}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -110,6 +110,7 @@
 			n.replicas.Settle()
 		}
 		n.shareBudget(now)
+		n.noteRefusals(now)
 		n.becomeReady()
 		n.gauges(now)
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,7 +1,7 @@
 // Package node wires one entry host together and runs it.
 //
 // Lock order: every table (topic.Table, member.Table, replica.Table,
-// prefix.Index, retry.Budget, rollout.Lease, rollout.Loader) is locked alone; no
+// prefix.Index, retry.Budget, quota.Limiter, rollout.Lease, rollout.Loader) is locked alone; no
 // lock is held over a call to another table or process, but for Node.stating, which
 // comes before member.Table. A topic.Table tells of one record at a time, without its
 // lock.
@@ -32,6 +32,7 @@
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/rollout"
@@ -100,6 +101,7 @@
 	scheduler *schedule.Scheduler
 	pool      *upstream.Pool
 	budget    *retry.Budget
+	limiter   *quota.Limiter
 	lease     *rollout.Lease
 	loader    *rollout.Loader
 	metrics   *obs.Metrics
@@ -110,6 +112,8 @@
 	stating  sync.Mutex
 	sequence atomic.Uint64
 	sharers  sharers
+	// limitSharers are those that share rate limits; the heartbeats' alone.
+	limitSharers sharers
 	// started is when the process began; holdFor is how long it waits for other hosts'
 	// word before it asks the store.
 	started time.Time
@@ -184,6 +188,10 @@
 	n.scheduler.Tell = n.beatSoon
 	n.scheduler.Off = off
 	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), 0, 1, n.started)
+	n.limiter = quota.NewLimiter(quota.Terms{
+		Window: s.Quota.Window.AsDuration(), Over: s.Quota.Over, Slack: s.Quota.Slack,
+	}, s.Member.HeartbeatInterval.AsDuration(), n.started)
+	n.limiter.EqualShares = off[mechanism.SharedCounts]
 	n.lease = rollout.NewLease(n.store, log, s.Host.Id, n.incarnation, s.Weights.Lease.AsDuration())
 	n.lease.Follows = n.followsLease
 	n.loader = rollout.NewLoader(n.lease, n.engines, n.replicas, log, s.Host.Id, platform.LoadMode(s.Weights.Mode), int(s.Weights.Concurrency))
@@ -250,6 +258,8 @@
 		Directory:       n.directory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
 		Dispatcher:      dispatcher,
+		Limiter:         n.limiter,
+		Tell:            n.beatSoon,
 		Metrics:         n.metrics,
 		Log:             n.log,
 		MaxBodyBytes:    s.Request.MaxBodyBytes,
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -17,6 +18,9 @@
 type Metrics struct {
 	scope tally.Scope
 	moved map[movedKey]moved
+	// limited holds the organisations that have a counter of their own.
+	limitedMu sync.Mutex
+	limited   map[string]bool
 	// First is the time to an answer's head or a stream's first event.
 	First tally.Histogram
 	// Whole is the time to the end of an answer.
@@ -73,6 +77,7 @@
 	return &Metrics{
 		scope:         scope,
 		moved:         newMoved(scope),
+		limited:       map[string]bool{},
 		First:         scope.Histogram("first_event_seconds", buckets),
 		Whole:         scope.Histogram("answer_seconds", buckets),
 		PromptTokens:  scope.Counter("prompt_tokens"),
@@ -96,6 +101,27 @@
 	}, reporter.HTTPHandler(), closer
 }
 
+// maxLimited bounds the organisations whose refusals are counted by name.
+const maxLimited = 32
+
+// others stands for the organisations beyond them.
+const others = "others"
+
+// OverLimit counts a request that was refused for its organisation's rate limit: by name
+// for the first organisations that it happens to.
+func (m *Metrics) OverLimit(organisation string) {
+	m.limitedMu.Lock()
+	if !m.limited[organisation] {
+		if len(m.limited) < maxLimited {
+			m.limited[organisation] = true
+		} else {
+			organisation = others
+		}
+	}
+	m.limitedMu.Unlock()
+	m.scope.Tagged(map[string]string{"organisation": organisation}).Counter("over_rate_limit").Inc(1)
+}
+
 // Answered counts a request by outcome: an error kind, or "ok".
 func (m *Metrics) Answered(outcome string) {
 	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
--- /dev/null
+++ b/internal/quota/exchange.go
@@ -0,0 +1,232 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+)
+
+const (
+	// maxTold bounds the organisations in one heartbeat, some 25 bytes each, however many
+	// there are: those of which most is untold come first.
+	maxTold = 40
+	// maxFull bounds those that a standby host is told of: the fullest.
+	maxFull = 12
+	// tellFrom is how full a bucket must be, as a share, for a standby host to be told.
+	tellFrom = 0.5
+)
+
+// peer is what another host told.
+type peer struct {
+	incarnation uint64
+	heard       time.Time
+	// routing is whether callers were sent to it then.
+	routing bool
+	// used is by organisation.
+	used map[uint64]int64
+}
+
+// Word is what a heartbeat of another host says.
+type Word struct {
+	Host        string
+	Incarnation uint64
+	Routing     bool
+	Uses        []*pb.OrganisationUse
+}
+
+// SetHosts takes how many hosts share the limits, how many of them, this one included,
+// this host hears, and whether it is on standby.
+func (l *Limiter) SetHosts(hosts, heard int, standby bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// What has passed so far drained at the rate of so far.
+	for _, a := range l.accounts {
+		l.drain(a, now)
+	}
+	l.hosts, l.heard, l.follows = max(1, hosts), max(1, heard), standby
+	l.inform(now)
+}
+
+// inform decides whether this host knows what was let in before its start.
+func (l *Limiter) inform(now time.Time) {
+	if !l.informed && (now.Sub(l.started) >= aloneFor || !l.adopting.IsZero() && now.Sub(l.adopting) >= adoptFor) {
+		l.informed = true
+	}
+}
+
+// Hears returns how many of some hosts told this one of themselves just now.
+func (l *Limiter) Hears(hosts []*pb.Heartbeat, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, h := range hosts {
+		if p := l.peers[h.Host]; p != nil && now.Sub(p.heard) <= l.fresh {
+			n++
+		}
+	}
+	return n
+}
+
+// Changes returns what is to be told to other routing hosts: what this host let in and
+// has not told.
+func (l *Limiter) Changes(now time.Time) []*pb.OrganisationUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []*account
+	for _, a := range l.accounts {
+		if a.used != a.told {
+			changed = append(changed, a)
+		}
+	}
+	if len(changed) > maxTold {
+		slices.SortFunc(changed, func(a, b *account) int { return cmp.Compare(b.used-b.told, a.used-a.told) })
+		changed = changed[:maxTold]
+	}
+	l.inform(now)
+	out := make([]*pb.OrganisationUse, 0, len(changed))
+	for _, a := range changed {
+		a.told = a.used
+		u := &pb.OrganisationUse{Organisation: key(a.name), Used: a.used, Recent: a.used - a.recent.before(a.used, now)}
+		l.tellLevel(u, a, now)
+		out = append(out, u)
+	}
+	return out
+}
+
+// recentFor is the least span that is told as recent: a host that missed the first word
+// of an organisation has it from one of the next.
+const recentFor = 500 * time.Millisecond
+
+// recent remembers what a host had let in some time ago.
+type recent struct {
+	older, newer int64
+	at           time.Time
+}
+
+// before returns what had been let in once to twice recentFor ago, at the least.
+func (r *recent) before(used int64, now time.Time) int64 {
+	if now.Sub(r.at) >= recentFor {
+		r.older, r.newer, r.at = r.newer, used, now
+	}
+	return r.older
+}
+
+// tellLevel adds how full the bucket is, where this host knows.
+func (l *Limiter) tellLevel(u *pb.OrganisationUse, a *account, now time.Time) {
+	if !l.informed || a.limit == nil {
+		return
+	}
+	l.drain(a, now)
+	level := int64(a.level)
+	u.Level = &level
+}
+
+// Full returns what is to be told to standby hosts: the fullest buckets.
+func (l *Limiter) Full(now time.Time) []*pb.OrganisationUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.informed {
+		return nil
+	}
+	var out []*pb.OrganisationUse
+	for id, a := range l.accounts {
+		if a.limit == nil {
+			continue
+		}
+		l.drain(a, now)
+		if a.level >= tellFrom*l.full(a.limit) {
+			u := &pb.OrganisationUse{Organisation: id, Used: a.used}
+			l.tellLevel(u, a, now)
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(a, b *pb.OrganisationUse) int { return cmp.Compare(b.GetLevel(), a.GetLevel()) })
+	return out[:min(len(out), maxFull)]
+}
+
+// Untold reports whether this host let in anything that it has not told.
+func (l *Limiter) Untold() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.accounts {
+		if a.used != a.told {
+			return true
+		}
+	}
+	return false
+}
+
+// TellNow reports whether so much of an organisation's is untold that the others should
+// know before the next heartbeat.
+func (l *Limiter) TellNow(organisation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[key(organisation)]
+	if a == nil || a.limit == nil {
+		return false
+	}
+	return float64(a.used-a.told) > untoldPart*l.tolerance(a.limit)*l.ownPart()
+}
+
+// Heard takes what another host told.
+func (l *Limiter) Heard(w Word, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[w.Host]
+	if p == nil || p.incarnation != w.Incarnation {
+		p = &peer{incarnation: w.Incarnation, heard: now, used: map[uint64]int64{}}
+		l.peers[w.Host] = p
+	}
+	silent := time.Duration(0)
+	if p.routing {
+		silent = max(0, now.Sub(p.heard)-l.fresh)
+	}
+	p.heard, p.routing = now, w.Routing
+	l.inform(now)
+	for _, u := range w.Uses {
+		added := u.Recent
+		if before, known := p.used[u.Organisation]; known {
+			added = u.Used - before
+		}
+		p.used[u.Organisation] = u.Used
+		if a := l.accounts[u.Organisation]; a != nil && a.limit != nil {
+			l.drain(a, now)
+			l.take(a, u, added, silent, now)
+		}
+	}
+}
+
+// take adds what another host let in, or takes over how full it says the bucket is.
+func (l *Limiter) take(a *account, u *pb.OrganisationUse, added int64, silent time.Duration, now time.Time) {
+	if l.EqualShares {
+		return
+	}
+	adopts := l.follows || !l.informed
+	if adopts && u.Level != nil {
+		if l.adopting.IsZero() {
+			l.adopting = now
+			l.forgetStart()
+		}
+		a.level = max(a.level, float64(*u.Level))
+		return
+	}
+	// While the host was silent this one left it its share of the rate.
+	left := silent.Seconds() * a.limit.PerSecond * l.ownPart()
+	a.level = max(0, a.level+max(0, float64(added)-left)+min(0, float64(added)))
+}
+
+// forgetStart drops what a starting host reckoned with for want of knowledge.
+func (l *Limiter) forgetStart() {
+	for _, a := range l.accounts {
+		a.level = min(a.level, float64(a.used))
+	}
+}
+
+// Forget drops what is known of a host that is gone.
+func (l *Limiter) Forget(host string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, host)
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,231 @@
+// Package quota keeps organisations within their rate limits, over all hosts together
+// and without asking any of them before a request is let in.
+//
+// Each host keeps a leaky bucket for each organisation: what it lets in is added, what
+// other hosts tell of what they let in is added too, and the bucket drains at the limit's
+// rate. Requests are refused while it is full. Hosts tell each other with every heartbeat,
+// so that a bucket lacks what the others let in during the last interval or so. The
+// tolerance that operators grant on the limit (Terms) is spent on just this, on what hosts
+// that hear nothing of each other let in, and on what a fleet forgets that loses power.
+//
+// A host that does not hear some of the others drains its buckets more slowly, by their
+// share: they may be at work out of its sight.
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/briarlink/briarlink/internal/config"
+)
+
+// Terms say how exactly limits are kept, over all hosts.
+type Terms struct {
+	// Window is the span that is held to a limit.
+	Window time.Duration
+	// Over, as a share of what a window allows, and Slack, in the limit's unit, are what
+	// may be let in beyond it.
+	Over  float64
+	Slack float64
+}
+
+// Parts of the tolerance, and what each is spent on. Together they leave a sixth for
+// requests that wait at a host before they are sent: they may arrive in another window.
+const (
+	// earlyPart is let in beyond the burst. A caller who keeps to the limit is then not
+	// refused because hosts count a moment apart from each other.
+	earlyPart = 0.3
+	// apartPart is added to the rate, by its share, for hosts that do not hear all others.
+	// With half the routing hosts silent the rest still lets in 0.5 to 0.6 of a limit.
+	apartPart = 0.3
+	// startPart is what hosts may let in at once that start while nobody knows what was
+	// let in before.
+	startPart = 0.2
+	// untoldPart is what all hosts together may have let in and not yet told.
+	untoldPart = 0.12
+)
+
+const (
+	// startHosts is how many hosts a starting host reckons with until it may know them:
+	// most fleets have some twenty that callers are sent to.
+	startHosts = 16
+	// meetFor is how long after its start a host may not know the others yet. Simulated
+	// fleets of up to 300 hosts that start together know of each other by then but for a
+	// few in a hundred.
+	meetFor = 2 * time.Second
+	// aloneFor is how long after its start a host that nobody tells what was let in before
+	// takes it that nobody knows.
+	aloneFor = 4 * time.Second
+	// freshIntervals is how many heartbeat intervals another host may be silent without
+	// being reckoned as out of sight: one heartbeat may be lost, and another one late.
+	freshIntervals = 3
+	// adoptFor is how long a starting host takes over what others know: they tell in
+	// several datagrams.
+	adoptFor = 500 * time.Millisecond
+)
+
+// Limiter holds the buckets of one host. It is safe for concurrent use; mu is its only
+// lock and nothing else is locked under it.
+type Limiter struct {
+	terms   Terms
+	started time.Time
+	// fresh is how long a host may be silent without being reckoned as out of sight.
+	fresh time.Duration
+	// EqualShares makes each host keep to an equal share of each limit, whatever others
+	// let in. It is set before use.
+	EqualShares bool
+
+	mu       sync.Mutex
+	accounts map[uint64]*account
+	peers    map[string]*peer
+	// hosts is how many share a limit, and heard how many of them, this one included,
+	// this host hears.
+	hosts, heard int
+	// follows is set on a standby host: it is told how full buckets are, and not by whom.
+	follows bool
+	// adopting is when an informed host was first heard, or zero.
+	adopting time.Time
+	// informed is set once this host knows what was let in before its start.
+	informed bool
+}
+
+// account is one organisation's.
+type account struct {
+	name  string
+	limit *config.RateLimit
+	// level is what stands against the limit at a moment.
+	level float64
+	at    time.Time
+	// used is what this host let in, told the part of it that others were told.
+	used, told int64
+	recent     recent
+	// waiting is what was refused here and asked back, and drains as it comes back.
+	waiting float64
+	refusals
+}
+
+// NewLimiter returns the limiter of a host that starts now and knows no limits yet. Hosts
+// that tell each other do so each interval.
+func NewLimiter(terms Terms, interval time.Duration, now time.Time) *Limiter {
+	return &Limiter{terms: terms, started: now, fresh: freshIntervals * interval, accounts: map[uint64]*account{}, peers: map[string]*peer{}, hosts: 1, heard: 1}
+}
+
+// Change is a limit that has become another one. Either may be nil, for none.
+type Change struct {
+	Organisation string
+	Before, Now  *config.RateLimit
+}
+
+// SetLimits takes the limits of all organisations and returns what has changed, by name.
+func (l *Limiter) SetLimits(organisations []*config.Organisation, now time.Time) []Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changes []Change
+	given := map[uint64]bool{}
+	for _, o := range organisations {
+		given[key(o.Name)] = true
+		changes = l.setLimit(o.Name, o.RateLimit, changes, now)
+	}
+	for id, a := range l.accounts {
+		if !given[id] {
+			changes = l.setLimit(a.name, nil, changes, now)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	return changes
+}
+
+func (l *Limiter) setLimit(name string, limit *config.RateLimit, changes []Change, now time.Time) []Change {
+	a := l.accounts[key(name)]
+	if a == nil && limit == nil {
+		return changes
+	}
+	if a == nil {
+		a = &account{name: name, at: now}
+		l.accounts[key(name)] = a
+	}
+	before := a.limit
+	if same(before, limit) {
+		return changes
+	}
+	l.drain(a, now)
+	a.limit = limit
+	switch {
+	case limit == nil:
+		a.level = 0
+	case before == nil && !l.informed:
+		// The burst may have been used up before this host started.
+		a.level = limit.Burst
+		if l.EqualShares {
+			a.level /= startHosts
+		}
+	default:
+		// What was let in under a higher limit is not held against a lower one.
+		a.level = min(a.level, l.full(limit))
+	}
+	return append(changes, Change{name, before, limit})
+}
+
+func same(a, b *config.RateLimit) bool {
+	return a == b || a != nil && b != nil && *a == *b
+}
+
+// key identifies an organisation between hosts.
+func key(name string) uint64 { return xxh3.HashString(name) }
+
+// windowAllows is what a limit allows in a window.
+func (l *Limiter) windowAllows(limit *config.RateLimit) float64 {
+	return limit.PerSecond*l.terms.Window.Seconds() + limit.Burst
+}
+
+// tolerance is what may be let in beyond that.
+func (l *Limiter) tolerance(limit *config.RateLimit) float64 {
+	return l.terms.Over*l.windowAllows(limit) + l.terms.Slack
+}
+
+// share is the part of the fleet that this host speaks for: itself and those it hears.
+func (l *Limiter) share(now time.Time) float64 {
+	hosts, heard := l.hosts, l.heard
+	if l.EqualShares {
+		heard = 1
+	}
+	if !l.informed && now.Sub(l.started) < meetFor {
+		hosts = max(hosts, startHosts)
+	}
+	return float64(heard) / float64(max(hosts, heard))
+}
+
+// rate is how fast a bucket drains.
+func (l *Limiter) rate(limit *config.RateLimit, now time.Time) float64 {
+	share := l.share(now)
+	apart := apartPart * l.tolerance(limit) / l.terms.Window.Seconds()
+	return min(limit.PerSecond, share*(limit.PerSecond+apart))
+}
+
+// full is the level from which nothing is let in. A request that comes below it is let in
+// whole, however large: large requests of a busy organisation would otherwise starve while
+// small ones pass.
+func (l *Limiter) full(limit *config.RateLimit) float64 {
+	return max(1, limit.Burst+earlyPart*l.tolerance(limit))
+}
+
+func (l *Limiter) drain(a *account, now time.Time) {
+	passed := now.Sub(a.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	a.at = now
+	if a.limit == nil {
+		return
+	}
+	drained := passed * l.rate(a.limit, now)
+	a.level = max(0, a.level-drained)
+	a.waiting = max(0, a.waiting-drained*l.ownPart())
+}
+
+// ownPart is this host's part of what is let in, as callers spread over all.
+func (l *Limiter) ownPart() float64 { return 1 / float64(max(1, l.hosts)) }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -38,6 +38,7 @@
 			Window: durationpb.New(10 * time.Second),
 			Slack:  50,
 		},
+		Quota: &pb.QuotaSettings{Window: durationpb.New(10 * time.Second), Over: 0.1},
 		Weights: &pb.WeightsSettings{
 			Lease:       durationpb.New(3 * time.Second),
 			Concurrency: 3,
@@ -107,6 +108,7 @@
 	c.positive("member.heartbeat_interval", s.Member.HeartbeatInterval)
 	c.positive("replica.poll_interval", s.Replica.PollInterval)
 	c.positive("retry.window", s.Retry.Window)
+	c.positive("quota.window", s.Quota.Window)
 	c.positive("weights.lease", s.Weights.Lease)
 	c.positive("weights.deadline", s.Weights.Deadline)
 	c.positive("stop.grace", s.Stop.Grace)
@@ -119,6 +121,8 @@
 	c.within("request.max_header_bytes", float64(s.Request.MaxHeaderBytes), 1<<10, 1<<20)
 	c.within("retry.ratio", s.Retry.Ratio, 0, 1)
 	c.within("retry.slack", float64(s.Retry.Slack), 0, 1e6)
+	c.within("quota.over", s.Quota.Over, 0, 1)
+	c.within("quota.slack", s.Quota.Slack, 0, 1e12)
 	c.within("weights.concurrency", float64(s.Weights.Concurrency), 1, 1e4)
 	c.within("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 1e6)
 }
