--- a/internal/quota/admit.go
+++ b/internal/quota/admit.go
@@ -49,13 +49,25 @@
 	}
 	l.drain(a, now)
 	cost := a.limit.Cost(size.PromptTokens, size.OutputTokens, size.Said)
-	if a.level < l.brim(a.limit, now) && float64(cost) <= l.windowAllows(a.limit)+l.tolerance(a.limit) {
+	if l.hasRoom(a, float64(cost), now) {
 		a.charge(cost)
 		return Decision{Admitted: true, Cost: cost}
 	}
 	return l.refuse(a, cost, now)
 }
 
+// hasRoom reports whether a request may be let in. A host that does not know what was let
+// in before its start lets in only what fits: all hosts of a fleet may have started with it.
+func (l *Limiter) hasRoom(a *account, cost float64, now time.Time) bool {
+	if cost > l.windowAllows(a.limit)+l.tolerance(a.limit) {
+		return false
+	}
+	if !l.informed {
+		return a.level+cost <= l.brim(a.limit, now)
+	}
+	return a.level < l.brim(a.limit, now)
+}
+
 // brim is the level from which nothing is let in here: hosts that do not hear each other
 // share the burst, and a host that does not know what was let in before its start has its
 // part of what such hosts may let in beyond it.
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -286,6 +287,7 @@
 	w.seen.mu.Lock()
 	requests := w.seen.requests
 	w.seen.mu.Unlock()
+	w.seen.judgeLimit()
 	for _, s := range requests {
 		runs := w.seen.runsOf(s.id)
 		if s.kind.once() && len(runs) > 1 {
@@ -300,6 +302,33 @@
 	}
 }
 
+// judgeLimit holds the hosts together to the limit of one organisation, as its runs at the
+// servers show, whatever is done to the hosts meanwhile.
+func (r *record) judgeLimit() {
+	r.mu.Lock()
+	var at []time.Time
+	for _, runs := range r.runs {
+		for _, run := range runs {
+			if run.organisation == limitedOrganisation {
+				at = append(at, run.at)
+			}
+		}
+	}
+	r.mu.Unlock()
+	slices.SortFunc(at, time.Time.Compare)
+	allowed := int((limitPerSecond*quotaWindow.Seconds()+limitBurst)*(1+quotaOver)) + quotaSlack
+	first := 0
+	for i, end := range at {
+		for end.Sub(at[first]) >= quotaWindow {
+			first++
+		}
+		if n := i - first + 1; n > allowed {
+			r.fail("%d requests of %s ran in %v, %d allowed", n, limitedOrganisation, quotaWindow, allowed)
+			return
+		}
+	}
+}
+
 func (w *world) judgeRun(s *sent, r run) {
 	if r.key != "" {
 		w.seen.fail("request %s: its key was passed on", s.id)
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -43,6 +43,13 @@
 			ran(w, "i-2")
 			w.seen.add(ended(updates, http.StatusBadGateway, ""))
 		},
+		"of museum-d ran in 4s": func(w *world) {
+			h := http.Header{}
+			h.Set(wire.Organisation, limitedOrganisation)
+			for i := range 60 {
+				w.seen.ran("i-1", fmt.Sprint("d-", i), h)
+			}
+		},
 		"was answered 503 and ran": func(w *world) {
 			ran(w, "i-1")
 			w.seen.add(ended(updates, http.StatusServiceUnavailable, ""))
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -15,6 +15,10 @@
 	grace = 4 * time.Second
 	// exitSlack is how long after it a process may take to be gone.
 	exitSlack = 500 * time.Millisecond
+	// quotaWindow, quotaOver and quotaSlack say how exactly limits are kept.
+	quotaWindow = 4 * time.Second
+	quotaOver   = 0.1
+	quotaSlack  = 8
 )
 
 // host is one entry host: a process of the product's binary.
@@ -42,7 +46,8 @@
   "platform": {"address": %[4]q},
   "member": {"seeds": [%[5]s]},
   "stop": {"grace": "%[6]s"},
-}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores)
+  "quota": {"window": "%[8]s", "over": %[9]g, "slack": %[10]d},
+}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack)
 }
 
 func (h *host) caller() string    { return h.ip + ":18000" }
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -100,6 +100,9 @@
 
 // pickKey mostly takes a key that always holds, now and then one that changes.
 func (w *world) pickKey(rng *rand.Rand) string {
+	if rng.IntN(5) == 0 {
+		return limitedKey
+	}
 	granted, revoked := w.config.spare()
 	if rng.IntN(4) == 0 {
 		for key := range granted {
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -25,7 +25,15 @@
 }
 
 // mainKeys are in force all the time.
-var mainKeys = map[string]string{"key-of-museum-a": "museum-a", "key-of-museum-b": "museum-b"}
+var mainKeys = map[string]string{"key-of-museum-a": "museum-a", "key-of-museum-b": "museum-b", limitedKey: limitedOrganisation}
+
+// The organisation with a rate limit, of which callers ask for some four times as much.
+const (
+	limitedKey          = "key-of-museum-d"
+	limitedOrganisation = "museum-d"
+	limitPerSecond      = 3
+	limitBurst          = 6
+)
 
 // spareOrganisation holds the keys that come and go.
 const spareOrganisation = "museum-c"
@@ -95,7 +103,11 @@
 	}
 	organisations := []object{{"Name": spareOrganisation, "ApiKeys": spare}}
 	for key, name := range mainKeys {
-		organisations = append(organisations, object{"Name": name, "ApiKeys": []string{key}, "Isolated": name == "museum-b"})
+		organisation := object{"Name": name, "ApiKeys": []string{key}, "Isolated": name == "museum-b"}
+		if name == limitedOrganisation {
+			organisation["RatePerS"], organisation["Burst"] = limitPerSecond, limitBurst
+		}
+		organisations = append(organisations, organisation)
 	}
 	routes := []object{}
 	for _, k := range kinds {
