--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -132,6 +132,14 @@
 	t.probes[peer] = &probe{since: now}
 }
 
+// KnowsOthers reports whether this host knows the address of any other one, heard of or
+// not.
+func (t *Table) KnowsOthers() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.hosts)+len(t.probes) > 0
+}
+
 // ZoneOf returns the availability zone of the host with a peer address, or "".
 func (t *Table) ZoneOf(peer string) string {
 	t.mu.Lock()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -50,9 +50,17 @@
 // hears the other ones; one on standby hears of all of them from its relays.
 func (n *Node) shareLimits(now time.Time) {
 	v := n.members.View(now)
-	hosts := n.limitSharers.most(max(1, len(v.Routing)), now)
+	hosts := max(1, len(v.Routing))
+	if now.Sub(n.started) >= firstView {
+		// A host that has just started may have counted small hosts among the routing ones,
+		// while it knew of few large ones.
+		hosts = n.limitSharers.most(hosts, now)
+	}
 	heard := n.limiter.Hears(v.Routing, now)
 	switch {
+	case v.Here && heard == 0 && n.members.KnowsOthers():
+		// Those that it knows of may be at work out of its sight.
+		hosts, heard = max(hosts, quota.StartHosts), 1
 	case v.Here:
 		heard++
 	case n.limiter.Hears(v.Relays, now) > 0:
--- a/internal/quota/admit.go
+++ b/internal/quota/admit.go
@@ -56,16 +56,10 @@
 	return l.refuse(a, cost, now)
 }
 
-// hasRoom reports whether a request may be let in. A host that does not know what was let
-// in before its start lets in only what fits: all hosts of a fleet may have started with it.
+// hasRoom reports whether a request may be let in: below the brim, unless no window
+// could hold it.
 func (l *Limiter) hasRoom(a *account, cost float64, now time.Time) bool {
-	if cost > l.windowAllows(a.limit)+l.tolerance(a.limit) {
-		return false
-	}
-	if !l.informed {
-		return a.level+cost <= l.brim(a.limit, now)
-	}
-	return a.level < l.brim(a.limit, now)
+	return a.level < l.brim(a.limit, now) && cost <= l.windowAllows(a.limit)+l.tolerance(a.limit)
 }
 
 // brim is the level from which nothing is let in here: hosts that do not hear each other
@@ -73,7 +67,7 @@
 // part of what such hosts may let in beyond it.
 func (l *Limiter) brim(limit *config.RateLimit, now time.Time) float64 {
 	if !l.informed {
-		return max(1, limit.Burst+startPart*l.tolerance(limit)/startHosts)
+		return max(1, limit.Burst+startPart*l.tolerance(limit)*l.share(now))
 	}
 	return max(1, l.full(limit)*l.share(now))
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -263,7 +263,12 @@
 		c.most[host], c.since[host] = known, now
 	}
 	l := c.limiters[host]
-	l.SetHosts(c.most[host], 1+l.Hears(routing, now), false, now)
+	hosts, heard := c.most[host], 1+l.Hears(routing, now)
+	if heard == 1 {
+		// Every host knows the addresses of some others.
+		hosts = max(hosts, StartHosts)
+	}
+	l.SetHosts(hosts, heard, false, now)
 }
 
 func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -38,28 +38,30 @@
 const (
 	// earlyPart is let in beyond the burst. A caller who keeps to the limit is then not
 	// refused because hosts count a moment apart from each other.
-	earlyPart = 0.3
+	earlyPart = 0.25
 	// apartPart is added to the rate, by its share, for hosts that do not hear all others.
 	// With half the routing hosts silent the rest still lets in 0.5 to 0.6 of a limit.
 	apartPart = 0.3
 	// startPart is what hosts may let in at once that start while nobody knows what was
-	// let in before.
+	// let in before. They have no part for being apart then.
 	startPart = 0.2
 	// untoldPart is what all hosts together may have let in and not yet told.
 	untoldPart = 0.12
 )
 
 const (
-	// startHosts is how many hosts a starting host reckons with until it may know them:
+	// StartHosts is how many hosts a starting host reckons with until it may know them:
 	// most fleets have some twenty that callers are sent to.
-	startHosts = 16
-	// meetFor is how long after its start a host may not know the others yet. Simulated
-	// fleets of up to 300 hosts that start together know of each other by then but for a
-	// few in a hundred.
-	meetFor = 2 * time.Second
+	StartHosts = 16
+	// meetFrom and meetFor are from when on after its start a host knows of others, and by
+	// when it knows most of them; in between it reckons with fewer and fewer unknown ones.
+	// Simulated fleets of up to 300 hosts that start together know of each other after two
+	// seconds but for a few in a hundred.
+	meetFrom = 300 * time.Millisecond
+	meetFor  = 2 * time.Second
 	// aloneFor is how long after its start a host that nobody tells what was let in before
-	// takes it that nobody knows.
-	aloneFor = 4 * time.Second
+	// takes it that nobody knows: those that know would have told within some heartbeats.
+	aloneFor = meetFor
 	// freshIntervals is how many heartbeat intervals another host may be silent without
 	// being reckoned as out of sight: one heartbeat may be lost, and another one late.
 	freshIntervals = 3
@@ -145,7 +147,7 @@
 		return changes
 	}
 	if a == nil {
-		a = &account{name: name, at: now}
+		a = &account{name: name, at: l.started}
 		l.accounts[key(name)] = a
 	}
 	before := a.limit
@@ -161,8 +163,9 @@
 		// The burst may have been used up before this host started.
 		a.level = limit.Burst
 		if l.EqualShares {
-			a.level /= startHosts
+			a.level /= StartHosts
 		}
+		a.at = l.started
 	default:
 		// What was let in under a higher limit is not held against a lower one.
 		a.level = min(a.level, l.full(limit))
@@ -193,15 +196,25 @@
 	if l.EqualShares {
 		heard = 1
 	}
-	if !l.informed && now.Sub(l.started) < meetFor {
-		hosts = max(hosts, startHosts)
+	share := float64(heard) / max(float64(hosts), float64(heard))
+	if !l.informed {
+		share = min(share, float64(heard)/max(1, l.unknownHosts(now)))
 	}
-	return float64(heard) / float64(max(hosts, heard))
+	return share
+}
+
+// unknownHosts is how many hosts a starting host reckons with.
+func (l *Limiter) unknownHosts(now time.Time) float64 {
+	left := (meetFor - now.Sub(l.started)).Seconds() / (meetFor - meetFrom).Seconds()
+	return StartHosts * max(0, min(1, left))
 }
 
 // rate is how fast a bucket drains.
 func (l *Limiter) rate(limit *config.RateLimit, now time.Time) float64 {
 	share := l.share(now)
+	if !l.informed {
+		return share * limit.PerSecond
+	}
 	apart := apartPart * l.tolerance(limit) / l.terms.Window.Seconds()
 	return min(limit.PerSecond, share*(limit.PerSecond+apart))
 }
