--- a/internal/member/split.go
+++ b/internal/member/split.go
@@ -21,6 +21,7 @@
 	add(s, whole.Sent, func(b *pb.Heartbeat, m *pb.PrefixSent) { b.Sent = append(b.Sent, m) })
 	add(s, whole.Loads, func(b *pb.Heartbeat, m *pb.ReplicaLoad) { b.Loads = append(b.Loads, m) })
 	add(s, whole.Weights, func(b *pb.Heartbeat, m *pb.ReplicaWeights) { b.Weights = append(b.Weights, m) })
+	add(s, whole.Paces, func(b *pb.Heartbeat, m *pb.ReplicaPace) { b.Paces = append(b.Paces, m) })
 	add(s, whole.Named, func(b *pb.Heartbeat, m *pb.NamedWeights) { b.Named = append(b.Named, m) })
 	for _, id := range whole.Loading {
 		s.room(len(id))
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -160,6 +160,9 @@
 	b.Loads = n.told.Changes(n.replicas.Loads(now), round)
 	b.Sent = n.scheduler.TakeSent()
 	b.Uses = n.limiter.Changes(now)
+	if round {
+		b.Paces = n.replicas.Paces()
+	}
 	b.Loading = n.loader.Busy()
 	b.Down, _ = n.replicas.Down(now)
 	b.Named = n.replicas.Named(now)
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -32,6 +32,7 @@
 	n.replicas.SetLoads(b.Host, b.Loads, now)
 	n.limiter.Heard(quota.Word{Host: b.Host, Incarnation: b.Incarnation, Routing: b.Routing, Uses: b.Uses}, now)
 	n.lease.Heard(b.Host, b.LeaseEnd)
+	n.replicas.HeardPaces(b.Host, b.Paces)
 	n.replicas.Suspect(b.Host, b.Down, now)
 	for _, id := range b.Loading {
 		n.replicas.Loading(id, now.Add(loadingHold))
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -109,6 +109,7 @@
 		if n.access.Stable(now) {
 			n.replicas.Settle()
 		}
+		n.replicas.JoinPaces()
 		n.shareBudget(now)
 		n.noteRefusals(now)
 		n.becomeReady()
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -11,6 +11,11 @@
 	// request's own tokens.
 	Expected time.Duration
 	Reading  time.Duration
+	// Own is what the policy expects of the request's own work at a server of pace 1, and
+	// Pace the one that was reckoned with. Engine is whether the server is an engine.
+	Own    time.Duration
+	Pace   float64
+	Engine bool
 }
 
 // Flight is a request at a server. It is safe for concurrent use.
@@ -52,6 +57,7 @@
 	}
 	f.answered = true
 	f.table.judge(f.entry, "an answer began", now, func(h *health) { h.alive() })
+	f.entry.paced(f, now.Sub(f.began))
 	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
 	f.entry.heard(now)
 	f.table.overtake(f, now)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -75,6 +75,11 @@
 	lagging laggards
 	// others is the work of other hosts.
 	others loads
+	// paces is what other hosts found, usual the pace of each service's servers; the next
+	// pace that is told comes after paceCursor.
+	paces      paces
+	usual      map[string]pace
+	paceCursor string
 }
 
 type entry struct {
@@ -90,6 +95,10 @@
 	flights  map[*Flight]bool
 	health   health
 	failures failures
+	// answers are what this host's last answers showed of the server's pace, and found is
+	// the pace that all hosts found, or 0.
+	answers answers
+	found   float64
 	// hanging is whether the server gave no sign of life when it was last looked at.
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
@@ -101,7 +110,7 @@
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
 		log: log, gone: gone, Known: func(string) bool { return true },
-		entries: map[string]*entry{}, services: services{}, wanted: map[string][]wanted{}, held: map[serviceModel]int64{}, others: newLoads(),
+		entries: map[string]*entry{}, services: services{}, wanted: map[string][]wanted{}, held: map[serviceModel]int64{}, others: newLoads(), paces: paces{},
 	}
 }
 
@@ -202,6 +211,7 @@
 func (t *Table) remove(id string, e *entry, reason string) string {
 	t.fire(e, eventRemove, reason)
 	delete(t.entries, id)
+	delete(t.paces, id)
 	t.services.remove(e.reg.Service, id)
 	t.lagging.known = false
 	return e.reg.Address
@@ -238,7 +248,7 @@
 		Weights: e.weights[model], Behind: t.behind(e.reg.Service, model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(l.requests), PrefillTokens: int(l.prefill),
 		MemoryTokens: int(l.memory), CacheTokens: cacheTokens,
-		Slow: e.health.slow(now), Errors: t.failed(e, now).share(), Silence: silence,
+		Slow: e.health.slow(now), Pace: t.paceOf(e), Errors: t.failed(e, now).share(), Silence: silence,
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -42,7 +42,9 @@
 	// the whole memory, 0 for plain services.
 	MemoryTokens int
 	CacheTokens  int
-	// Slow is the time that answers take against what was expected; 1 is normal.
+	// Pace is how long the replica takes for its own work, as a multiple of what the policy
+	// expects of any; Slow is what its answers take beyond that, lately. 1 is normal, 0 not known.
+	Pace float64
 	Slow float64
 	// Errors is the share of requests that failed or were lost, lately, at all hosts.
 	Errors float64
@@ -88,8 +90,10 @@
 	Candidate
 	// Expected is the time to the first event, or to a plain service's answer.
 	Expected time.Duration
-	// Waiting is the part of it that is spent behind other requests.
+	// Waiting is the part of it that is spent behind other requests, and Own what a replica
+	// of pace 1 would need for the request alone.
 	Waiting time.Duration
+	Own     time.Duration
 	// Considered is the number of candidates that passed the filters.
 	Considered int
 	// Score is the chosen candidate's price in milliseconds.
@@ -131,7 +135,7 @@
 		rank := affinity(req.Affinity, c.ID)
 		if best.ID == "" || p.better(req, score, rank, best.Score, bestRank) {
 			best = Decision{
-				Candidate: *c, Expected: duration(expected), Waiting: duration(p.waiting(req, c)),
+				Candidate: *c, Expected: duration(expected), Waiting: duration(p.waiting(req, c)), Own: duration(p.own(req, c)),
 				Considered: best.Considered, Score: score,
 			}
 			bestRank = rank
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -200,3 +200,24 @@
 		}
 	})
 }
+
+// TestLongPromptsGoToFastEngines: two engines in three take 1.22 times as long as is
+// expected of any, the third kind 1.59 times: a prompt of 25,000 unread tokens is on time
+// against 0.8 s on the fast kind alone. A busy fast engine is left for an idle slow one once
+// its queue costs more than the difference.
+func TestLongPromptsGoToFastEngines(t *testing.T) {
+	policy := DefaultPolicy()
+	slow, fast := engine("slow"), engine("fast")
+	slow.Pace, fast.Pace = 1.59, 1.22
+	req := &Request{AvailabilityZone: "z", PromptTokens: 25_000, OutputTokens: 120, LatencyTarget: 800 * time.Millisecond}
+	for prefill, want := range map[int]string{0: "fast", 6_000: "fast", 15_000: "slow"} {
+		fast.PrefillTokens = prefill
+		d, err := policy.Decide(req, []Candidate{slow, fast})
+		if err != nil || d.ID != want {
+			t.Errorf("behind %d tokens: chose %q, %v", prefill, d.ID, err)
+		}
+		if prefill == 0 && (d.Expected > 800*time.Millisecond || d.Expected < 700*time.Millisecond) {
+			t.Errorf("expected after %v", d.Expected)
+		}
+	}
+}
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -36,14 +36,33 @@
 
 // expected returns the expected time to the first event in milliseconds.
 func (p Policy) expected(req *Request, c *Candidate) float64 {
-	slow := max(1, c.Slow)
+	own := p.own(req, c)
 	if c.CacheTokens == 0 {
 		queued := float64(max(0, c.Requests+1-c.Slots))
-		return slow * plainMs * (1 + queued/float64(max(1, c.Slots)))
+		return c.slowness() * own * (1 + queued/float64(max(1, c.Slots)))
+	}
+	return c.slowness()*own + millis(c.FetchTime) + p.waiting(req, c)
+}
+
+// own returns the time, in milliseconds, that a replica of pace 1 needs for the request
+// alone.
+func (p Policy) own(req *Request, c *Candidate) float64 {
+	if c.CacheTokens == 0 {
+		return plainMs
 	}
 	read := millis(p.Reading(req.PromptTokens - c.Cached - c.Fetched))
-	step := firstSteps * (stepMs + perRequestMs*float64(c.Requests))
-	return slow*(read+step) + millis(c.FetchTime) + p.waiting(req, c)
+	return read + firstSteps*(stepMs+perRequestMs*float64(c.Requests))
+}
+
+// slowness is how long the replica takes for its work, as a multiple of what is expected
+// of any.
+func (r *Replica) slowness() float64 { return r.pace() * max(1, r.Slow) }
+
+func (r *Replica) pace() float64 {
+	if r.Pace <= 0 {
+		return 1
+	}
+	return r.Pace
 }
 
 // waiting returns the time that a request is expected to spend behind others, in
@@ -52,7 +71,7 @@
 	if c.CacheTokens == 0 {
 		return 0
 	}
-	return max(1, c.Slow)*float64(c.PrefillTokens)/p.PrefillPerMs + p.memoryWait(req, c)
+	return c.slowness()*float64(c.PrefillTokens)/p.PrefillPerMs + p.memoryWait(req, c)
 }
 
 // score prices a candidate in milliseconds.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -192,7 +192,8 @@
 	}
 	work := replica.Work{
 		Prefill: read, Memory: req.PromptTokens + req.OutputTokens,
-		Expected: d.Expected, Reading: s.policy.Reading(read),
+		Expected: d.Expected, Reading: time.Duration(d.Pace * float64(s.policy.Reading(read))),
+		Own: d.Own, Pace: d.Pace, Engine: capacity > 0,
 	}
 	c.Flight = s.replicas.Begin(d.ID, work, now)
 	if c.Flight == nil {
