--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -111,13 +111,22 @@
 			{Id: "i-2", Service: "writer", State: "serving", Weights: []string{"m=1"}},
 			{Id: "i-3", Service: "writer", State: "draining", Weights: []string{"m=1"}},
 		},
+		Quotas: []*pb.QuotaStatus{
+			{Organisation: "museum-a", Unit: "tokens", PerSecond: 47000, Burst: 112000, Level: 118000, Used: 912345, Refused: 12},
+			{Organisation: "museum-b", Unit: "requests", PerSecond: 20, Burst: 40, Level: 3, Used: 77},
+		},
 	}
 	var out bytes.Buffer
 	printLease(&out, status)
 	for _, all := range []bool{false, true} {
 		printHosts(&out, status, all)
 		printReplicas(&out, status, all)
+		printQuotas(&out, status, all)
 	}
 	printWeights(&out, status)
+	// Where nothing is to be looked at, a sentence says so.
+	printHosts(&out, &pb.StatusResponse{}, false)
+	printReplicas(&out, &pb.StatusResponse{}, false)
+	printQuotas(&out, &pb.StatusResponse{}, false)
 	goldie.New(t).Assert(t, "admin-tables", out.Bytes())
 }
--- a/cmd/briarlink/tables.go
+++ b/cmd/briarlink/tables.go
@@ -57,13 +57,35 @@
 	}
 	byZone.print(w, []string{"routing", "standby", "starting", "leaving", "dead"})
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "HOST\tZONE\tADDRESS\tSTATE\tDIRECT\tAGE MS")
+	rows := listing{heading: "HOST\tZONE\tADDRESS\tSTATE\tDIRECT\tAGE MS", none: "every other host is routing or on standby"}
 	for _, h := range s.Hosts {
 		kind := hostKind(h)
 		if all || kind != "routing" && kind != "standby" {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\t%d\n", h.Id, h.AvailabilityZone, h.CallerAddress, kind, h.Direct, h.AgeMs)
+			rows.add("%s\t%s\t%s\t%s\t%t\t%d", h.Id, h.AvailabilityZone, h.CallerAddress, kind, h.Direct, h.AgeMs)
 		}
 	}
+	rows.print(w)
+}
+
+// listing is a table of what is to be looked at, or a sentence where there is nothing.
+type listing struct {
+	heading, none string
+	rows          []string
+}
+
+func (l *listing) add(format string, values ...any) {
+	l.rows = append(l.rows, fmt.Sprintf(format, values...))
+}
+
+func (l *listing) print(w io.Writer) {
+	if len(l.rows) == 0 {
+		fmt.Fprintln(w, l.none)
+		return
+	}
+	fmt.Fprintln(w, l.heading)
+	for _, row := range l.rows {
+		fmt.Fprintln(w, row)
+	}
 }
 
 // printReplicas counts the backend servers by zone and state and lists those that do
@@ -76,13 +98,17 @@
 	}
 	byZone.print(w, []string{"serving", "draining", "lapsed"})
 	fmt.Fprintln(w)
-	fmt.Fprintln(w, "REPLICA\tSERVICE\tADDRESS\tZONE\tSTATE\tWEIGHTS\tREQUESTS\tPREFILL")
+	rows := listing{
+		heading: "REPLICA\tSERVICE\tADDRESS\tZONE\tSTATE\tWEIGHTS\tREQUESTS\tPREFILL",
+		none:    "every backend server serves, with the weights that most of its service hold",
+	}
 	for _, r := range s.Replicas {
 		held := strings.Join(r.Weights, ",")
 		if all || r.State != "serving" || held != usual[r.Service] {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", r.Id, r.Service, r.Address, r.AvailabilityZone, r.State, held, r.Requests, r.PrefillTokens)
+			rows.add("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d", r.Id, r.Service, r.Address, r.AvailabilityZone, r.State, held, r.Requests, r.PrefillTokens)
 		}
 	}
+	rows.print(w)
 }
 
 // usualWeights returns the weights that most backend servers of each service hold; of
@@ -111,18 +137,15 @@
 
 // printQuotas lists the organisations whose limits are in use, or all that have one.
 func printQuotas(w io.Writer, s *pb.StatusResponse, all bool) {
-	var listed []*pb.QuotaStatus
+	fmt.Fprintf(w, "organisations with a rate limit: %d\n", len(s.Quotas))
+	rows := listing{
+		heading: "ORGANISATION\tUNIT\tA SECOND\tBURST\tAGAINST IT\tLET IN HERE\tREFUSED HERE",
+		none:    "none uses half of its burst, or was refused anything here",
+	}
 	for _, q := range s.Quotas {
 		if all || q.Level >= usedFrom*q.Burst || q.Refused > 0 {
-			listed = append(listed, q)
+			rows.add("%s\t%s\t%.0f\t%.0f\t%.0f\t%d\t%d", q.Organisation, q.Unit, q.PerSecond, q.Burst, q.Level, q.Used, q.Refused)
 		}
 	}
-	fmt.Fprintf(w, "organisations with a rate limit: %d, in use or refused something: %d\n", len(s.Quotas), len(listed))
-	if len(listed) == 0 {
-		return
-	}
-	fmt.Fprintln(w, "ORGANISATION\tUNIT\tA SECOND\tBURST\tAGAINST IT\tLET IN HERE\tREFUSED HERE")
-	for _, q := range listed {
-		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%d\t%d\n", q.Organisation, q.Unit, q.PerSecond, q.Burst, q.Level, q.Used, q.Refused)
-	}
+	rows.print(w)
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,10 @@
 var cases = map[string]string{
 	"refusal": `
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the wait is expected to be 431 ms, and 400 ms are left to more urgent requests","ms":2,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
+	"over-limit": `
+9.2 edge-1 {"level":"info","msg":"rate limit changed","organisation":"museum-a","before":"90000 tokens a second, burst 90000","limit":"47000 tokens a second, burst 112000","version":7,"time":"2026-06-01T10:00:09.2Z"}
+10.1 edge-1 {"level":"warning","msg":"organisation over its rate limit","organisation":"museum-a","limit":"47000 tokens a second, burst 112000","time":"2026-06-01T10:00:10Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"quota_exceeded","error":"quota_exceeded: museum-a is at its rate limit over all hosts: 47000 tokens a second, burst 112000; the request counts 17020","organisation":"museum-a","charged":0,"ms":0,"sends":0,"ran":0,"config":7,"retry_after_ms":310,"state":"","time":"2026-06-01T10:00:10Z"}`,
 	"replica-lost": `
 10.0 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-1","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the stream was cut: unexpected EOF","ms":1800,"first_ms":240,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"lost","Reason":"cut","Ms":1790}],"time":"2026-06-01T10:00:10.1Z"}`,
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -91,16 +91,20 @@
 		return l.hasLeft()
 	}
 	inVain := l.inVain(behind, now)
-	line := l.log.WithFields(logrus.Fields{
-		"fencing": l.term, "replicas": len(behind), "in_vain": len(l.failed), "progress_ms": now.Sub(l.progress.at).Milliseconds(),
-	})
+	// Built for a line alone: this is asked each 60 ms, and lines are rare.
+	line := func() *logrus.Entry {
+		return l.log.WithFields(logrus.Fields{
+			"fencing": l.term, "replicas": len(behind), "in_vain": len(l.failed), "progress_ms": now.Sub(l.progress.at).Milliseconds(),
+		})
+	}
 	switch {
 	case !l.hasLeft() && (inVain || l.progress.slow(now)):
 		l.left, l.leftInVain = l.term, inVain
-		line.Warn("lease for weights left to another host: the replicas that lack them are not loaded")
+		line().Warn("lease for weights left to another host: the replicas that lack them are not loaded")
 	case l.hasLeft() && l.leftInVain && !inVain && l.mayResume():
+		before := line()
 		l.left, l.resumed, l.progress = 0, now, progress{at: now}
-		line.Info("lease for weights kept after all: a replica may be loaded")
+		before.Info("lease for weights kept after all: a replica may be loaded")
 	}
 	return l.hasLeft()
 }
