--- a/internal/replica/told.go
+++ b/internal/replica/told.go
@@ -10,6 +10,11 @@
 	// toldRounds is the number of rounds in which each server's work is said again,
 	// changed or not: what a lost datagram held is made up for within them.
 	toldRounds = 4
+	// toldAgain is the number of servers that are said again in a round, some 20 bytes each:
+	// with more servers in use there are more rounds, and maxRounds at the most, since what
+	// others know counts for sixteen (loadHold). What has changed is told at once all the same.
+	toldAgain = 100
+	maxRounds = 14
 	// toldTokens is the change of unread or needed tokens that is worth a word: a
 	// replica reads them in some 15 ms.
 	toldTokens = 700
@@ -32,11 +37,12 @@
 	if round {
 		t.round++
 	}
+	rounds := min(maxRounds, max(toldRounds, uint64(len(work))/toldAgain))
 	var out []*pb.ReplicaLoad
 	now := make(map[string]bool, len(work))
 	for _, w := range work {
 		now[w.Replica] = true
-		if differs(w, t.last[w.Replica]) || round && t.due(w.Replica) {
+		if differs(w, t.last[w.Replica]) || round && t.due(w.Replica, rounds) {
 			t.last[w.Replica] = w
 			out = append(out, w)
 		}
@@ -51,8 +57,8 @@
 }
 
 // due reports whether a server's work is said again in this round.
-func (t *Told) due(id string) bool {
-	return xxh3.HashString(id)%toldRounds == t.round%toldRounds
+func (t *Told) due(id string, rounds uint64) bool {
+	return xxh3.HashString(id)%rounds == t.round%rounds
 }
 
 func differs(w, last *pb.ReplicaLoad) bool {
