--- a/internal/quota/admit.go
+++ b/internal/quota/admit.go
@@ -56,20 +56,20 @@
 	return l.refuse(a, cost, now)
 }
 
-// hasRoom reports whether a request may be let in: below the brim, unless no window
+// hasRoom reports whether a request may be let in: below the threshold, unless no window
 // could hold it.
 func (l *Limiter) hasRoom(a *account, cost float64, now time.Time) bool {
-	return a.level < l.brim(a.limit, now) && cost <= l.windowAllows(a.limit)+l.tolerance(a.limit)
+	return a.level < l.threshold(a.limit, now) && cost <= l.windowAllows(a.limit)+l.tolerance(a.limit)
 }
 
-// brim is the level from which nothing is let in here: hosts that do not hear each other
+// threshold is the level from which nothing is let in here: hosts that do not hear each other
 // share the burst, and a host that does not know what was let in before its start has its
 // part of what such hosts may let in beyond it.
-func (l *Limiter) brim(limit *config.RateLimit, now time.Time) float64 {
+func (l *Limiter) threshold(limit *config.RateLimit, now time.Time) float64 {
 	if !l.informed {
-		return max(1, limit.Burst+startPart*l.tolerance(limit)*l.share(now))
+		return max(1, limit.Burst+startShare*l.tolerance(limit)*l.share(now))
 	}
-	return max(1, l.full(limit)*l.share(now))
+	return max(1, l.capacity(limit)*l.share(now))
 }
 
 func (a *account) charge(cost int64) {
@@ -83,11 +83,11 @@
 	rate := l.rate(a.limit, now)
 	wait := time.Duration(0)
 	if rate > 0 {
-		over := max(0, a.level-l.brim(a.limit, now)) + a.waiting/l.ownPart()
+		over := max(0, a.level-l.threshold(a.limit, now)) + a.askedBack/l.ownShare()
 		wait = time.Duration(min(over/rate, l.terms.Window.Seconds()) * float64(time.Second))
 	}
-	if a.waiting += float64(cost); a.waiting > l.windowAllows(a.limit)*l.ownPart() {
-		a.waiting = l.windowAllows(a.limit) * l.ownPart()
+	if a.askedBack += float64(cost); a.askedBack > l.windowAllows(a.limit)*l.ownShare() {
+		a.askedBack = l.windowAllows(a.limit) * l.ownShare()
 	}
 	first := a.inEpisode == 0
 	a.refused++
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -51,7 +51,7 @@
 
 // inform decides whether this host knows what was let in before its start.
 func (l *Limiter) inform(now time.Time) {
-	if !l.informed && (now.Sub(l.started) >= aloneFor || !l.adopting.IsZero() && now.Sub(l.adopting) >= adoptFor) {
+	if !l.informed && (now.Sub(l.started) >= coldFor || !l.adopting.IsZero() && now.Sub(l.adopting) >= adoptFor) {
 		l.informed = true
 	}
 }
@@ -136,7 +136,7 @@
 			continue
 		}
 		l.drain(a, now)
-		if a.level >= tellFrom*l.full(a.limit) {
+		if a.level >= tellFrom*l.capacity(a.limit) {
 			u := &pb.OrganisationUse{Organisation: id, Used: a.used}
 			l.tellLevel(u, a, now)
 			out = append(out, u)
@@ -167,7 +167,7 @@
 	if a == nil || a.limit == nil {
 		return false
 	}
-	return float64(a.used-a.told) > untoldPart*l.tolerance(a.limit)*l.ownPart()
+	return float64(a.used-a.told) > untoldShare*l.tolerance(a.limit)*l.ownShare()
 }
 
 // Heard takes what another host told.
@@ -213,7 +213,7 @@
 		return
 	}
 	// While the host was silent this one left it its share of the rate.
-	left := silent.Seconds() * a.limit.PerSecond * l.ownPart()
+	left := silent.Seconds() * a.limit.PerSecond * l.ownShare()
 	a.level = max(0, a.level+max(0, float64(added)-left)+min(0, float64(added)))
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -346,7 +346,7 @@
 	}
 	limit := p.f.organisations[slices.IndexFunc(p.f.organisations, func(o *organisation) bool { return o.name == name })].limit
 	tolerance := p.f.terms.Over*(limit.PerSecond*p.f.terms.Window.Seconds()+limit.Burst) + p.f.terms.Slack
-	return b.admit((limit.Burst+earlyPart*tolerance)*p.part(host, name), cost)
+	return b.admit((limit.Burst+burstShare*tolerance)*p.part(host, name), cost)
 }
 
 // smoothing of what is asked for, an interval's weight: half a second in all.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,35 +33,35 @@
 	Slack float64
 }
 
-// Parts of the tolerance, and what each is spent on. Together they leave a sixth for
+// Shares of the tolerance, and what each is spent on. Together they leave an eighth for
 // requests that wait at a host before they are sent: they may arrive in another window.
 const (
-	// earlyPart is let in beyond the burst. A caller who keeps to the limit is then not
+	// burstShare is let in beyond the burst. A caller who keeps to the limit is then not
 	// refused because hosts count a moment apart from each other.
-	earlyPart = 0.25
-	// apartPart is added to the rate, by its share, for hosts that do not hear all others.
+	burstShare = 0.25
+	// partitionShare is added to the rate, by its share, for hosts that do not hear all others.
 	// With half the routing hosts silent the rest still lets in 0.5 to 0.6 of a limit.
-	apartPart = 0.3
-	// startPart is what hosts may let in at once that start while nobody knows what was
-	// let in before. They have no part for being apart then.
-	startPart = 0.2
-	// untoldPart is what all hosts together may have let in and not yet told.
-	untoldPart = 0.12
+	partitionShare = 0.3
+	// startShare is what hosts may let in at once that start while nobody knows what was
+	// let in before. They have no partitionShare then.
+	startShare = 0.2
+	// untoldShare is what all hosts together may have let in and not yet told.
+	untoldShare = 0.12
 )
 
 const (
 	// StartHosts is how many hosts a starting host reckons with until it may know them:
 	// most fleets have some twenty that callers are sent to.
 	StartHosts = 16
-	// meetFrom and meetFor are from when on after its start a host knows of others, and by
+	// discoverFrom and discoverFor are from when on after its start a host knows of others, and by
 	// when it knows most of them; in between it reckons with fewer and fewer unknown ones.
 	// Simulated fleets of up to 300 hosts that start together know of each other after two
 	// seconds but for a few in a hundred.
-	meetFrom = 300 * time.Millisecond
-	meetFor  = 2 * time.Second
-	// aloneFor is how long after its start a host that nobody tells what was let in before
+	discoverFrom = 300 * time.Millisecond
+	discoverFor  = 2 * time.Second
+	// coldFor is how long after its start a host that nobody tells what was let in before
 	// takes it that nobody knows: those that know would have told within some heartbeats.
-	aloneFor = meetFor
+	coldFor = discoverFor
 	// freshIntervals is how many heartbeat intervals another host may be silent without
 	// being reckoned as out of sight: one heartbeat may be lost, and another one late.
 	freshIntervals = 3
@@ -105,8 +105,8 @@
 	// used is what this host let in, told the part of it that others were told.
 	used, told int64
 	recent     recent
-	// waiting is what was refused here and asked back, and drains as it comes back.
-	waiting float64
+	// askedBack is what was refused here and asked back, and drains as it comes back.
+	askedBack float64
 	refusals
 }
 
@@ -168,7 +168,7 @@
 		a.at = l.started
 	default:
 		// What was let in under a higher limit is not held against a lower one.
-		a.level = min(a.level, l.full(limit))
+		a.level = min(a.level, l.capacity(limit))
 	}
 	return append(changes, Change{name, before, limit})
 }
@@ -205,7 +205,7 @@
 
 // unknownHosts is how many hosts a starting host reckons with.
 func (l *Limiter) unknownHosts(now time.Time) float64 {
-	left := (meetFor - now.Sub(l.started)).Seconds() / (meetFor - meetFrom).Seconds()
+	left := (discoverFor - now.Sub(l.started)).Seconds() / (discoverFor - discoverFrom).Seconds()
 	return StartHosts * max(0, min(1, left))
 }
 
@@ -215,15 +215,15 @@
 	if !l.informed {
 		return share * limit.PerSecond
 	}
-	apart := apartPart * l.tolerance(limit) / l.terms.Window.Seconds()
-	return min(limit.PerSecond, share*(limit.PerSecond+apart))
+	partitioned := partitionShare * l.tolerance(limit) / l.terms.Window.Seconds()
+	return min(limit.PerSecond, share*(limit.PerSecond+partitioned))
 }
 
-// full is the level from which nothing is let in. A request that comes below it is let in
+// capacity is the level from which nothing is let in. A request that comes below it is let in
 // whole, however large: large requests of a busy organisation would otherwise starve while
 // small ones pass.
-func (l *Limiter) full(limit *config.RateLimit) float64 {
-	return max(1, limit.Burst+earlyPart*l.tolerance(limit))
+func (l *Limiter) capacity(limit *config.RateLimit) float64 {
+	return max(1, limit.Burst+burstShare*l.tolerance(limit))
 }
 
 func (l *Limiter) drain(a *account, now time.Time) {
@@ -237,8 +237,8 @@
 	}
 	drained := passed * l.rate(a.limit, now)
 	a.level = max(0, a.level-drained)
-	a.waiting = max(0, a.waiting-drained*l.ownPart())
+	a.askedBack = max(0, a.askedBack-drained*l.ownShare())
 }
 
-// ownPart is this host's part of what is let in, as callers spread over all.
-func (l *Limiter) ownPart() float64 { return 1 / float64(max(1, l.hosts)) }
+// ownShare is this host's part of what is let in, as callers spread over all.
+func (l *Limiter) ownShare() float64 { return 1 / float64(max(1, l.hosts)) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	l := NewLimiter(Terms{Window: 10 * time.Second, Over: 0.1}, testInterval, start)
 	l.SetLimits(organisations(perSecond...), start)
-	now := start.Add(aloneFor + 10*time.Second)
+	now := start.Add(coldFor + 10*time.Second)
 	l.SetHosts(1, 1, false, now)
 	return l, now
 }
@@ -86,7 +86,7 @@
 
 // TestLargeRequestsOfABusyOrganisationDoNotStarve: with short requests at twice the limit,
 // a request of five seconds' worth of tokens would never find room if it had to fit. It is
-// let in below the brim like any other, and the next ones wait for it.
+// let in below the threshold like any other, and the next ones wait for it.
 func TestLargeRequestsOfABusyOrganisationDoNotStarve(t *testing.T) {
 	l, now := limited(t, 1000)
 	large, largeIn, short, shortIn := 0, 0, 0, 0
