--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -14,8 +14,12 @@
 	maxTold = 40
 	// maxFull bounds those that a standby host is told of: the fullest.
 	maxFull = 12
-	// tellFrom is how full a bucket must be, as a share, for a standby host to be told.
+	// tellFrom is how full a bucket must be, as a share, for a standby host to be told, and
+	// for routing hosts to be told before the next heartbeat.
 	tellFrom = 0.5
+	// forgetPeers is the silence after which a host is forgotten: what it let in before has
+	// drained, and other hosts' names come and go.
+	forgetPeers = time.Minute
 )
 
 // peer is what another host told.
@@ -47,6 +51,11 @@
 	}
 	l.hosts, l.heard, l.follows = max(1, hosts), max(1, heard), standby
 	l.inform(now)
+	for host, p := range l.peers {
+		if now.Sub(p.heard) > forgetPeers {
+			delete(l.peers, host)
+		}
+	}
 }
 
 // inform decides whether this host knows what was let in before its start.
@@ -167,7 +176,12 @@
 	if a == nil || a.limit == nil {
 		return false
 	}
-	return float64(a.used-a.told) > untoldShare*l.tolerance(a.limit)*l.ownShare()
+	untold := float64(a.used - a.told)
+	if untold <= untoldShare*l.tolerance(a.limit)*l.ownShare() {
+		return false
+	}
+	// Far below the limit it can wait, even if all hosts have as much to tell.
+	return a.level+untold*float64(l.hosts-1) >= tellFrom*l.capacity(a.limit)
 }
 
 // Heard takes what another host told.
@@ -223,10 +237,3 @@
 		a.level = min(a.level, float64(a.used))
 	}
 }
-
-// Forget drops what is known of a host that is gone.
-func (l *Limiter) Forget(host string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.peers, host)
-}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,20 +33,23 @@
 	Slack float64
 }
 
-// Shares of the tolerance, and what each is spent on. Together they leave an eighth for
-// requests that wait at a host before they are sent: they may arrive in another window.
+// Shares of the tolerance, and what each is spent on. Together they leave a third for what
+// hosts take with them that are killed, for large requests that several hosts let in at once,
+// and for requests that wait at a host before they are sent: they may arrive in another
+// window. With 0.3 apart and 0.25 beyond the burst, a few of ten thousand random schedules of
+// cuts and kills let in up to 1.4 % too much.
 const (
 	// burstShare is let in beyond the burst. A caller who keeps to the limit is then not
 	// refused because hosts count a moment apart from each other.
-	burstShare = 0.25
+	burstShare = 0.2
 	// partitionShare is added to the rate, by its share, for hosts that do not hear all others.
 	// With half the routing hosts silent the rest still lets in 0.5 to 0.6 of a limit.
-	partitionShare = 0.3
+	partitionShare = 0.2
 	// startShare is what hosts may let in at once that start while nobody knows what was
 	// let in before. They have no partitionShare then.
-	startShare = 0.2
+	startShare = 0.15
 	// untoldShare is what all hosts together may have let in and not yet told.
-	untoldShare = 0.12
+	untoldShare = 0.1
 )
 
 const (
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -34,9 +34,14 @@
 // applies is how long a configuration may take until it is in force on every host.
 const applies = time.Second
 
+// fataler is a test, drawn or not.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
 // check reports the first window that holds more than it may: a lower limit counts once
 // it has been in force on all hosts for a window.
-func (h history) check(t *rapid.T, o *organisation, terms Terms) {
+func (h history) check(t fataler, o *organisation, terms Terms) {
 	sum, first := int64(0), 0
 	for _, c := range o.let {
 		sum += c.cost
@@ -52,6 +57,96 @@
 	}
 }
 
+// action is one thing that happens to a simulated fleet, and how long it then goes on.
+type action struct {
+	what    what
+	host    int
+	group   int
+	killed  int
+	rate    float64
+	applied []time.Duration
+	then    time.Duration
+}
+
+type what int
+
+const (
+	goesOn what = iota
+	cutsOff
+	heals
+	kills
+	losesPower
+	changesLimit
+)
+
+// schedule is what a fleet goes through while an organisation asks for a multiple of its
+// limit.
+type schedule struct {
+	hosts       int
+	seed        uint64
+	loss        float64
+	rate, times float64
+	actions     []action
+}
+
+// play plays the schedule and returns the organisation and its limits over time.
+func (s *schedule) play() (*organisation, history) {
+	f := newFleet(nil, testTerms, s.hosts, s.seed)
+	f.loss = s.loss
+	o := f.add(config.RateLimit{Unit: config.Tokens, PerSecond: s.rate, Burst: max(s.rate, 112_000)}, s.times)
+	limits := history{{f.now, o.limit}}
+	c := newCounts(s.hosts, testTerms, false)
+	c.setup = f.configured
+	f.way = c
+	f.settle()
+	for _, a := range s.actions {
+		switch a.what {
+		case cutsOff:
+			f.cut[a.host] = a.group
+		case heals:
+			clear(f.cut)
+		case kills:
+			f.restartSome(a.killed)
+		case losesPower:
+			f.restartSome(s.hosts)
+		case changesLimit:
+			o.limit.PerSecond = a.rate
+			limits = append(limits, inForce{f.now, o.limit})
+			for h, l := range c.limiters {
+				f.run(a.applied[h])
+				l.SetLimits(f.configured(), f.now)
+			}
+		}
+		f.run(a.then)
+	}
+	return o, limits
+}
+
+func drawAction(t *rapid.T, hosts int, rate float64) action {
+	a := action{what: what(rapid.IntRange(int(goesOn), int(changesLimit)).Draw(t, "what"))}
+	switch a.what {
+	case cutsOff:
+		a.host, a.group = rapid.IntRange(0, hosts-1).Draw(t, "host"), rapid.IntRange(1, 2).Draw(t, "group")
+	case kills:
+		a.killed = rapid.IntRange(1, max(1, hosts/2)).Draw(t, "killed")
+	case losesPower:
+		if rapid.IntRange(0, 3).Draw(t, "power") > 0 {
+			a.what = goesOn
+		}
+	case changesLimit:
+		a.rate = rate * rapid.Float64Range(0.3, 1.5).Draw(t, "rate")
+		for range hosts {
+			a.applied = append(a.applied, drawMs(t, 0, int(applies/time.Millisecond)/hosts))
+		}
+	}
+	a.then = drawMs(t, 100, 3000)
+	return a
+}
+
+func drawMs(t *rapid.T, least, most int) time.Duration {
+	return time.Duration(rapid.IntRange(least, most).Draw(t, "ms")) * time.Millisecond
+}
+
 // TestNoScheduleBreaksTheBound draws schedules of lost heartbeats, cuts, kills, losses of
 // power and changed limits, which reach each host at another time, while organisations ask
 // for up to eight times their limits. In no window may more be let in than the limit, its
@@ -59,38 +154,47 @@
 // each request.
 func TestNoScheduleBreaksTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hosts := rapid.IntRange(2, 7).Draw(t, "hosts")
-		f := newFleet(nil, testTerms, hosts, rapid.Uint64().Draw(t, "seed"))
-		f.loss = rapid.Float64Range(0, 0.05).Draw(t, "loss")
-		rate := rapid.Float64Range(47_000, 400_000).Draw(t, "rate")
-		o := f.add(config.RateLimit{Unit: config.Tokens, PerSecond: rate, Burst: max(rate, 112_000)}, rapid.Float64Range(0.5, 8).Draw(t, "times"))
-		limits := history{{f.now, o.limit}}
-		c := newCounts(hosts, testTerms, false)
-		c.setup = f.configured
-		f.way = c
-		f.settle()
+		s := schedule{
+			hosts: rapid.IntRange(2, 7).Draw(t, "hosts"), seed: rapid.Uint64().Draw(t, "seed"),
+			loss: rapid.Float64Range(0, 0.05).Draw(t, "loss"),
+			rate: rapid.Float64Range(47_000, 400_000).Draw(t, "rate"), times: rapid.Float64Range(0.5, 8).Draw(t, "times"),
+		}
 		for range rapid.IntRange(3, 9).Draw(t, "actions") {
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
-			case 0:
-				f.cut[rapid.IntRange(0, hosts-1).Draw(t, "cut")] = rapid.IntRange(1, 2).Draw(t, "group")
-			case 1:
-				clear(f.cut)
-			case 2:
-				f.restartSome(rapid.IntRange(1, max(1, hosts/2)).Draw(t, "killed"))
-			case 3:
-				if rapid.IntRange(0, 3).Draw(t, "power") == 0 {
-					f.restartSome(hosts)
-				}
-			case 4:
-				o.limit.PerSecond = rate * rapid.Float64Range(0.3, 1.5).Draw(t, "new rate")
-				limits = append(limits, inForce{f.now, o.limit})
-				for _, l := range c.limiters {
-					f.run(time.Duration(rapid.IntRange(0, int(applies/time.Millisecond)/hosts).Draw(t, "applied")) * time.Millisecond)
-					l.SetLimits(f.configured(), f.now)
-				}
-			}
-			f.run(time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms")) * time.Millisecond)
+			s.actions = append(s.actions, drawAction(t, s.hosts, s.rate))
 		}
-		limits.check(t, o, f.terms)
+		o, limits := s.play()
+		limits.check(t, o, testTerms)
 	})
 }
+
+// TestSchedulesThatOnceBrokeTheBound: hosts cut off and killed in quick succession at
+// eight times the limit. Each start, each host that is apart and each large request of
+// several hosts at once take a part of the tolerance; with larger parts for a host that is
+// apart (0.3) and beyond the burst (0.25 and 0.3) these let in up to 1.4 % too much.
+func TestSchedulesThatOnceBrokeTheBound(t *testing.T) {
+	ms := time.Millisecond
+	for name, s := range map[string]schedule{
+		"two cut off, three killed": {hosts: 5, loss: 0.05, rate: 47_000, times: 8, actions: []action{
+			{then: 101 * ms}, {what: cutsOff, host: 2, group: 1, then: 1361 * ms}, {what: losesPower, then: 101 * ms},
+			{what: kills, killed: 1, then: 101 * ms}, {what: cutsOff, host: 1, group: 1, then: 1381 * ms},
+			{what: kills, killed: 2, then: 961 * ms}, {what: cutsOff, host: 0, group: 2, then: 871 * ms},
+			{what: kills, killed: 1, then: 121 * ms},
+		}},
+		"two cut off, five killed": {hosts: 5, loss: 0.05, rate: 65_536, times: 8, actions: []action{
+			{what: cutsOff, host: 1, group: 2, then: 100 * ms}, {what: kills, killed: 1, then: 100 * ms},
+			{what: cutsOff, host: 0, group: 2, then: 101 * ms}, {what: kills, killed: 1, then: 1761 * ms},
+			{what: kills, killed: 1, then: 100 * ms}, {what: kills, killed: 1, then: 541 * ms}, {what: kills, killed: 1, then: 781 * ms},
+		}},
+		"one cut off, power lost, six killed": {hosts: 5, loss: 0.05, rate: 47_000, times: 7.94, actions: []action{
+			{what: cutsOff, host: 0, group: 1, then: 100 * ms}, {what: kills, killed: 1, then: 100 * ms}, {what: losesPower, then: 100 * ms},
+			{what: kills, killed: 1, then: 100 * ms}, {what: kills, killed: 1, then: 101 * ms}, {what: kills, killed: 1, then: 100 * ms},
+			{what: kills, killed: 1, then: 1021 * ms}, {what: heals, then: 3000 * ms},
+		}},
+	} {
+		o, limits := s.play()
+		limits.check(t, o, testTerms)
+		if len(o.let) == 0 {
+			t.Errorf("%s: nothing was let in", name)
+		}
+	}
+}
