--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -175,20 +175,33 @@
 	ms := time.Millisecond
 	for name, s := range map[string]schedule{
 		"two cut off, three killed": {hosts: 5, loss: 0.05, rate: 47_000, times: 8, actions: []action{
-			{then: 101 * ms}, {what: cutsOff, host: 2, group: 1, then: 1361 * ms}, {what: losesPower, then: 101 * ms},
-			{what: kills, killed: 1, then: 101 * ms}, {what: cutsOff, host: 1, group: 1, then: 1381 * ms},
-			{what: kills, killed: 2, then: 961 * ms}, {what: cutsOff, host: 0, group: 2, then: 871 * ms},
+			{then: 101 * ms},
+			{what: cutsOff, host: 2, group: 1, then: 1361 * ms},
+			{what: losesPower, then: 101 * ms},
+			{what: kills, killed: 1, then: 101 * ms},
+			{what: cutsOff, host: 1, group: 1, then: 1381 * ms},
+			{what: kills, killed: 2, then: 961 * ms},
+			{what: cutsOff, host: 0, group: 2, then: 871 * ms},
 			{what: kills, killed: 1, then: 121 * ms},
 		}},
 		"two cut off, five killed": {hosts: 5, loss: 0.05, rate: 65_536, times: 8, actions: []action{
-			{what: cutsOff, host: 1, group: 2, then: 100 * ms}, {what: kills, killed: 1, then: 100 * ms},
-			{what: cutsOff, host: 0, group: 2, then: 101 * ms}, {what: kills, killed: 1, then: 1761 * ms},
-			{what: kills, killed: 1, then: 100 * ms}, {what: kills, killed: 1, then: 541 * ms}, {what: kills, killed: 1, then: 781 * ms},
+			{what: cutsOff, host: 1, group: 2, then: 100 * ms},
+			{what: kills, killed: 1, then: 100 * ms},
+			{what: cutsOff, host: 0, group: 2, then: 101 * ms},
+			{what: kills, killed: 1, then: 1761 * ms},
+			{what: kills, killed: 1, then: 100 * ms},
+			{what: kills, killed: 1, then: 541 * ms},
+			{what: kills, killed: 1, then: 781 * ms},
 		}},
 		"one cut off, power lost, six killed": {hosts: 5, loss: 0.05, rate: 47_000, times: 7.94, actions: []action{
-			{what: cutsOff, host: 0, group: 1, then: 100 * ms}, {what: kills, killed: 1, then: 100 * ms}, {what: losesPower, then: 100 * ms},
-			{what: kills, killed: 1, then: 100 * ms}, {what: kills, killed: 1, then: 101 * ms}, {what: kills, killed: 1, then: 100 * ms},
-			{what: kills, killed: 1, then: 1021 * ms}, {what: heals, then: 3000 * ms},
+			{what: cutsOff, host: 0, group: 1, then: 100 * ms},
+			{what: kills, killed: 1, then: 100 * ms},
+			{what: losesPower, then: 100 * ms},
+			{what: kills, killed: 1, then: 100 * ms},
+			{what: kills, killed: 1, then: 101 * ms},
+			{what: kills, killed: 1, then: 100 * ms},
+			{what: kills, killed: 1, then: 1021 * ms},
+			{what: heals, then: 3000 * ms},
 		}},
 	} {
 		o, limits := s.play()
