--- a/internal/rollout/ask_test.go
+++ b/internal/rollout/ask_test.go
@@ -41,28 +41,9 @@
 // comes first reaches replicas as told, and the second one all.
 func patchyRollout(t *testing.T, n int, first reaches) (took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet, log := newFakeFleet(n), newFakeLog()
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		for rank, r := range []reaches{first, func(string, time.Time) bool { return true }} {
-			v := patchyView{hostView{fakeFleet: fleet}, r}
-			name := fmt.Sprint("host-", rank)
-			lease := NewLease(&view{log: log}, quietLog(), name, uint64(rank+1), testTTL)
-			loader := NewLoader(lease, v, v, quietLog(), name, platform.LoadQueue, 2)
-			loader.Rank = func() int { return rank }
-			wg.Go(func() { lease.Follow(ctx) })
-			wg.Go(func() { loader.Run(ctx) })
-		}
-		time.Sleep(time.Second)
-		fleet.set(func() { fleet.wanted = 2 })
-		began := time.Now()
-		for fleet.behind() > 0 && time.Since(began) < 2*time.Minute {
-			time.Sleep(20 * time.Millisecond)
-		}
-		took = time.Since(began)
-		cancel()
-		wg.Wait()
-		time.Sleep(10 * time.Second)
+		fleet := newFakeFleet(n)
+		all := func(string, time.Time) bool { return true }
+		took = nameVersion(t, fleet, 0, 2*time.Minute, nil, patchyView{hostView{fakeFleet: fleet}, first}, patchyView{hostView{fakeFleet: fleet}, all})
 	})
 	return took
 }
--- a/internal/rollout/stalled_test.go
+++ b/internal/rollout/stalled_test.go
@@ -76,11 +76,22 @@
 // they would take the lease, and returns how long the replicas that can load it took, or
 // a minute. meanwhile, if not nil, runs beside them.
 func runHosts(t *testing.T, fleet *fakeFleet, unable int, meanwhile func(), views ...hostView) time.Duration {
+	var seen []rolloutFleet
+	for _, v := range views {
+		v.fakeFleet = fleet
+		seen = append(seen, v)
+	}
+	return nameVersion(t, fleet, unable, time.Minute, meanwhile, seen...)
+}
+
+// nameVersion names a version to hosts that each have a view of the fleet, in the order in
+// which they would take the lease, and returns how long it took until all but the replicas
+// that are unable to have loaded it, or the limit.
+func nameVersion(t *testing.T, fleet *fakeFleet, unable int, limit time.Duration, meanwhile func(), views ...rolloutFleet) time.Duration {
 	log := newFakeLog()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for rank, v := range views {
-		v.fakeFleet = fleet
 		name := fmt.Sprint("host-", rank)
 		lease := NewLease(&view{log: log}, quietLog(), name, uint64(rank+1), testTTL)
 		loader := NewLoader(lease, v, v, quietLog(), name, platform.LoadQueue, 2)
@@ -94,7 +105,7 @@
 		wg.Go(meanwhile)
 	}
 	began := time.Now()
-	for fleet.behind() > unable && time.Since(began) < time.Minute {
+	for fleet.behind() > unable && time.Since(began) < limit {
 		time.Sleep(20 * time.Millisecond)
 	}
 	took := time.Since(began)
--- a/test/ablation/main.go
+++ b/test/ablation/main.go
@@ -229,28 +229,35 @@
 	return strings.Replace(deploy, serve, serve+" --without="+string(without), 1), nil
 }
 
-// keepJournal moves the entries of the plays to the repository's journal.
+// keepJournal copies the entries of the plays, and the files that they name, to the
+// repository's journal.
 func keepJournal(dir string) error {
-	entries, err := filepath.Glob(filepath.Join(dir, "journal", "*.json"))
-	if err != nil {
-		return errors.Wrap(err, "find the journal's entries")
-	}
-	for _, from := range entries {
-		to := filepath.Join("journal", filepath.Base(from))
-		if _, err := os.Stat(to); err == nil {
-			continue
-		}
-		data, err := os.ReadFile(from)
+	for _, pattern := range []string{"*.json", "blobs/*"} {
+		files, err := filepath.Glob(filepath.Join(dir, "journal", pattern))
 		if err != nil {
-			return errors.Wrap(err, "read an entry")
+			return errors.Wrap(err, "find the journal's entries")
 		}
-		if err := os.WriteFile(to, data, 0o600); err != nil {
-			return errors.Wrap(err, "keep an entry")
+		for _, from := range files {
+			if err := keepFile(from, filepath.Join("journal", filepath.Dir(pattern), filepath.Base(from))); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// keepFile copies a file unless it is there already.
+func keepFile(from, to string) error {
+	if _, err := os.Stat(to); err == nil {
+		return nil
+	}
+	data, err := os.ReadFile(from)
+	if err != nil {
+		return errors.Wrap(err, "read an entry")
+	}
+	return errors.Wrap(os.WriteFile(to, data, 0o600), "keep an entry")
+}
+
 func mustGetwd() string {
 	dir, err := os.Getwd()
 	if err != nil {
