--- a/internal/member/routing.go
+++ b/internal/member/routing.go
@@ -13,9 +13,9 @@
 	// leastRouting is the number of large hosts below which small ones route too:
 	// four carry the callers of a site between them, even while one of them is slow.
 	leastRouting = 4
-	// fewHosts is the size of a fleet of which all hosts route where too few are
+	// FewHosts is the size of a fleet of which all hosts route where too few are
 	// large: so many can each tell every other of each long prompt.
-	fewHosts = 24
+	FewHosts = 24
 	// fewShare of the processor time of a small fleet is what its large hosts must
 	// give together to carry what all are there for.
 	fewShare = 0.2
@@ -51,7 +51,7 @@
 // left of the large hosts, the more small ones follow, one by one. All hosts that
 // know of the same live ones choose alike.
 func Routing(hosts []Candidate) map[string]bool {
-	if len(hosts) <= fewHosts {
+	if len(hosts) <= FewHosts {
 		return routingOfFew(hosts)
 	}
 	c := newChoice(hosts)
--- a/internal/member/routing_test.go
+++ b/internal/member/routing_test.go
@@ -108,7 +108,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := fleet(rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(0, 4).Draw(t, "large"), rapid.IntRange(1, 60).Draw(t, "small"))
 		want := Routing(hosts)
-		if len(want) == 0 || len(hosts) > fewHosts && len(want) > maxRouting {
+		if len(want) == 0 || len(hosts) > FewHosts && len(want) > maxRouting {
 			t.Fatalf("%d of %d hosts route", len(want), len(hosts))
 		}
 		shuffled := rapid.Permutation(hosts).Draw(t, "order")
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -72,7 +72,7 @@
 	}
 	chosen := t.choose(candidates)
 	t.noteChosen(chosen, now)
-	v := &View{Here: chosen[t.self.Host], Live: len(live), All: len(live) <= fewHosts, made: now}
+	v := &View{Here: chosen[t.self.Host], Live: len(live), All: len(live) <= FewHosts, made: now}
 	v.place(live, chosen, t.self)
 	if !v.Here {
 		v.Relays = t.relays(v.Routing)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -10,6 +10,7 @@
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/quota"
 )
 
@@ -46,11 +47,18 @@
 	return l.String()
 }
 
+// isolatedPart is the part of an equal share, over all hosts, that a host of a large fleet
+// takes which hears no other. The others cannot know how many such hosts there are, and leave
+// them nothing: a third of all hosts, out of sight, takes a ninth of a limit, which the
+// tolerance covers.
+const isolatedPart = 3
+
 // shareLimits tells the limiter of whom this host knows what they let in. A routing host
 // hears the other ones; one on standby hears of all of them from its relays.
 func (n *Node) shareLimits(now time.Time) {
 	v := n.members.View(now)
 	hosts := max(1, len(v.Routing))
+	live := n.limitLive.most(v.Live, now)
 	if now.Sub(n.started) >= firstView {
 		// A host that has just started may have counted small hosts among the routing ones,
 		// while it knew of few large ones.
@@ -58,13 +66,15 @@
 	}
 	heard := n.limiter.Hears(v.Routing, now)
 	switch {
-	case v.Here && heard == 0 && n.members.KnowsOthers():
-		// Those that it knows of may be at work out of its sight.
-		hosts, heard = max(hosts, quota.StartHosts), 1
-	case v.Here:
+	case v.Here && heard > 0:
 		heard++
-	case n.limiter.Hears(v.Relays, now) > 0:
+	case !v.Here && n.limiter.Hears(v.Relays, now) > 0:
 		heard = hosts
+	case live == 1 && n.members.KnowsOthers() && now.Sub(n.started) < sharersFor:
+		// Those that it knows of may be at work out of its sight.
+		hosts, heard = quota.StartHosts, 1
+	case live > member.FewHosts:
+		hosts, heard = max(hosts, isolatedPart*live), 1
 	default:
 		heard = 1
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,8 @@
 	sharers  sharers
 	// limitSharers are those that share rate limits; the heartbeats' alone.
 	limitSharers sharers
+	// limitLive is the same of all hosts.
+	limitLive sharers
 	// started is when the process began; holdFor is how long it waits for other hosts'
 	// word before it asks the store.
 	started time.Time
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -49,7 +49,11 @@
 	for _, a := range l.accounts {
 		l.drain(a, now)
 	}
+	if l.outdated && !standby {
+		l.begin(now)
+	}
 	l.hosts, l.heard, l.follows = max(1, hosts), max(1, heard), standby
+	l.outdated = standby && l.heard < l.hosts
 	l.inform(now)
 	for host, p := range l.peers {
 		if now.Sub(p.heard) > forgetPeers {
@@ -58,6 +62,27 @@
 	}
 }
 
+// begin makes this host one that does not know what was let in before: it has just
+// started, or is to route after its relays, which told it, were lost.
+func (l *Limiter) begin(now time.Time) {
+	l.started, l.informed, l.adopting = now, false, time.Time{}
+	for _, a := range l.accounts {
+		l.beginAccount(a, now)
+	}
+}
+
+// beginAccount takes the burst for used up: it may have been before.
+func (l *Limiter) beginAccount(a *account, now time.Time) {
+	a.at, a.usedBefore = now, a.used
+	if a.limit == nil {
+		return
+	}
+	a.level = max(a.level, a.limit.Burst)
+	if l.EqualShares {
+		a.level = a.limit.Burst / StartHosts
+	}
+}
+
 // inform decides whether this host knows what was let in before its start.
 func (l *Limiter) inform(now time.Time) {
 	if !l.informed && (now.Sub(l.started) >= coldFor || !l.adopting.IsZero() && now.Sub(l.adopting) >= adoptFor) {
@@ -234,6 +259,6 @@
 // forgetStart drops what a starting host reckoned with for want of knowledge.
 func (l *Limiter) forgetStart() {
 	for _, a := range l.accounts {
-		a.level = min(a.level, float64(a.used))
+		a.level = min(a.level, float64(a.used-a.usedBefore))
 	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -91,7 +91,8 @@
 	// this host hears.
 	hosts, heard int
 	// follows is set on a standby host: it is told how full buckets are, and not by whom.
-	follows bool
+	// outdated is set while nobody tells it.
+	follows, outdated bool
 	// adopting is when an informed host was first heard, or zero.
 	adopting time.Time
 	// informed is set once this host knows what was let in before its start.
@@ -107,6 +108,8 @@
 	at    time.Time
 	// used is what this host let in, told the part of it that others were told.
 	used, told int64
+	// usedBefore is what it had let in when it last began without knowledge.
+	usedBefore int64
 	recent     recent
 	// askedBack is what was refused here and asked back, and drains as it comes back.
 	askedBack float64
@@ -163,12 +166,7 @@
 	case limit == nil:
 		a.level = 0
 	case before == nil && !l.informed:
-		// The burst may have been used up before this host started.
-		a.level = limit.Burst
-		if l.EqualShares {
-			a.level /= StartHosts
-		}
-		a.at = l.started
+		l.beginAccount(a, l.started)
 	default:
 		// What was let in under a higher limit is not held against a lower one.
 		a.level = min(a.level, l.capacity(limit))
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -272,6 +272,35 @@
 	}
 }
 
+// TestHostThatTakesOverIsTold: a host on standby whose relays were lost is to route in
+// their place. What they had told it has drained since, but the others went on. On a day of
+// seven times the usual, with a third of all hosts cut off, four such hosts let in a whole
+// burst each.
+func TestHostThatTakesOverIsTold(t *testing.T) {
+	a, now := limited(t, 1000)
+	b, _ := limited(t, 1000)
+	b.SetHosts(4, 4, true, now)
+	fill(a, "o0", 10, now)
+	b.Heard(Word{Host: "a", Uses: a.Full(now)}, now)
+	for range 20 {
+		now = now.Add(testInterval)
+		b.SetHosts(4, 1, true, now)
+	}
+	a.Charge("o0", 3000, now)
+	b.SetHosts(4, 2, false, now)
+	if got := fill(b, "o0", 10, now); got > 50 {
+		t.Errorf("%d tokens let in before anybody told the host", got)
+	}
+	tell(a, "a", now, b)
+	now = now.Add(adoptFor)
+	a.Charge("o0", 1, now)
+	tell(a, "a", now, b)
+	b.SetHosts(4, 4, false, now)
+	if got := fill(b, "o0", 10, now); got > 0 {
+		t.Errorf("%d tokens let in with a full bucket", got)
+	}
+}
+
 // TestWhatIsToldIsBounded: 1,500 organisations at once are told in turn, the largest
 // amounts first, and none is forgotten.
 func TestWhatIsToldIsBounded(t *testing.T) {
