--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -147,13 +147,15 @@
 	return r.older
 }
 
-// tellLevel adds how full the bucket is, where this host knows.
+// tellLevel adds how full the bucket is, where this host knows. One that hears a part of the
+// others only refuses from a part of the capacity on, and tells as if from the whole: hosts
+// that it tells would otherwise let in the rest.
 func (l *Limiter) tellLevel(u *pb.OrganisationUse, a *account, now time.Time) {
 	if !l.informed || a.limit == nil {
 		return
 	}
 	l.drain(a, now)
-	level := int64(a.level)
+	level := int64(a.level / l.share(now))
 	u.Level = &level
 }
 
@@ -170,7 +172,7 @@
 			continue
 		}
 		l.drain(a, now)
-		if a.level >= tellFrom*l.capacity(a.limit) {
+		if a.level >= tellFrom*l.threshold(a.limit, now) {
 			u := &pb.OrganisationUse{Organisation: id, Used: a.used}
 			l.tellLevel(u, a, now)
 			out = append(out, u)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -272,6 +272,21 @@
 	}
 }
 
+// TestStandbyHostOfAPartIsToldOfAPart: relays that hear half of the routing hosts refuse
+// from half of a bucket on; the standby hosts that they tell must not let in the other half,
+// since the hosts that are not heard do.
+func TestStandbyHostOfAPartIsToldOfAPart(t *testing.T) {
+	a, now := limited(t, 1000)
+	a.SetHosts(8, 4, false, now)
+	fill(a, "o0", 10, now)
+	b, _ := limited(t, 1000)
+	b.SetHosts(8, 8, true, now)
+	b.Heard(Word{Host: "a", Uses: a.Full(now)}, now)
+	if got := fill(b, "o0", 10, now); got > 0 {
+		t.Errorf("%d tokens let in by a standby host whose relay refuses", got)
+	}
+}
+
 // TestHostThatTakesOverIsTold: a host on standby whose relays were lost is to route in
 // their place. What they had told it has drained since, but the others went on. On a day of
 // seven times the usual, with a third of all hosts cut off, four such hosts let in a whole
