--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -132,6 +132,14 @@
 	t.probes[peer] = &probe{since: now}
 }
 
+// Lost reports whether a host fell silent that had not said that it leaves.
+func (t *Table) Lost(host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[host]
+	return h != nil && h.dead && !h.beat.Leaving
+}
+
 // KnowsOthers reports whether this host knows the address of any other one, heard of or
 // not.
 func (t *Table) KnowsOthers() bool {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -57,30 +57,52 @@
 // hears the other ones; one on standby hears of all of them from its relays.
 func (n *Node) shareLimits(now time.Time) {
 	v := n.members.View(now)
-	hosts := max(1, len(v.Routing))
-	live := n.limitLive.most(v.Live, now)
+	hosts, live := len(v.Routing), n.limitLive.most(v.Live, now)
 	if now.Sub(n.started) >= firstView {
 		// A host that has just started may have counted small hosts among the routing ones,
 		// while it knew of few large ones.
 		hosts = n.limitSharers.most(hosts, now)
 	}
-	heard := n.limiter.Hears(v.Routing, now)
+	hosts = max(1, hosts)
+	others := n.limiter.Hears(v.Routing, now)
+	heard := 1.0
 	switch {
-	case v.Here && heard > 0:
-		heard++
+	case v.Here && others > 0:
+		left := max(1, hosts-n.routed.lost(v.Routing, n.members.Lost, now))
+		heard = float64(left) * min(1, float64(others+1)/float64(len(v.Routing)))
 	case !v.Here && n.limiter.Hears(v.Relays, now) > 0:
-		heard = hosts
+		heard = float64(hosts)
 	case live == 1 && n.members.KnowsOthers() && now.Sub(n.started) < sharersFor:
 		// Those that it knows of may be at work out of its sight.
-		hosts, heard = quota.StartHosts, 1
+		hosts = quota.StartHosts
 	case live > member.FewHosts:
-		hosts, heard = max(hosts, isolatedPart*live), 1
-	default:
-		heard = 1
+		hosts = max(hosts, isolatedPart*live)
 	}
 	n.limiter.SetHosts(hosts, heard, !v.Here, now)
 }
 
+// routed remembers the hosts that routed in the last while, and when they last did.
+type routed map[string]time.Time
+
+// lost returns how many hosts that routed a while ago are lost. Others have taken their
+// places here; but those that are lost may be cut off and at work, with others in the places
+// of this one and those that it hears.
+func (r routed) lost(routing []*pb.Heartbeat, isLost func(host string) bool, now time.Time) int {
+	for _, h := range routing {
+		r[h.Host] = now
+	}
+	n := 0
+	for host, at := range r {
+		switch {
+		case now.Sub(at) > sharersFor:
+			delete(r, host)
+		case at.Before(now) && isLost(host):
+			n++
+		}
+	}
+	return n
+}
+
 // noteRefusals writes a line for each organisation that is no longer over its limit.
 func (n *Node) noteRefusals(now time.Time) {
 	for _, e := range n.limiter.Ended(now) {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/caller"
 )
@@ -83,3 +85,38 @@
 		t.Error(text)
 	}
 }
+
+// TestPlacesOfLostHostsAreLeftToThem: a fleet is parted; on either side small hosts take the
+// places of the large ones that are lost there. Together both sides keep to the limit. Before
+// the lost ones were remembered, each side took the whole, and twice as much was let in.
+func TestPlacesOfLostHostsAreLeftToThem(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	hosts := func(names ...string) []*pb.Heartbeat {
+		var out []*pb.Heartbeat
+		for _, name := range names {
+			out = append(out, &pb.Heartbeat{Host: name})
+		}
+		return out
+	}
+	lost := map[string]bool{}
+	isLost := func(host string) bool { return lost[host] }
+	r := routed{}
+	if n := r.lost(hosts("a", "b", "c", "d", "e"), isLost, now); n != 0 {
+		t.Errorf("%d lost at first", n)
+	}
+	lost["d"], lost["e"] = true, true
+	now = now.Add(time.Second)
+	if n := r.lost(hosts("a", "b", "c", "small-1", "small-2"), isLost, now); n != 2 {
+		t.Errorf("%d of two lost hosts are remembered", n)
+	}
+	// One on standby again is not lost; one that is back neither.
+	lost["e"] = false
+	now = now.Add(time.Second)
+	if n := r.lost(hosts("a", "b", "c", "small-1", "e"), isLost, now); n != 1 {
+		t.Errorf("%d lost, want 1", n)
+	}
+	now = now.Add(sharersFor)
+	if n := r.lost(hosts("a", "b", "c", "small-1", "e"), isLost, now); n != 0 {
+		t.Errorf("%d lost hosts are remembered for ever", n)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,8 +114,9 @@
 	sharers  sharers
 	// limitSharers are those that share rate limits; the heartbeats' alone.
 	limitSharers sharers
-	// limitLive is the same of all hosts.
+	// limitLive is the same of all hosts, and routed who they were.
 	limitLive sharers
+	routed    routed
 	// started is when the process began; holdFor is how long it waits for other hosts'
 	// word before it asks the store.
 	started time.Time
@@ -161,6 +162,7 @@
 		kick:        make(chan struct{}, 1),
 		serving:     semaphore.NewWeighted(maxServed),
 		started:     time.Now(),
+		routed:      routed{},
 		holdFor:     firstHold(s.Member),
 	}
 	n.members = member.NewTable(n.self(), s.Member.DeadAfter.AsDuration())
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -41,8 +41,9 @@
 }
 
 // SetHosts takes how many hosts share the limits, how many of them, this one included,
-// this host hears, and whether it is on standby.
-func (l *Limiter) SetHosts(hosts, heard int, standby bool, now time.Time) {
+// this host hears, and whether it is on standby. Heard is a fraction of hosts where others
+// took the places of some that were lost.
+func (l *Limiter) SetHosts(hosts int, heard float64, standby bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// What has passed so far drained at the rate of so far.
@@ -53,7 +54,7 @@
 		l.begin(now)
 	}
 	l.hosts, l.heard, l.follows = max(1, hosts), max(1, heard), standby
-	l.outdated = standby && l.heard < l.hosts
+	l.outdated = standby && l.heard < float64(l.hosts)
 	l.inform(now)
 	for host, p := range l.peers {
 		if now.Sub(p.heard) > forgetPeers {
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -268,7 +268,7 @@
 		// Every host knows the addresses of some others.
 		hosts = max(hosts, StartHosts)
 	}
-	l.SetHosts(hosts, heard, false, now)
+	l.SetHosts(hosts, float64(heard), false, now)
 }
 
 func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -88,8 +88,9 @@
 	accounts map[uint64]*account
 	peers    map[string]*peer
 	// hosts is how many share a limit, and heard how many of them, this one included,
-	// this host hears.
-	hosts, heard int
+	// this host hears, or of how many it takes the place.
+	hosts int
+	heard float64
 	// follows is set on a standby host: it is told how full buckets are, and not by whom.
 	// outdated is set while nobody tells it.
 	follows, outdated bool
@@ -197,9 +198,9 @@
 	if l.EqualShares {
 		heard = 1
 	}
-	share := float64(heard) / max(float64(hosts), float64(heard))
+	share := heard / max(float64(hosts), heard)
 	if !l.informed {
-		share = min(share, float64(heard)/max(1, l.unknownHosts(now)))
+		share = min(share, heard/max(1, l.unknownHosts(now)))
 	}
 	return share
 }
