--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -211,3 +211,20 @@
 		}
 	}
 }
+
+// TestPartedFleetThatLosesPower: hosts on either side of a cut start together, know nothing
+// of before, and take those whom they hear for the whole fleet two seconds later. At six and a
+// half times the limit they let in 0.05 % more than a window may hold.
+func TestPartedFleetThatLosesPower(t *testing.T) {
+	ms := time.Millisecond
+	s := schedule{hosts: 6, loss: 0.05, rate: 131_071.99999999999, times: 6.5, actions: []action{
+		{what: cutsOff, host: 0, group: 2, then: 1251 * ms},
+		{then: 1671 * ms},
+		{what: cutsOff, host: 3, group: 2, then: 100 * ms},
+		{then: 1101 * ms},
+		{what: losesPower, then: 3000 * ms},
+		{then: 100 * ms},
+	}}
+	o, limits := s.play()
+	limits.check(t, o, testTerms)
+}
