--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -47,8 +47,8 @@
 	return l.String()
 }
 
-// isolatedPart is the part of an equal share, over all hosts, that a host of a large fleet
-// takes which hears no other. The others cannot know how many such hosts there are, and leave
+// isolatedPart divides an equal share, over all hosts, for a host of a large fleet
+// that hears no other. The others cannot know how many such hosts there are, and leave
 // them nothing: a third of all hosts, out of sight, takes a ninth of a limit, which the
 // tolerance covers.
 const isolatedPart = 3
