--- a/internal/config/ratelimit.go
+++ b/internal/config/ratelimit.go
@@ -42,8 +42,8 @@
 	// PerSecond is the steady rate and Burst what may come beyond it at once, in units.
 	PerSecond float64
 	Burst     float64
-	// PlainTokens is what a request counts that does not say its tokens.
-	PlainTokens int
+	// DefaultTokens is what a request counts that does not say its tokens.
+	DefaultTokens int
 }
 
 // String returns the limit for operators.
@@ -58,8 +58,8 @@
 		return errors.Errorf("a rate of %g a second", l.PerSecond)
 	case !usable(l.Burst):
 		return errors.Errorf("a burst of %g", l.Burst)
-	case l.PlainTokens < 0 || l.PlainTokens > maxRequestTokens:
-		return errors.Errorf("%d tokens for a request that does not say its tokens", l.PlainTokens)
+	case l.DefaultTokens < 0 || l.DefaultTokens > maxRequestTokens:
+		return errors.Errorf("%d tokens for a request that does not say its tokens", l.DefaultTokens)
 	}
 	return nil
 }
@@ -72,7 +72,7 @@
 	case l.Unit == Requests:
 		return 1
 	case !said:
-		return int64(l.PlainTokens)
+		return int64(l.DefaultTokens)
 	default:
 		return int64(min(promptTokens, maxRequestTokens)) + int64(min(outputTokens, maxRequestTokens))
 	}
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -15,7 +15,7 @@
 // fixture counts 108.
 func (f *fixture) limitTo(perSecond, burst float64) {
 	o := f.view.Config.Organisations[0]
-	o.RateLimit = &config.RateLimit{Unit: config.Tokens, PerSecond: perSecond, Burst: burst, PlainTokens: 200}
+	o.RateLimit = &config.RateLimit{Unit: config.Tokens, PerSecond: perSecond, Burst: burst, DefaultTokens: 200}
 	now := time.Now()
 	f.deps.Limiter.SetLimits([]*config.Organisation{o}, now)
 	f.deps.Limiter.SetHosts(1, 1, false, now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -27,7 +27,7 @@
 	var out []*config.Organisation
 	for i, rate := range perSecond {
 		out = append(out, &config.Organisation{Name: fmt.Sprint("o", i), RateLimit: &config.RateLimit{
-			Unit: config.Tokens, PerSecond: rate, Burst: 2 * rate, PlainTokens: 200,
+			Unit: config.Tokens, PerSecond: rate, Burst: 2 * rate, DefaultTokens: 200,
 		}})
 	}
 	return out
@@ -65,7 +65,7 @@
 	}
 }
 
-// TestWhatARequestCounts: its prompt and the most it may generate, PlainTokens where it
+// TestWhatARequestCounts: its prompt and the most it may generate, DefaultTokens where it
 // does not say, one where the limit counts requests.
 func TestWhatARequestCounts(t *testing.T) {
 	l, now := limited(t, 1000)
