--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/schedule"
@@ -74,6 +75,15 @@
 	Deadline     time.Time
 }
 
+// digest returns what is the same for every attempt at the request.
+func (r *Request) digest() quarantine.Digest {
+	organisation := ""
+	if r.Organisation != nil {
+		organisation = r.Organisation.Name
+	}
+	return quarantine.DigestOf(organisation, r.Method, r.Host, r.Target, r.Body)
+}
+
 // Answer is the caller's side of a request.
 type Answer interface {
 	// Whole answers with a replica's whole answer.
@@ -111,6 +121,8 @@
 	Resumed int
 	// Holds counts the waits for another request's reading.
 	Holds int
+	// Digest is equal for attempts at the same request, whatever their IDs.
+	Digest quarantine.Digest
 	// Tries holds each attempt's replica and result.
 	Tries []Try
 }
@@ -172,6 +184,7 @@
 // Once ctx ends, the error comes at once.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
 	r := &run{d: d, req: req, out: out, machine: newMachine(), began: time.Now(), exclude: map[string]bool{}}
+	r.report.Digest = req.digest()
 	r.report.Prompt = req.Caller.PromptTokens
 	if n := len(req.Caller.Parts); n > 1 {
 		r.report.Prefix = req.Caller.Parts[n-2].ID
