--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -38,8 +38,14 @@
 	OnRun   func(id string, h http.Header)
 	OnFault func(id string)
 	OnOrder func(holder string, fence int64)
+	// OnCrash is told that a request with a DeadlyBody has begun to run: the server is to
+	// break every connection and to be gone for a while. Without it such requests run.
+	OnCrash func()
 }
 
+// DeadlyBody begins the body of a request that crashes each server that runs it.
+const DeadlyBody = "crash the server:"
+
 // Fault is what the server does wrong with its next request.
 type Fault string
 
@@ -186,6 +192,10 @@
 		return
 	}
 	e.run(r, id)
+	if e.OnCrash != nil && strings.HasPrefix(string(body), DeadlyBody) {
+		e.OnCrash()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == Lose {
 		<-r.Context().Done()
 		return
