--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -85,5 +85,16 @@
 	return lateTargets * route.LatencyTarget
 }
 
+// refuseDeadly returns a denial of a request under which servers crash, wherever it came
+// from: each further server would end too, with all that it runs for others. It is asked
+// before each attempt, as other hosts may have seen the last crash meanwhile.
+func (r *run) refuseDeadly() error {
+	n := r.d.crashes.Refused(r.report.Digest, time.Now())
+	if n == 0 {
+		return nil
+	}
+	return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running this request; it is not sent to others", n))
+}
+
 // unlimited stands for no bound.
 const unlimited = 24 * time.Hour
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -51,6 +51,14 @@
 		result = replica.Lost
 		err = errkind.Wrap(errkind.BackendLost, errSilent, "the replica does not answer")
 	}
+	switch {
+	case result == replica.Answered || result == replica.Failed:
+		r.d.crashes.Answered(r.report.Digest, time.Now())
+	case result == replica.Lost && upstream.Broken(err):
+		choice.Flight.Broke(time.Now())
+	case result == replica.Unreachable && upstream.Refused(err):
+		r.d.replicas.ConnectionRefused(choice.ID, choice.Address, time.Now())
+	}
 	choice.Flight.End(result, time.Now())
 	if result == replica.ConnectTimeout {
 		r.timedOut = choice.ID
--- /dev/null
+++ b/internal/dispatch/deadly_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/quarantine"
+)
+
+// crashUnder records crashes of so many servers under a request.
+func crashUnder(d *Dispatcher, req *Request, first, servers int) {
+	for i := range servers {
+		d.crashes.Crashed(quarantine.Server(first+i), []quarantine.Digest{req.digest()}, time.Now())
+	}
+}
+
+// TestDeadlyRequestIsSentToNobody: once three servers crashed under a request, whichever
+// hosts saw it, other attempts at it are denied at once, and other requests are served.
+func TestDeadlyRequestIsSentToNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		req := resumable()
+		crashUnder(d, req, 1, 2)
+		if _, err := d.Run(context.Background(), req, &recorder{}); err != nil || f.runs != 1 {
+			t.Errorf("after two crashes: %v, ran %d times", err, f.runs)
+		}
+		// That answer cleared it.
+		time.Sleep(time.Second)
+		crashUnder(d, req, 10, 3)
+		again := resumable()
+		again.ID = "r-2"
+		report, err := d.Run(context.Background(), again, &recorder{})
+		if !errkind.Is(err, errkind.Quarantined) || errkind.From(err).Retry() != 0 || report.Sends != 0 {
+			t.Errorf("after three crashes: %v, %+v", err, report)
+		}
+		other := resumable()
+		other.Body = []byte("another body")
+		if _, err := d.Run(context.Background(), other, &recorder{}); err != nil {
+			t.Errorf("another request: %v", err)
+		}
+	})
+}
+
+// TestDeadlyRequestIsNotSentOn: the third crash is seen while the host has the request under
+// way, and then its stream is cut. The caller is told that the request may have run, which is true, and no other server gets it.
+func TestDeadlyRequestIsNotSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{cutsStream}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		req := resumable()
+		crashUnder(d, req, 1, 2)
+		req.Route.Attempts = 3
+		// Another host sees the third crash while this one passes the first event on.
+		out := &crashOnEvent{recorder: &recorder{}, crash: func() { crashUnder(d, req, 10, 1) }}
+		_, err := d.Run(context.Background(), req, out)
+		if !errkind.Is(err, errkind.BackendLost) || f.runs != 1 {
+			t.Errorf("%v, ran %d times", err, f.runs)
+		}
+	})
+}
+
+// crashOnEvent is a caller at whose first event a host learns of a crash.
+type crashOnEvent struct {
+	*recorder
+	crash func()
+}
+
+// Event implements Answer.
+func (c *crashOnEvent) Event(data []byte) error {
+	if c.crash != nil {
+		c.crash()
+		c.crash = nil
+	}
+	return c.recorder.Event(data)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,13 +141,14 @@
 	replicas  *replica.Table
 	pool      *upstream.Pool
 	budget    *retry.Budget
+	crashes   *quarantine.Table
 	// Off holds the mechanisms that are switched off; it is set before use.
 	Off mechanism.Off
 }
 
 // New returns a dispatcher over the tables of one host.
-func New(s *schedule.Scheduler, replicas *replica.Table, pool *upstream.Pool, budget *retry.Budget) *Dispatcher {
-	return &Dispatcher{scheduler: s, replicas: replicas, pool: pool, budget: budget}
+func New(s *schedule.Scheduler, replicas *replica.Table, pool *upstream.Pool, budget *retry.Budget, crashes *quarantine.Table) *Dispatcher {
+	return &Dispatcher{scheduler: s, replicas: replicas, pool: pool, budget: budget, crashes: crashes}
 }
 
 // run is the state of one request.
@@ -207,6 +208,9 @@
 		if ctx.Err() != nil {
 			return r.final(ctx, ctx.Err())
 		}
+		if err := r.refuseDeadly(); err != nil {
+			return r.final(ctx, err)
+		}
 		choice, err := r.pick()
 		if err != nil && r.tryAgain(err) {
 			choice, err = r.pick()
@@ -258,6 +262,7 @@
 		Repeatable:   req.Route.Repeatable(),
 		MaxHold:      r.maxHold(),
 		Exclude:      r.exclude,
+		Digest:       r.report.Digest,
 	}, now)
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/route"
@@ -206,7 +207,7 @@
 	pool := upstream.NewPool()
 	pool.Dial = f.dial
 	s := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
-	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now())), table
+	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now()), quarantine.NewTable(log)), table
 }
 
 func testRequest(kind config.Kind, resumable bool, attempts int) *Request {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -121,7 +121,10 @@
 		fields["first_ms"], fields["expected_ms"] = ex.report.First.Milliseconds(), ex.report.Expected.Milliseconds()
 	}
 	if len(ex.report.Tries) > 1 || err != nil {
-		fields["tries"], fields["digest"] = ex.report.Tries, ex.report.Digest.String()
+		fields["tries"] = ex.report.Tries
+		if ex.report.Digest != 0 {
+			fields["digest"] = ex.report.Digest.String()
+		}
 	}
 	line := ex.s.Log.WithFields(fields)
 	if err != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/briarlink/briarlink/internal/netdial"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
@@ -71,7 +72,7 @@
 		Closing:    func() bool { return false },
 		Directory:  func(string) []string { return []string{"10.0.0.1:1"} },
 		AnswerTTL:  time.Second,
-		Dispatcher: dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now())),
+		Dispatcher: dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now()), quarantine.NewTable(log)),
 		Limiter:    quota.NewLimiter(quota.Terms{Window: 10 * time.Second, Over: 0.1}, time.Second, time.Now().Add(-time.Minute)),
 		Tell:       func() {},
 		Metrics:    metrics, Log: log, MaxBodyBytes: 1 << 10, DefaultDeadline: 5 * time.Second,
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -25,6 +25,8 @@
 	NotFound
 	// TooLarge means a size limit is exceeded.
 	TooLarge
+	// Quarantined means that backend servers crash while they run the request.
+	Quarantined
 	// QuotaExceeded means the organisation is at its rate limit.
 	QuotaExceeded
 	// Overloaded means the deadline cannot be met with the present load.
@@ -82,6 +84,7 @@
 	Unauthenticated:    {"unauthenticated", http.StatusUnauthorized, connect.CodeUnauthenticated, NotRun, 0},
 	NotFound:           {"not_found", http.StatusNotFound, connect.CodeNotFound, NotRun, 0},
 	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, connect.CodeInvalidArgument, NotRun, 0},
+	Quarantined:        {"quarantined", http.StatusBadRequest, connect.CodeFailedPrecondition, NotRun, 0},
 	QuotaExceeded:      {"quota_exceeded", http.StatusTooManyRequests, connect.CodeResourceExhausted, NotRun, 500 * time.Millisecond},
 	Overloaded:         {"overloaded", http.StatusServiceUnavailable, connect.CodeResourceExhausted, NotRun, 500 * time.Millisecond},
 	NotReady:           {"not_ready", http.StatusServiceUnavailable, connect.CodeUnavailable, NotRun, 300 * time.Millisecond},
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -27,7 +27,8 @@
 		"replica changed state": true, "replica thought down": true, "replica serves again": true,
 		"replica gives no sign of life": true, "replica avoided: another host finds it down": true,
 		"answer thought lost: later requests were answered": true, "replica holds other weights than believed": true,
-		"order to load weights": true, "order to load weights without an answer": true, "weights loaded": true,
+		"replica crashed while it was running requests": true,
+		"order to load weights":                         true, "order to load weights without an answer": true, "weights loaded": true,
 	}
 	hostMessages = map[string]bool{
 		"started": true, "stopped": true, "stopping: callers are sent elsewhere": true,
@@ -36,6 +37,12 @@
 	}
 )
 
+// digestMessages are the lines on all attempts at the same request; when they were written
+// makes no difference.
+var digestMessages = map[string]bool{
+	"request refused from now on: servers crash under it": true, "request is let in again": true,
+}
+
 // Lines that say what is in force.
 const (
 	configInForce = "configuration in force"
@@ -66,7 +73,7 @@
 		return Story{}, err
 	}
 	c := choice{window: window{
-		id: id, host: last.Source, replicas: r.Replicas(), everything: everything,
+		id: id, digest: r.Digest, host: last.Source, replicas: r.Replicas(), everything: everything,
 		from: r.Began(last.At).Add(-before), began: r.Began(last.At), to: last.At.Add(after),
 	}, version: r.Weights}
 	if err := logs.Each(c.take); err != nil {
@@ -114,6 +121,7 @@
 // window says which lines bear on a request.
 type window struct {
 	id         string
+	digest     string
 	host       string
 	replicas   map[string]bool
 	from       time.Time
@@ -137,6 +145,9 @@
 	if h.Message == obs.RequestMessage {
 		return false
 	}
+	if digestMessages[h.Message] {
+		return w.digest != "" && h.Digest == w.digest
+	}
 	if w.replicas[h.Replica] {
 		return w.everything || near && replicaMessages[h.Message]
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -35,6 +35,14 @@
 	"stream-cut-and-no-other": `
 10.0 edge-1 {"level":"warning","msg":"replica thought down","replica":"i-2","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the replica was lost and no other could take over","ms":1001,"first_ms":0,"expected_ms":56,"status":200,"sends":2,"ran":1,"replica":"i-2","config":7,"weights":1,"state":"failed","tries":[{"Replica":"i-1","Result":"lost","Reason":"the stream was cut: unexpected EOF","Ms":1001},{"Replica":"i-2","Result":"unreachable","Reason":"nothing was sent: connection refused","Ms":0}],"time":"2026-06-01T10:00:10.1Z"}`,
+	"quarantined": `
+7.1 edge-2 {"level":"warning","msg":"request refused from now on: servers crash under it","digest":"6b47bf19d2b6dff2","crashes":3,"time":"2026-06-01T10:00:07.1Z"}
+7.2 edge-2 {"level":"warning","msg":"request refused from now on: servers crash under it","digest":"1111111111111111","crashes":3,"time":"2026-06-01T10:00:07.2Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"quarantined","error":"quarantined: 3 backend servers crashed while they were running this request; it is not sent to others","ms":0,"sends":0,"ran":0,"config":7,"state":"failed","digest":"6b47bf19d2b6dff2","tries":null,"time":"2026-06-01T10:00:10Z"}`,
+	"replica-crashed": `
+10.0 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-1","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
+10.0 edge-1 {"level":"warning","msg":"replica crashed while it was running requests","replica":"i-1","requests":7,"time":"2026-06-01T10:00:10.02Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_lost","error":"backend_lost: the stream was cut: unexpected EOF","ms":1800,"first_ms":240,"expected_ms":200,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"failed","digest":"6b47bf19d2b6dff2","tries":[{"Replica":"i-1","Result":"lost","Reason":"cut","Ms":1790}],"time":"2026-06-01T10:00:10.1Z"}`,
 	"host-lost": `
 10.9 edge-2 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.9Z"}
 10.9 edge-3 {"level":"warning","msg":"host lost: no heartbeats","host":"edge-1","time":"2026-06-01T10:00:10.95Z"}`,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -47,6 +47,8 @@
 		return fmt.Sprintf("the caller got replica %s's own %d, passed on as it is", r.Replica, r.Status)
 	case errkind.Unauthenticated, errkind.NotFound:
 		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
+	case errkind.Quarantined:
+		return fmt.Sprintf("the caller was denied: servers crash under this request, whoever sends it on; it has not run (%s)", r.Error)
 	case errkind.BackendLost:
 		if r.Started() {
 			return fmt.Sprintf("the caller's stream was cut after %.0f ms, its first event came after %.0f ms: replica %s was lost", r.Ms, r.FirstMs, r.LostReplica())
@@ -130,7 +132,7 @@
 }
 
 // causes are the lines on a lost replica, the most telling first.
-var causes = []string{"replica thought down", "replica changed state", "replica gives no sign of life", "replica avoided: another host finds it down"}
+var causes = []string{"replica crashed while it was running requests", "replica thought down", "replica changed state", "replica gives no sign of life", "replica avoided: another host finds it down"}
 
 // evidence names the line that shows why a replica was lost.
 func evidence(r *logline.Request, near []logline.Line) string {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -63,6 +63,7 @@
 	Shared       int     `json:"shared"`
 	Cached       int     `json:"cached"`
 	Fetched      int     `json:"fetched"`
+	Digest       string  `json:"digest"`
 	Tries        []Try   `json:"tries"`
 }
 
@@ -147,6 +148,7 @@
 	Message string
 	Request string
 	Replica string
+	Digest  string
 	prefix  []byte
 }
 
@@ -155,7 +157,7 @@
 func ParseHead(text []byte) (h Head, ok bool) {
 	prefix, object := Object(text)
 	// Any type is taken: a field of another one than expected is left empty.
-	var fields struct{ Time, Msg, Request, Replica any }
+	var fields struct{ Time, Msg, Request, Replica, Digest any }
 	if object == nil || json.Unmarshal(object, &fields) != nil {
 		return h, false
 	}
@@ -164,6 +166,7 @@
 	h.Message, _ = fields.Msg.(string)
 	h.Request, _ = fields.Request.(string)
 	h.Replica, _ = fields.Replica.(string)
+	h.Digest, _ = fields.Digest.(string)
 	return h, ok
 }
 
--- a/internal/member/split.go
+++ b/internal/member/split.go
@@ -16,6 +16,7 @@
 func Split(whole *pb.Heartbeat, next func() uint64) []*pb.Heartbeat {
 	s := &splitter{next: next, base: withoutLists(whole)}
 	s.begin()
+	add(s, whole.Crashes, func(b *pb.Heartbeat, m *pb.RequestCrashes) { b.Crashes = append(b.Crashes, m) })
 	add(s, whole.Uses, func(b *pb.Heartbeat, m *pb.OrganisationUse) { b.Uses = append(b.Uses, m) })
 	add(s, whole.Members, func(b *pb.Heartbeat, m *pb.MemberState) { b.Members = append(b.Members, m) })
 	add(s, whole.Sent, func(b *pb.Heartbeat, m *pb.PrefixSent) { b.Sent = append(b.Sent, m) })
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -111,9 +111,11 @@
 // TestRequestThatCrashesServersIsKeptAway tells of a request that ended every server that
 // ran it: some twenty in half a minute, with the streams that these were at work on. Its
 // caller sent it again after each failure, to any host and under a new ID, and each host
-// took it for a new one. Once three servers have ended under it and every host has had
-// time to hear of it, at most three more may run it; other requests are served by both
-// hosts all the while.
+// took it for a new one: nothing was remembered of a request but its attempt's ID. Proof was
+// a digest of what is the same for all attempts, in the log: all but a few lost one or two
+// attempts, that one 44, on each host. Once three servers have ended under it and every host
+// has had time to hear of it, at most three more may run it; other requests are served by
+// both hosts all the while.
 func TestRequestThatCrashesServersIsKeptAway(t *testing.T) {
 	s := newSite(t)
 	for _, e := range s.engines {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -37,7 +37,7 @@
 	for tick := 0; ; {
 		now := time.Now()
 		n.shareLimits(now)
-		n.beat(n.members.Tick(tick, n.replicas.Working() || n.limiter.Untold(), now), true, now)
+		n.beat(n.members.Tick(tick, n.replicas.Working() || n.limiter.Untold() || n.crashes.Untold(), now), true, now)
 		tick++
 		for waiting := true; waiting; {
 			select {
@@ -122,6 +122,7 @@
 	out := proto.CloneOf(state)
 	out.Members = n.members.MemberStates(true, now)
 	out.Uses = n.limiter.Full(now)
+	out.Crashes = n.crashes.Refusals(now)
 	if out.Routing {
 		out.OperatorsAgeMs = ageMs(n.operatorsAge(now))
 		out.EntriesAgeMs = ageMs(n.entriesAge(now))
@@ -160,6 +161,7 @@
 	b.Loads = n.told.Changes(n.replicas.Loads(now), round)
 	b.Sent = n.scheduler.TakeSent()
 	b.Uses = n.limiter.Changes(now)
+	b.Crashes = n.crashes.Changes(now, round)
 	if round {
 		b.Paces = n.replicas.Paces()
 	}
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -31,6 +31,7 @@
 	}
 	n.replicas.SetLoads(b.Host, b.Loads, now)
 	n.limiter.Heard(quota.Word{Host: b.Host, Incarnation: b.Incarnation, Routing: b.Routing, Uses: b.Uses}, now)
+	n.crashes.Heard(b.Crashes, now)
 	n.lease.Heard(b.Host, b.LeaseEnd)
 	n.replicas.HeardPaces(b.Host, b.Paces)
 	n.replicas.Suspect(b.Host, b.Down, now)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -9,6 +9,7 @@
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/internal/topic"
+	"github.com/briarlink/briarlink/internal/upstream"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -112,6 +113,7 @@
 		n.replicas.JoinPaces()
 		n.shareBudget(now)
 		n.noteRefusals(now)
+		n.crashes.Expire(now)
 		n.becomeReady()
 		n.gauges(now)
 	})
@@ -140,6 +142,7 @@
 // request has to wait for a server that is dark.
 func (n *Node) reconnect(ctx context.Context) {
 	clock.Every(ctx, reconnectInterval, func() {
+		n.lookAtBroken(ctx)
 		_, due := n.replicas.Down(time.Now())
 		for id, address := range due {
 			n.pool.Forget(address)
@@ -154,6 +157,19 @@
 	})
 }
 
+// lookAtBroken looks whether servers are gone whose connections broke: requests that
+// crash their servers are to be known before they come again.
+func (n *Node) lookAtBroken(ctx context.Context) {
+	for id, address := range n.replicas.Broken() {
+		go func() {
+			if err := n.pool.Look(ctx, address); upstream.Refused(err) {
+				n.replicas.ConnectionRefused(id, address, time.Now())
+				n.replicas.Reached(id, false, time.Now())
+			}
+		}()
+	}
+}
+
 // shareBudget divides the slack of the retry budget among the hosts that callers
 // are sent to, once this one knows them.
 func (n *Node) shareBudget(now time.Time) {
@@ -222,5 +238,6 @@
 	}
 	m.LeaseHeld.Update(held)
 	m.Connections.Update(float64(n.pool.Opened()))
+	m.Quarantined.Update(float64(n.crashes.Count(now)))
 	m.DroppedLines.Update(float64(n.lines.Dropped()))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,7 +1,7 @@
 // Package node wires one entry host together and runs it.
 //
 // Lock order: every table (topic.Table, member.Table, replica.Table,
-// prefix.Index, retry.Budget, quota.Limiter, rollout.Lease, rollout.Loader) is locked alone; no
+// prefix.Index, retry.Budget, quota.Limiter, quarantine.Table, rollout.Lease, rollout.Loader) is locked alone; no
 // lock is held over a call to another table or process, but for Node.stating, which
 // comes before member.Table. A topic.Table tells of one record at a time, without its
 // lock.
@@ -32,6 +32,7 @@
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
@@ -102,6 +103,7 @@
 	pool      *upstream.Pool
 	budget    *retry.Budget
 	limiter   *quota.Limiter
+	crashes   *quarantine.Table
 	lease     *rollout.Lease
 	loader    *rollout.Loader
 	metrics   *obs.Metrics
@@ -181,6 +183,11 @@
 		n.pool.Forget(address)
 		n.loader.Forget(id)
 	})
+	n.crashes = quarantine.NewTable(log)
+	n.replicas.Crashed = func(server quarantine.Server, requests []quarantine.Digest, now time.Time) {
+		n.crashes.Crashed(server, requests, now)
+		n.beatSoon()
+	}
 	n.replicas.Off = off
 	n.replicas.Known = func(service string) bool {
 		c := n.config.Load()
@@ -252,7 +259,7 @@
 
 func (n *Node) buildEntry() {
 	s := n.settings
-	dispatcher := dispatch.New(n.scheduler, n.replicas, n.pool, n.budget)
+	dispatcher := dispatch.New(n.scheduler, n.replicas, n.pool, n.budget, n.crashes)
 	dispatcher.Off = n.off
 	n.entry = entry.New(entry.Deps{
 		View:            n.view,
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -56,6 +56,8 @@
 	Connections tally.Gauge
 	// Malformed counts backend servers' entries that name no server.
 	Malformed tally.Counter
+	// Quarantined is the number of requests that are refused since servers crash under them.
+	Quarantined tally.Gauge
 	// DroppedLines is the number of log lines dropped.
 	DroppedLines tally.Gauge
 }
@@ -97,6 +99,7 @@
 		Orders:        scope.Counter("load_orders"),
 		Connections:   scope.Gauge("backend_connections_opened"),
 		Malformed:     scope.Counter("malformed_entries"),
+		Quarantined:   scope.Gauge("quarantined_requests"),
 		DroppedLines:  scope.Gauge("log_lines_dropped"),
 	}, reporter.HTTPHandler(), closer
 }
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,229 @@
+package quarantine
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	_ "github.com/briarlink/briarlink/test/fixedseed"
+)
+
+// start is when these tests' own time begins.
+var start = time.Unix(1_000_000, 0)
+
+const deadly, innocent = Digest(1), Digest(2)
+
+func newTable() *Table {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return NewTable(log)
+}
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// TestCrashesSeenByDifferentHostsAdd: the third crash under a request may be the first that
+// each of three hosts sees. One server's end counts once, however many hosts and attempts
+// saw it.
+func TestCrashesSeenByDifferentHostsAdd(t *testing.T) {
+	hosts := []*Table{newTable(), newTable(), newTable()}
+	for i, h := range hosts {
+		h.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
+		h.Crashed(Server(10), []Digest{deadly}, at(float64(i)))
+		if n := h.Refused(deadly, at(3)); n != 0 {
+			t.Fatalf("refused after what one host saw: %d", n)
+		}
+	}
+	for _, from := range hosts {
+		told := from.Changes(at(3), false)
+		for _, to := range hosts {
+			to.Heard(told, at(3))
+		}
+	}
+	for i, h := range hosts {
+		if n := h.Refused(deadly, at(3)); n != 3 {
+			t.Errorf("host %d puts %d crashes down to the request, want 3", i, n)
+		}
+	}
+}
+
+// TestRequestsBesideADeadlyOneAreServed: a server runs many requests when it crashes, and
+// some meet such a request again and again. An answer to one of them clears it on every
+// host, and what the deadly one explains isn't put down to another.
+func TestRequestsBesideADeadlyOneAreServed(t *testing.T) {
+	a, b := newTable(), newTable()
+	for i := range 3 {
+		a.Crashed(Server(10+i), []Digest{deadly, innocent}, at(float64(i)))
+	}
+	if a.Refused(deadly, at(3)) == 0 {
+		t.Error("the deadly request is let in")
+	}
+	b.Heard(a.Changes(at(3), true), at(3))
+	a.Answered(innocent, at(4))
+	if a.Refused(innocent, at(4)) != 0 {
+		t.Error("a request that was answered is refused")
+	}
+	b.Heard(a.Changes(at(4), true), at(4))
+	if b.Refused(innocent, at(4)) != 0 || b.Refused(deadly, at(4)) == 0 {
+		t.Error("the word of an answer changed nothing, or too much")
+	}
+	c := newTable()
+	for i := range 4 {
+		c.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
+	}
+	c.Crashed(Server(10), []Digest{innocent}, at(5))
+	c.Crashed(Server(11), []Digest{innocent}, at(5))
+	c.Crashed(Server(12), []Digest{innocent}, at(5))
+	if c.Refused(innocent, at(5)) != 0 {
+		t.Error("a request is refused for crashes that another one explains")
+	}
+}
+
+// TestRequestIsTriedAgainAfterAWhile: a request that was refused for ten minutes may be
+// mended, or its servers; one more crash refuses it anew.
+func TestRequestIsTriedAgainAfterAWhile(t *testing.T) {
+	table := newTable()
+	for i := range 3 {
+		table.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
+	}
+	later := at(2).Add(holdFor)
+	if table.Refused(deadly, later.Add(-time.Millisecond)) == 0 || table.Refused(deadly, later) != 0 {
+		t.Error("not refused for holdFor after the last crash")
+	}
+	table.Crashed(Server(20), []Digest{deadly}, later)
+	if table.Refused(deadly, later) == 0 {
+		t.Error("let in after another crash")
+	}
+	table.Expire(later.Add(forgetAfter))
+	if len(table.records) != 0 {
+		t.Error("remembered for ever")
+	}
+}
+
+// TestStartedHostIsTold: a host that knows nothing hears of every refused request within
+// a second of heartbeats, whatever else has crashed lately.
+func TestStartedHostIsTold(t *testing.T) {
+	informed, started := newTable(), newTable()
+	const refused = 8
+	for d := range Digest(refused) {
+		for i := range 3 {
+			informed.Crashed(Server(100*uint64(d)+uint64(i)+1), []Digest{d + 1, 1000 + d*10 + Digest(i)}, at(float64(i)))
+		}
+	}
+	now := at(60)
+	for range 7 {
+		now = now.Add(150 * time.Millisecond)
+		started.Heard(informed.Changes(now, true), now)
+	}
+	if n := started.Count(now); n != refused {
+		t.Errorf("%d of %d refused requests known", n, refused)
+	}
+}
+
+// TestMemoryIsBounded: however many requests servers crash under, as many are remembered as
+// there is room for, and those with most crashes outlast the others.
+func TestMemoryIsBounded(t *testing.T) {
+	table := newTable()
+	for i := range 2 * maxPerRecord {
+		table.Crashed(Server(1+i), []Digest{deadly}, at(float64(i)))
+	}
+	for i := range 3 * maxRecords {
+		table.Crashed(Server(1000+i), []Digest{Digest(100 + i)}, at(20+float64(i)/1000))
+	}
+	if len(table.records) > maxRecords || len(table.records[deadly].crashes) > maxPerRecord {
+		t.Errorf("%d requests, %d crashes of one", len(table.records), len(table.records[deadly].crashes))
+	}
+	if table.Refused(deadly, at(30)) == 0 {
+		t.Error("the request with most crashes was forgotten")
+	}
+}
+
+// mostLost is how many heartbeats in a row may be lost between two hosts.
+const mostLost = 4
+
+// TestHostsAgreeWhateverIsLost: crashes and answers on several hosts, with heartbeats lost,
+// up to four in a row between two hosts. A second after the last of it every host refuses
+// what all crashes together are reason for, and nothing that was answered since.
+func TestHostsAgreeWhateverIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := make([]*Table, rapid.IntRange(2, 6).Draw(t, "hosts"))
+		for i := range hosts {
+			hosts[i] = newTable()
+		}
+		now := start
+		lost := map[[2]int]int{}
+		arrives := func(from, to int) bool {
+			link := [2]int{from, to}
+			if lost[link] < mostLost && rapid.IntRange(0, 4).Draw(t, "loss") > 2 {
+				lost[link]++
+				return false
+			}
+			lost[link] = 0
+			return true
+		}
+		exchange := func(lossy bool) {
+			now = now.Add(150 * time.Millisecond)
+			for i, from := range hosts {
+				told := from.Changes(now, true)
+				for j, to := range hosts {
+					if i != j && (!lossy || arrives(i, j)) {
+						to.Heard(told, now)
+					}
+				}
+			}
+		}
+		crashes, answered := map[Digest]int{}, map[Digest]bool{}
+		for n := range rapid.IntRange(1, 25).Draw(t, "steps") {
+			host := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+			d := Digest(rapid.IntRange(1, 3).Draw(t, "request"))
+			if rapid.IntRange(0, 6).Draw(t, "what") == 6 {
+				// An answer clears the crashes that its host has heard of.
+				for range 7 {
+					exchange(false)
+				}
+				hosts[host].Answered(d, now)
+				crashes[d], answered[d] = 0, true
+			} else {
+				hosts[host].Crashed(Server(1+n), []Digest{d}, now)
+				crashes[d]++
+			}
+			exchange(true)
+		}
+		for range 7 {
+			exchange(true)
+		}
+		for i, h := range hosts {
+			for d, n := range crashes {
+				if refused := h.Refused(d, now) > 0; refused != (n >= maxCrashes) {
+					t.Fatalf("host %d refuses request %d: %v after %d crashes, answered before: %v", i, d, refused, n, answered[d])
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkRefused(b *testing.B) {
+	table := newTable()
+	for i := range maxRecords {
+		table.Crashed(Server(1+i), []Digest{Digest(1 + i)}, start)
+	}
+	for b.Loop() {
+		table.Refused(Digest(1), start)
+	}
+}
+
+func BenchmarkHeard(b *testing.B) {
+	from, to := newTable(), newTable()
+	for i := range maxFresh {
+		from.Crashed(Server(1), []Digest{Digest(1 + i)}, start)
+	}
+	told := from.Changes(start, true)
+	if len(told) != maxFresh {
+		b.Fatalf("%d told", len(told))
+	}
+	for b.Loop() {
+		to.Heard(told, start)
+	}
+}
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/briarlink/briarlink/internal/quarantine"
+)
 
 // Work is what a request means for a server.
 type Work struct {
@@ -16,6 +20,8 @@
 	Own    time.Duration
 	Pace   float64
 	Engine bool
+	// Digest names the request.
+	Digest quarantine.Digest
 }
 
 // Flight is a request at a server. It is safe for concurrent use.
@@ -56,6 +62,7 @@
 		return
 	}
 	f.answered = true
+	f.entry.lives(f.began)
 	f.table.judge(f.entry, "an answer began", now, func(h *health) { h.alive() })
 	f.entry.paced(f, now.Sub(f.began))
 	f.entry.health.took(now.Sub(f.began), f.work.Expected, now)
@@ -85,7 +92,7 @@
 // End records the end of the exchange; only the first call counts.
 func (f *Flight) End(r Result, now time.Time) {
 	f.table.mu.Lock()
-	defer f.table.mu.Unlock()
+	defer f.table.unlock()
 	if f.over {
 		return
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -14,6 +14,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
@@ -62,6 +63,9 @@
 	// called under the lock. Nobody gives orders to servers of other services: an
 	// entry may come from another writer.
 	Known func(service string) bool
+	// Crashed is told, without the lock, of a server that crashed and of the requests that
+	// it was running; it is set before use.
+	Crashed func(server quarantine.Server, requests []quarantine.Digest, now time.Time)
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -80,6 +84,8 @@
 	paces      paces
 	usual      map[string]pace
 	paceCursor string
+	// crashes are told of once the lock is released.
+	crashes []crash
 }
 
 type entry struct {
@@ -103,6 +109,11 @@
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
+	// broken are the requests whose connections broke lately; look is set while the server
+	// is to be looked at for it, and ended is when nothing listened there, or zero.
+	broken []broken
+	look   bool
+	ended  time.Time
 }
 
 // NewTable returns an empty table. gone is called for each server that left, and
@@ -110,6 +121,7 @@
 func NewTable(log *logrus.Logger, gone func(id, address string)) *Table {
 	return &Table{
 		log: log, gone: gone, Known: func(string) bool { return true },
+		Crashed: func(quarantine.Server, []quarantine.Digest, time.Time) {},
 		entries: map[string]*entry{}, services: services{}, wanted: map[string][]wanted{}, held: map[serviceModel]int64{}, others: newLoads(), paces: paces{},
 	}
 }
@@ -133,7 +145,7 @@
 		t.others.forget(reg.ID)
 	}
 	t.register(reg, offset)
-	t.mu.Unlock()
+	t.unlock()
 	if restarted {
 		t.gone(reg.ID, address)
 	}
@@ -175,7 +187,7 @@
 		return
 	}
 	address := t.remove(id, e, "entry removed")
-	t.mu.Unlock()
+	t.unlock()
 	t.gone(id, address)
 }
 
@@ -189,7 +201,7 @@
 		return
 	}
 	t.remove(id, e, "its address answers for another server")
-	t.mu.Unlock()
+	t.unlock()
 	t.gone(id, address)
 }
 
@@ -202,13 +214,14 @@
 			removed[id] = t.remove(id, e, "entry still missing after an outage")
 		}
 	}
-	t.mu.Unlock()
+	t.unlock()
 	for id, address := range removed {
 		t.gone(id, address)
 	}
 }
 
 func (t *Table) remove(id string, e *entry, reason string) string {
+	t.crashed(e, time.Now())
 	t.fire(e, eventRemove, reason)
 	delete(t.entries, id)
 	delete(t.paces, id)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -15,6 +15,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/prefix"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/route"
 	"github.com/briarlink/briarlink/platform"
@@ -36,6 +37,8 @@
 	MaxHold time.Duration
 	// Exclude holds replicas that were tried.
 	Exclude map[string]bool
+	// Digest names the request.
+	Digest quarantine.Digest
 }
 
 // Choice is where a request goes and what its replica is told.
@@ -228,7 +231,7 @@
 	work := replica.Work{
 		Prefill: read, Memory: req.PromptTokens + req.OutputTokens,
 		Expected: d.Expected, Reading: time.Duration(d.Pace * float64(s.policy.Reading(read))),
-		Own: d.Own, Pace: d.Pace, Engine: capacity > 0,
+		Own: d.Own, Pace: d.Pace, Engine: capacity > 0, Digest: req.Digest,
 	}
 	c.Flight = s.replicas.Begin(d.ID, work, now)
 	if c.Flight == nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -65,6 +65,20 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// Broken reports whether the backend server's side ended the connection, and not a
+// timeout, the caller, or an answer that made no sense.
+func Broken(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Refused reports whether nothing listened at the backend server's address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Response is an answer whose body is still to be read. Finish must be called.
 type Response struct {
 	Status int
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -115,6 +116,18 @@
 	return limit
 }
 
+// Look reports, by an error, whether a backend server's address is dead. An idle connection
+// that is still open is enough; else one is opened, and kept for a request.
+func (p *Pool) Look(ctx context.Context, address string) error {
+	p.mu.Lock()
+	open := slices.ContainsFunc(p.idle[address], (*conn).quiet)
+	p.mu.Unlock()
+	if open {
+		return nil
+	}
+	return p.Probe(ctx, address)
+}
+
 // Probe opens a connection to a backend server and keeps it for a request.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
