--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/entry"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -79,8 +80,19 @@
 	}
 }
 
-// hostRecord takes an entry host's address.
+// hostRecord takes an entry host's address, or what hosts keep of a request under which
+// servers crash.
 func (n *Node) hostRecord(rec platform.Record, _ topic.Origin) {
+	if q, ok, err := platform.DecodeQuarantine(rec); ok {
+		if err != nil {
+			n.log.WithError(err).WithField("offset", rec.Offset).Error("crashes under a request not taken")
+			return
+		}
+		if n.crashes.Load(q, time.Now()) && n.rank() == 0 {
+			n.crashes.Remove(quarantine.Digest(q.Digest))
+		}
+		return
+	}
 	if rec.Removed || rec.Key == n.settings.Host.Id {
 		return
 	}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -163,3 +163,47 @@
 		}
 	}
 }
+
+// TestDeadlyRequestOutlivesALossOfPower: a fleet that had lost all its hosts at once let
+// three more servers end under a request that it had refused before, each time. What is
+// refused is kept in the store, where hosts that start find it.
+func TestDeadlyRequestOutlivesALossOfPower(t *testing.T) {
+	s := newSite(t)
+	for _, e := range s.engines {
+		s.store.Put(platform.ReplicaTopic, e.ID, nil)
+	}
+	var servers []*crashing
+	for i := range 4 {
+		servers = append(servers, s.crashing(fmt.Sprint("i-frail-", i)))
+	}
+	s.configure(1)
+	deadly := func(h *host, id string) {
+		r := caller.Request{ID: id, Method: "POST", Path: "/reports/1", Body: engine.DeadlyBody, Model: "m", Tokens: "840,16", Deadline: limit}
+		_, _ = h.caller().SendTo(t.Context(), h.settings.Listen.Caller, r)
+	}
+	everyServer := func(h *host) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(servers, func(c *crashing) bool { return !c.known([]*host{h}) })
+		}
+	}
+	first := s.host("a", s.address)
+	eventually(t, "readiness", first.ready)
+	for i := 0; crashes(servers) < 3; i++ {
+		eventually(t, "four servers", everyServer(first))
+		deadly(first, fmt.Sprint("d-", i))
+	}
+	eventually(t, "the refusal in the store", func() bool { return len(first.node.crashes.Unsaved()) == 0 })
+	first.stop()
+	<-first.done
+	again := s.host("b", s.address)
+	eventually(t, "readiness", again.ready)
+	eventually(t, "four servers", everyServer(again))
+	eventually(t, "the refusal on the started host", func() bool { return again.node.crashes.Count(time.Now()) == 1 })
+	before := crashes(servers)
+	for i := range 3 {
+		deadly(again, fmt.Sprint("e-", i))
+	}
+	if n := crashes(servers) - before; n != 0 {
+		t.Errorf("%d servers ended under a request that was refused before the loss of power", n)
+	}
+}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/internal/upstream"
@@ -69,6 +70,7 @@
 		entries.Run,
 		hosts.Run,
 		n.announce,
+		n.keepCrashes,
 		n.heartbeats,
 		func(ctx context.Context) { n.gossip.Receive(ctx, n.heard) },
 		n.sweep,
@@ -101,6 +103,32 @@
 	}
 }
 
+// keepCrashes keeps in the store under which requests servers crash.
+func (n *Node) keepCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.crashes.Dirty:
+		}
+		for _, q := range n.crashes.Unsaved() {
+			n.keepCrashesOf(ctx, q)
+		}
+	}
+}
+
+func (n *Node) keepCrashesOf(ctx context.Context, q platform.QuarantineRecord) {
+	for ctx.Err() == nil {
+		_, err := n.store.Append(ctx, platform.HostTopic, q.Encode(), -1)
+		if err == nil {
+			n.crashes.Saved(q)
+			return
+		}
+		n.log.WithError(err).WithField("digest", quarantine.Digest(q.Digest).String()).Info("crashes under a request were not kept in the store; trying again")
+		clock.Sleep(ctx, announceRetry)
+	}
+}
+
 // sweep does what is due now and then.
 func (n *Node) sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -48,6 +48,8 @@
 // seen or was told. It is safe for concurrent use; mu is its only lock.
 type Table struct {
 	log *logrus.Logger
+	// Dirty holds an element while something is to be kept in the store.
+	Dirty chan struct{}
 
 	mu      sync.Mutex
 	records map[Digest]*record
@@ -55,11 +57,16 @@
 	// request that was told again last.
 	fresh  map[Digest]*news
 	cursor Digest
+	// unsaved are the requests of which the store does not know what this host does.
+	unsaved map[Digest]bool
 }
 
 // NewTable returns an empty table.
 func NewTable(log *logrus.Logger) *Table {
-	return &Table{log: log, records: map[Digest]*record{}, fresh: map[Digest]*news{}}
+	return &Table{
+		log: log, Dirty: make(chan struct{}, 1),
+		records: map[Digest]*record{}, fresh: map[Digest]*news{}, unsaved: map[Digest]bool{},
+	}
 }
 
 // Crashed records that a server crashed while it was running these requests.
@@ -67,9 +74,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range requests {
-		if t.add(d, server, now, now) {
-			t.fresh[d] = &news{since: now}
-		}
+		t.fresh[d] = &news{since: now}
+		t.add(d, server, now, now)
 	}
 }
 
@@ -81,8 +87,8 @@
 	if r == nil || len(r.crashes) == 0 {
 		return
 	}
-	t.clear(d, r, now)
 	t.fresh[d] = &news{since: now}
+	t.clear(d, r, now)
 }
 
 // Refused returns how many servers crashed under a request that must not be sent to
@@ -183,6 +189,9 @@
 		delete(r.crashes, oldest(r.crashes))
 	}
 	r.crashes[server] = at
+	if n := len(r.crashes); n >= keepFrom && n <= maxCrashes {
+		t.save(d)
+	}
 	t.note(d, r, t.refused(d, r, now))
 	return true
 }
@@ -193,6 +202,9 @@
 		return
 	}
 	r.answered = answered
+	if len(r.crashes) >= keepFrom {
+		t.save(d)
+	}
 	for server, at := range r.crashes {
 		if !at.After(answered) {
 			delete(r.crashes, server)
