--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -43,6 +43,7 @@
 	defer cancel(nil)
 	x := &exchange{run: r, choice: choice, began: time.Now(), cancel: cancel}
 	x.watchSilence()
+	ran := r.report.Ran
 	result, err := x.send(ctx)
 	if x.watch != nil {
 		x.watch.Stop()
@@ -51,14 +52,7 @@
 		result = replica.Lost
 		err = errkind.Wrap(errkind.BackendLost, errSilent, "the replica does not answer")
 	}
-	switch {
-	case result == replica.Answered || result == replica.Failed:
-		r.d.crashes.Answered(r.report.Digest, time.Now())
-	case result == replica.Lost && upstream.Broken(err):
-		choice.Flight.Broke(time.Now())
-	case result == replica.Unreachable && upstream.Refused(err):
-		r.d.replicas.ConnectionRefused(choice.ID, choice.Address, time.Now())
-	}
+	x.noteCrash(result, err, r.report.Ran > ran)
 	choice.Flight.End(result, time.Now())
 	if result == replica.ConnectTimeout {
 		r.timedOut = choice.ID
@@ -70,6 +64,22 @@
 	return err
 }
 
+// noteCrash tells what the end of the attempt says of whether its server crashed, or was
+// crashed by the request.
+func (x *exchange) noteCrash(result replica.Result, err error, mayHaveRun bool) {
+	now := time.Now()
+	switch {
+	case result == replica.Answered || result == replica.Failed:
+		x.d.crashes.Answered(x.report.Digest, now)
+	case result == replica.Lost && upstream.Broken(err):
+		x.choice.Flight.Broke(now)
+	case (result == replica.Lost || result == replica.Cancelled) && mayHaveRun:
+		x.choice.Flight.Abandoned(now)
+	case result == replica.Unreachable && upstream.Refused(err):
+		x.d.replicas.ConnectionRefused(x.choice.ID, x.choice.Address, now)
+	}
+}
+
 // note records the attempt for the request's log line.
 func (r *run) note(choice *schedule.Choice, began time.Time, result replica.Result, err error) {
 	reason := ""
--- a/internal/replica/crash.go
+++ b/internal/replica/crash.go
@@ -12,15 +12,19 @@
 	// crashWithin is how long after a connection broke the end of its server is put down
 	// to a crash that broke it: entries of crashed servers are removed within this time.
 	crashWithin = 5 * time.Second
+	// abandonedWithin is the same for an attempt that this host gave up before its answer,
+	// or whose caller left: its server goes on with it for a while.
+	abandonedWithin = 2 * time.Second
 	// maxBroken bounds the broken requests that are remembered of one server: more than
 	// any runs at once.
 	maxBroken = 256
 )
 
-// broken is a request whose connection to its server broke before the whole answer.
+// broken is a request whose exchange with its server ended before the whole answer.
 type broken struct {
 	digest quarantine.Digest
-	at     time.Time
+	// until is when a crash of the server is no longer put down to the request.
+	at, until time.Time
 }
 
 // crash is the end of a server under the requests that it was running.
@@ -36,9 +40,7 @@
 	t, e := f.table, f.entry
 	t.mu.Lock()
 	defer t.unlock()
-	if len(e.broken) < maxBroken {
-		e.broken = append(e.broken, broken{f.work.Digest, now})
-	}
+	e.noteBroken(f.work.Digest, now, crashWithin)
 	if !e.ended.IsZero() && now.Sub(e.ended) < crashWithin {
 		t.crashed(e, now)
 		return
@@ -46,6 +48,22 @@
 	e.look = true
 }
 
+// Abandoned records that this host ended the exchange before the whole answer: the server
+// may have begun to run the request, and crash a little later.
+func (f *Flight) Abandoned(now time.Time) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	f.entry.noteBroken(f.work.Digest, now, abandonedWithin)
+}
+
+// noteBroken remembers a request for a while; where there are too many, the oldest goes.
+func (e *entry) noteBroken(d quarantine.Digest, now time.Time, within time.Duration) {
+	if len(e.broken) >= maxBroken {
+		e.broken = e.broken[1:]
+	}
+	e.broken = append(e.broken, broken{digest: d, at: now, until: now.Add(within)})
+}
+
 // crashed puts a server's end down to the requests that broke a moment ago. The end of one
 // that was leaving is no crash.
 func (t *Table) crashed(e *entry, now time.Time) {
@@ -55,7 +73,7 @@
 	}
 	c := crash{server: quarantine.ServerOf(e.reg.ID, e.reg.Started), at: now}
 	for _, b := range e.broken {
-		if now.Sub(b.at) < crashWithin {
+		if now.Before(b.until) {
 			c.requests = append(c.requests, b.digest)
 		}
 	}
--- a/internal/replica/crash_test.go
+++ b/internal/replica/crash_test.go
@@ -58,6 +58,21 @@
 	}
 }
 
+// TestAbandonedRequestsMayCrashTheirServer: a host gives a silent server up, or a caller
+// leaves, and the server begins to run the request and crashes just then.
+func TestAbandonedRequestsMayCrashTheirServer(t *testing.T) {
+	for after, want := range map[time.Duration]int{abandonedWithin - time.Millisecond: 1, abandonedWithin: 0} {
+		w, now := newCrashWorld(), time.Now()
+		f := w.Begin("a", Work{Digest: 1}, now)
+		f.Abandoned(now)
+		f.End(Cancelled, now)
+		w.ConnectionRefused("a", crashAddress, now.Add(after))
+		if len(w.requests) != want {
+			t.Errorf("crash %v after the end of the exchange: %d requests are blamed, want %d", after, len(w.requests), want)
+		}
+	}
+}
+
 // TestEntryTellsOfACrash where nothing else does: it is removed, or names a newer start
 // under the same ID.
 func TestEntryTellsOfACrash(t *testing.T) {
