--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
@@ -96,5 +98,24 @@
 	return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running this request; it is not sent to others", n))
 }
 
+// errDeadly ends attempts at a request under which servers crash.
+var errDeadly = errors.New("servers crash under this request")
+
+// guard ends the attempt if the request is refused before its answer begins: it may still
+// wait for its turn at a server, which would crash too.
+func (x *exchange) guard() {
+	if !x.started {
+		x.unguard = x.d.crashes.OnRefused(x.report.Digest, func() { x.cancel(errDeadly) })
+	}
+}
+
+// answerBegins ends the guard: the server runs the request and lives.
+func (x *exchange) answerBegins() {
+	if x.unguard != nil {
+		x.unguard()
+		x.unguard = nil
+	}
+}
+
 // unlimited stands for no bound.
 const unlimited = 24 * time.Hour
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -104,6 +104,7 @@
 	x.choice.Flight.First(now)
 	if !x.started {
 		x.started = true
+		x.answerBegins()
 		x.report.First = now.Sub(x.run.began)
 		x.report.Status = resp.Status
 		x.d.scheduler.Read(x.choice, now)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -35,6 +35,8 @@
 	cancel context.CancelCauseFunc
 	// watch looks for a hanging replica; nil where no other may be tried.
 	watch *time.Timer
+	// unguard ends the watch for the request's refusal; nil where its answer has begun.
+	unguard func()
 }
 
 // attempt sends the request to the chosen replica and passes its answer on.
@@ -43,6 +45,8 @@
 	defer cancel(nil)
 	x := &exchange{run: r, choice: choice, began: time.Now(), cancel: cancel}
 	x.watchSilence()
+	x.guard()
+	defer x.answerBegins()
 	ran := r.report.Ran
 	result, err := x.send(ctx)
 	if x.watch != nil {
--- a/internal/dispatch/deadly_test.go
+++ b/internal/dispatch/deadly_test.go
@@ -77,3 +77,47 @@
 	}
 	return c.recorder.Event(data)
 }
+
+// TestAttemptsUnderWayEndWithTheRefusal: copies of a request that wait at other servers when
+// it is refused are ended, and nothing else is; one whose answer has begun goes on.
+func TestAttemptsUnderWayEndWithTheRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{hangs, hangs}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		other := nonIdempotent()
+		other.Body = []byte("another body")
+		type end struct {
+			err   error
+			after time.Duration
+		}
+		run := func(req *Request) chan end {
+			out := make(chan end, 1)
+			ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+			began := time.Now()
+			go func() {
+				defer cancel()
+				_, err := d.Run(ctx, req, &recorder{})
+				out <- end{err, time.Since(began)}
+			}()
+			return out
+		}
+		waiting, beside := run(nonIdempotent()), run(other)
+		time.Sleep(100 * time.Millisecond)
+		crashUnder(d, nonIdempotent(), 1, 3)
+		if got := <-waiting; !errkind.Is(got.err, errkind.BackendLost) || got.after > 101*time.Millisecond {
+			t.Errorf("the attempt under way ended with %v after %v", got.err, got.after)
+		}
+		if got := <-beside; !errkind.Is(got.err, errkind.DeadlineExceeded) {
+			t.Errorf("the other one ended with %v after %v", got.err, got.after)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{streams}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		req := resumable()
+		out := &crashOnEvent{recorder: &recorder{}, crash: func() { crashUnder(d, req, 1, 3) }}
+		if _, err := d.Run(context.Background(), req, out); err != nil {
+			t.Errorf("an answer that had begun was ended: %v", err)
+		}
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -59,13 +59,19 @@
 	cursor Digest
 	// unsaved are the requests of which the store does not know what this host does.
 	unsaved map[Digest]bool
+	// underWay are the attempts that end once their request is refused.
+	underWay map[Digest]map[*attempt]bool
 }
 
+// attempt is one that is under way.
+type attempt struct{ end func() }
+
 // NewTable returns an empty table.
 func NewTable(log *logrus.Logger) *Table {
 	return &Table{
 		log: log, Dirty: make(chan struct{}, 1),
 		records: map[Digest]*record{}, fresh: map[Digest]*news{}, unsaved: map[Digest]bool{},
+		underWay: map[Digest]map[*attempt]bool{},
 	}
 }
 
@@ -105,6 +111,26 @@
 	return n
 }
 
+// OnRefused calls end, which must not block, once a request is refused, unless stop was
+// called before: attempts that wait at servers for their turn would crash these too.
+func (t *Table) OnRefused(d Digest, end func()) (stop func()) {
+	a := &attempt{end}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.underWay[d] == nil {
+		t.underWay[d] = map[*attempt]bool{}
+	}
+	t.underWay[d][a] = true
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.underWay[d], a)
+		if len(t.underWay[d]) == 0 {
+			delete(t.underWay, d)
+		}
+	}
+}
+
 // Count returns the number of requests that are refused.
 func (t *Table) Count(now time.Time) int {
 	t.mu.Lock()
@@ -169,6 +195,9 @@
 	r.refusing = refusing
 	if refusing {
 		t.log.WithFields(logrus.Fields{"digest": d.String(), "crashes": crashes}).Warn("request refused from now on: servers crash under it")
+		for a := range t.underWay[d] {
+			a.end()
+		}
 	} else {
 		t.log.WithField("digest", d.String()).Info("request is let in again")
 	}
