--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -68,7 +68,9 @@
 
 // inTouch reports whether a host was undisturbed; nil stands for all hosts.
 func (ds *disturbances) inTouch(h *host, from, to time.Time) bool {
-	return !ds.any(from, to, func(d *disturbance) bool { return d.host == nil || h == nil || d.host == h })
+	return !ds.any(from, to, func(d *disturbance) bool {
+		return d.what != crashUnderRequest && (d.host == nil || h == nil || d.host == h)
+	})
 }
 
 type run struct {
@@ -180,6 +182,7 @@
 		w.judgeLost(s)
 	}
 	w.judgeKey(s)
+	w.judgeDenied(s)
 }
 
 // judgeLost holds a host to its word when nothing but its own planned stop or
@@ -288,6 +291,7 @@
 	requests := w.seen.requests
 	w.seen.mu.Unlock()
 	w.seen.judgeLimit()
+	w.judgeDeadly(requests)
 	for _, s := range requests {
 		runs := w.seen.runsOf(s.id)
 		if s.kind.once() && len(runs) > 1 {
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -77,6 +77,19 @@
 			ran(w, "i-1")
 			w.seen.add(s)
 		},
+		"ran 4 times more, sent on by hosts in touch": func(w *world) {
+			for i := range 2*deadlyCrashes + 1 {
+				s := ended(notes, http.StatusBadGateway, "")
+				s.id, s.deadly, s.host = fmt.Sprint("deadly-", i), true, &host{id: "entry-0"}
+				w.seen.runs[s.id] = []run{{server: fmt.Sprint("i-", i), organisation: "museum-a", at: s.to.Add(-touch)}}
+				if i >= deadlyCrashes {
+					s.from = s.to.Add(time.Second)
+					w.seen.runs[s.id][0].at = s.from
+				}
+				w.seen.add(s)
+			}
+		},
+		"r of updates was denied": func(w *world) { w.judge(ended(updates, http.StatusBadRequest, "")) },
 		"two holders": func(w *world) {
 			w.seen.ordered("a", 1)
 			w.seen.ordered("b", 1)
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -61,8 +61,10 @@
 	key  string
 	body string
 	// host is known only of callers that keep to one.
-	host   *host
-	boot   int
+	host *host
+	boot int
+	// deadly requests crash each server that runs them.
+	deadly bool
 	from   time.Time
 	to     time.Time
 	answer caller.Answer
@@ -123,7 +125,10 @@
 func (w *world) send(ctx context.Context, c *caller.Caller, s *sent, rng *rand.Rand) {
 	s.id = uuid.NewString()
 	r := caller.Request{ID: s.id, Method: s.kind.method, Path: fmt.Sprintf("/%s/%d", s.kind.name, rng.IntN(9)), Deadline: deadline}
-	if s.kind.method == http.MethodPost {
+	switch {
+	case s.deadly:
+		r.Path, r.Body = "/"+s.kind.name+"/deadly", s.body
+	case s.kind.method == http.MethodPost:
 		s.body = strings.Repeat("x", rng.IntN(3000))
 		r.Body = s.body
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -157,6 +157,10 @@
 		own := rand.New(rand.NewPCG(seed, uint64(n+1)))
 		callersDone.Go(func() { w.press(pressing, n, own) })
 	}
+	if hasDeadly(seed) {
+		own := rand.New(rand.NewPCG(seed, deadlySeeds))
+		callersDone.Go(func() { w.pressDeadly(pressing, own) })
+	}
 	w.harm(context.Background(), series, func(name string) {
 		fmt.Fprintln(journal, time.Now().Format("15:04:05.000"), name)
 	})
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, target: target, conns: map[*net.TCPConn]bool{}}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
@@ -80,6 +80,27 @@
 	}
 }
 
+// leave closes the address: connections to it are refused, open ones reset.
+func (p *proxy) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+	p.resetAll()
+}
+
+// back opens the address again.
+func (p *proxy) back() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listener, err := net.Listen("tcp4", p.address())
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
 func (p *proxy) resetAll() {
 	for c := range p.conns {
 		// A reset, not a clean end; a connection that is closed already is no matter.
@@ -101,9 +122,9 @@
 	return p.mode, l.epoch != p.epoch
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarlink/briarlink/platform"
@@ -60,6 +61,8 @@
 	back    string
 	// replacing is held while one start follows another.
 	replacing sync.Mutex
+	// crashed is set from a crash under a request until the next start.
+	crashed atomic.Bool
 
 	mu       sync.Mutex
 	engine   *engine.Engine
@@ -202,6 +205,7 @@
 		o.Model, o.Started = model, time.Now().UnixMilli()
 	}
 	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
+	o.OnCrash = func() { w.crash(s, id) }
 	o.OnFault = w.seen.spoils
 	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
 	s.engine = engine.New(o)
@@ -214,6 +218,9 @@
 			s.mu.Lock()
 			e, draining := s.engine, s.draining
 			s.mu.Unlock()
+			if s.crashed.Load() {
+				continue
+			}
 			// The stand-in of the store takes it whatever its mode is.
 			_ = e.Register(func(key string, entry any) error { return w.store.PutJSON(platform.ReplicaTopic, key, entry) }, draining)
 		}
