--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -114,14 +114,14 @@
 		return 0
 	}
 	if !f.Holder.Store {
-		f.Index.Unconfirmed(f.Holder.Name, time.Now().Add(-confirmWithin))
+		f.Index.Unconfirmed(f.Holder.Name, clock.Now().Add(-confirmWithin))
 	}
 	return f.Gap()
 }
 
 // list takes everything that the holder holds, and reports whether it did.
 func (f *Follower) list(ctx context.Context) bool {
-	now := time.Now()
+	now := clock.Now()
 	if !f.listed.IsZero() && now.Sub(f.listed) < listPause {
 		return false
 	}
@@ -141,7 +141,7 @@
 }
 
 func (f *Follower) take(held platform.HeldPart) {
-	f.Index.Stored(f.Holder.Name, prefix.HashOf(held.Salt, held.Part), held.Tokens, f.Holder.Capacity, time.Now())
+	f.Index.Stored(f.Holder.Name, prefix.HashOf(held.Salt, held.Part), held.Tokens, f.Holder.Capacity, clock.Now())
 }
 
 func (f *Follower) line() *logrus.Entry { return f.Log.WithField("holder", f.Holder.Name) }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -91,7 +91,7 @@
 // from: each further server would end too, with all that it runs for others. It is asked
 // before each attempt, as other hosts may have seen the last crash meanwhile.
 func (r *run) refuseDeadly() error {
-	n := r.d.crashes.Refused(r.report.Digest, time.Now())
+	n := r.d.crashes.Refused(r.report.Digest, clock.Now())
 	if n == 0 {
 		return nil
 	}
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/schedule"
@@ -35,7 +35,7 @@
 	}
 	// Which weights it holds it does not say: those wanted by now may have overtaken
 	// those of a late order.
-	d.replicas.MarkUnsure(choice.ID, model, choice.Weights, time.Now())
+	d.replicas.MarkUnsure(choice.ID, model, choice.Weights, clock.Now())
 }
 
 // whole reads the answer to its end before any of it is passed on, so that a
@@ -43,7 +43,7 @@
 func (x *exchange) whole(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
 	resp.Finish(err == nil)
-	now := time.Now()
+	now := clock.Now()
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 			return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
@@ -100,7 +100,7 @@
 }
 
 func (x *exchange) passOn(resp *upstream.Response, ev event) error {
-	now := time.Now()
+	now := clock.Now()
 	x.choice.Flight.First(now)
 	if !x.started {
 		x.started = true
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/schedule"
@@ -43,7 +44,7 @@
 func (r *run) attempt(ctx context.Context, choice *schedule.Choice) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x := &exchange{run: r, choice: choice, began: time.Now(), cancel: cancel}
+	x := &exchange{run: r, choice: choice, began: clock.Now(), cancel: cancel}
 	x.watchSilence()
 	x.guard()
 	defer x.answerBegins()
@@ -57,7 +58,7 @@
 		err = errkind.Wrap(errkind.BackendLost, errSilent, "the replica does not answer")
 	}
 	x.noteCrash(result, err, r.report.Ran > ran)
-	choice.Flight.End(result, time.Now())
+	choice.Flight.End(result, clock.Now())
 	if result == replica.ConnectTimeout {
 		r.timedOut = choice.ID
 	}
@@ -71,7 +72,7 @@
 // noteCrash tells what the end of the attempt says of whether its server crashed, or was
 // crashed by the request.
 func (x *exchange) noteCrash(result replica.Result, err error, mayHaveRun bool) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case result == replica.Answered || result == replica.Failed:
 		x.d.crashes.Answered(x.report.Digest, now)
@@ -90,7 +91,7 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	r.report.Tries = append(r.report.Tries, Try{choice.ID, result.String(), reason, time.Since(began).Milliseconds()})
+	r.report.Tries = append(r.report.Tries, Try{choice.ID, result.String(), reason, clock.Since(began).Milliseconds()})
 }
 
 func (x *exchange) send(ctx context.Context) (replica.Result, error) {
@@ -143,7 +144,7 @@
 	req := x.req
 	out := platform.ReplicaRequest{
 		Replica: x.choice.ID,
-		Left:    time.Until(req.Deadline),
+		Left:    clock.Until(req.Deadline),
 		ID:      req.ID,
 		Salt:    x.choice.Salt,
 		Source:  x.choice.Source,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/looplab/fsm"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/mechanism"
@@ -184,7 +185,7 @@
 // got no whole answer, and its kind says truly whether the request may have run.
 // Once ctx ends, the error comes at once.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
-	r := &run{d: d, req: req, out: out, machine: newMachine(), began: time.Now(), exclude: map[string]bool{}}
+	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}}
 	r.report.Digest = req.digest()
 	r.report.Prompt = req.Caller.PromptTokens
 	if n := len(req.Caller.Parts); n > 1 {
@@ -249,7 +250,7 @@
 
 func (r *run) pick() (*schedule.Choice, error) {
 	req := r.req
-	now := time.Now()
+	now := clock.Now()
 	choice, err := r.d.scheduler.Pick(&schedule.Request{
 		Service:      req.Service,
 		Store:        req.Store,
@@ -302,7 +303,7 @@
 	}
 }
 
-func (r *run) budgeted() bool { return r.d.budget.Take(r.req.Service.Name, time.Now()) }
+func (r *run) budgeted() bool { return r.d.budget.Take(r.req.Service.Name, clock.Now()) }
 
 // final answers with the replica's own failure where there is one, or returns
 // an error whose kind is true of all attempts together.
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/briarlink/briarlink/internal/clock"
 )
 
 const (
@@ -29,7 +31,7 @@
 	}
 	limit := max(leastSilence, time.Duration(silentTargets*float64(route.LatencyTarget)))
 	check := func() {
-		if x.choice.Flight.Silence(time.Now()) > limit || x.choice.Flight.Lost() {
+		if x.choice.Flight.Silence(clock.Now()) > limit || x.choice.Flight.Lost() {
 			x.cancel(errSilent)
 			return
 		}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/obs"
 )
@@ -94,7 +95,7 @@
 // log writes the request's one line, and counts it.
 func (ex *exchange) log(err error) {
 	outcome := ex.outcome(err)
-	took := time.Since(ex.arrived)
+	took := clock.Since(ex.arrived)
 	ex.s.Metrics.Answered(outcome)
 	ex.measure(took)
 	fields := logrus.Fields{
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/quota"
 )
@@ -40,7 +40,7 @@
 	if ex.charged == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if ex.report.Ran == 0 {
 		ex.s.Limiter.Return(ex.org.Name, ex.charged, now)
 		return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/zeebo/xxh3"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
@@ -38,7 +39,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	ex := &exchange{s: s, w: w, r: r, arrived: time.Now(), view: s.View()}
+	ex := &exchange{s: s, w: w, r: r, arrived: clock.Now(), view: s.View()}
 	err := ex.handle()
 	ex.log(err)
 	if err == nil {
@@ -172,7 +173,7 @@
 		ex.caller.PromptTokens = leastSize
 	}
 	deadline := ex.deadline()
-	ctx, cancel := context.WithDeadline(ex.r.Context(), deadline)
+	ctx, cancel := context.WithTimeout(ex.r.Context(), clock.Until(deadline))
 	defer cancel()
 	report, err := ex.s.Dispatcher.Run(ctx, &dispatch.Request{
 		ID:           ex.caller.ID,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,7 +31,7 @@
 		"order to load weights":                         true, "order to load weights without an answer": true, "weights loaded": true,
 	}
 	hostMessages = map[string]bool{
-		"started": true, "stopped": true, "stopping: callers are sent elsewhere": true,
+		"started": true, "stopped": true, "this host's machine was suspended": true, "stopping: callers are sent elsewhere": true,
 		"store lost": true, "store regained": true, configInForce: true,
 		"organisation over its rate limit": true, "rate limit changed": true, "rate limit not taken": true,
 	}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/obs"
 )
 
@@ -61,7 +62,7 @@
 func (g *Gossip) take(data []byte, heard func(*pb.Heartbeat)) {
 	b := &pb.Heartbeat{}
 	if err := proto.Unmarshal(data, b); err != nil {
-		if others, ok := g.unread.Allow(time.Now()); ok {
+		if others, ok := g.unread.Allow(clock.Now()); ok {
 			g.log.WithError(err).WithField("others", others).Warn("malformed heartbeat dropped")
 		}
 		return
@@ -78,7 +79,7 @@
 	for _, b := range beats {
 		data, err := proto.Marshal(b)
 		if err != nil {
-			if others, ok := g.unencoded.Allow(time.Now()); ok {
+			if others, ok := g.unencoded.Allow(clock.Now()); ok {
 				g.log.WithError(err).WithField("others", others).Error("heartbeat not encoded")
 			}
 			continue
@@ -92,7 +93,7 @@
 func (g *Gossip) send(data []byte, address string) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
-		if others, ok := g.unsent.Allow(time.Now()); ok {
+		if others, ok := g.unsent.Allow(clock.Now()); ok {
 			g.log.WithError(err).WithFields(logrus.Fields{"address": address, "others": others}).Warn("malformed peer address")
 		}
 		return
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -1,11 +1,10 @@
 package node
 
 import (
-	"time"
-
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/entry"
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/topic"
@@ -47,7 +46,7 @@
 	if from.First {
 		take = n.replicas.Find
 	}
-	if take(w.Model, w.Version, time.Now()) {
+	if take(w.Model, w.Version, clock.Now()) {
 		n.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version, "offset": rec.Offset}).Info("weights wanted")
 		n.beatNow()
 	}
@@ -75,7 +74,7 @@
 // many: one line in a second says why.
 func (n *Node) noteMalformed(rec platform.Record, err error) {
 	n.metrics.Malformed.Inc(1)
-	if others, ok := n.malformed.Allow(time.Now()); ok {
+	if others, ok := n.malformed.Allow(clock.Now()); ok {
 		n.log.WithError(err).WithFields(logrus.Fields{"key": rec.Key, "offset": rec.Offset, "others": others}).Warn("backend server's entry not taken")
 	}
 }
@@ -88,7 +87,7 @@
 			n.log.WithError(err).WithField("offset", rec.Offset).Error("crashes under a request not taken")
 			return
 		}
-		if n.crashes.Load(q, time.Now()) && n.rank() == 0 {
+		if n.crashes.Load(q, clock.Now()) && n.rank() == 0 {
 			n.crashes.Remove(quarantine.Digest(q.Digest))
 		}
 		return
@@ -101,23 +100,23 @@
 		n.log.WithError(err).Error("host's record not taken")
 		return
 	}
-	n.members.Learn(h.PeerAddress, time.Now())
+	n.members.Learn(h.PeerAddress, clock.Now())
 }
 
 // view returns the configuration with the time in which a newer one could have
 // been missed.
 func (n *Node) view() entry.View {
-	return entry.View{Config: n.config.Load(), Age: n.operatorsAge(time.Now())}
+	return entry.View{Config: n.config.Load(), Age: n.operatorsAge(clock.Now())}
 }
 
 // rank returns this host's place among the live ones in the order in which they
 // would take the lease, read entries and follow cache events: the same on all of
 // them. Routing hosts come first: they hear soonest what is under way.
-func (n *Node) rank() int { return n.members.View(time.Now()).Rank }
+func (n *Node) rank() int { return n.members.View(clock.Now()).Rank }
 
 // status is what operators are told.
 func (n *Node) status() *pb.StatusResponse {
-	now := time.Now()
+	now := clock.Now()
 	out := &pb.StatusResponse{Host: n.settings.Host.Id, State: n.machine.Current(), Replicas: n.replicas.Status(now), Lease: &pb.LeaseStatus{}}
 	if c := n.config.Load(); c != nil {
 		out.ConfigVersion = c.Version
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -59,7 +59,7 @@
 // cacheHolders returns whom to follow. Standby hosts follow nobody.
 func (n *Node) cacheHolders() map[cachesync.Holder]bool {
 	out := map[cachesync.Holder]bool{}
-	now := time.Now()
+	now := clock.Now()
 	c := n.config.Load()
 	v := n.members.View(now)
 	if c == nil || !v.Here {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/topic"
@@ -35,7 +36,7 @@
 	defer ticker.Stop()
 	n.learnSeeds(n.settings.Member.Seeds)
 	for tick := 0; ; {
-		now := time.Now()
+		now := clock.Now()
 		n.shareLimits(now)
 		n.beat(n.members.Tick(tick, n.replicas.Working() || n.limiter.Untold() || n.crashes.Untold(), now), true, now)
 		tick++
@@ -55,7 +56,7 @@
 
 // kicked sends what was asked for between two intervals.
 func (n *Node) kicked() {
-	now := time.Now()
+	now := clock.Now()
 	all := n.toAll.Swap(false)
 	n.beat(n.members.Now(all, now), false, now)
 }
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -20,7 +21,7 @@
 	if b.Host == n.settings.Host.Id {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	before, fresh := n.members.Heard(b, now)
 	if !fresh {
 		return
@@ -66,7 +67,7 @@
 	}
 	for _, s := range c.Services {
 		if s.Engine != nil {
-			n.scheduler.Heard(b.Sent, s.Engine.CacheTokens, time.Now())
+			n.scheduler.Heard(b.Sent, s.Engine.CacheTokens, clock.Now())
 			return
 		}
 	}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
@@ -27,7 +28,7 @@
 			n.log.WithError(o.LimitError).WithFields(logrus.Fields{"organisation": o.Name, "version": c.Version}).Error("rate limit not taken")
 		}
 	}
-	changes := n.limiter.SetLimits(c.Organisations, time.Now())
+	changes := n.limiter.SetLimits(c.Organisations, clock.Now())
 	for i, change := range changes {
 		if i == loggedLimits {
 			break
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -61,7 +61,7 @@
 	operators.WaitNow = func() time.Duration { return operatorWait(n.rank()) }
 	operators.Fresh = n.operatorsKnown
 	operators.Hold = n.holdFirst
-	relayed := func() bool { return n.members.Relayed(time.Now()) }
+	relayed := func() bool { return n.members.Relayed(clock.Now()) }
 	hosts := follow(n.hosts, 0, hostInterval)
 	hosts.Fresh = relayed
 	hosts.Hold = func() bool { return n.holdFirst() || relayed() }
@@ -132,7 +132,8 @@
 // sweep does what is due now and then.
 func (n *Node) sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
-		now := time.Now()
+		now := clock.Now()
+		n.noteSuspension()
 		n.pool.Sweep(now)
 		n.expireHosts(now)
 		if n.access.Stable(now) {
@@ -147,6 +148,15 @@
 	})
 }
 
+// noteSuspension writes a line when the machine was suspended.
+func (n *Node) noteSuspension() {
+	total := clock.Suspended()
+	if total > n.suspended {
+		n.log.WithField("ms", (total - n.suspended).Milliseconds()).Warn("this host's machine was suspended")
+		n.suspended = total
+	}
+}
+
 // expireHosts notes the hosts that died. Many may at once; some lines name a few and
 // count the others.
 func (n *Node) expireHosts(now time.Time) {
@@ -171,7 +181,7 @@
 func (n *Node) reconnect(ctx context.Context) {
 	clock.Every(ctx, reconnectInterval, func() {
 		n.lookAtBroken(ctx)
-		_, due := n.replicas.Down(time.Now())
+		_, due := n.replicas.Down(clock.Now())
 		for id, address := range due {
 			n.pool.Forget(address)
 			go func() {
@@ -179,7 +189,7 @@
 				if err != nil {
 					n.log.WithError(err).WithField("replica", id).Debug("replica still unreachable")
 				}
-				n.replicas.Reached(id, err == nil, time.Now())
+				n.replicas.Reached(id, err == nil, clock.Now())
 			}()
 		}
 	})
@@ -191,8 +201,8 @@
 	for id, address := range n.replicas.Broken() {
 		go func() {
 			if err := n.pool.Look(ctx, address); upstream.Refused(err) {
-				n.replicas.ConnectionRefused(id, address, time.Now())
-				n.replicas.Reached(id, false, time.Now())
+				n.replicas.ConnectionRefused(id, address, clock.Now())
+				n.replicas.Reached(id, false, clock.Now())
 			}
 		}()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/addr"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/entry"
@@ -123,6 +124,9 @@
 	// word before it asks the store.
 	started time.Time
 	holdFor time.Duration
+	// suspended is the time of the machine's suspensions that the log tells; the sweep's
+	// alone.
+	suspended time.Duration
 	// malformed bounds the lines about records that are not what they should be,
 	// changes those about other hosts.
 	malformed, changes obs.Limiter
@@ -163,7 +167,7 @@
 		pool:        upstream.NewPool(),
 		kick:        make(chan struct{}, 1),
 		serving:     semaphore.NewWeighted(maxServed),
-		started:     time.Now(),
+		started:     clock.Now(),
 		routed:      routed{},
 		holdFor:     firstHold(s.Member),
 	}
@@ -295,7 +299,7 @@
 // the zone has fewer than two.
 func (n *Node) directory(zone string) []string {
 	var all, near []string
-	for _, h := range n.members.View(time.Now()).Serving {
+	for _, h := range n.members.View(clock.Now()).Serving {
 		all = append(all, h.CallerAddress)
 		if h.AvailabilityZone == zone {
 			near = append(near, h.CallerAddress)
@@ -315,7 +319,7 @@
 // once; callers that hold an older answer are still served until closeAfter of
 // the grace time; then open requests finish.
 func (n *Node) stop(servers []*server) {
-	began := time.Now()
+	began := clock.Now()
 	grace := n.settings.Stop.Grace.AsDuration()
 	statemachine.Fire(n.machine, eventTerm)
 	n.setState()
@@ -323,14 +327,14 @@
 	n.log.WithField("open", n.entry.Open()).Info("stopping: callers are sent elsewhere")
 	time.Sleep(part(grace, closeAfter))
 	statemachine.Fire(n.machine, eventClose)
-	for n.entry.Open() > 0 && time.Since(began) < part(grace, endAfter) {
+	for n.entry.Open() > 0 && clock.Since(began) < part(grace, endAfter) {
 		time.Sleep(stopPoll)
 	}
 	// A request that is no longer open may still have the end of its answer on the way.
 	for _, s := range servers {
-		s.close(max(part(grace, endAfter)-time.Since(began), part(grace, shutdownTime)))
+		s.close(max(part(grace, endAfter)-clock.Since(began), part(grace, shutdownTime)))
 	}
-	n.log.WithFields(logrus.Fields{"open": n.entry.Open(), "ms": time.Since(began).Milliseconds()}).Info("stopped")
+	n.log.WithFields(logrus.Fields{"open": n.entry.Open(), "ms": clock.Since(began).Milliseconds()}).Info("stopped")
 }
 
 const (
@@ -362,7 +366,7 @@
 
 // learnSeeds takes the IP addresses of hosts to try.
 func (n *Node) learnSeeds(ips []string) {
-	now := time.Now()
+	now := clock.Now()
 	for _, ip := range ips {
 		n.members.Learn(n.peerAt(ip), now)
 	}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -69,7 +70,7 @@
 
 // fetched logs records that another host had.
 func (n *Node) fetched(t *topic.Table, host string, taken int, end int64) {
-	others, ok := n.fetchLines[t.Name()].taken.Allow(time.Now())
+	others, ok := n.fetchLines[t.Name()].taken.Allow(clock.Now())
 	if !ok {
 		return
 	}
@@ -80,7 +81,7 @@
 
 // notFetched logs that another host did not give its records.
 func (n *Node) notFetched(t *topic.Table, host string, err error) {
-	if others, ok := n.fetchLines[t.Name()].failed.Allow(time.Now()); ok {
+	if others, ok := n.fetchLines[t.Name()].failed.Allow(clock.Now()); ok {
 		n.log.WithError(err).WithFields(logrus.Fields{"host": host, "topic": t.Name(), "others": others}).Info("records not fetched from another host")
 	}
 }
@@ -106,7 +107,7 @@
 			continue
 		}
 		records, end := t.From(in.From)
-		out := &pb.FetchRecordsResponse{End: end, Trusted: p.n.access.Stable(time.Now())}
+		out := &pb.FetchRecordsResponse{End: end, Trusted: p.n.access.Stable(clock.Now())}
 		for _, r := range records {
 			out.Records = append(out.Records, &pb.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed})
 		}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // holdFirst reports whether this host has just started and may yet be told by
 // others what the store holds.
-func (n *Node) holdFirst() bool { return time.Since(n.started) < n.holdFor }
+func (n *Node) holdFirst() bool { return clock.Since(n.started) < n.holdFor }
 
 // followsLease reports whether this host is among those that may take the lease.
 func (n *Node) followsLease() bool { return !n.holdFirst() && n.rank() < leaseFollowers }
@@ -46,7 +47,7 @@
 // operatorsKnown reports whether other hosts wait for operators' records and this
 // one need not.
 func (n *Node) operatorsKnown() bool {
-	now := time.Now()
+	now := clock.Now()
 	known := operatorsByOthers(n.rank(), n.members.Relayed(now), n.operatorsAge(now))
 	n.waitsForOperators.Store(!known)
 	return known
@@ -69,7 +70,7 @@
 // entries and this one lacks none of them. A standby host leaves that to those that
 // tell it.
 func (n *Node) entriesKnown() bool {
-	now := time.Now()
+	now := clock.Now()
 	if n.members.Relayed(now) {
 		return true
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/route"
@@ -221,7 +222,7 @@
 }
 
 func (t *Table) remove(id string, e *entry, reason string) string {
-	t.crashed(e, time.Now())
+	t.crashed(e, clock.Now())
 	t.fire(e, eventRemove, reason)
 	delete(t.entries, id)
 	delete(t.paces, id)
--- a/internal/rollout/follow.go
+++ b/internal/rollout/follow.go
@@ -58,7 +58,7 @@
 func (l *Lease) told() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.Is(StateOther) && time.Since(l.heard) < heardHold
+	return l.machine.Is(StateOther) && clock.Since(l.heard) < heardHold
 }
 
 // Heard takes the word of a host that holds the lease, with the end of its log;
@@ -72,7 +72,7 @@
 	if end < l.end || l.machine.Is(StateHeld) || l.machine.Is(StateUnknown) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	l.heard = now
 	if end == l.end {
 		return
@@ -120,7 +120,7 @@
 		return
 	}
 	l.last = lease
-	l.seen = time.Now()
+	l.seen = clock.Now()
 	if l.wrote(lease) {
 		l.uncertain = time.Time{}
 		return
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -131,7 +132,7 @@
 // Try takes or renews the lease where that may be done now, and reports whether
 // orders may be given. It costs at most one call to the store.
 func (l *Lease) Try(ctx context.Context) bool {
-	now := time.Now()
+	now := clock.Now()
 	rec, at, ok := l.due(now)
 	if !ok {
 		return l.Valid()
@@ -177,7 +178,7 @@
 // vacate notes that nobody holds the lease, unless the event says nothing new.
 func (l *Lease) vacate(event string) {
 	if statemachine.Fire(l.machine, event) {
-		l.vacant = time.Now()
+		l.vacant = clock.Now()
 	}
 }
 
@@ -207,7 +208,7 @@
 	}
 	l.end = max(l.end, offset+1)
 	before := l.last
-	l.last, l.seen, l.renewed = rec, time.Now(), sent
+	l.last, l.seen, l.renewed = rec, clock.Now(), sent
 	if rec.Fencing == 0 {
 		l.fromOther = before.Holder != "" && !l.wrote(before)
 		// Offsets begin at 0, fencing tokens at 1.
@@ -243,7 +244,7 @@
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.Is(StateHeld) && time.Since(l.renewed) < scale(l.ttl, orderShare)
+	return l.machine.Is(StateHeld) && clock.Since(l.renewed) < scale(l.ttl, orderShare)
 }
 
 // Fencing returns the fencing token of orders.
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -140,7 +140,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	clock.Every(ctx, tick, func() {
-		now := time.Now()
+		now := clock.Now()
 		behind := l.behind()
 		for _, t := range l.plan(ctx, behind, now) {
 			wg.Go(func() { l.load(ctx, t) })
@@ -188,7 +188,7 @@
 // serve meanwhile.
 func (l *Loader) room(behind []target) int {
 	counts := map[string]int{}
-	for _, s := range l.replicas.Servers(time.Now()) {
+	for _, s := range l.replicas.Servers(clock.Now()) {
 		for model := range s.Weights {
 			counts[model]++
 		}
@@ -208,7 +208,7 @@
 // weights.
 func (l *Loader) behind() []target {
 	var out []target
-	for _, s := range l.replicas.Lagging(time.Now()) {
+	for _, s := range l.replicas.Lagging(clock.Now()) {
 		for model, version := range s.Weights {
 			if wanted := l.replicas.Wanted(model); wanted > version {
 				out = append(out, target{s, model, wanted})
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -14,12 +15,12 @@
 func (l *Loader) load(ctx context.Context, t target) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	err := l.bring(ctx, t)
 	l.ended(t, err)
 	line := l.log.WithFields(logrus.Fields{
 		"replica": t.server.ID, "model": t.model, "version": t.version,
-		"fencing": l.lease.Fencing(), "ms": time.Since(began).Milliseconds(),
+		"fencing": l.lease.Fencing(), "ms": clock.Since(began).Milliseconds(),
 	})
 	if err != nil {
 		line.WithError(err).Warn("weights not loaded")
@@ -36,14 +37,14 @@
 	answered := l.busy[t.server.ID].answered
 	delete(l.busy, t.server.ID)
 	if err == nil {
-		l.progress = progress{at: time.Now()}
+		l.progress = progress{at: clock.Now()}
 		delete(l.failed, t.server.ID)
 		return
 	}
 	if errors.Is(err, errLeaseEnded) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	f, again := l.failure(t)
 	if !again {
 		f.since = now
@@ -82,15 +83,15 @@
 // drain keeps new requests away from the replica until it has read the prompts
 // that it was sent.
 func (l *Loader) drain(ctx context.Context, t target) {
-	began := time.Now()
+	began := clock.Now()
 	marked := time.Time{}
 	for ctx.Err() == nil {
-		if time.Since(marked) > refuseHold/3 {
+		if clock.Since(marked) > refuseHold/3 {
 			l.mark(t)
-			marked = time.Now()
+			marked = clock.Now()
 		}
 		time.Sleep(drainPoll)
-		now := time.Now()
+		now := clock.Now()
 		drained := now.Sub(began)
 		if drained >= maxDrain || drained >= leastDrain && l.replicas.Waiting(t.server.ID, now) == 0 {
 			return
@@ -99,7 +100,7 @@
 }
 
 func (l *Loader) mark(t target) {
-	l.replicas.Loading(t.server.ID, time.Now().Add(refuseHold))
+	l.replicas.Loading(t.server.ID, clock.Now().Add(refuseHold))
 	l.Changed()
 }
 
@@ -136,7 +137,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.progress = progress{at: time.Now()}
+	l.progress = progress{at: clock.Now()}
 }
 
 func (l *Loader) report(ctx context.Context, t target) (platform.EngineReport, error) {
@@ -207,7 +208,7 @@
 // accepted, and will not be, ends the wait early, so that the next plan orders again.
 func (l *Loader) await(ctx context.Context, t target, sequence int64, result platform.OrderResult) error {
 	accepted := result == platform.OrderAccepted || result == platform.OrderHolds
-	began := time.Now()
+	began := clock.Now()
 	pause := firstReport
 	failures := 0
 	for {
@@ -234,7 +235,7 @@
 		if l.holds(t, report) {
 			return nil
 		}
-		if !accepted && isVoid(report, sequence, time.Since(began)) {
+		if !accepted && isVoid(report, sequence, clock.Since(began)) {
 			return errOrderLost
 		}
 	}
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -19,7 +19,7 @@
 // nobody expects of it.
 func (l *Loader) Verify(ctx context.Context) {
 	clock.Every(ctx, verifyInterval, func() {
-		for _, s := range l.replicas.Unsure(time.Now()) {
+		for _, s := range l.replicas.Unsure(clock.Now()) {
 			l.verify(ctx, s)
 		}
 	})
@@ -59,7 +59,7 @@
 func (l *Loader) learn(id, model string, version int64) {
 	l.replicas.Holds(id, model, version)
 	l.mu.Lock()
-	l.recent = append(l.recent, loaded{id, model, version, time.Now()})
+	l.recent = append(l.recent, loaded{id, model, version, clock.Now()})
 	l.mu.Unlock()
 	l.Loaded(id)
 	l.Changed()
--- a/internal/topic/follow.go
+++ b/internal/topic/follow.go
@@ -71,7 +71,7 @@
 		}
 		var err error
 		synced, err = f.step(ctx, synced)
-		last = time.Now()
+		last = clock.Now()
 		pause := f.Gap
 		if err != nil {
 			pause = jitter(backoff)
@@ -89,7 +89,7 @@
 	if f.Fresh == nil || !f.Fresh() {
 		return false
 	}
-	return !f.Access.Lost() || time.Since(last) < lostCheck
+	return !f.Access.Lost() || clock.Since(last) < lostCheck
 }
 
 // jitter returns a pause between half of backoff and all of it: hosts that lost
@@ -110,7 +110,7 @@
 	}
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
-		f.Access.Succeeded(time.Now())
+		f.Access.Succeeded(clock.Now())
 		f.Log.WithFields(logrus.Fields{"topic": f.Table.Name(), "offset": f.Table.End()}).
 			Info("records were trimmed before they were read; reading the newest of each key")
 		return false, nil
@@ -120,9 +120,9 @@
 		return true, err
 	}
 	f.noteUnreadable(page)
-	f.Access.Succeeded(time.Now())
-	f.Table.Read(time.Now())
-	f.Table.Merge(page.Records, from+int64(len(page.Records)+page.Unreadable), f.Access.Stable(time.Now()))
+	f.Access.Succeeded(clock.Now())
+	f.Table.Read(clock.Now())
+	f.Table.Merge(page.Records, from+int64(len(page.Records)+page.Unreadable), f.Access.Stable(clock.Now()))
 	f.tell()
 	return true, nil
 }
@@ -167,11 +167,11 @@
 		return false, err
 	}
 	f.noteUnreadable(page)
-	f.Access.Succeeded(time.Now())
-	if !f.Table.Snapshot(page, f.Access.Stable(time.Now())) {
+	f.Access.Succeeded(clock.Now())
+	if !f.Table.Snapshot(page, f.Access.Stable(clock.Now())) {
 		return false, errors.New("the store's view is older than this host's")
 	}
-	f.Table.Read(time.Now())
+	f.Table.Read(clock.Now())
 	f.tell()
 	return true, nil
 }
@@ -194,7 +194,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.Access.Failed(time.Now(), err)
+	f.Access.Failed(clock.Now(), err)
 }
 
 // Access is whether this host reaches the store. It is safe for concurrent use.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/netdial"
 )
 
@@ -81,10 +82,10 @@
 		}
 		c = fresh
 	}
-	began := time.Now()
+	began := clock.Now()
 	resp, err := c.exchange(ctx, req)
 	if err != nil {
-		now := time.Now()
+		now := clock.Now()
 		if ctx.Err() == nil && c.rested > 0 && now.Sub(began) < p.resetWithin && errors.Is(err, syscall.ECONNRESET) {
 			p.learn(c.rested, now)
 		}
@@ -160,7 +161,7 @@
 		if maxIdle > 0 {
 			limit = min(limit, maxIdle)
 		}
-		now := time.Now()
+		now := clock.Now()
 		c.rested = now.Sub(c.idleSince)
 		if c.rested < p.rest(limit, now) && c.quiet() {
 			return c
@@ -188,7 +189,7 @@
 	if timeout > 0 {
 		c.maxIdle = max(timeout-idleMargin, timeout/2)
 	}
-	c.idleSince = time.Now()
+	c.idleSince = clock.Now()
 	p.mu.Lock()
 	full := p.closed || len(p.idle[c.address]) >= maxIdlePerServer
 	if !full {
