--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -23,7 +23,11 @@
 	if resp.Status == http.StatusMisdirectedRequest {
 		x.d.misdirected(x.choice, resp.Answer, x.req.Caller.Model)
 	}
-	return replica.Refused, errkind.New(errkind.BackendRefused, fmt.Sprintf("the replica refused with %d", resp.Status))
+	reason := fmt.Sprintf("the replica refused with %d", resp.Status)
+	if resp.Answer.Rest > 0 {
+		reason += fmt.Sprintf(" and asked for %v of rest", resp.Answer.Rest)
+	}
+	return replica.Refused, errkind.New(errkind.BackendRefused, reason)
 }
 
 // misdirected learns from a replica that is not the one expected: another start
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -110,6 +110,8 @@
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
+	// saidLeaving is set once an answer said that the server leaves.
+	saidLeaving bool
 	// broken are the requests whose connections broke lately; look is set while the server
 	// is to be looked at for it, and ended is when nothing listened there, or zero.
 	broken []broken
