--- /dev/null
+++ b/internal/node/words_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarlink/briarlink/test/standin/caller"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/store"
+)
+
+// asks sends so many requests to a host, one after the other, and returns the answers.
+func asks(t *testing.T, h *host, n int) []caller.Answer {
+	t.Helper()
+	var out []caller.Answer
+	for i := range n {
+		r := caller.Request{ID: fmt.Sprint("r-", i), Method: "POST", Path: "/reports/1", Model: "m", Prefix: fmt.Sprintf("p%d:400,q%d:20", i, i), Tokens: "420,16", Deadline: limit}
+		answer, err := h.caller().SendTo(t.Context(), h.settings.Listen.Caller, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, answer)
+	}
+	return out
+}
+
+// askedOf asks until a server has been sent a request.
+func askedOf(t *testing.T, h *host, e *engine.Engine) {
+	t.Helper()
+	before := e.Arrived()
+	eventually(t, "a request at the server", func() bool {
+		asks(t, h, 1)
+		return e.Arrived() > before
+	})
+}
+
+// drainTime is how long after a server's word requests may still come to it.
+const drainTime = 2 * time.Second
+
+// TestServerThatSaysItLeavesGetsNothingMore tells of requests that came to a server 2,026 ms
+// after an answer had told their host that it leaves. The store was silent, and its entry
+// said so 12 s later.
+func TestServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	h := s.host("a", s.address)
+	eventually(t, "readiness", h.ready)
+	s.store.SetMode(store.Silent)
+	defer s.store.SetMode(store.Up)
+	leaving := s.engines[0]
+	leaving.Leave()
+	askedOf(t, h, leaving)
+	time.Sleep(drainTime)
+	before := leaving.Arrived()
+	for _, answer := range asks(t, h, 20) {
+		if answer.Status != http.StatusOK {
+			t.Errorf("answer %+v", answer)
+		}
+	}
+	if n := leaving.Arrived() - before; n != 0 {
+		t.Errorf("%d of 20 requests came to a server %v after it had said that it leaves", n, drainTime)
+	}
+}
+
+// restMargin is how long after a server's refusal more requests may be on their way, and
+// restAllowed how many may come after that.
+const (
+	restMargin  = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// TestServerThatAsksForRestIsLeftAlone tells of a server that had turned a request away and
+// asked its host for 3 s of rest, and got 13 requests from it in that time. Where every
+// server asks for rest, callers are told when to come back.
+func TestServerThatAsksForRestIsLeftAlone(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	h := s.host("a", s.address)
+	eventually(t, "readiness", h.ready)
+	const rest = 3 * time.Second
+	resting := s.engines[0]
+	resting.Rest(rest)
+	askedOf(t, h, resting)
+	time.Sleep(restMargin)
+	before := resting.Arrived()
+	for _, answer := range asks(t, h, 30) {
+		if answer.Status != http.StatusOK || strings.Count(answer.Body, "id: ") != 6 {
+			t.Errorf("answer %+v", answer)
+		}
+	}
+	if n := resting.Arrived() - before; n > restAllowed {
+		t.Errorf("%d of 30 requests came to a server that had asked for %v of rest", n, rest)
+	}
+	s.engines[1].Rest(rest)
+	askedOf(t, h, s.engines[1])
+	for _, answer := range asks(t, h, 3) {
+		if answer.Status != http.StatusServiceUnavailable || answer.RetryAfter < rest/4 || answer.RetryAfter > rest {
+			t.Errorf("with every server at rest: %d, Retry-After %v", answer.Status, answer.RetryAfter)
+		}
+	}
+	eventually(t, "service after the rest", func() bool { return asks(t, h, 1)[0].Status == http.StatusOK })
+}
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -76,6 +76,11 @@
 	ran    map[string]int
 	cached map[string]bool
 	events [][]any
+	// leaving is told in every answer. Until restUntil requests are turned away, and their
+	// sender is asked for as much rest.
+	leaving   bool
+	restUntil time.Time
+	arrived   int
 }
 
 // New returns a server with weights version 1.
@@ -90,6 +95,27 @@
 	e.faults = append(e.faults, faults...)
 }
 
+// Leave makes the server say in every answer that it leaves. It serves on.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Rest makes the server turn requests away for a while, and ask for rest until its end.
+func (e *Engine) Rest(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restUntil = time.Now().Add(d)
+}
+
+// Arrived returns how many requests have come, turned away or not.
+func (e *Engine) Arrived() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrived
+}
+
 // Ran returns how often a request ran here.
 func (e *Engine) Ran(id string) int {
 	e.mu.Lock()
@@ -143,7 +169,23 @@
 	mux.HandleFunc("POST /-/order", e.order)
 	mux.HandleFunc("GET /-/kv-events", e.kvEvents)
 	mux.HandleFunc("/", e.serve)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		leaving := e.leaving
+		e.mu.Unlock()
+		if leaving {
+			w.Header().Set(wire.Leaving, "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// rest counts a request that has come, and returns for how long none is wanted.
+func (e *Engine) rest() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrived++
+	return time.Until(e.restUntil)
 }
 
 func (e *Engine) expected(w http.ResponseWriter, r *http.Request) bool {
@@ -177,6 +219,12 @@
 	}
 	id := r.Header.Get(wire.Attempt)
 	w.Header().Set(wire.Attempt, id)
+	if left := e.rest(); left > 0 {
+		w.Header().Set(wire.NotRun, "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if want := r.Header.Get(wire.ExpectWeights); want != "" && want != strconv.FormatInt(e.Version(), 10) {
 		w.Header().Set(wire.Instance, e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/test/standin/wire/wire.go
+++ b/test/standin/wire/wire.go
@@ -18,4 +18,5 @@
 	Deadline      = "X-Briarlink-Deadline-Ms"
 	Key           = "Api-Key"
 	Organisation  = "X-Briarlink-Tenant"
+	Leaving       = "Server-Leaving"
 )
