--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,7 @@
 		n.crashes.Crashed(server, requests, now)
 		n.beatSoon()
 	}
+	n.engines.Answered = n.replicas.ToldAt
 	n.replicas.Off = off
 	n.replicas.Known = func(service string) bool {
 		c := n.config.Load()
--- a/internal/node/words_test.go
+++ b/internal/node/words_test.go
@@ -42,7 +42,8 @@
 
 // TestServerThatSaysItLeavesGetsNothingMore tells of requests that came to a server 2,026 ms
 // after an answer had told their host that it leaves. The store was silent, and its entry
-// said so 12 s later.
+// said so 12 s later. Hosts took that word from the entry alone: no code read the answer's
+// header, and once it does, with the store as silent, nothing comes to the server.
 func TestServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
 	s := newSite(t)
 	s.configure(1)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -110,6 +110,8 @@
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
+	// since is when this host came to know the start.
+	since time.Time
 	// saidLeaving is set once an answer said that the server leaves.
 	saidLeaving bool
 	// broken are the requests whose connections broke lately; look is set while the server
@@ -157,7 +159,7 @@
 func (t *Table) register(reg platform.Registration, offset int64) {
 	e := t.entries[reg.ID]
 	if e == nil {
-		e = &entry{machine: newMachine(), weights: map[string]int64{}, flights: map[*Flight]bool{}}
+		e = &entry{machine: newMachine(), since: clock.Now(), weights: map[string]int64{}, flights: map[*Flight]bool{}}
 		t.entries[reg.ID] = e
 		t.log.WithFields(logrus.Fields{"replica": reg.ID, "service": reg.Service, "address": reg.Address, "started": reg.Started, "offset": offset}).Info("replica registered")
 	}
