--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -61,6 +61,8 @@
 	Log    *logrus.Logger
 	// Gap returns the pause between two calls at a busy holder.
 	Gap func() time.Duration
+	// Rest returns for how long the holder wants nothing from this host; it may be nil.
+	Rest func() time.Duration
 	// NoLists keeps the follower from listing what the holder holds.
 	NoLists bool
 	// Up is told whether the holder answers, after each call.
@@ -82,6 +84,11 @@
 
 // step reads once and returns how long to wait before the next read.
 func (f *Follower) step(ctx context.Context) time.Duration {
+	if f.Rest != nil {
+		if rest := f.Rest(); rest > 0 {
+			return rest
+		}
+	}
 	since := f.next
 	events, err := f.Engine.CacheEvents(ctx, f.Holder.Address, since, eventsWait)
 	if ctx.Err() != nil {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -101,7 +101,7 @@
 		return x.sendFailed(ctx, err)
 	}
 	x.arrived++
-	x.choice.Flight.Told(resp.Answer)
+	x.choice.Flight.Told(resp.Answer, clock.Now())
 	if resp.Answer.NotRun {
 		return x.refused(resp)
 	}
--- a/internal/node/words_test.go
+++ b/internal/node/words_test.go
@@ -74,8 +74,10 @@
 )
 
 // TestServerThatAsksForRestIsLeftAlone tells of a server that had turned a request away and
-// asked its host for 3 s of rest, and got 13 requests from it in that time. Where every
-// server asks for rest, callers are told when to come back.
+// asked its host for 3 s of rest, and got 13 requests from it in that time. A refusal said
+// only that the request had not run: the answer's Retry-After was not read, and a server
+// that turned requests away looked idle. With it read, none come before the rest is over.
+// Where every server asks for rest, callers are told when to come back.
 func TestServerThatAsksForRestIsLeftAlone(t *testing.T) {
 	s := newSite(t)
 	s.configure(1)
--- a/internal/replica/lagging.go
+++ b/internal/replica/lagging.go
@@ -39,7 +39,7 @@
 	defer t.mu.Unlock()
 	var out []Server
 	for _, id := range t.laggards() {
-		if e := t.entries[id]; t.takesOrders(e) {
+		if e := t.entries[id]; t.takesOrders(e) && !t.ordersWait(e, now) {
 			out = append(out, t.server(id, e, now))
 		}
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -110,6 +110,8 @@
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
+	// restUntil is until when the server wants nothing from this host.
+	restUntil time.Time
 	// since is when this host came to know the start.
 	since time.Time
 	// saidLeaving is set once an answer said that the server leaves.
@@ -274,7 +276,7 @@
 	silence := e.silence(now)
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
-		Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
+		Rest: e.rest(now), Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
 		Weights: e.weights[model], Behind: t.behind(e.reg.Service, model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(l.requests), PrefillTokens: int(l.prefill),
 		MemoryTokens: int(l.memory), CacheTokens: cacheTokens,
@@ -335,7 +337,7 @@
 	defer t.mu.Unlock()
 	var out []Server
 	for id, e := range t.entries {
-		if want(e) && t.takesOrders(e) {
+		if want(e) && t.takesOrders(e) && !t.ordersWait(e, now) {
 			out = append(out, t.server(id, e, now))
 		}
 	}
--- a/internal/replica/words_test.go
+++ b/internal/replica/words_test.go
@@ -34,17 +34,17 @@
 	table.Register(startOf(1000, 1), 0)
 	earlier := table.Begin("a", Work{}, time.Now())
 	flight := table.Begin("a", Work{}, time.Now())
-	flight.Told(platform.ReplicaAnswer{})
+	flight.Told(platform.ReplicaAnswer{}, time.Now())
 	if requests, orders := takes(t, table); !requests || !orders {
 		t.Error("taken for leaving without a word")
 	}
-	flight.Told(leaves)
+	flight.Told(leaves, time.Now())
 	table.Register(startOf(1000, 1), 1)
 	if requests, orders := takes(t, table); requests || orders {
 		t.Errorf("after its word: requests %v, orders %v", requests, orders)
 	}
 	table.Register(startOf(2000, 1), 2)
-	earlier.Told(leaves)
+	earlier.Told(leaves, time.Now())
 	if requests, orders := takes(t, table); !requests || !orders {
 		t.Error("a later start is taken for leaving at the word of the one before")
 	}
@@ -58,7 +58,7 @@
 	table.Register(startOf(1000, 1), 0)
 	other := leaves
 	other.Instance = "b"
-	table.Begin("a", Work{}, time.Now()).Told(other)
+	table.Begin("a", Work{}, time.Now()).Told(other, time.Now())
 	table.ToldAt(crashAddress, leaves, before)
 	table.ToldAt("10.0.0.9:1", leaves, time.Now())
 	table.ToldAt(crashAddress, platform.ReplicaAnswer{}, time.Now())
@@ -72,3 +72,33 @@
 		t.Error("its word in an answer to another call than a request was not heard")
 	}
 }
+
+// TestRest: a server gets no requests until its rest is over, nor orders, unless newer
+// weights have been wanted of it for long. The longest rest that it asked for holds.
+func TestRest(t *testing.T) {
+	table := NewTable(quietLog(), func(string, string) {})
+	table.Register(startOf(1000, 1), 0)
+	now := time.Now()
+	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{Rest: 5 * time.Second}, now)
+	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{Rest: time.Second}, now)
+	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{}, now)
+	for after, want := range map[time.Duration]time.Duration{0: 5 * time.Second, 4 * time.Second: time.Second, 5 * time.Second: 0, time.Minute: 0} {
+		at := now.Add(after)
+		if got := table.Snapshot(testService, testModel, 1000, at)[0].Rest; got != want || table.Rest("a", at) != want {
+			t.Errorf("after %v: %v left, want %v", after, got, want)
+		}
+		if orders := len(table.Servers(at)) == 1; orders != (want == 0) {
+			t.Errorf("after %v: takes orders: %v", after, orders)
+		}
+	}
+	table.Want(testModel, 2, now)
+	for after, want := range map[time.Duration]int{restYields - time.Millisecond: 0, restYields: 1} {
+		if got := len(table.Lagging(now.Add(after))); got != want {
+			t.Errorf("%v after newer weights were named: %d servers to be ordered, want %d", after, got, want)
+		}
+	}
+	table.Register(startOf(2000, 1), 1)
+	if table.Rest("a", now) != 0 || table.Rest("gone", now) != 0 {
+		t.Error("the rest of an earlier start holds")
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,6 +29,8 @@
 	Trial bool
 	// Loading replicas refuse requests until their weights are loaded.
 	Loading bool
+	// Rest is for how long the replica wants nothing from this host.
+	Rest time.Duration
 	// Weights is the version of the request's model, 0 without one. Behind is how
 	// long a newer one has been wanted, 0 without one.
 	Weights int64
@@ -107,13 +109,31 @@
 	if best := p.cheapest(req, candidates, allDoubted(candidates)); best.ID != "" {
 		return best, nil
 	}
-	return Decision{}, errkind.New(errkind.NoBackend, p.whyNone(req, candidates)).After(retryAfter)
+	return Decision{}, errkind.New(errkind.NoBackend, p.whyNone(req, candidates)).After(comeBack(candidates))
+}
+
+// comeBack returns when a caller whose request no candidate can take had better be back:
+// after a short while, or once the first of those at rest takes requests again where all
+// others are gone.
+func comeBack(candidates []Candidate) time.Duration {
+	first := time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case !c.Usable:
+		case c.Rest == 0:
+			return retryAfter
+		case first == 0 || c.Rest < first:
+			first = c.Rest
+		}
+	}
+	return max(retryAfter, first)
 }
 
 // allDoubted reports whether no candidate is usable without a doubt.
 func allDoubted(candidates []Candidate) bool {
 	for i := range candidates {
-		if candidates[i].Usable && !candidates[i].Doubted {
+		if candidates[i].Usable && !candidates[i].Doubted && candidates[i].Rest == 0 {
 			return false
 		}
 	}
@@ -172,6 +192,8 @@
 	switch {
 	case !c.Usable:
 		return "down or leaving"
+	case c.Rest > 0:
+		return "at rest"
 	case c.Loading:
 		return "loading weights"
 	case req.Exclude[c.ID]:
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -30,6 +30,7 @@
 		"just before it":      func(c *Candidate) { c.Behind = policy.WeightsDeadline - time.Second },
 		"queue up to it":      func(c *Candidate) { c.Behind, c.PrefillTokens = policy.WeightsDeadline-3*time.Second, 80_000 },
 		"memory too small":    func(c *Candidate) { c.CacheTokens = 10_000 },
+		"at rest":             func(c *Candidate) { c.Rest = time.Millisecond },
 		"tried before":        func(c *Candidate) { c.ID = "tried" },
 	} {
 		c := engine("a")
@@ -221,3 +222,30 @@
 		}
 	}
 }
+
+// TestCallersComeBackWhenTheRestIsOver: where every replica that may serve asked for rest,
+// callers are told the time until the first of them may be asked. While one is only busy
+// otherwise it is a short while; replicas that are gone play no part. One that is doubted and
+// not at rest is still the last resort.
+func TestCallersComeBackWhenTheRestIsOver(t *testing.T) {
+	policy := DefaultPolicy()
+	at := func(rest time.Duration) Candidate {
+		c := engine(rest.String())
+		c.Rest = rest
+		return c
+	}
+	loading, gone, doubted := engine("loading"), engine("gone"), engine("doubted")
+	loading.Loading, gone.Usable, doubted.Doubted = true, false, true
+	for want, candidates := range map[time.Duration][]Candidate{
+		2 * time.Second: {at(4 * time.Second), at(2 * time.Second), gone},
+		retryAfter:      {at(4 * time.Second), loading},
+	} {
+		_, err := policy.Decide(longRequest(), candidates)
+		if got := errkind.From(err).Retry(); !errkind.Is(err, errkind.NoBackend) || got != want {
+			t.Errorf("%v, come back after %v, want %v", err, got, want)
+		}
+	}
+	if d, err := policy.Decide(longRequest(), []Candidate{at(time.Second), doubted}); err != nil || d.ID != "doubted" {
+		t.Errorf("%v, %v", d.ID, err)
+	}
+}
