--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -175,6 +175,7 @@
 	switch {
 	case s.answer.Status == http.StatusOK:
 		w.seen.judgeSuccess(s)
+		w.said.hear(s, sealOf(s.answer.Header))
 	case s.answer.Header.Get(wire.Seal) != "" && s.answer.Status != http.StatusInternalServerError:
 		w.seen.fail("request %s: %d bears a server's seal", s.id, s.answer.Status)
 	}
@@ -199,7 +200,7 @@
 
 // judgeSuccess checks that a success is a server's whole answer to this request.
 func (r *record) judgeSuccess(s *sent) {
-	id := strings.TrimPrefix(s.answer.Header.Get(wire.Seal), "seal-of-")
+	id := sealOf(s.answer.Header)
 	ran := false
 	for _, run := range r.runsOf(s.id) {
 		ran = ran || run.server == id
@@ -292,6 +293,7 @@
 	w.seen.mu.Unlock()
 	w.seen.judgeLimit()
 	w.judgeDeadly(requests)
+	w.judgeRests(requests)
 	for _, s := range requests {
 		runs := w.seen.runsOf(s.id)
 		if s.kind.once() && len(runs) > 1 {
@@ -344,6 +346,7 @@
 	if r.organisation != want {
 		w.seen.fail("request %s ran for organisation %q, want %q", s.id, r.organisation, want)
 	}
+	w.judgeLeft(s, r)
 	w.seen.mu.Lock()
 	left, leaving := w.seen.left[r.server]
 	w.seen.mu.Unlock()
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -16,7 +16,7 @@
 )
 
 func testWorld() *world {
-	return &world{config: newOperator(store.New()), seen: newRecord(), faults: &disturbances{}}
+	return &world{config: newOperator(store.New()), seen: newRecord(), said: newWords(), faults: &disturbances{}}
 }
 
 // ended returns a request of a kind that a host answered just now.
@@ -89,6 +89,26 @@
 				w.seen.add(s)
 			}
 		},
+		"after an answer had told the host that the server leaves": func(w *world) {
+			h := &host{id: "entry-0"}
+			told, later := ended(updates, http.StatusOK, "seal-of-i-1"), ended(updates, http.StatusBadGateway, "")
+			told.host, told.boot, told.to = h, 1, time.Now().Add(-2*drainTime)
+			told.answer.Header.Set(wire.Leaving, "1")
+			w.said.hear(told, "i-1")
+			later.host, later.boot = h, 1
+			ran(w, "i-1")
+			w.seen.add(later)
+		},
+		"i-1 asked entry-0 for rest and got 3 requests": func(w *world) {
+			h, now := &host{id: "entry-0"}, time.Now()
+			for i := range restAllowed + 2 {
+				s := ended(updates, http.StatusServiceUnavailable, "")
+				s.id, s.host, s.boot = fmt.Sprint("rest-", i), h, 1
+				w.seen.add(s)
+				at := now.Add(time.Duration(i) * 2 * restMargin)
+				w.said.refusals = append(w.said.refusals, refusal{s.id, "i-1", at, now.Add(time.Minute)})
+			}
+		},
 		"r of updates was denied": func(w *world) { w.judge(ended(updates, http.StatusBadRequest, "")) },
 		"two holders": func(w *world) {
 			w.seen.ordered("a", 1)
--- a/test/soak/deadly.go
+++ b/test/soak/deadly.go
@@ -47,9 +47,11 @@
 	if !s.crashed.CompareAndSwap(false, true) {
 		return
 	}
+	// Begins before the first connection breaks, or what breaks with it would not be excused.
+	end := w.faults.begin(crashUnderRequest, nil, false)
 	s.front.leave()
 	go func() {
-		defer w.faults.begin(crashUnderRequest, nil, false)()
+		defer end()
 		s.replacing.Lock()
 		defer s.replacing.Unlock()
 		time.Sleep(time.Duration(rand.Int64N(int64(deadlyDown))))
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -41,6 +41,9 @@
 	if seed >= sizedSeeds {
 		series = withSized(series, rand.New(rand.NewPCG(seed, sizedSeeds)), s, length, plannedOnly)
 	}
+	if hasWords(seed) {
+		series = withWords(series, rand.New(rand.NewPCG(seed, wordsSeeds)), s, length)
+	}
 	return series
 }
 
@@ -188,9 +191,12 @@
 	w.restart(h)
 }
 
+// pauseOfHost is the disturbance of a host that stands still.
+const pauseOfHost = "pause"
+
 func (w *world) pauseHost(i int, d time.Duration) {
 	h := w.hosts[i]
-	end := w.faults.begin("pause", h, false)
+	end := w.faults.begin(pauseOfHost, h, false)
 	defer end()
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(d)
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -125,6 +125,7 @@
 		return result{seed: seed, err: err}
 	}
 	defer w.stop()
+	w.late = hasWords(seed)
 	c.mu.Lock()
 	c.worlds = append(c.worlds, w)
 	c.mu.Unlock()
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -89,7 +90,10 @@
 	servers []*server
 	config  *operator
 	seen    *record
-	faults  *disturbances
+	said    *words
+	// late is whether the store hears of servers that leave later than hosts.
+	late   bool
+	faults *disturbances
 }
 
 // firstBlock is the first of the blocks 127.0.N.0/24, and storePort the store's port in
@@ -115,7 +119,7 @@
 		return nil, err
 	}
 	w := &world{
-		size: s, dir: dir, store: store.New(), seen: newRecord(), faults: &disturbances{},
+		size: s, dir: dir, store: store.New(), seen: newRecord(), said: newWords(), faults: &disturbances{},
 		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
 	}
 	w.config = newOperator(w.store)
@@ -206,6 +210,7 @@
 	}
 	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
 	o.OnCrash = func() { w.crash(s, id) }
+	o.OnRest = func(request string, left time.Duration) { w.said.refused(id, request, left) }
 	o.OnFault = w.seen.spoils
 	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
 	s.engine = engine.New(o)
@@ -236,6 +241,10 @@
 func (w *world) replace(s *server, planned bool) {
 	old := s.current()
 	if planned {
+		old.Leave()
+		if w.late {
+			time.Sleep(time.Duration(rand.Int64N(int64(laterAtStore))))
+		}
 		s.mu.Lock()
 		s.draining = true
 		s.mu.Unlock()
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -38,6 +38,9 @@
 	OnRun   func(id string, h http.Header)
 	OnFault func(id string)
 	OnOrder func(holder string, fence int64)
+	// OnRest is told of each request that is turned away in the server's rest, and of how
+	// much is left of it; it may be nil.
+	OnRest func(id string, left time.Duration)
 	// OnCrash is told that a request with a DeadlyBody has begun to run: the server is to
 	// break every connection and to be gone for a while. Without it such requests run.
 	OnCrash func()
@@ -220,6 +223,9 @@
 	id := r.Header.Get(wire.Attempt)
 	w.Header().Set(wire.Attempt, id)
 	if left := e.rest(); left > 0 {
+		if e.OnRest != nil {
+			e.OnRest(id, left)
+		}
 		w.Header().Set(wire.NotRun, "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 		w.WriteHeader(http.StatusServiceUnavailable)
