--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -47,21 +48,26 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
-	// learned is the longest rest until learnedUntil; backend servers may drop
-	// connections sooner than they say.
-	learned      time.Duration
-	learnedUntil time.Time
+	// learned holds, by address, what dropped connections taught.
+	learned map[string]lesson
 	// Opened counts new connections.
 	opened int64
 }
 
+// lesson is the longest rest until a time: backend servers may drop connections sooner
+// than they say.
+type lesson struct {
+	longest time.Duration
+	until   time.Time
+}
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	dialer := netdial.New(dialTimeout)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
-	return &Pool{Dial: dial, resetWithin: resetWithin, idle: map[string][]*conn{}}
+	return &Pool{Dial: dial, resetWithin: resetWithin, idle: map[string][]*conn{}, learned: map[string]lesson{}}
 }
 
 // Opened returns the number of connections opened so far.
@@ -87,7 +93,7 @@
 	if err != nil {
 		now := clock.Now()
 		if ctx.Err() == nil && c.rested > 0 && now.Sub(began) < p.resetWithin && errors.Is(err, syscall.ECONNRESET) {
-			p.learn(c.rested, now)
+			p.learn(address, c.rested, now)
 		}
 		return nil, err
 	}
@@ -97,22 +103,33 @@
 
 // learn takes the rest after which a kept connection was reset by its next request:
 // its server had dropped it.
-func (p *Pool) learn(rested time.Duration, now time.Time) {
+func (p *Pool) learn(address string, rested time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := max(leastLearned, time.Duration(learnedShare*float64(rested)))
-	if now.Before(p.learnedUntil) {
-		limit = min(limit, p.learned)
+	longest := max(leastLearned, time.Duration(learnedShare*float64(rested)))
+	if before := p.learned[address]; now.Before(before.until) {
+		longest = min(longest, before.longest)
 	}
-	p.learned, p.learnedUntil = limit, now.Add(learnedFor)
+	p.learned[address] = lesson{longest, now.Add(learnedFor)}
+}
+
+// unlearn drops what a server taught whose address is dead: it did not drop connections,
+// it crashed just after it was sent a request on one.
+func (p *Pool) unlearn(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.learned, address)
 }
 
-// rest returns the longest rest that was learned, or limit.
+// rest returns the longest rest that any server taught, or limit: those of a service are
+// mostly alike.
 func (p *Pool) rest(limit time.Duration, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.learnedUntil) {
-		return min(limit, p.learned)
+	for _, l := range p.learned {
+		if now.Before(l.until) {
+			limit = min(limit, l.longest)
+		}
 	}
 	return limit
 }
@@ -142,6 +159,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.Dial(ctx, address)
 	if err != nil {
+		if Refused(err) {
+			p.unlearn(address)
+		}
 		return nil, errors.Wrap(err, "dial")
 	}
 	p.mu.Lock()
@@ -219,6 +239,7 @@
 			delete(p.idle, address)
 		}
 	}
+	maps.DeleteFunc(p.learned, func(_ string, l lesson) bool { return !now.Before(l.until) })
 	p.mu.Unlock()
 	for _, c := range old {
 		c.Conn.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -364,6 +364,33 @@
 	}
 }
 
+// TestCrashesTeachNothing: a server that crashes a moment after it was sent a request on a
+// kept connection resets it as one does that had dropped it. Its address tells them apart;
+// without that, each crash cost every service its kept connections for ten seconds.
+func TestCrashesTeachNothing(t *testing.T) {
+	address := script(t, resetSecond)
+	p := newTestPool(time.Minute)
+	p.resetWithin = time.Hour
+	defer p.Close()
+	if _, err := exchange(t, p, address, request("a", "")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := exchange(t, p, address, request("b", "")); err == nil {
+		t.Fatal("the server did not reset its connection")
+	}
+	now := time.Now()
+	if p.rest(time.Second, now) == time.Second {
+		t.Fatal("a dropped connection taught nothing")
+	}
+	p.Dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	if err := p.Look(context.Background(), "127.0.0.1:9"); !Refused(err) || p.rest(time.Second, now) == time.Second {
+		t.Errorf("another server's end: %v, connections are kept for %v", err, p.rest(time.Second, now))
+	}
+	if err := p.Look(context.Background(), address); !Refused(err) || p.rest(time.Second, now) != time.Second {
+		t.Errorf("the server's own end: %v, connections are kept for %v", err, p.rest(time.Second, now))
+	}
+}
+
 // TestEndingContextEndsTheExchange at once.
 func TestEndingContextEndsTheExchange(t *testing.T) {
 	reached := make(chan struct{})
