--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -83,6 +83,34 @@
 	})
 }
 
+// frailSite is a site whose engines are four servers that a deadly request ends.
+func frailSite(t *testing.T) (*site, []*crashing) {
+	t.Helper()
+	s := newSite(t)
+	for _, e := range s.engines {
+		s.store.Put(platform.ReplicaTopic, e.ID, nil)
+	}
+	var servers []*crashing
+	for i := range 4 {
+		servers = append(servers, s.crashing(fmt.Sprint("i-frail-", i)))
+	}
+	s.configure(1)
+	return s, servers
+}
+
+// sendDeadly sends an attempt at a deadly request. Whether its connection is cut or an
+// error comes makes no difference to these tests.
+func sendDeadly(t *testing.T, h *host, id string) {
+	t.Helper()
+	r := caller.Request{ID: id, Method: "POST", Path: "/reports/1", Body: engine.DeadlyBody, Model: "m", Tokens: "840,16", Deadline: limit}
+	_, _ = h.caller().SendTo(t.Context(), h.settings.Listen.Caller, r)
+}
+
+// allKnown reports whether every server is up and known to each host.
+func allKnown(servers []*crashing, hosts ...*host) bool {
+	return !slices.ContainsFunc(servers, func(c *crashing) bool { return !c.known(hosts) })
+}
+
 // crashes returns how often the servers ended.
 func crashes(servers []*crashing) int {
 	n := 0
@@ -117,15 +145,7 @@
 // has had time to hear of it, at most three more may run it; other requests are served by
 // both hosts all the while.
 func TestRequestThatCrashesServersIsKeptAway(t *testing.T) {
-	s := newSite(t)
-	for _, e := range s.engines {
-		s.store.Put(platform.ReplicaTopic, e.ID, nil)
-	}
-	var servers []*crashing
-	for i := range 4 {
-		servers = append(servers, s.crashing(fmt.Sprint("i-frail-", i)))
-	}
-	s.configure(1)
+	s, servers := frailSite(t)
 	a := s.host("a", s.address)
 	b := s.host("b", s.address, a)
 	hosts := []*host{a, b}
@@ -135,13 +155,9 @@
 	attempts := 0
 	deadly := func() {
 		attempts++
-		r := caller.Request{ID: fmt.Sprint("d-", attempts), Method: "POST", Path: "/reports/1", Body: engine.DeadlyBody, Model: "m", Tokens: "840,16", Deadline: limit}
-		// Whether the connection is cut or an error comes makes no difference here.
-		_, _ = hosts[attempts%2].caller().SendTo(t.Context(), hosts[attempts%2].settings.Listen.Caller, r)
-	}
-	everyServer := func() bool {
-		return !slices.ContainsFunc(servers, func(c *crashing) bool { return !c.known(hosts) })
+		sendDeadly(t, hosts[attempts%2], fmt.Sprint("d-", attempts))
 	}
+	everyServer := func() bool { return allKnown(servers, hosts...) }
 	eventually(t, "three crashes", func() bool {
 		eventually(t, "four servers", everyServer)
 		deadly()
@@ -168,40 +184,23 @@
 // three more servers end under a request that it had refused before, each time. What is
 // refused is kept in the store, where hosts that start find it.
 func TestDeadlyRequestOutlivesALossOfPower(t *testing.T) {
-	s := newSite(t)
-	for _, e := range s.engines {
-		s.store.Put(platform.ReplicaTopic, e.ID, nil)
-	}
-	var servers []*crashing
-	for i := range 4 {
-		servers = append(servers, s.crashing(fmt.Sprint("i-frail-", i)))
-	}
-	s.configure(1)
-	deadly := func(h *host, id string) {
-		r := caller.Request{ID: id, Method: "POST", Path: "/reports/1", Body: engine.DeadlyBody, Model: "m", Tokens: "840,16", Deadline: limit}
-		_, _ = h.caller().SendTo(t.Context(), h.settings.Listen.Caller, r)
-	}
-	everyServer := func(h *host) func() bool {
-		return func() bool {
-			return !slices.ContainsFunc(servers, func(c *crashing) bool { return !c.known([]*host{h}) })
-		}
-	}
+	s, servers := frailSite(t)
 	first := s.host("a", s.address)
 	eventually(t, "readiness", first.ready)
 	for i := 0; crashes(servers) < 3; i++ {
-		eventually(t, "four servers", everyServer(first))
-		deadly(first, fmt.Sprint("d-", i))
+		eventually(t, "four servers", func() bool { return allKnown(servers, first) })
+		sendDeadly(t, first, fmt.Sprint("d-", i))
 	}
 	eventually(t, "the refusal in the store", func() bool { return len(first.node.crashes.Unsaved()) == 0 })
 	first.stop()
 	<-first.done
 	again := s.host("b", s.address)
 	eventually(t, "readiness", again.ready)
-	eventually(t, "four servers", everyServer(again))
+	eventually(t, "four servers", func() bool { return allKnown(servers, again) })
 	eventually(t, "the refusal on the started host", func() bool { return again.node.crashes.Count(time.Now()) == 1 })
 	before := crashes(servers)
 	for i := range 3 {
-		deadly(again, fmt.Sprint("e-", i))
+		sendDeadly(t, again, fmt.Sprint("e-", i))
 	}
 	if n := crashes(servers) - before; n != 0 {
 		t.Errorf("%d servers ended under a request that was refused before the loss of power", n)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -7,10 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarlink/briarlink/internal/clock"
-	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/statemachine"
 	"github.com/briarlink/briarlink/internal/topic"
-	"github.com/briarlink/briarlink/internal/upstream"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -103,32 +101,6 @@
 	}
 }
 
-// keepCrashes keeps in the store under which requests servers crash.
-func (n *Node) keepCrashes(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.crashes.Dirty:
-		}
-		for _, q := range n.crashes.Unsaved() {
-			n.keepCrashesOf(ctx, q)
-		}
-	}
-}
-
-func (n *Node) keepCrashesOf(ctx context.Context, q platform.QuarantineRecord) {
-	for ctx.Err() == nil {
-		_, err := n.store.Append(ctx, platform.HostTopic, q.Encode(), -1)
-		if err == nil {
-			n.crashes.Saved(q)
-			return
-		}
-		n.log.WithError(err).WithField("digest", quarantine.Digest(q.Digest).String()).Info("crashes under a request were not kept in the store; trying again")
-		clock.Sleep(ctx, announceRetry)
-	}
-}
-
 // sweep does what is due now and then.
 func (n *Node) sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
@@ -195,19 +167,6 @@
 	})
 }
 
-// lookAtBroken looks whether servers are gone whose connections broke: requests that
-// crash their servers are to be known before they come again.
-func (n *Node) lookAtBroken(ctx context.Context) {
-	for id, address := range n.replicas.Broken() {
-		go func() {
-			if err := n.pool.Look(ctx, address); upstream.Refused(err) {
-				n.replicas.ConnectionRefused(id, address, clock.Now())
-				n.replicas.Reached(id, false, clock.Now())
-			}
-		}()
-	}
-}
-
 // shareBudget divides the slack of the retry budget among the hosts that callers
 // are sent to, once this one knows them.
 func (n *Node) shareBudget(now time.Time) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,10 +188,7 @@
 		n.loader.Forget(id)
 	})
 	n.crashes = quarantine.NewTable(log)
-	n.replicas.Crashed = func(server quarantine.Server, requests []quarantine.Digest, now time.Time) {
-		n.crashes.Crashed(server, requests, now)
-		n.beatSoon()
-	}
+	n.replicas.Crashed = n.replicaCrashed
 	n.engines.Answered = n.replicas.ToldAt
 	n.replicas.Off = off
 	n.replicas.Known = func(service string) bool {
--- a/internal/quarantine/save.go
+++ b/internal/quarantine/save.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,30 +19,36 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []platform.QuarantineRecord
-	for d := range t.unsaved {
-		q := platform.QuarantineRecord{Digest: uint64(d)}
-		r := t.records[d]
-		if r != nil && len(r.crashes) >= keepFrom {
-			for server, at := range r.crashes {
-				q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(server), AtMs: at.UnixMilli()})
-			}
-		}
-		out = append(out, q)
+	for _, d := range slices.Sorted(maps.Keys(t.unsaved)) {
+		out = append(out, t.toKeep(d))
 	}
-	slices.SortFunc(out, func(a, b platform.QuarantineRecord) int {
-		if a.Digest < b.Digest {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
-// Saved records that the store has taken a record of a request.
+// toKeep returns what the store is to hold of a request: nothing while one crash may be put
+// down to many others.
+func (t *Table) toKeep(d Digest) platform.QuarantineRecord {
+	q := platform.QuarantineRecord{Digest: uint64(d)}
+	r := t.records[d]
+	if r == nil || len(r.crashes) < keepFrom {
+		return q
+	}
+	for server, at := range r.crashes {
+		q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(server), AtMs: at.UnixMilli()})
+	}
+	return q
+}
+
+// Saved records that the store has taken a record of a request. What was seen meanwhile is
+// still to be kept.
 func (t *Table) Saved(q platform.QuarantineRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.unsaved, Digest(q.Digest))
+	d := Digest(q.Digest)
+	delete(t.unsaved, d)
+	if len(t.toKeep(d).Crashes) != len(q.Crashes) {
+		t.unsave(d)
+	}
 }
 
 // Load takes a record of the store, and reports whether it is too old to matter. The time
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// TestWhatIsSeenWhileTheStoreIsWrittenIsKept: the third crash comes while the first two are
+// on their way to the store.
+func TestWhatIsSeenWhileTheStoreIsWrittenIsKept(t *testing.T) {
+	table := newTable()
+	table.Crashed(10, []Digest{deadly}, at(0))
+	table.Crashed(11, []Digest{deadly}, at(1))
+	written := table.Unsaved()[0]
+	table.Crashed(12, []Digest{deadly}, at(2))
+	table.Saved(written)
+	if left := table.Unsaved(); len(left) != 1 || len(left[0].Crashes) != 3 || len(table.Dirty) != 1 {
+		t.Errorf("still to be kept: %+v", left)
+	}
+}
+
 // TestClocksOfOtherHostsMayBeWrong: crashes that lie ahead by this host's clock count as of
 // now, so that a request is not refused for longer than holdFor from here on.
 func TestClocksOfOtherHostsMayBeWrong(t *testing.T) {
