--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -61,8 +61,8 @@
 	Log    *logrus.Logger
 	// Gap returns the pause between two calls at a busy holder.
 	Gap func() time.Duration
-	// Rest returns for how long the holder wants nothing from this host; it may be nil.
-	Rest func() time.Duration
+	// Backoff returns for how long the holder wants no calls from this host; it may be nil.
+	Backoff func() time.Duration
 	// NoLists keeps the follower from listing what the holder holds.
 	NoLists bool
 	// Up is told whether the holder answers, after each call.
@@ -84,9 +84,9 @@
 
 // step reads once and returns how long to wait before the next read.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	if f.Rest != nil {
-		if rest := f.Rest(); rest > 0 {
-			return rest
+	if f.Backoff != nil {
+		if backoff := f.Backoff(); backoff > 0 {
+			return backoff
 		}
 	}
 	since := f.next
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -87,10 +87,10 @@
 	return lateTargets * route.LatencyTarget
 }
 
-// refuseDeadly returns a denial of a request under which servers crash, wherever it came
+// refusePoison returns a denial of a request under which servers crash, wherever it came
 // from: each further server would end too, with all that it runs for others. It is asked
 // before each attempt, as other hosts may have seen the last crash meanwhile.
-func (r *run) refuseDeadly() error {
+func (r *run) refusePoison() error {
 	n := r.d.crashes.Refused(r.report.Digest, clock.Now())
 	if n == 0 {
 		return nil
@@ -98,14 +98,14 @@
 	return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running this request; it is not sent to others", n))
 }
 
-// errDeadly ends attempts at a request under which servers crash.
-var errDeadly = errors.New("servers crash under this request")
+// errPoison ends attempts at a request under which servers crash.
+var errPoison = errors.New("servers crash under this request")
 
 // guard ends the attempt if the request is refused before its answer begins: it may still
 // wait for its turn at a server, which would crash too.
 func (x *exchange) guard() {
 	if !x.started {
-		x.unguard = x.d.crashes.OnRefused(x.report.Digest, func() { x.cancel(errDeadly) })
+		x.unguard = x.d.crashes.OnRefused(x.report.Digest, func() { x.cancel(errPoison) })
 	}
 }
 
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -24,8 +24,8 @@
 		x.d.misdirected(x.choice, resp.Answer, x.req.Caller.Model)
 	}
 	reason := fmt.Sprintf("the replica refused with %d", resp.Status)
-	if resp.Answer.Rest > 0 {
-		reason += fmt.Sprintf(" and asked for %v of rest", resp.Answer.Rest)
+	if resp.Answer.RetryAfter > 0 {
+		reason += fmt.Sprintf(" and asked this host to back off for %v", resp.Answer.RetryAfter)
 	}
 	return replica.Refused, errkind.New(errkind.BackendRefused, reason)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -209,7 +209,7 @@
 		if ctx.Err() != nil {
 			return r.final(ctx, ctx.Err())
 		}
-		if err := r.refuseDeadly(); err != nil {
+		if err := r.refusePoison(); err != nil {
 			return r.final(ctx, err)
 		}
 		choice, err := r.pick()
--- a/internal/dispatch/deadly_test.go
+++ b/internal/dispatch/poison_test.go
@@ -17,9 +17,9 @@
 	}
 }
 
-// TestDeadlyRequestIsSentToNobody: once three servers crashed under a request, whichever
+// TestPoisonRequestIsSentToNobody: once three servers crashed under a request, whichever
 // hosts saw it, other attempts at it are denied at once, and other requests are served.
-func TestDeadlyRequestIsSentToNobody(t *testing.T) {
+func TestPoisonRequestIsSentToNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{ranAt: map[string]bool{}}
 		d, _ := newDispatcher(f)
@@ -45,9 +45,9 @@
 	})
 }
 
-// TestDeadlyRequestIsNotSentOn: the third crash is seen while the host has the request under
+// TestPoisonRequestIsNotSentOn: the third crash is seen while the host has the request under
 // way, and then its stream is cut. The caller is told that the request may have run, which is true, and no other server gets it.
-func TestDeadlyRequestIsNotSentOn(t *testing.T) {
+func TestPoisonRequestIsNotSentOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{plan: []behaviour{cutsStream}, ranAt: map[string]bool{}}
 		d, _ := newDispatcher(f)
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -99,7 +99,7 @@
 		Gap: func() time.Duration {
 			return max(cacheGap, time.Second*time.Duration(n.replicas.Count())/cacheCalls)
 		},
-		Rest:    func() time.Duration { return n.replicas.Rest(h.Name, clock.Now()) },
+		Backoff: func() time.Duration { return n.replicas.Backoff(h.Name, clock.Now()) },
 		NoLists: n.off[mechanism.CacheLists],
 		Up:      func(err error) { n.cacheStoreUp(h, err) },
 	}
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -24,7 +24,7 @@
 	allowedCrashes = 3
 )
 
-// crashing is a backend server that a deadly request ends, with all that it is at work on,
+// crashing is a backend server that a poison request ends, with all that it is at work on,
 // and that is back at its address under another ID.
 type crashing struct {
 	s       *site
@@ -83,7 +83,7 @@
 	})
 }
 
-// frailSite is a site whose engines are four servers that a deadly request ends.
+// frailSite is a site whose engines are four servers that a poison request ends.
 func frailSite(t *testing.T) (*site, []*crashing) {
 	t.Helper()
 	s := newSite(t)
@@ -98,11 +98,11 @@
 	return s, servers
 }
 
-// sendDeadly sends an attempt at a deadly request. Whether its connection is cut or an
+// sendPoison sends an attempt at a poison request. Whether its connection is cut or an
 // error comes makes no difference to these tests.
-func sendDeadly(t *testing.T, h *host, id string) {
+func sendPoison(t *testing.T, h *host, id string) {
 	t.Helper()
-	r := caller.Request{ID: id, Method: "POST", Path: "/reports/1", Body: engine.DeadlyBody, Model: "m", Tokens: "840,16", Deadline: limit}
+	r := caller.Request{ID: id, Method: "POST", Path: "/reports/1", Body: engine.PoisonBody, Model: "m", Tokens: "840,16", Deadline: limit}
 	_, _ = h.caller().SendTo(t.Context(), h.settings.Listen.Caller, r)
 }
 
@@ -153,21 +153,21 @@
 		return a.ready() && b.ready() && len(a.node.directory("z1")) == 2 && len(b.node.directory("z1")) == 2
 	})
 	attempts := 0
-	deadly := func() {
+	poison := func() {
 		attempts++
-		sendDeadly(t, hosts[attempts%2], fmt.Sprint("d-", attempts))
+		sendPoison(t, hosts[attempts%2], fmt.Sprint("d-", attempts))
 	}
 	everyServer := func() bool { return allKnown(servers, hosts...) }
 	eventually(t, "three crashes", func() bool {
 		eventually(t, "four servers", everyServer)
-		deadly()
+		poison()
 		return crashes(servers) >= 3
 	})
 	time.Sleep(knownWithin)
 	before := crashes(servers)
 	for range 10 {
 		eventually(t, "four servers", everyServer)
-		deadly()
+		poison()
 	}
 	if more := crashes(servers) - before; more > allowedCrashes {
 		t.Errorf("%d servers more ended under a request that had ended %d", more, before)
@@ -180,16 +180,16 @@
 	}
 }
 
-// TestDeadlyRequestOutlivesALossOfPower: a fleet that had lost all its hosts at once let
+// TestPoisonRequestOutlivesALossOfPower: a fleet that had lost all its hosts at once let
 // three more servers end under a request that it had refused before, each time. What is
 // refused is kept in the store, where hosts that start find it.
-func TestDeadlyRequestOutlivesALossOfPower(t *testing.T) {
+func TestPoisonRequestOutlivesALossOfPower(t *testing.T) {
 	s, servers := frailSite(t)
 	first := s.host("a", s.address)
 	eventually(t, "readiness", first.ready)
 	for i := 0; crashes(servers) < 3; i++ {
 		eventually(t, "four servers", func() bool { return allKnown(servers, first) })
-		sendDeadly(t, first, fmt.Sprint("d-", i))
+		sendPoison(t, first, fmt.Sprint("d-", i))
 	}
 	eventually(t, "the refusal in the store", func() bool { return len(first.node.crashes.Unsaved()) == 0 })
 	first.stop()
@@ -200,7 +200,7 @@
 	eventually(t, "the refusal on the started host", func() bool { return again.node.crashes.Count(time.Now()) == 1 })
 	before := crashes(servers)
 	for i := range 3 {
-		sendDeadly(t, again, fmt.Sprint("e-", i))
+		sendPoison(t, again, fmt.Sprint("e-", i))
 	}
 	if n := crashes(servers) - before; n != 0 {
 		t.Errorf("%d servers ended under a request that was refused before the loss of power", n)
--- a/internal/node/words_test.go
+++ b/internal/node/notice_test.go
@@ -66,43 +66,43 @@
 	}
 }
 
-// restMargin is how long after a server's refusal more requests may be on their way, and
-// restAllowed how many may come after that.
+// backoffMargin is how long after a server's refusal more requests may be on their way, and
+// backoffAllowed how many may come after that.
 const (
-	restMargin  = 500 * time.Millisecond
-	restAllowed = 2
+	backoffMargin  = 500 * time.Millisecond
+	backoffAllowed = 2
 )
 
-// TestServerThatAsksForRestIsLeftAlone tells of a server that had turned a request away and
-// asked its host for 3 s of rest, and got 13 requests from it in that time. A refusal said
+// TestServerThatAsksToBackOffIsLeftAlone tells of a server that had turned a request away and
+// asked its host to back off for 3 s, and got 13 requests from it in that time. A refusal said
 // only that the request had not run: the answer's Retry-After was not read, and a server
-// that turned requests away looked idle. With it read, none come before the rest is over.
-// Where every server asks for rest, callers are told when to come back.
-func TestServerThatAsksForRestIsLeftAlone(t *testing.T) {
+// that turned requests away looked idle. With it read, none come before that is over.
+// Where every server asks to back off, callers are told when to come back.
+func TestServerThatAsksToBackOffIsLeftAlone(t *testing.T) {
 	s := newSite(t)
 	s.configure(1)
 	h := s.host("a", s.address)
 	eventually(t, "readiness", h.ready)
-	const rest = 3 * time.Second
-	resting := s.engines[0]
-	resting.Rest(rest)
-	askedOf(t, h, resting)
-	time.Sleep(restMargin)
-	before := resting.Arrived()
+	const backoff = 3 * time.Second
+	busy := s.engines[0]
+	busy.TurnAway(backoff)
+	askedOf(t, h, busy)
+	time.Sleep(backoffMargin)
+	before := busy.Arrived()
 	for _, answer := range asks(t, h, 30) {
 		if answer.Status != http.StatusOK || strings.Count(answer.Body, "id: ") != 6 {
 			t.Errorf("answer %+v", answer)
 		}
 	}
-	if n := resting.Arrived() - before; n > restAllowed {
-		t.Errorf("%d of 30 requests came to a server that had asked for %v of rest", n, rest)
+	if n := busy.Arrived() - before; n > backoffAllowed {
+		t.Errorf("%d of 30 requests came to a server that had asked to back off for %v", n, backoff)
 	}
-	s.engines[1].Rest(rest)
+	s.engines[1].TurnAway(backoff)
 	askedOf(t, h, s.engines[1])
 	for _, answer := range asks(t, h, 3) {
-		if answer.Status != http.StatusServiceUnavailable || answer.RetryAfter < rest/4 || answer.RetryAfter > rest {
-			t.Errorf("with every server at rest: %d, Retry-After %v", answer.Status, answer.RetryAfter)
+		if answer.Status != http.StatusServiceUnavailable || answer.RetryAfter < backoff/4 || answer.RetryAfter > backoff {
+			t.Errorf("with every server turning away: %d, Retry-After %v", answer.Status, answer.RetryAfter)
 		}
 	}
-	eventually(t, "service after the rest", func() bool { return asks(t, h, 1)[0].Status == http.StatusOK })
+	eventually(t, "service after the backoff", func() bool { return asks(t, h, 1)[0].Status == http.StatusOK })
 }
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -23,7 +23,7 @@
 	seer, told := newTable(), newTable()
 	var record platform.QuarantineRecord
 	for i, want := range []int{0, 2, 3} {
-		seer.Crashed(Server(10+i), []Digest{deadly, innocent + Digest(i)}, at(float64(i)))
+		seer.Crashed(Server(10+i), []Digest{poison, innocent + Digest(i)}, at(float64(i)))
 		told.Heard(seer.Changes(at(float64(i)), true), at(float64(i)))
 		unsaved := seer.Unsaved()
 		if want == 0 && len(unsaved) == 0 {
@@ -39,7 +39,7 @@
 			t.Errorf("after %d crashes: %d kept", i+1, len(record.Crashes))
 		}
 		started := newTable()
-		if old := started.Load(record, at(5)); old || (started.Refused(deadly, at(5)) > 0) != (want == maxCrashes) {
+		if old := started.Load(record, at(5)); old || (started.Refused(poison, at(5)) > 0) != (want == maxCrashes) {
 			t.Errorf("a started host takes %d kept crashes for old, or for another number", want)
 		}
 	}
@@ -48,7 +48,7 @@
 	}
 	started := newTable()
 	started.Load(record, at(5))
-	started.Answered(deadly, at(6))
+	started.Answered(poison, at(6))
 	cleared := started.Unsaved()
 	if len(cleared) != 1 || !cleared[0].Encode().Removed {
 		t.Errorf("after an answer: %+v", cleared)
@@ -65,10 +65,10 @@
 // on their way to the store.
 func TestWhatIsSeenWhileTheStoreIsWrittenIsKept(t *testing.T) {
 	table := newTable()
-	table.Crashed(10, []Digest{deadly}, at(0))
-	table.Crashed(11, []Digest{deadly}, at(1))
+	table.Crashed(10, []Digest{poison}, at(0))
+	table.Crashed(11, []Digest{poison}, at(1))
 	written := table.Unsaved()[0]
-	table.Crashed(12, []Digest{deadly}, at(2))
+	table.Crashed(12, []Digest{poison}, at(2))
 	table.Saved(written)
 	if left := table.Unsaved(); len(left) != 1 || len(left[0].Crashes) != 3 || len(table.Dirty) != 1 {
 		t.Errorf("still to be kept: %+v", left)
@@ -79,12 +79,12 @@
 // now, so that a request is not refused for longer than holdFor from here on.
 func TestClocksOfOtherHostsMayBeWrong(t *testing.T) {
 	table := newTable()
-	q := platform.QuarantineRecord{Digest: uint64(deadly)}
+	q := platform.QuarantineRecord{Digest: uint64(poison)}
 	for i := range 3 {
 		q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(10 + i), AtMs: at(3600).UnixMilli()})
 	}
 	table.Load(q, at(0))
-	if table.Refused(deadly, at(0)) == 0 || table.Refused(deadly, at(0).Add(holdFor)) != 0 {
+	if table.Refused(poison, at(0)) == 0 || table.Refused(poison, at(0).Add(holdFor)) != 0 {
 		t.Error("refused for another time than holdFor")
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -14,7 +14,7 @@
 // start is when these tests' own time begins.
 var start = time.Unix(1_000_000, 0)
 
-const deadly, innocent = Digest(1), Digest(2)
+const poison, innocent = Digest(1), Digest(2)
 
 func newTable() *Table {
 	log := logrus.New()
@@ -30,9 +30,9 @@
 func TestCrashesSeenByDifferentHostsAdd(t *testing.T) {
 	hosts := []*Table{newTable(), newTable(), newTable()}
 	for i, h := range hosts {
-		h.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
-		h.Crashed(Server(10), []Digest{deadly}, at(float64(i)))
-		if n := h.Refused(deadly, at(3)); n != 0 {
+		h.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
+		h.Crashed(Server(10), []Digest{poison}, at(float64(i)))
+		if n := h.Refused(poison, at(3)); n != 0 {
 			t.Fatalf("refused after what one host saw: %d", n)
 		}
 	}
@@ -43,22 +43,22 @@
 		}
 	}
 	for i, h := range hosts {
-		if n := h.Refused(deadly, at(3)); n != 3 {
+		if n := h.Refused(poison, at(3)); n != 3 {
 			t.Errorf("host %d puts %d crashes down to the request, want 3", i, n)
 		}
 	}
 }
 
-// TestRequestsBesideADeadlyOneAreServed: a server runs many requests when it crashes, and
+// TestRequestsBesideAPoisonOneAreServed: a server runs many requests when it crashes, and
 // some meet such a request again and again. An answer to one of them clears it on every
-// host, and what the deadly one explains isn't put down to another.
-func TestRequestsBesideADeadlyOneAreServed(t *testing.T) {
+// host, and what the poison one explains isn't put down to another.
+func TestRequestsBesideAPoisonOneAreServed(t *testing.T) {
 	a, b := newTable(), newTable()
 	for i := range 3 {
-		a.Crashed(Server(10+i), []Digest{deadly, innocent}, at(float64(i)))
+		a.Crashed(Server(10+i), []Digest{poison, innocent}, at(float64(i)))
 	}
-	if a.Refused(deadly, at(3)) == 0 {
-		t.Error("the deadly request is let in")
+	if a.Refused(poison, at(3)) == 0 {
+		t.Error("the poison request is let in")
 	}
 	b.Heard(a.Changes(at(3), true), at(3))
 	a.Answered(innocent, at(4))
@@ -66,12 +66,12 @@
 		t.Error("a request that was answered is refused")
 	}
 	b.Heard(a.Changes(at(4), true), at(4))
-	if b.Refused(innocent, at(4)) != 0 || b.Refused(deadly, at(4)) == 0 {
+	if b.Refused(innocent, at(4)) != 0 || b.Refused(poison, at(4)) == 0 {
 		t.Error("the word of an answer changed nothing, or too much")
 	}
 	c := newTable()
 	for i := range 4 {
-		c.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
+		c.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
 	}
 	c.Crashed(Server(10), []Digest{innocent}, at(5))
 	c.Crashed(Server(11), []Digest{innocent}, at(5))
@@ -86,14 +86,14 @@
 func TestRequestIsTriedAgainAfterAWhile(t *testing.T) {
 	table := newTable()
 	for i := range 3 {
-		table.Crashed(Server(10+i), []Digest{deadly}, at(float64(i)))
+		table.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
 	}
 	later := at(2).Add(holdFor)
-	if table.Refused(deadly, later.Add(-time.Millisecond)) == 0 || table.Refused(deadly, later) != 0 {
+	if table.Refused(poison, later.Add(-time.Millisecond)) == 0 || table.Refused(poison, later) != 0 {
 		t.Error("not refused for holdFor after the last crash")
 	}
-	table.Crashed(Server(20), []Digest{deadly}, later)
-	if table.Refused(deadly, later) == 0 {
+	table.Crashed(Server(20), []Digest{poison}, later)
+	if table.Refused(poison, later) == 0 {
 		t.Error("let in after another crash")
 	}
 	table.Expire(later.Add(forgetAfter))
@@ -127,15 +127,15 @@
 func TestMemoryIsBounded(t *testing.T) {
 	table := newTable()
 	for i := range 2 * maxPerRecord {
-		table.Crashed(Server(1+i), []Digest{deadly}, at(float64(i)))
+		table.Crashed(Server(1+i), []Digest{poison}, at(float64(i)))
 	}
 	for i := range 3 * maxRecords {
 		table.Crashed(Server(1000+i), []Digest{Digest(100 + i)}, at(20+float64(i)/1000))
 	}
-	if len(table.records) > maxRecords || len(table.records[deadly].crashes) > maxPerRecord {
-		t.Errorf("%d requests, %d crashes of one", len(table.records), len(table.records[deadly].crashes))
+	if len(table.records) > maxRecords || len(table.records[poison].crashes) > maxPerRecord {
+		t.Errorf("%d requests, %d crashes of one", len(table.records), len(table.records[poison].crashes))
 	}
-	if table.Refused(deadly, at(30)) == 0 {
+	if table.Refused(poison, at(30)) == 0 {
 		t.Error("the request with most crashes was forgotten")
 	}
 }
--- a/internal/replica/words.go
+++ b/internal/replica/notice.go
@@ -9,10 +9,10 @@
 	"github.com/briarlink/briarlink/platform"
 )
 
-// restYields is how long newer weights have been wanted of a server from which it is
-// ordered to load them in its rest too: a server may rest for longer than it may go on with
-// older ones.
-const restYields = 3 * time.Second
+// backoffYields is how long newer weights have been wanted of a server from which it is
+// ordered to load them during a backoff too: that may last longer than the server may go on
+// with older ones.
+const backoffYields = 3 * time.Second
 
 // Told takes what the head of an answer to the flight says of its server.
 func (f *Flight) Told(a platform.ReplicaAnswer, now time.Time) {
@@ -24,7 +24,7 @@
 // ToldAt takes what an answer to a call other than a request says of the server at an
 // address. A server that has registered there since the call began is another one.
 func (t *Table) ToldAt(address string, a platform.ReplicaAnswer, began time.Time) {
-	if !a.Leaving && a.Rest == 0 {
+	if !a.Leaving && a.RetryAfter == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -48,35 +48,35 @@
 		t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "state": e.machine.Current()}).Info("replica says that it leaves")
 		t.fire(e, eventDrain, "an answer says that it leaves")
 	}
-	if until := now.Add(a.Rest); a.Rest > 0 && until.After(e.restUntil) {
-		if !now.Before(e.restUntil) {
-			t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "ms": a.Rest.Milliseconds()}).Info("replica asks this host for rest")
+	if until := now.Add(a.RetryAfter); a.RetryAfter > 0 && until.After(e.backoffUntil) {
+		if !now.Before(e.backoffUntil) {
+			t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "ms": a.RetryAfter.Milliseconds()}).Info("replica asks this host to back off")
 		}
-		e.restUntil = until
+		e.backoffUntil = until
 	}
 }
 
-// rest returns for how long a server wants nothing from this host. It is counted from its
-// answer's arrival, thus to a little after its end.
-func (e *entry) rest(now time.Time) time.Duration { return max(0, e.restUntil.Sub(now)) }
+// backoff returns for how long a server wants no requests from this host. It is counted
+// from its answer's arrival, thus to a little after its end.
+func (e *entry) backoff(now time.Time) time.Duration { return max(0, e.backoffUntil.Sub(now)) }
 
-// Rest returns for how long a server wants nothing from this host.
-func (t *Table) Rest(id string, now time.Time) time.Duration {
+// Backoff returns for how long a server wants no requests from this host.
+func (t *Table) Backoff(id string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
-		return e.rest(now)
+		return e.backoff(now)
 	}
 	return 0
 }
 
-// ordersWait reports whether orders wait for the end of a server's rest.
+// ordersWait reports whether orders wait for the end of a server's backoff.
 func (t *Table) ordersWait(e *entry, now time.Time) bool {
-	if e.rest(now) == 0 {
+	if e.backoff(now) == 0 {
 		return false
 	}
 	for model, version := range e.weights {
-		if first, newer := t.firstNewer(model, version); newer && now.Sub(first.since) >= restYields {
+		if first, newer := t.firstNewer(model, version); newer && now.Sub(first.since) >= backoffYields {
 			return false
 		}
 	}
--- a/internal/replica/words_test.go
+++ b/internal/replica/notice_test.go
@@ -73,18 +73,18 @@
 	}
 }
 
-// TestRest: a server gets no requests until its rest is over, nor orders, unless newer
-// weights have been wanted of it for long. The longest rest that it asked for holds.
-func TestRest(t *testing.T) {
+// TestBackoff: a server gets no requests until its backoff is over, nor orders, unless newer
+// weights have been wanted of it for long. The longest backoff that it asked for holds.
+func TestBackoff(t *testing.T) {
 	table := NewTable(quietLog(), func(string, string) {})
 	table.Register(startOf(1000, 1), 0)
 	now := time.Now()
-	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{Rest: 5 * time.Second}, now)
-	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{Rest: time.Second}, now)
+	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{RetryAfter: 5 * time.Second}, now)
+	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{RetryAfter: time.Second}, now)
 	table.Begin("a", Work{}, now).Told(platform.ReplicaAnswer{}, now)
 	for after, want := range map[time.Duration]time.Duration{0: 5 * time.Second, 4 * time.Second: time.Second, 5 * time.Second: 0, time.Minute: 0} {
 		at := now.Add(after)
-		if got := table.Snapshot(testService, testModel, 1000, at)[0].Rest; got != want || table.Rest("a", at) != want {
+		if got := table.Snapshot(testService, testModel, 1000, at)[0].Backoff; got != want || table.Backoff("a", at) != want {
 			t.Errorf("after %v: %v left, want %v", after, got, want)
 		}
 		if orders := len(table.Servers(at)) == 1; orders != (want == 0) {
@@ -92,13 +92,13 @@
 		}
 	}
 	table.Want(testModel, 2, now)
-	for after, want := range map[time.Duration]int{restYields - time.Millisecond: 0, restYields: 1} {
+	for after, want := range map[time.Duration]int{backoffYields - time.Millisecond: 0, backoffYields: 1} {
 		if got := len(table.Lagging(now.Add(after))); got != want {
 			t.Errorf("%v after newer weights were named: %d servers to be ordered, want %d", after, got, want)
 		}
 	}
 	table.Register(startOf(2000, 1), 1)
-	if table.Rest("a", now) != 0 || table.Rest("gone", now) != 0 {
-		t.Error("the rest of an earlier start holds")
+	if table.Backoff("a", now) != 0 || table.Backoff("gone", now) != 0 {
+		t.Error("the backoff of an earlier start holds")
 	}
 }
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -110,8 +110,8 @@
 	hanging bool
 	// lastHeard is the last sign of life in any answer.
 	lastHeard time.Time
-	// restUntil is until when the server wants nothing from this host.
-	restUntil time.Time
+	// backoffUntil is until when the server wants no requests from this host.
+	backoffUntil time.Time
 	// since is when this host came to know the start.
 	since time.Time
 	// saidLeaving is set once an answer said that the server leaves.
@@ -276,7 +276,7 @@
 	silence := e.silence(now)
 	return route.Replica{
 		ID: id, Address: e.reg.Address, AvailabilityZone: e.reg.AvailabilityZone,
-		Rest: e.rest(now), Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
+		Backoff: e.backoff(now), Usable: serving && !e.health.unreachable, Doubted: down || silence >= hangAfter, Trial: trial, Loading: now.Before(e.loadingUntil),
 		Weights: e.weights[model], Behind: t.behind(e.reg.Service, model, e.weights[model], now), Slots: e.reg.Slots,
 		Requests: int(l.requests), PrefillTokens: int(l.prefill),
 		MemoryTokens: int(l.memory), CacheTokens: cacheTokens,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,8 +29,8 @@
 	Trial bool
 	// Loading replicas refuse requests until their weights are loaded.
 	Loading bool
-	// Rest is for how long the replica wants nothing from this host.
-	Rest time.Duration
+	// Backoff is for how long the replica wants no requests from this host.
+	Backoff time.Duration
 	// Weights is the version of the request's model, 0 without one. Behind is how
 	// long a newer one has been wanted, 0 without one.
 	Weights int64
@@ -113,7 +113,7 @@
 }
 
 // comeBack returns when a caller whose request no candidate can take had better be back:
-// after a short while, or once the first of those at rest takes requests again where all
+// after a short while, or once the first backoff is over where all
 // others are gone.
 func comeBack(candidates []Candidate) time.Duration {
 	first := time.Duration(0)
@@ -121,10 +121,10 @@
 		c := &candidates[i]
 		switch {
 		case !c.Usable:
-		case c.Rest == 0:
+		case c.Backoff == 0:
 			return retryAfter
-		case first == 0 || c.Rest < first:
-			first = c.Rest
+		case first == 0 || c.Backoff < first:
+			first = c.Backoff
 		}
 	}
 	return max(retryAfter, first)
@@ -133,7 +133,7 @@
 // allDoubted reports whether no candidate is usable without a doubt.
 func allDoubted(candidates []Candidate) bool {
 	for i := range candidates {
-		if candidates[i].Usable && !candidates[i].Doubted && candidates[i].Rest == 0 {
+		if candidates[i].Usable && !candidates[i].Doubted && candidates[i].Backoff == 0 {
 			return false
 		}
 	}
@@ -192,8 +192,8 @@
 	switch {
 	case !c.Usable:
 		return "down or leaving"
-	case c.Rest > 0:
-		return "at rest"
+	case c.Backoff > 0:
+		return "asked to back off"
 	case c.Loading:
 		return "loading weights"
 	case req.Exclude[c.ID]:
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -30,7 +30,7 @@
 		"just before it":      func(c *Candidate) { c.Behind = policy.WeightsDeadline - time.Second },
 		"queue up to it":      func(c *Candidate) { c.Behind, c.PrefillTokens = policy.WeightsDeadline-3*time.Second, 80_000 },
 		"memory too small":    func(c *Candidate) { c.CacheTokens = 10_000 },
-		"at rest":             func(c *Candidate) { c.Rest = time.Millisecond },
+		"asked to back off":   func(c *Candidate) { c.Backoff = time.Millisecond },
 		"tried before":        func(c *Candidate) { c.ID = "tried" },
 	} {
 		c := engine("a")
@@ -223,15 +223,15 @@
 	}
 }
 
-// TestCallersComeBackWhenTheRestIsOver: where every replica that may serve asked for rest,
+// TestCallersComeBackAfterTheBackoff: where every replica that may serve asked to back off,
 // callers are told the time until the first of them may be asked. While one is only busy
 // otherwise it is a short while; replicas that are gone play no part. One that is doubted and
-// not at rest is still the last resort.
-func TestCallersComeBackWhenTheRestIsOver(t *testing.T) {
+// not backed off from is still the last resort.
+func TestCallersComeBackAfterTheBackoff(t *testing.T) {
 	policy := DefaultPolicy()
-	at := func(rest time.Duration) Candidate {
-		c := engine(rest.String())
-		c.Rest = rest
+	at := func(backoff time.Duration) Candidate {
+		c := engine(backoff.String())
+		c.Backoff = backoff
 		return c
 	}
 	loading, gone, doubted := engine("loading"), engine("gone"), engine("doubted")
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -292,8 +292,8 @@
 	requests := w.seen.requests
 	w.seen.mu.Unlock()
 	w.seen.judgeLimit()
-	w.judgeDeadly(requests)
-	w.judgeRests(requests)
+	w.judgePoison(requests)
+	w.judgeBackoffs(requests)
 	for _, s := range requests {
 		runs := w.seen.runsOf(s.id)
 		if s.kind.once() && len(runs) > 1 {
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -16,7 +16,7 @@
 )
 
 func testWorld() *world {
-	return &world{config: newOperator(store.New()), seen: newRecord(), said: newWords(), faults: &disturbances{}}
+	return &world{config: newOperator(store.New()), seen: newRecord(), said: newNotices(), faults: &disturbances{}}
 }
 
 // ended returns a request of a kind that a host answered just now.
@@ -78,11 +78,11 @@
 			w.seen.add(s)
 		},
 		"ran 4 times more, sent on by hosts in touch": func(w *world) {
-			for i := range 2*deadlyCrashes + 1 {
+			for i := range 2*poisonCrashes + 1 {
 				s := ended(notes, http.StatusBadGateway, "")
-				s.id, s.deadly, s.host = fmt.Sprint("deadly-", i), true, &host{id: "entry-0"}
+				s.id, s.poison, s.host = fmt.Sprint("poison-", i), true, &host{id: "entry-0"}
 				w.seen.runs[s.id] = []run{{server: fmt.Sprint("i-", i), organisation: "museum-a", at: s.to.Add(-touch)}}
-				if i >= deadlyCrashes {
+				if i >= poisonCrashes {
 					s.from = s.to.Add(time.Second)
 					w.seen.runs[s.id][0].at = s.from
 				}
@@ -99,13 +99,13 @@
 			ran(w, "i-1")
 			w.seen.add(later)
 		},
-		"i-1 asked entry-0 for rest and got 3 requests": func(w *world) {
+		"i-1 asked entry-0 to back off and got 3 requests": func(w *world) {
 			h, now := &host{id: "entry-0"}, time.Now()
-			for i := range restAllowed + 2 {
+			for i := range backoffAllowed + 2 {
 				s := ended(updates, http.StatusServiceUnavailable, "")
-				s.id, s.host, s.boot = fmt.Sprint("rest-", i), h, 1
+				s.id, s.host, s.boot = fmt.Sprint("backoff-", i), h, 1
 				w.seen.add(s)
-				at := now.Add(time.Duration(i) * 2 * restMargin)
+				at := now.Add(time.Duration(i) * 2 * backoffMargin)
 				w.said.refusals = append(w.said.refusals, refusal{s.id, "i-1", at, now.Add(time.Minute)})
 			}
 		},
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -41,8 +41,8 @@
 	if seed >= sizedSeeds {
 		series = withSized(series, rand.New(rand.NewPCG(seed, sizedSeeds)), s, length, plannedOnly)
 	}
-	if hasWords(seed) {
-		series = withWords(series, rand.New(rand.NewPCG(seed, wordsSeeds)), s, length)
+	if hasNotices(seed) {
+		series = withNotices(series, rand.New(rand.NewPCG(seed, noticeSeeds)), s, length)
 	}
 	return series
 }
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -63,8 +63,8 @@
 	// host is known only of callers that keep to one.
 	host *host
 	boot int
-	// deadly requests crash each server that runs them.
-	deadly bool
+	// poison requests crash each server that runs them.
+	poison bool
 	from   time.Time
 	to     time.Time
 	answer caller.Answer
@@ -126,8 +126,8 @@
 	s.id = uuid.NewString()
 	r := caller.Request{ID: s.id, Method: s.kind.method, Path: fmt.Sprintf("/%s/%d", s.kind.name, rng.IntN(9)), Deadline: deadline}
 	switch {
-	case s.deadly:
-		r.Path, r.Body = "/"+s.kind.name+"/deadly", s.body
+	case s.poison:
+		r.Path, r.Body = "/"+s.kind.name+"/poison", s.body
 	case s.kind.method == http.MethodPost:
 		s.body = strings.Repeat("x", rng.IntN(3000))
 		r.Body = s.body
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -125,7 +125,7 @@
 		return result{seed: seed, err: err}
 	}
 	defer w.stop()
-	w.late = hasWords(seed)
+	w.late = hasNotices(seed)
 	c.mu.Lock()
 	c.worlds = append(c.worlds, w)
 	c.mu.Unlock()
@@ -158,9 +158,9 @@
 		own := rand.New(rand.NewPCG(seed, uint64(n+1)))
 		callersDone.Go(func() { w.press(pressing, n, own) })
 	}
-	if hasDeadly(seed) {
-		own := rand.New(rand.NewPCG(seed, deadlySeeds))
-		callersDone.Go(func() { w.pressDeadly(pressing, own) })
+	if hasPoison(seed) {
+		own := rand.New(rand.NewPCG(seed, poisonSeeds))
+		callersDone.Go(func() { w.pressPoison(pressing, own) })
 	}
 	w.harm(context.Background(), series, func(name string) {
 		fmt.Fprintln(journal, time.Now().Format("15:04:05.000"), name)
--- a/test/soak/words.go
+++ b/test/soak/notices.go
@@ -12,26 +12,27 @@
 )
 
 const (
-	// wordsSeeds is the first of the seeds, below and above fleetSeeds, in which servers
-	// say in their answers that they leave, the store hearing of it later, and ask for rest.
-	wordsSeeds = 6000
+	// noticeSeeds is the first of the seeds, below and above fleetSeeds, in which servers
+	// say in their answers that they leave, the store hearing of it later, and ask hosts
+	// to back off.
+	noticeSeeds = 6000
 	// laterAtStore is how much later the store hears that a server leaves, at most.
 	laterAtStore = 5 * time.Second
-	// restMargin is how long after a server's refusal requests may be on their way to it, and
-	// restAllowed how many may come from there to the end of its rest.
-	restMargin  = 500 * time.Millisecond
-	restAllowed = 2
+	// backoffMargin is how long after a server's refusal requests may be on their way to it, and
+	// backoffAllowed how many may come from then until the end of the backoff.
+	backoffMargin  = 500 * time.Millisecond
+	backoffAllowed = 2
 )
 
-func hasWords(seed uint64) bool { return seed%fleetSeeds >= wordsSeeds }
+func hasNotices(seed uint64) bool { return seed%fleetSeeds >= noticeSeeds }
 
-// withWords adds servers that ask for rest.
-func withWords(series []fault, rng *rand.Rand, s size, length time.Duration) []fault {
+// withNotices adds servers that turn requests away and ask hosts to back off.
+func withNotices(series []fault, rng *rand.Rand, s size, length time.Duration) []fault {
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(4 * meanGap))) {
 		j, for_ := rng.IntN(s.writers+s.jobs), time.Second+time.Duration(rng.Int64N(int64(longest)))
 		series = append(series, fault{
-			at: at, name: fmt.Sprintf("server %d asks for rest for %v", j, for_), planned: true,
-			do: func(w *world) { w.servers[j].current().Rest(for_) },
+			at: at, name: fmt.Sprintf("server %d asks to back off for %v", j, for_), planned: true,
+			do: func(w *world) { w.servers[j].current().TurnAway(for_) },
 		})
 	}
 	slices.SortStableFunc(series, func(a, b fault) int { return int(a.at - b.at) })
@@ -45,24 +46,24 @@
 	server string
 }
 
-// refusal is a request that a server turned away in its rest.
+// refusal is a request that a server turned away, asking to back off until a time.
 type refusal struct {
 	id        string
 	server    string
 	at, until time.Time
 }
 
-// words is what servers said, as callers and servers saw it. It is safe for concurrent use.
-type words struct {
+// notices is what servers said, as callers and servers saw it. It is safe for concurrent use.
+type notices struct {
 	mu sync.Mutex
 	// left is when an answer that a caller got first said that its server leaves.
 	left     map[way]time.Time
 	refusals []refusal
 }
 
-func newWords() *words { return &words{left: map[way]time.Time{}} }
+func newNotices() *notices { return &notices{left: map[way]time.Time{}} }
 
-func (w *words) refused(server, id string, left time.Duration) {
+func (w *notices) refused(server, id string, left time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -70,7 +71,7 @@
 }
 
 // hear takes an answer that a host has passed on.
-func (w *words) hear(s *sent, server string) {
+func (w *notices) hear(s *sent, server string) {
 	if s.host == nil || s.boot == 0 || s.answer.Header.Get(wire.Leaving) == "" {
 		return
 	}
@@ -101,9 +102,10 @@
 	}
 }
 
-// judgeRests counts the requests that each host sent to a server in its rest. What is on its
-// way for longer than restMargin since a link or a host was harmed is excused.
-func (w *world) judgeRests(requests []*sent) {
+// judgeBackoffs counts the requests that each host sent to a server that had asked it to
+// back off. What is on its way for longer than backoffMargin since a link or a host was
+// harmed is excused.
+func (w *world) judgeBackoffs(requests []*sent) {
 	from := map[string]*sent{}
 	for _, s := range requests {
 		if s.host != nil && s.boot != 0 {
@@ -121,13 +123,13 @@
 		for _, asked := range refusals {
 			late := 0
 			for _, r := range refusals {
-				if r.at.After(asked.at.Add(restMargin)) && r.at.Before(asked.until) {
+				if r.at.After(asked.at.Add(backoffMargin)) && r.at.Before(asked.until) {
 					late++
 				}
 			}
 			harmed := w.faults.any(asked.at, asked.until, func(d *disturbance) bool { return !d.planned && d.what != crashUnderRequest })
-			if late > restAllowed && !harmed {
-				w.seen.fail("%s asked %s for rest and got %d requests from it in that time", on.server, on.host.id, late)
+			if late > backoffAllowed && !harmed {
+				w.seen.fail("%s asked %s to back off and got %d requests from it in that time", on.server, on.host.id, late)
 				break
 			}
 		}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -90,7 +90,7 @@
 	servers []*server
 	config  *operator
 	seen    *record
-	said    *words
+	said    *notices
 	// late is whether the store hears of servers that leave later than hosts.
 	late   bool
 	faults *disturbances
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	w := &world{
-		size: s, dir: dir, store: store.New(), seen: newRecord(), said: newWords(), faults: &disturbances{},
+		size: s, dir: dir, store: store.New(), seen: newRecord(), said: newNotices(), faults: &disturbances{},
 		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
 	}
 	w.config = newOperator(w.store)
@@ -210,7 +210,7 @@
 	}
 	o.OnRun = func(request string, h http.Header) { w.seen.ran(id, request, h) }
 	o.OnCrash = func() { w.crash(s, id) }
-	o.OnRest = func(request string, left time.Duration) { w.said.refused(id, request, left) }
+	o.OnTurnedAway = func(request string, left time.Duration) { w.said.refused(id, request, left) }
 	o.OnFault = w.seen.spoils
 	o.OnOrder = func(holder string, fence int64) { w.seen.ordered(holder, fence) }
 	s.engine = engine.New(o)
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -38,16 +38,16 @@
 	OnRun   func(id string, h http.Header)
 	OnFault func(id string)
 	OnOrder func(holder string, fence int64)
-	// OnRest is told of each request that is turned away in the server's rest, and of how
-	// much is left of it; it may be nil.
-	OnRest func(id string, left time.Duration)
-	// OnCrash is told that a request with a DeadlyBody has begun to run: the server is to
+	// OnTurnedAway is told of each request that is turned away, and of how long its sender
+	// is asked to back off; it may be nil.
+	OnTurnedAway func(id string, left time.Duration)
+	// OnCrash is told that a request with a PoisonBody has begun to run: the server is to
 	// break every connection and to be gone for a while. Without it such requests run.
 	OnCrash func()
 }
 
-// DeadlyBody begins the body of a request that crashes each server that runs it.
-const DeadlyBody = "crash the server:"
+// PoisonBody begins the body of a request that crashes each server that runs it.
+const PoisonBody = "crash the server:"
 
 // Fault is what the server does wrong with its next request.
 type Fault string
@@ -79,10 +79,10 @@
 	ran    map[string]int
 	cached map[string]bool
 	events [][]any
-	// leaving is told in every answer. Until restUntil requests are turned away, and their
-	// sender is asked for as much rest.
+	// leaving is told in every answer. Until busyUntil requests are turned away, and their
+	// sender is asked to back off until then.
 	leaving   bool
-	restUntil time.Time
+	busyUntil time.Time
 	arrived   int
 }
 
@@ -105,11 +105,12 @@
 	e.leaving = true
 }
 
-// Rest makes the server turn requests away for a while, and ask for rest until its end.
-func (e *Engine) Rest(d time.Duration) {
+// TurnAway makes the server turn requests away for a while, and ask to back off until its
+// end.
+func (e *Engine) TurnAway(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.restUntil = time.Now().Add(d)
+	e.busyUntil = time.Now().Add(d)
 }
 
 // Arrived returns how many requests have come, turned away or not.
@@ -183,12 +184,12 @@
 	})
 }
 
-// rest counts a request that has come, and returns for how long none is wanted.
-func (e *Engine) rest() time.Duration {
+// arrives counts a request that has come, and returns for how long none is wanted.
+func (e *Engine) arrives() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrived++
-	return time.Until(e.restUntil)
+	return time.Until(e.busyUntil)
 }
 
 func (e *Engine) expected(w http.ResponseWriter, r *http.Request) bool {
@@ -222,9 +223,9 @@
 	}
 	id := r.Header.Get(wire.Attempt)
 	w.Header().Set(wire.Attempt, id)
-	if left := e.rest(); left > 0 {
-		if e.OnRest != nil {
-			e.OnRest(id, left)
+	if left := e.arrives(); left > 0 {
+		if e.OnTurnedAway != nil {
+			e.OnTurnedAway(id, left)
 		}
 		w.Header().Set(wire.NotRun, "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
@@ -246,7 +247,7 @@
 		return
 	}
 	e.run(r, id)
-	if e.OnCrash != nil && strings.HasPrefix(string(body), DeadlyBody) {
+	if e.OnCrash != nil && strings.HasPrefix(string(body), PoisonBody) {
 		e.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
