--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -56,7 +56,7 @@
 	for n := uint64(0); len(c.Seed) == 0 && n < c.Seeds; n++ {
 		seeds = append(seeds, c.First+n)
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer cancel()
 	// Who ends the run does not leave its processes behind.
 	defer context.AfterFunc(ctx, func() {
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -39,7 +39,9 @@
 // proxy forwards TCP connections to a target on loopback, and harms them.
 type proxy struct {
 	listener net.Listener
-	target   string
+	// accepting is closed once the listener's last connection was accepted.
+	accepting chan struct{}
+	target    string
 
 	mu    sync.Mutex
 	mode  mode
@@ -58,8 +60,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[*net.TCPConn]bool{}}
-	go p.accept(listener)
+	p := &proxy{target: target, conns: map[*net.TCPConn]bool{}}
+	p.serve(listener)
 	return p, nil
 }
 
@@ -80,11 +82,18 @@
 	}
 }
 
-// leave closes the address: connections to it are refused, open ones reset.
+func (p *proxy) serve(listener net.Listener) {
+	p.listener, p.accepting = listener, make(chan struct{})
+	go p.accept(listener, p.accepting)
+}
+
+// leave closes the address: connections to it are refused, open ones reset. Until the
+// listener accepts no more, it holds the address.
 func (p *proxy) leave() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listener.Close()
+	<-p.accepting
 	p.resetAll()
 }
 
@@ -96,8 +105,7 @@
 	if err != nil {
 		return err
 	}
-	p.listener = listener
-	go p.accept(listener)
+	p.serve(listener)
 	return nil
 }
 
@@ -122,7 +130,8 @@
 	return p.mode, l.epoch != p.epoch
 }
 
-func (p *proxy) accept(listener net.Listener) {
+func (p *proxy) accept(listener net.Listener, over chan<- struct{}) {
+	defer close(over)
 	for {
 		c, err := listener.Accept()
 		if err != nil {
