Limits: count unheard hosts in a starting host's share

Impact: after a fleet that was split by a network partition had restarted, an organisation at its limit was admitted at up to the sum of both sides' full rates.

Cause: a host's share of a limit is the number of hosts it hears divided by the highest number it has heard recently. A host that restarts during a partition has heard only its own side, and treated that as the whole fleet two seconds after its start.

Change: addresses that a host learned (from its seeds and the store) within the last 20 s, and from which it has heard no host, now count as running hosts (member.Table.UnheardAddresses, addUnheardHosts). Until the addresses have been read from the store, a fleet of 16 is assumed. Previously, addresses counted only for a host that hears no other host at all. The log line "share of rate limits changed" reports the hosts, live and unheard counts with each change of 0.05 or more.

Ruled out: that the restarted host has no way to know of the others.

Test: TestShareCountsUnheardHosts, for a host that hears two of five others: share 1.00 before, 0.50 after.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -90,6 +90,8 @@
 type probe struct {
 	since time.Time
 	tried time.Time
+	// died is set if a host at this address was heard of and then declared dead.
+	died bool
 }
 
 // NewTable returns the table of a host that has heard of no other one. A host that
@@ -148,6 +150,20 @@
 	return len(t.hosts)+len(t.probes) > 0
 }
 
+// UnheardAddresses returns the number of peer addresses learned within maxAge from which no
+// host has been heard. Their hosts may have stopped, or may be running but unreachable.
+func (t *Table) UnheardAddresses(maxAge time.Duration, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.probes {
+		if !p.died && now.Sub(p.since) <= maxAge {
+			n++
+		}
+	}
+	return n
+}
+
 // ZoneOf returns the availability zone of the host with a peer address, or "".
 func (t *Table) ZoneOf(peer string) string {
 	t.mu.Lock()
@@ -300,7 +316,7 @@
 		if !h.dead && !t.alive(h, now) {
 			h.dead = true
 			t.view = nil
-			t.probes[h.beat.PeerAddress] = &probe{since: now}
+			t.probes[h.beat.PeerAddress] = &probe{since: now, died: true}
 			t.died = append(t.died, id)
 		}
 	}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -65,21 +66,59 @@
 		hosts = n.limitSharers.most(hosts, now)
 	}
 	hosts = max(1, hosts)
+	unheard := n.unheardHosts(v.Live, now)
 	others := n.limiter.Hears(v.Routing, now)
 	heard := 1.0
 	switch {
 	case v.Here && others > 0:
 		left := max(1, hosts-n.routed.lost(v.Routing, n.members.Lost, now))
 		heard = float64(left) * min(1, float64(others+1)/float64(len(v.Routing)))
+		hosts = addUnheardHosts(hosts, v.Live, unheard)
 	case !v.Here && n.limiter.Hears(v.Relays, now) > 0:
 		heard = float64(hosts)
-	case live == 1 && n.members.KnowsOthers() && now.Sub(n.started) < sharersFor:
-		// Those that it knows of may be at work out of its sight.
-		hosts = quota.StartHosts
+	case live == 1:
+		hosts = addUnheardHosts(hosts, v.Live, unheard)
 	case live > member.FewHosts:
 		hosts = max(hosts, isolatedPart*live)
 	}
 	n.limiter.SetHosts(hosts, heard, !v.Here, now)
+	n.noteShare(hosts, v.Live, unheard, now)
+}
+
+// unheardHosts returns an upper estimate of the number of running hosts that this host does
+// not hear. It counts the known addresses from which no host has been heard. Until a starting
+// host has read all addresses from the store, it assumes at least quota.StartHosts in total.
+func (n *Node) unheardHosts(live int, now time.Time) int {
+	unheard := n.members.UnheardAddresses(sharersFor, now)
+	if !n.hosts.Synced() && n.members.KnowsOthers() && now.Sub(n.started) < sharersFor {
+		unheard = max(unheard, quota.StartHosts-live)
+	}
+	return unheard
+}
+
+// addUnheardHosts returns the number of hosts that share limits, including unheard ones. The
+// same fraction of unheard hosts as of live ones is assumed to share limits, rounded up.
+func addUnheardHosts(hosts, live, unheard int) int {
+	return hosts + (hosts*unheard+live-1)/max(1, live)
+}
+
+// minLoggedShareChange is the smallest change of the share of rate limits that is logged.
+const minLoggedShareChange = 0.05
+
+// noteShare logs a change of this host's share of the rate limits since the last logged value.
+func (n *Node) noteShare(hosts, live, unheard int, now time.Time) {
+	share := n.limiter.Share(now)
+	if math.Abs(share-n.loggedShare) < minLoggedShareChange {
+		return
+	}
+	others, ok := n.shareLines.Allow(now)
+	if !ok {
+		return
+	}
+	n.log.WithFields(logrus.Fields{
+		"share": share, "before": n.loggedShare, "hosts": hosts, "live": live, "unheard": unheard, "others": others,
+	}).Info("share of rate limits changed")
+	n.loggedShare = share
 }
 
 // routed remembers the hosts that routed in the last while, and when they last did.
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/caller"
 )
@@ -120,3 +122,26 @@
 		t.Errorf("%d lost hosts are remembered for ever", n)
 	}
 }
+
+// TestShareCountsUnheardHosts guards against both sides of a network partition each admitting
+// the full limit after their hosts restart. A host that knows five addresses and hears two of
+// them must reserve a share for the other three.
+func TestShareCountsUnheardHosts(t *testing.T) {
+	n := idle(t, "a")
+	n.started = clock.Now().Add(-firstView)
+	n.limiter = quota.NewLimiter(quota.Terms{}, time.Second, n.started)
+	n.hosts.Snapshot(platform.Page{}, true)
+	for _, id := range []string{"b", "c", "d", "e", "f"} {
+		n.members.Learn(id+":5", clock.Now())
+	}
+	for _, id := range []string{"b", "c"} {
+		n.heard(&pb.Heartbeat{
+			Host: id, PeerAddress: id + ":5", AvailabilityZone: "z1", Incarnation: 1, Sequence: 1, Ready: true, Routing: true,
+		})
+	}
+	now := clock.Now()
+	n.shareLimits(now)
+	if share := n.limiter.Share(now); share != 0.5 {
+		t.Errorf("share is %.2f with three of six hosts heard, want 0.50", share)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,10 @@
 	// limitLive is the same of all hosts, and routed who they were.
 	limitLive sharers
 	routed    routed
+	// loggedShare is the last logged share of rate limits, and shareLines rate-limits these
+	// log lines. Both are used only by the heartbeat loop.
+	loggedShare float64
+	shareLines  obs.Limiter
 	// started is when the process began; holdFor is how long it waits for other hosts'
 	// word before it asks the store.
 	started time.Time
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -192,6 +192,13 @@
 	return l.terms.Over*l.windowAllows(limit) + l.terms.Slack
 }
 
+// Share returns the fraction of each limit available to this host and the hosts it hears.
+func (l *Limiter) Share(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share(now)
+}
+
 // share is the part of the fleet that this host speaks for: itself and those it hears.
 func (l *Limiter) share(now time.Time) float64 {
 	hosts, heard := l.hosts, l.heard
