Limits: divide limits among leaving hosts

Symptom: while all hosts of a fleet are stopped in quick succession, the leaving hosts admit several times an organisation's limit.

Cause: a leaving host is no longer a routing host, and neither are the other leaving hosts. Within four seconds of its start, a host does not remember how many hosts shared the limits, so it counted one host and took the whole limit.

Ruled out: that the hosts started after the kills took the whole limit.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -80,6 +80,9 @@
 		hosts = addUnheardHosts(hosts, v.Live, unheard)
 	case live > member.FewHosts:
 		hosts = max(hosts, isolatedPart*live)
+	default:
+		// Leaving hosts are no longer routing hosts but still admit requests.
+		hosts = max(hosts, live)
 	}
 	n.limiter.SetHosts(hosts, heard, !v.Here, now)
 	n.noteShare(hosts, v.Live, unheard, now)
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -145,3 +145,27 @@
 		t.Errorf("share is %.2f with three of six hosts heard, want 0.50", share)
 	}
 }
+
+// TestLeavingHostsDivideLimit guards against each host admitting the full limit while all
+// hosts of a fleet are leaving.
+func TestLeavingHostsDivideLimit(t *testing.T) {
+	n := idle(t, "a")
+	n.limiter = quota.NewLimiter(quota.Terms{}, time.Second, clock.Now().Add(-time.Minute))
+	n.hosts.Snapshot(platform.Page{}, true)
+	hear := func(sequence uint64, leaving bool) {
+		for _, id := range []string{"b", "c", "d"} {
+			n.heard(&pb.Heartbeat{
+				Host: id, PeerAddress: id + ":5", AvailabilityZone: "z1", Incarnation: 1, Sequence: sequence,
+				Ready: !leaving, Leaving: leaving, Routing: !leaving,
+			})
+		}
+	}
+	hear(1, false)
+	n.shareLimits(clock.Now())
+	hear(2, true)
+	n.members.SetState(false, true)
+	n.shareLimits(clock.Now())
+	if share := n.limiter.Share(clock.Now()); share != 0.25 {
+		t.Errorf("share is %.2f with all four hosts leaving, want 0.25", share)
+	}
+}
