Limits: resend usage after a partition heals

Symptom: when a partition heals while an organisation is at its limit, the host that was cut off admits up to a whole burst more. From then on it serves the organisation alone: all other hosts refuse it for as long as it stays at its limit.

Cause: a host sends each other host only the organisations for which it admitted something since its last heartbeat. What it admitted during a partition it had already sent to the hosts on its side. After the partition it refuses the organisation and has nothing new to send, so the host from the other side never learns of that usage. When it does send an update, a host that had not received this organisation before counted only the last 0.5 to 1 s.

The first usage that a host sends within a window after its silence counts in full, but the total for all hosts that rejoin together is capped at the level that they send, times the fraction of the fleet that was not heard (the whole level if no host was counted as unheard); the rest has drained. This replaces the share of the rate that was reserved for each silent host, which counted one host's usage above its own share but did not offset it with the others' usage below theirs.

Not covered: partitions of over a minute, after which a host has forgotten the others' counts.

--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -28,8 +28,16 @@
 	heard       time.Time
 	// routing is whether callers were sent to it then.
 	routing bool
-	// used is by organisation.
-	used map[uint64]int64
+	// rejoinedAt is when it was last heard after exceeding the freshness timeout.
+	rejoinedAt time.Time
+	// used is keyed by organisation.
+	used map[uint64]usage
+}
+
+// usage is the last count received from a host for one organisation.
+type usage struct {
+	used       int64
+	receivedAt time.Time
 }
 
 // Word is what a heartbeat of another host says.
@@ -58,6 +66,7 @@
 	if share := l.share(now); share < oldShare {
 		l.restoreDrained(1 - share/oldShare)
 	}
+	l.updateUnheard(now)
 	l.outdated = standby && l.heard < float64(l.hosts)
 	l.inform(now)
 	for host, p := range l.peers {
@@ -67,6 +76,15 @@
 	}
 }
 
+// updateUnheard records the fraction of the fleet that is not heard. A decrease takes effect
+// only after 2*fresh, so that the fraction stays available while hosts rejoin one by one.
+func (l *Limiter) updateUnheard(now time.Time) {
+	fraction := 1 - l.share(now)
+	if fraction >= l.unheardFraction || now.Sub(l.unheardAt) > 2*l.fresh {
+		l.unheardFraction, l.unheardAt = fraction, now
+	}
+}
+
 // restoreDrained adds a fraction of what drained recently back to every bucket. A partition is
 // detected only freshIntervals heartbeat intervals after it starts, and until then the buckets
 // on both sides drain at the full rate.
@@ -126,7 +144,7 @@
 	defer l.mu.Unlock()
 	var changed []*account
 	for _, a := range l.accounts {
-		if a.used != a.told {
+		if a.used != a.told || a.resend {
 			changed = append(changed, a)
 		}
 	}
@@ -137,7 +155,7 @@
 	l.inform(now)
 	out := make([]*pb.OrganisationUse, 0, len(changed))
 	for _, a := range changed {
-		a.told = a.used
+		a.told, a.resend = a.used, false
 		u := &pb.OrganisationUse{Organisation: key(a.name), Used: a.used, Recent: a.used - a.recent.before(a.used, now)}
 		l.tellLevel(u, a, now)
 		out = append(out, u)
@@ -233,45 +251,84 @@
 	defer l.mu.Unlock()
 	p := l.peers[w.Host]
 	if p == nil || p.incarnation != w.Incarnation {
-		p = &peer{incarnation: w.Incarnation, heard: now, used: map[uint64]int64{}}
+		p = &peer{incarnation: w.Incarnation, heard: now, used: map[uint64]usage{}}
 		l.peers[w.Host] = p
 	}
-	silent := time.Duration(0)
-	if p.routing {
-		silent = max(0, now.Sub(p.heard)-l.fresh)
+	silent := now.Sub(p.heard) > l.fresh
+	if p.routing && silent {
+		p.rejoinedAt = now
+	}
+	if w.Routing && (silent || !p.routing) {
+		l.markForResend()
 	}
 	p.heard, p.routing = now, w.Routing
 	l.inform(now)
 	for _, u := range w.Uses {
-		added := u.Recent
-		if before, known := p.used[u.Organisation]; known {
-			added = u.Used - before
+		before, known := p.used[u.Organisation]
+		p.used[u.Organisation] = usage{u.Used, now}
+		a := l.accounts[u.Organisation]
+		if a == nil || a.limit == nil {
+			continue
 		}
-		p.used[u.Organisation] = u.Used
-		if a := l.accounts[u.Organisation]; a != nil && a.limit != nil {
-			l.drain(a, now)
-			l.take(a, u, added, silent, now)
+		l.drain(a, now)
+		missed := before.receivedAt.Before(p.rejoinedAt)
+		switch {
+		case l.EqualShares:
+		case l.adopts(u):
+			l.adoptLevel(a, u, now)
+		case missed && now.Sub(p.rejoinedAt) <= l.terms.Window:
+			l.addRejoined(a, u, u.Used-before.used, now)
+		case known && !missed:
+			a.level = max(0, a.level+float64(u.Used-before.used))
+		default:
+			a.level += float64(u.Recent)
 		}
 	}
 }
 
-// take adds what another host let in, or takes over how full it says the bucket is.
-func (l *Limiter) take(a *account, u *pb.OrganisationUse, added int64, silent time.Duration, now time.Time) {
-	if l.EqualShares {
-		return
+// markForResend includes every organisation with a nonzero level in the next heartbeats. A host
+// that starts routing or rejoins may have missed earlier heartbeats.
+func (l *Limiter) markForResend() {
+	for _, a := range l.accounts {
+		a.resend = a.resend || a.level > 0
+	}
+}
+
+// adopts reports whether this host uses the level in u instead of counting usage itself.
+func (l *Limiter) adopts(u *pb.OrganisationUse) bool {
+	return (l.follows || !l.informed) && u.Level != nil
+}
+
+// adoptLevel raises the level of a to the level in u, which must be set.
+func (l *Limiter) adoptLevel(a *account, u *pb.OrganisationUse, now time.Time) {
+	if l.adopting.IsZero() {
+		l.adopting = now
+		l.forgetStart()
 	}
-	adopts := l.follows || !l.informed
-	if adopts && u.Level != nil {
-		if l.adopting.IsZero() {
-			l.adopting = now
-			l.forgetStart()
+	a.level = max(a.level, float64(*u.Level))
+}
+
+// addRejoined adds what a host admitted while it was not heard. If the host sends its level, the
+// total added for hosts that rejoin together is capped at that level times the unheard fraction
+// of the fleet; usage beyond that has already drained.
+func (l *Limiter) addRejoined(a *account, u *pb.OrganisationUse, added int64, now time.Time) {
+	if now.Sub(a.rejoinedUsedAt) > l.fresh {
+		a.rejoinedUsed = 0
+	}
+	a.rejoinedUsedAt = now
+	increase := float64(added)
+	if u.Level != nil {
+		fraction := l.unheardFraction
+		if fraction == 0 {
+			// No host was counted as unheard: the silence was shorter than one heartbeat
+			// interval, or this host itself was paused.
+			fraction = 1
 		}
-		a.level = max(a.level, float64(*u.Level))
-		return
+		increase = min(increase, float64(*u.Level)*fraction-a.rejoinedUsed)
 	}
-	// While the host was silent this one left it its share of the rate.
-	left := silent.Seconds() * a.limit.PerSecond * l.ownShare()
-	a.level = max(0, a.level+max(0, float64(added)-left)+min(0, float64(added)))
+	increase = max(0, increase)
+	a.level += increase
+	a.rejoinedUsed += increase
 }
 
 // forgetStart drops what a starting host reckoned with for want of knowledge.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -92,6 +92,9 @@
 	// this host hears, or of how many it takes the place.
 	hosts int
 	heard float64
+	// unheardFraction is the fraction of the fleet that this host did not hear at unheardAt.
+	unheardFraction float64
+	unheardAt       time.Time
 	// follows is set on a standby host: it is told how full buckets are, and not by whom.
 	// outdated is set while nobody tells it.
 	follows, outdated bool
@@ -109,8 +112,14 @@
 	level   float64
 	at      time.Time
 	drained drainHistory
+	// rejoinedUsed is what recently rejoined hosts have added to level, rejoinedUsedAt the
+	// time of the last such update.
+	rejoinedUsed   float64
+	rejoinedUsedAt time.Time
 	// used is what this host let in, told the part of it that others were told.
 	used, told int64
+	// resend is set if the next heartbeat must include this account even if used equals told.
+	resend bool
 	// usedBefore is what it had let in when it last began without knowledge.
 	usedBefore int64
 	recent     recent
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -243,6 +243,47 @@
 	}
 }
 
+// TestFullBucketIsResentAfterPartition guards against a rejoining host admitting a full burst
+// because the other hosts refuse all requests and have no new usage to send.
+func TestFullBucketIsResentAfterPartition(t *testing.T) {
+	a, now := limited(t, 1000)
+	b, _ := limited(t, 1000)
+	setHosts := func(heard float64) {
+		a.SetHosts(2, heard, false, now)
+		b.SetHosts(2, heard, false, now)
+	}
+	tell(a, "a", now, b)
+	tell(b, "b", now, a)
+	setHosts(2)
+	now = now.Add(time.Second)
+	setHosts(1)
+	now = now.Add(10 * time.Second)
+	setHosts(1)
+	before := fill(a, "o0", 10, now)
+	a.Changes(now) // This heartbeat is lost in the partition.
+	tell(b, "b", now, a)
+	tell(a, "a", now, b)
+	setHosts(2)
+	if got := fill(b, "o0", 10, now); before+got > 2500 {
+		t.Errorf("both sides of a partition admitted %d tokens at once, want at most 2500 with a burst of 2000", before+got)
+	}
+}
+
+// TestPausedHostCountsMissedUsage guards against a resumed host ignoring usage from during its
+// pause when its unheard fraction is still zero.
+func TestPausedHostCountsMissedUsage(t *testing.T) {
+	a, now := limited(t, 1000)
+	b, _ := limited(t, 1000)
+	tell(a, "a", now, b)
+	tell(b, "b", now, a)
+	now = now.Add(2 * time.Second)
+	fill(a, "o0", 10, now)
+	tell(a, "a", now, b)
+	if got := fill(b, "o0", 10, now); got > 20 {
+		t.Errorf("admitted %d tokens with a full bucket, want at most 20", got)
+	}
+}
+
 // TestStandbyHostIsToldTheFullest: a host on standby hears of the buckets that matter, in
 // a bounded number.
 func TestStandbyHostIsToldTheFullest(t *testing.T) {
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -247,6 +247,24 @@
 	limits.check(t, o, testTerms)
 }
 
+// TestRejoinWhileOtherHostsRefuse guards against a rejoining host admitting a full burst when the
+// other hosts refuse an organisation at nearly five times its limit and do not resend its usage.
+func TestRejoinWhileOtherHostsRefuse(t *testing.T) {
+	ms := time.Millisecond
+	s := schedule{hosts: 4, seed: 5992785896739188433, loss: 0.007330552708917432, rate: 389784.7990035389, times: 4.664211898995098, actions: []action{
+		{what: cutsOff, host: 1, group: 1, then: 2345 * ms},
+		{what: heals, then: 2676 * ms},
+		{then: 1141 * ms},
+		{then: 1959 * ms},
+		{then: 1372 * ms},
+		{what: kills, killed: 1, then: 116 * ms},
+		{then: 2938 * ms},
+		{what: losesPower, then: 141 * ms},
+	}}
+	o, limits := s.play()
+	limits.check(t, o, testTerms)
+}
+
 // TestPartedFleetThatLosesPower: hosts on either side of a cut start together, know nothing
 // of before, and take those whom they hear for the whole fleet two seconds later.
 func TestPartedFleetThatLosesPower(t *testing.T) {
