--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 # Long runs with fresh seeds, which are printed on failure.
 fuzz:
-	for p in topic retry dispatch rollout; do go test -count=1 -timeout 30m ./internal/$$p -rapid.seed=0 -rapid.checks=20000 || exit 1; done
+	for p in topic retry dispatch rollout quota; do go test -count=1 -timeout 30m ./internal/$$p -rapid.seed=0 -rapid.checks=20000 || exit 1; done
 
 # Renews the generated documents: error table, state machines, log events.
 docs:
