Retry budget: count unheard hosts when sharing the slack

Found by looking elsewhere for the defect found in rate limits.

Cause: the slack of the retry budget is divided by the highest number of routing hosts heard from in the last 20 s. Hosts that restart on either side of a network partition have heard from their own side only, so each side spends the whole slack.

Change: addresses learned within the last 20 s from which no host has been heard now count towards the number of hosts, as they do for rate limits. Rate limits also assume a fleet of 16 until the addresses have been read. The retry budget does not, because the slack is spent only from four seconds after a start.

Alternative tried and rejected: assuming a fleet of 16 for the retry budget as well.

--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -175,7 +175,10 @@
 	if !v.Here || now.Sub(n.started) < firstView {
 		slack = 0
 	}
-	n.budget.SetHosts(slack, n.sharers.most(len(v.Routing), now))
+	hosts := n.sharers.most(len(v.Routing), now)
+	// Hosts restarted during a partition have heard from their own side only.
+	unheard := n.members.UnheardAddresses(sharersFor, now)
+	n.budget.SetHosts(slack, addUnheardHosts(hosts, v.Live, unheard))
 }
 
 // firstView is how long a host that has just started may know of fewer hosts than share
--- a/internal/node/loops_test.go
+++ b/internal/node/loops_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/briarlink/briarlink/platform"
 )
 
 // TestSomeHostsReadAgainSoon: a read that a short silence of the store has
@@ -116,6 +118,44 @@
 	})
 }
 
+// TestRestartedSidesOfAPartitionKeepTheRetryLimit checks that the sides of a network partition
+// do not each spend the whole slack of the retry budget after their hosts restart. Each of eight
+// hosts knows the addresses of all others but receives heartbeats from only three of them.
+func TestRestartedSidesOfAPartitionKeepTheRetryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var hosts []*Node
+		for i := range 8 {
+			hosts = append(hosts, idle(t, fmt.Sprint("host-", i)))
+		}
+		for _, n := range hosts {
+			n.hosts.Snapshot(platform.Page{}, true)
+			for _, other := range hosts {
+				n.members.Learn(other.settings.Listen.Peer, time.Now())
+			}
+		}
+		sides := [][]*Node{hosts[:4], hosts[4:]}
+		began, repeats := time.Now(), 0
+		for time.Since(began) < hosts[0].settings.Retry.Window.AsDuration() {
+			for _, n := range hosts {
+				n.shareBudget(time.Now())
+				repeats += n.repeat("writer")
+			}
+			time.Sleep(sweepInterval)
+			for _, side := range sides {
+				for _, from := range side {
+					b := from.work()
+					for _, to := range side {
+						to.heard(b)
+					}
+				}
+			}
+		}
+		if limit := int(hosts[0].settings.Retry.Slack); repeats > limit || repeats < limit/2 {
+			t.Errorf("%d repeats in a window without requests, want between %d and %d", repeats, limit/2, limit)
+		}
+	})
+}
+
 // TestLoneHostRepeatsOnceItKnowsThatItIsAlone: it has no slack while others may not have
 // been heard of yet, and all of its part from then on.
 func TestLoneHostRepeatsOnceItKnowsThatItIsAlone(t *testing.T) {
