Limits: do not scale adopted levels again

Cause: a host that hears part of the fleet sends its level divided by its share. A host that starts adopts it, is informed half a second later, and with a small share of its own sends it divided again. The shares of starting hosts have been that small since unheard addresses count.

Change: scaling stops at the capacity of the bucket, at which every host refuses. A level that stands above it is sent as it is.

Ruled out: low shares themselves: they are back at 1 two seconds after the starts.

--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -185,13 +185,14 @@
 
 // tellLevel adds how full the bucket is, where this host knows. One that hears a part of the
 // others only refuses from a part of the capacity on, and tells as if from the whole: hosts
-// that it tells would otherwise let in the rest.
+// that it tells would otherwise let in the rest. Scaling stops at the capacity: hosts that adopt
+// a level and have a small share themselves would otherwise scale it again.
 func (l *Limiter) tellLevel(u *pb.OrganisationUse, a *account, now time.Time) {
 	if !l.informed || a.limit == nil {
 		return
 	}
 	l.drain(a, now)
-	level := int64(a.level / l.share(now))
+	level := int64(max(a.level, min(a.level/l.share(now), l.capacity(a.limit))))
 	u.Level = &level
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -328,6 +328,26 @@
 	}
 }
 
+// TestAdoptedLevelsDoNotGrow guards against hosts that start one after the other, each hearing a
+// small part of the fleet, scaling the level that they adopt from each other again and again.
+func TestAdoptedLevelsDoNotGrow(t *testing.T) {
+	from, now := limited(t, 1000)
+	fill(from, "o0", 10, now)
+	for range 10 {
+		from.SetHosts(64, 2, false, now)
+		from.Charge("o0", 1, now)
+		next := NewLimiter(from.terms, testInterval, now)
+		next.SetLimits(organisations(1000), now)
+		tell(from, "from", now, next)
+		now = now.Add(adoptFor)
+		next.SetHosts(64, 2, false, now)
+		from = next
+	}
+	if level := from.Status(now)[0].Level; level > 3000 {
+		t.Errorf("level %.0f after ten hosts adopted it, want at most 3000 with a burst of 2000", level)
+	}
+}
+
 // TestHostThatTakesOverIsTold: a host on standby whose relays were lost is to route in
 // their place. What they had told it has drained since, but the others went on. On a day of
 // seven times the usual, with a third of all hosts cut off, four such hosts let in a whole
