Cache events: bound bulk reads by the host's link

Cause: a host that begins to follow holders of KV cache reads the whole history of each at once, without a pause. Two small hosts with links of 10 Mbit/s take the places of a zone's large ones; for five seconds 63 reads take 1.13 to 1.2 of the 1.25 MB a second (bytes counted by connection, a trial). Dials to the store, to peers and to servers time out meanwhile, and the configuration is 3.7 to 3.9 s late there and on the hosts that they tell.

Ruled out: processor time. The command charges none.

Change: settings name the link's speed. Cache events, lists and surveys take a third of it at most, and 50 ms of it at once; what comes in after a cut counts as a history.

Tests, in virtual time, before this change: packets wait 1.09 s (45 histories), 0.66 s (return from a cut) and 0.58 s (survey) on 10 Mbit/s, 0.25 s allowed. All three pass after it.

--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/bandwidth"
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/prefix"
 	"github.com/briarlink/briarlink/platform"
@@ -29,6 +30,9 @@
 	// listPause is the shortest time between two lists of one holder: a list stalls
 	// its work.
 	listPause = 3 * time.Second
+	// behindAfter is the time since the last answer after which as much may wait as for a host
+	// that starts: after a cut or a suspension all holders are read anew at once.
+	behindAfter = 2 * eventsWait
 	// confirmWithin is how long after its reading an event must tell of a part.
 	confirmWithin = 1500 * time.Millisecond
 )
@@ -59,6 +63,8 @@
 	Index  *prefix.Index
 	Holder Holder
 	Log    *logrus.Logger
+	// Budget is what this host may read in bulk.
+	Budget *bandwidth.Budget
 	// Gap returns the pause between two calls at a busy holder.
 	Gap func() time.Duration
 	// Backoff returns for how long the holder wants no calls from this host; it may be nil.
@@ -73,6 +79,10 @@
 	epoch  int64
 	next   int64
 	listed time.Time
+	// more is set while more events wait than one answer holds; answered is when the last
+	// answer came.
+	more     bool
+	answered time.Time
 }
 
 // Run follows the holder until ctx ends.
@@ -89,8 +99,7 @@
 			return backoff
 		}
 	}
-	since := f.next
-	events, err := f.Engine.CacheEvents(ctx, f.Holder.Address, since, eventsWait)
+	events, err := f.read(ctx)
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -98,6 +107,8 @@
 	if err != nil {
 		return retryPause
 	}
+	f.answered = clock.Now()
+	f.more = len(events.Events) >= backlog
 	if f.epoch != 0 && events.Epoch != f.epoch {
 		f.line().Info("holder of KV cache restarted; what it held is forgotten")
 		f.Index.Clear(f.Holder.Name)
@@ -117,7 +128,7 @@
 		f.take(ev.HeldPart)
 	}
 	f.next = events.Next
-	if len(events.Events) >= backlog {
+	if f.more {
 		return 0
 	}
 	if !f.Holder.Store {
@@ -126,6 +137,18 @@
 	return f.Gap()
 }
 
+// read reads events from where the last read ended.
+func (f *Follower) read(ctx context.Context) (platform.CacheEvents, error) {
+	if f.more || clock.Now().Sub(f.answered) > behindAfter {
+		defer f.Budget.Begin(ctx)()
+	} else {
+		f.Budget.Wait(ctx)
+	}
+	events, err := f.Engine.CacheEvents(ctx, f.Holder.Address, f.next, eventsWait)
+	f.Budget.Spend(events.Bytes)
+	return events, err
+}
+
 // list takes everything that the holder holds, and reports whether it did.
 func (f *Follower) list(ctx context.Context) bool {
 	now := clock.Now()
@@ -133,7 +156,9 @@
 		return false
 	}
 	f.listed = now
+	defer f.Budget.Begin(ctx)()
 	list, err := f.Engine.CacheList(ctx, f.Holder.Address)
+	f.Budget.Spend(list.Bytes)
 	if err != nil {
 		f.line().WithError(err).Info("what a holder of KV cache holds was not listed")
 		return false
--- a/internal/cachesync/survey.go
+++ b/internal/cachesync/survey.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/briarlink/briarlink/internal/bandwidth"
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/prefix"
 )
@@ -31,6 +32,8 @@
 	Engine Engine
 	Index  *prefix.Index
 	Log    *logrus.Logger
+	// Budget is what this host may read in bulk.
+	Budget *bandwidth.Budget
 	// Found is told of the large parts that a holder keeps.
 	Found func(holder string, parts prefix.Prompt)
 }
@@ -57,7 +60,9 @@
 }
 
 func (s *Survey) read(ctx context.Context, h Holder) {
+	defer s.Budget.Begin(ctx)()
 	events, err := s.Engine.CacheEvents(ctx, h.Address, 0, surveyWait)
+	s.Budget.Spend(events.Bytes)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.Log.WithError(err).WithField("holder", h.Name).Debug("cache events not read")
--- a/internal/node/cache.go
+++ b/internal/node/cache.go
@@ -77,7 +77,7 @@
 // survey reads once what this host's own part of the replicas hold, and announces it to
 // the other hosts.
 func (n *Node) survey(ctx context.Context) {
-	s := cachesync.Survey{Engine: n.engines, Index: n.index, Log: n.log, Found: n.scheduler.AnnounceHeld}
+	s := cachesync.Survey{Engine: n.engines, Index: n.index, Log: n.log, Budget: n.bulk, Found: n.scheduler.AnnounceHeld}
 	s.Run(ctx, n.eventSources(n.members.View(clock.Now()), func(int) int { return 1 }))
 }
 
@@ -177,7 +177,7 @@
 // follower returns what follows one holder.
 func (n *Node) follower(h cachesync.Holder) *cachesync.Follower {
 	return &cachesync.Follower{
-		Engine: n.engines, Index: n.index, Holder: h, Log: n.log,
+		Engine: n.engines, Index: n.index, Holder: h, Log: n.log, Budget: n.bulk,
 		Gap: func() time.Duration {
 			return max(cacheGap, time.Second*time.Duration(n.followed.Load())/cacheCalls)
 		},
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -241,6 +241,7 @@
 	}
 	m.LeaseHeld.Update(held)
 	m.Connections.Update(float64(n.pool.Opened()))
+	m.BulkRead.Update(float64(n.bulk.Spent()))
 	m.Quarantined.Update(float64(n.crashes.Count(now)))
 	m.DroppedLines.Update(float64(n.lines.Dropped()))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/addr"
+	"github.com/briarlink/briarlink/internal/bandwidth"
 	"github.com/briarlink/briarlink/internal/canary"
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
@@ -89,8 +90,10 @@
 	incarnation uint64
 	machine     *fsm.FSM
 
-	store     *platform.Store
-	engines   *platform.Engines
+	store   *platform.Store
+	engines *platform.Engines
+	// bulk is what this host may read in bulk.
+	bulk      *bandwidth.Budget
 	access    *topic.Access
 	operators *topic.Table
 	servers   *topic.Table
@@ -181,6 +184,7 @@
 		machine:     newMachine(),
 		store:       platform.NewStore(s.Platform.Address, s.Platform.CallTimeout.AsDuration()),
 		engines:     platform.NewEngines(),
+		bulk:        bandwidth.NewBudget(s.Host.LinkMbps),
 		access:      topic.NewAccess(s.Replica.OutageGrace.AsDuration(), log),
 		peers:       peer.NewClient(),
 		index:       prefix.NewIndex(),
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -54,6 +54,8 @@
 	Orders    tally.Counter
 	// Connections is the number of connections opened to backend servers.
 	Connections tally.Gauge
+	// BulkRead is the number of bytes that were read in bulk, as cache events.
+	BulkRead tally.Gauge
 	// Malformed counts backend servers' entries that name no server.
 	Malformed tally.Counter
 	// Quarantined is the number of requests that are refused since servers crash under them.
@@ -98,6 +100,7 @@
 		LeaseHeld:     scope.Gauge("lease_held"),
 		Orders:        scope.Counter("load_orders"),
 		Connections:   scope.Gauge("backend_connections_opened"),
+		BulkRead:      scope.Gauge("bulk_bytes_read"),
 		Malformed:     scope.Counter("malformed_entries"),
 		Quarantined:   scope.Gauge("quarantined_requests"),
 		DroppedLines:  scope.Gauge("log_lines_dropped"),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -85,6 +85,7 @@
 	c.require(s.Host.AvailabilityZone != "", "host.availability_zone", "is required")
 	c.within("host.memory_mb", float64(s.Host.MemoryMb), 0, 1<<20)
 	c.within("host.cores", s.Host.Cores, 0, 1e4)
+	c.within("host.link_mbps", s.Host.LinkMbps, 0, 1e6)
 	c.address("listen.caller", s.Listen.Caller, true)
 	c.address("listen.peer", s.Listen.Peer, true)
 	c.address("listen.ready", s.Listen.Ready, false)
