Records: bound whole topics that a host sends by its link

Found by looking for the fault of small links elsewhere.

Cause: the limit of eight fetches at once is given back when an answer is handed over, before it is sent. 40 starting hosts that ask one of 20 Mbit/s for 10,000 entries are all answered at once: 5,493,440 bytes, 2.2 s of its link, before which nothing else leaves the host.

Deltas, which carry new configurations, are sent at once and count.

Test: TestWholeTopicsLeaveRoomOnTheLink, 2.197 s of the link before, within 250 ms after.

--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -87,5 +87,14 @@
 	}
 }
 
+// Afford reports whether what was sent so far is paid for, and spends the bytes if so.
+func (b *Budget) Afford(bytes int) bool {
+	if !b.bytes.AllowN(time.Now(), 1) {
+		return false
+	}
+	b.Spend(bytes - 1)
+	return true
+}
+
 // Spent returns the bytes of all reads so far.
 func (b *Budget) Spent() int64 { return b.spent.Load() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,8 +92,9 @@
 
 	store   *platform.Store
 	engines *platform.Engines
-	// bulk is what this host may read in bulk.
+	// bulk is what this host may read in bulk, and bulkSent what it may send.
 	bulk      *bandwidth.Budget
+	bulkSent  *bandwidth.Budget
 	access    *topic.Access
 	operators *topic.Table
 	servers   *topic.Table
@@ -185,6 +186,7 @@
 		store:       platform.NewStore(s.Platform.Address, s.Platform.CallTimeout.AsDuration()),
 		engines:     platform.NewEngines(),
 		bulk:        bandwidth.NewBudget(s.Host.LinkMbps),
+		bulkSent:    bandwidth.NewBudget(s.Host.LinkMbps),
 		access:      topic.NewAccess(s.Replica.OutageGrace.AsDuration(), log),
 		peers:       peer.NewClient(),
 		index:       prefix.NewIndex(),
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -184,12 +184,26 @@
 			return nil, err
 		}
 		out.Trusted = p.n.access.Stable(clock.Now())
-		p.n.metrics.Moved(obs.Records, in.AvailabilityZone == p.n.settings.Host.AvailabilityZone, proto.Size(out))
+		size := proto.Size(out)
+		if !p.n.maySend(in, size) {
+			return nil, errBusy
+		}
+		p.n.metrics.Moved(obs.Records, in.AvailabilityZone == p.n.settings.Host.AvailabilityZone, size)
 		return out, nil
 	}
 	return nil, errNoTopic
 }
 
+// maySend reports whether an answer may be sent now. Whole topics are for hosts that start,
+// which can ask others; what a host lacks that has been told of more is sent at once.
+func (n *Node) maySend(in *pb.FetchRecordsRequest, bytes int) bool {
+	if in.From == 0 {
+		return n.bulkSent.Afford(bytes)
+	}
+	n.bulkSent.Spend(bytes)
+	return true
+}
+
 // span is what is asked of a topic, up to the end that is known.
 type span struct {
 	topic     string
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -11,6 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/bandwidth"
+	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
 	"github.com/briarlink/briarlink/internal/topic"
 	"github.com/briarlink/briarlink/platform"
@@ -52,18 +54,26 @@
 	})
 }
 
+// entries returns the entries of so many servers.
+func entries(n int) []platform.Record {
+	var records []platform.Record
+	for i := range n {
+		id := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+		value := fmt.Sprintf(`{"Service":"redactor","Addr":"10.%d.%d.%d:8080","Zone":"heredia-a","Version":"v3","Slots":16,"State":"ready","ColdLeftMs":0,"Seq":7,"Stage":"colocated","Models":[{"Name":"daka510000","Version":1,"Adapters":[]}]}`, i>>16, i>>8&255, i&255)
+		records = append(records, platform.Record{Key: id, Value: []byte(value), Offset: int64(i)})
+	}
+	return records
+}
+
 // TestManyRecordsAreFewBytes: 10,004 entries took 3 MB for each host that starts, a second and
 // more of a small host's link, beyond which fetches were given up, and near what one message
 // may hold.
 func TestManyRecordsAreFewBytes(t *testing.T) {
 	size := func(n int) (plain, sent int) {
 		table := topic.NewTable("entries", func(platform.Record, topic.Origin) {})
-		var records []platform.Record
-		for i := range n {
-			id := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
-			value := fmt.Sprintf(`{"Service":"redactor","Addr":"10.%d.%d.%d:8080","Zone":"heredia-a","Version":"v3","Slots":16,"State":"ready","ColdLeftMs":0,"Seq":7,"Stage":"colocated","Models":[{"Name":"daka510000","Version":1,"Adapters":[]}]}`, i>>16, i>>8&255, i&255)
-			records = append(records, platform.Record{Key: id, Value: []byte(value), Offset: int64(i)})
-			plain += len(id) + len(value)
+		records := entries(n)
+		for _, r := range records {
+			plain += len(r.Key) + len(r.Value)
 		}
 		table.MergeAll(records, int64(n), true)
 		p := packed{last: map[span][]byte{}}
@@ -90,6 +100,37 @@
 	}
 }
 
+// TestWholeTopicsLeaveRoomOnTheLink: hosts that start all ask those that know. The limit of
+// eight at once counted answers until they were written, not until they were sent: one small
+// host sent 40 others 5 MB, two seconds of its link, and its heartbeats waited behind that.
+func TestWholeTopicsLeaveRoomOnTheLink(t *testing.T) {
+	const (
+		mbps    = 20
+		longest = 250 * time.Millisecond
+	)
+	n := idle(t, "serves")
+	n.bulkSent = bandwidth.NewBudget(mbps)
+	metrics, _, closer := obs.NewMetrics()
+	defer closer.Close()
+	n.metrics = metrics
+	n.servers.MergeAll(entries(10_000), 10_000, true)
+	p := &peerService{n: n}
+	sent, served := 0, 0
+	for range 40 {
+		out, err := p.FetchRecords(t.Context(), &pb.FetchRecordsRequest{Topic: n.servers.Name()})
+		if err == nil {
+			sent += proto.Size(out)
+			served++
+		}
+	}
+	if queued := time.Duration(float64(sent) * 8e3 / mbps); served == 0 || queued > longest {
+		t.Errorf("%d hosts were sent %d bytes, %v of the link; at most %v allowed", served, sent, queued, longest)
+	}
+	if _, err := p.FetchRecords(t.Context(), &pb.FetchRecordsRequest{Topic: n.servers.Name(), From: 9_990}); err != nil {
+		t.Errorf("a host that lacks ten records waits: %v", err)
+	}
+}
+
 // TestSlowFetchKeepsNobodyWaiting: a host that stopped held up the fetch of a configuration for
 // 0.8 s, in which other hosts told of it in vain.
 func TestSlowFetchKeepsNobodyWaiting(t *testing.T) {
