Soak: lose no start of a host, and name a process that does not end

A start was dropped without a word while the process before it still counted.

Cause of the host's absence: start returned nil in that case, and restart polled for two seconds and gave up.

Change: a start waits for a process that was asked to end, and fails the seed, with what the kernel says of the process, if it stays. kill waits for the process that it signalled, not for the newer one of another fault. What is checked of hosts is the same.

Test: TestNoStartIsLost, one start in place of two before this change. kill's race lasts microseconds and was not hit.

--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,13 +33,21 @@
 	store        *proxy
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	process *process
 	started time.Time
 	boot    int
 	ended   bool
 }
 
+// process is one start of a host.
+type process struct {
+	cmd *exec.Cmd
+	// exited is closed once it is gone, and ending set once it was asked to end; the host's mu
+	// guards ending.
+	exited chan struct{}
+	ending bool
+}
+
 // settingsFor returns a host's settings; all hosts use the same ports.
 func settingsFor(h *host, seeds string) string {
 	return fmt.Sprintf(`{
@@ -55,36 +64,72 @@
 func (h *host) caller() string    { return h.ip + ":18000" }
 func (h *host) directory() string { return h.ip + ":18002" }
 
-// start starts the process unless it runs, or has been ended for good.
+// start starts the process unless it runs, or has been ended for good. One that was asked to
+// end is waited for: a start in that moment must not be lost, as nobody may ask again.
 func (h *host) start() error {
+	for {
+		old, err := h.startFirst()
+		if old == nil || err != nil {
+			return err
+		}
+		select {
+		case <-old.exited:
+		case <-time.After(grace + exitSlack):
+			return fmt.Errorf("process %d was asked to end and is still there: %s", old.cmd.Process.Pid, old.state())
+		}
+	}
+}
+
+// startFirst starts the process where there is none, and returns the one that has to be gone
+// before.
+func (h *host) startFirst() (*process, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd != nil || h.ended {
-		return nil
+	switch {
+	case h.ended:
+		return nil, nil
+	case h.process != nil && h.process.ending:
+		return h.process, nil
+	case h.process != nil:
+		return nil, nil
 	}
 	out, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer out.Close()
 	cmd := exec.Command(h.binary, "serve", "--settings", h.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	h.boot++
 	h.note("start %d, process %d", h.boot, cmd.Process.Pid)
-	h.cmd, h.started, h.exited = cmd, time.Now(), make(chan struct{})
-	go func(exited chan struct{}) {
-		// An error is how the process ended; callers and the log show why.
-		_ = cmd.Wait()
-		h.note("process %d is gone: %v", cmd.Process.Pid, cmd.ProcessState)
-		h.mu.Lock()
-		h.cmd = nil
-		h.mu.Unlock()
-		close(exited)
-	}(h.exited)
-	return nil
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	h.process, h.started = p, time.Now()
+	go h.reap(p)
+	return nil, nil
+}
+
+// reap waits for the process's end.
+func (h *host) reap(p *process) {
+	// An error is how the process ended; callers and the log show why.
+	_ = p.cmd.Wait()
+	h.note("process %d is gone: %v", p.cmd.Process.Pid, p.cmd.ProcessState)
+	h.mu.Lock()
+	h.process = nil
+	h.mu.Unlock()
+	close(p.exited)
+}
+
+// state returns what the kernel says of the process: that it sleeps, is stopped, waits for a
+// disk, or is gone but not reaped.
+func (p *process) state() string {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(stat))
 }
 
 // note writes a line about the process to the host's log, among its own lines: what became
@@ -105,60 +150,47 @@
 
 // signal signals the process if it runs; it reports whether it does.
 func (h *host) signal(s syscall.Signal) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.send(s)
+	_, sent := h.send(s)
+	return sent
 }
 
-// send is signal with h.mu held.
-func (h *host) send(s syscall.Signal) bool {
-	if h.cmd == nil {
-		return false
+// send is signal that also returns the process.
+func (h *host) send(s syscall.Signal) (*process, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.process
+	if p == nil {
+		return nil, false
 	}
-	err := h.cmd.Process.Signal(s)
-	h.note("%v to process %d: %v", s, h.cmd.Process.Pid, err)
-	return err == nil
+	err := p.cmd.Process.Signal(s)
+	h.note("%v to process %d: %v", s, p.cmd.Process.Pid, err)
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
+	return p, err == nil
 }
 
 // terminate asks the process to stop and waits for that very process to be gone; it
 // reports whether it is.
 func (h *host) terminate(limit time.Duration) bool {
-	h.mu.Lock()
-	exited := h.exited
-	asked := h.send(syscall.SIGTERM)
-	h.mu.Unlock()
-	if !asked {
-		return true
-	}
-	select {
-	case <-exited:
-		return true
-	case <-time.After(limit):
-		return false
-	}
+	p, asked := h.send(syscall.SIGTERM)
+	return !asked || h.wait(p, limit)
 }
 
-// wait waits for the process to be gone, and reports whether it is.
-func (h *host) wait(limit time.Duration) bool {
-	h.mu.Lock()
-	exited := h.exited
-	h.mu.Unlock()
-	if exited == nil {
-		return true
-	}
+// wait waits for a process to be gone, and reports whether it is.
+func (h *host) wait(p *process, limit time.Duration) bool {
 	select {
-	case <-exited:
+	case <-p.exited:
 		return true
 	case <-time.After(limit):
-		h.note("process is not gone after %v", limit)
+		h.note("process %d is not gone after %v: %s", p.cmd.Process.Pid, limit, p.state())
 		return false
 	}
 }
 
-// kill ends the process at once, paused or not.
+// kill ends the process at once, paused or not, and waits for that very process to be gone.
 func (h *host) kill() {
-	h.signal(syscall.SIGKILL)
-	h.wait(grace)
+	if p, _ := h.send(syscall.SIGKILL); p != nil {
+		h.wait(p, grace)
+	}
 }
 
 // end kills the process for good.
--- /dev/null
+++ b/test/soak/host_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// stub returns a host whose process takes a moment to stop.
+func stub(t *testing.T) *host {
+	t.Helper()
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "stub")
+	script := "#!/bin/sh\ntrap 'sleep 0.3; exit 0' TERM\necho started\nwhile :; do sleep 0.02; done\n"
+	if err := os.WriteFile(binary, []byte(script), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	h := &host{id: "entry-0", binary: binary, log: filepath.Join(dir, "log")}
+	t.Cleanup(h.end)
+	if err := h.start(); err != nil {
+		t.Fatal(err)
+	}
+	for range 500 {
+		if out, err := os.ReadFile(h.log); err == nil && len(out) > 0 && out[len(out)-2] == 'd' {
+			return h
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the stub has not started")
+	return nil
+}
+
+// TestNoStartIsLost: a host whose process still counted as a fault wanted to start it again
+// stayed away for the rest of the run, without a word.
+func TestNoStartIsLost(t *testing.T) {
+	h := stub(t)
+	h.signal(syscall.SIGTERM)
+	if err := h.start(); err != nil || h.currentBoot() != 2 || !h.signal(syscall.Signal(0)) {
+		t.Errorf("%d starts, %v; want a second one once the first process is gone", h.currentBoot(), err)
+	}
+}
+
+// TestRunningHostIsNotStartedAgain: faults that overlap start a host more than once.
+func TestRunningHostIsNotStartedAgain(t *testing.T) {
+	h := stub(t)
+	if err := h.start(); err != nil || h.currentBoot() != 1 {
+		t.Errorf("%d starts, %v", h.currentBoot(), err)
+	}
+	h.end()
+	if err := h.start(); err != nil || h.currentBoot() != 1 {
+		t.Errorf("%d starts of a host that was ended for good, %v", h.currentBoot(), err)
+	}
+}
