Cache events: keep a holder's pause while a call waits for the link

Callers saw: nothing yet.

Cause: a follower looked for the holder's pause before it waited, up to seconds on a small link, and then called a holder that had asked for one meanwhile. A holder that had restarted was read anew outside the bounds of bulk reads.

Change: the pause is looked at after the wait, before lists too; a history that is read anew counts as one.

--- a/internal/cachesync/follower.go
+++ b/internal/cachesync/follower.go
@@ -94,12 +94,15 @@
 
 // step reads once and returns how long to wait before the next read.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	if f.Backoff != nil {
-		if backoff := f.Backoff(); backoff > 0 {
-			return backoff
-		}
+	end := f.admit(ctx)
+	// The holder may have asked for a pause while the call waited for the link.
+	if backoff := f.backoff(); backoff > 0 {
+		end()
+		return backoff
 	}
-	events, err := f.read(ctx)
+	events, err := f.Engine.CacheEvents(ctx, f.Holder.Address, f.next, eventsWait)
+	f.Budget.Spend(events.Bytes)
+	end()
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -112,7 +115,7 @@
 	if f.epoch != 0 && events.Epoch != f.epoch {
 		f.line().Info("holder of KV cache restarted; what it held is forgotten")
 		f.Index.Clear(f.Holder.Name)
-		f.epoch, f.next = events.Epoch, 0
+		f.epoch, f.next, f.more = events.Epoch, 0, true
 		return 0
 	}
 	f.epoch = events.Epoch
@@ -137,26 +140,35 @@
 	return f.Gap()
 }
 
-// read reads events from where the last read ended.
-func (f *Follower) read(ctx context.Context) (platform.CacheEvents, error) {
+// admit waits until the link has room for a call, and returns what to call at its end.
+func (f *Follower) admit(ctx context.Context) (end func()) {
 	if f.more || clock.Now().Sub(f.answered) > behindAfter {
-		defer f.Budget.Begin(ctx)()
-	} else {
-		f.Budget.Wait(ctx)
+		return f.Budget.Begin(ctx)
 	}
-	events, err := f.Engine.CacheEvents(ctx, f.Holder.Address, f.next, eventsWait)
-	f.Budget.Spend(events.Bytes)
-	return events, err
+	f.Budget.Wait(ctx)
+	return func() {}
 }
 
-// list takes everything that the holder holds, and reports whether it did.
+func (f *Follower) backoff() time.Duration {
+	if f.Backoff == nil {
+		return 0
+	}
+	return f.Backoff()
+}
+
+// list takes everything that the holder holds. It reports whether the next step goes on from
+// there, or is to try again.
 func (f *Follower) list(ctx context.Context) bool {
 	now := clock.Now()
 	if !f.listed.IsZero() && now.Sub(f.listed) < listPause {
 		return false
 	}
-	f.listed = now
 	defer f.Budget.Begin(ctx)()
+	if f.backoff() > 0 {
+		// After the pause the same events tell of the gap again.
+		return true
+	}
+	f.listed = now
 	list, err := f.Engine.CacheList(ctx, f.Holder.Address)
 	f.Budget.Spend(list.Bytes)
 	if err != nil {
--- a/internal/cachesync/link_test.go
+++ b/internal/cachesync/link_test.go
@@ -219,3 +219,37 @@
 		}
 	})
 }
+
+// TestPauseAskedForWhileTheLinkIsFull: a call that had waited for the link went to a holder
+// that had asked for a pause meanwhile.
+func TestPauseAskedForWhileTheLinkIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer stop(cancel)
+		h := newHolders(1, 10, slowLink)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		budget := bandwidth.NewBudget(slowLink)
+		budget.Spend(1 << 20)
+		until := time.Now().Add(10 * time.Second)
+		f := &Follower{
+			Engine: h.at(0), Index: h.index, Holder: h.holder(0), Log: log, Budget: budget, Up: func(error) {},
+			Gap: func() time.Duration { return time.Second },
+			Backoff: func() time.Duration {
+				if now := time.Now(); now.After(until.Add(-9*time.Second)) && now.Before(until) {
+					return until.Sub(now)
+				}
+				return 0
+			},
+		}
+		go f.Run(ctx)
+		time.Sleep(time.Until(until) - time.Millisecond)
+		synctest.Wait()
+		if calls := h.parts[0].calls; calls > 0 {
+			t.Errorf("%d calls during the pause", calls)
+		}
+		if h.read(time.Second); !h.known() {
+			t.Error("nothing is read after the pause")
+		}
+	})
+}
