--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -92,6 +92,7 @@
 	if !b.bytes.AllowN(time.Now(), 1) {
 		return false
 	}
+	// The first byte is spent already.
 	b.Spend(bytes - 1)
 	return true
 }
