--- a/internal/bandwidth/bandwidth.go
+++ b/internal/bandwidth/bandwidth.go
@@ -1,4 +1,4 @@
-// Package bandwidth keeps what a host reads in bulk to a part of its link, so that
+// Package bandwidth keeps what a host reads or sends in bulk to a part of its link, so that
 // heartbeats, configurations, the lease and callers' answers find room beside it.
 package bandwidth
 
@@ -14,7 +14,7 @@
 )
 
 const (
-	// bulkShare of the link is for bulk reads.
+	// bulkShare of the link, in each direction, is for bulk transfers.
 	bulkShare = 1.0 / 3
 	// maxQueued is how much bulk reads may have on their way at once, in time of the link:
 	// anything else waits behind it.
@@ -27,8 +27,9 @@
 	bitsOfByte = 8
 )
 
-// Budget bounds the bulk reads of one host: how many are on their way at once, and how many
-// bytes they bring a second. A nil budget bounds nothing. It is safe for concurrent use.
+// Budget bounds the bulk transfers of one host in one direction: Begin how many reads are on
+// their way at once, Wait, Spend and Afford how many bytes pass a second. A nil budget bounds no
+// reads. It is safe for concurrent use.
 type Budget struct {
 	reads *semaphore.Weighted
 	bytes *rate.Limiter
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -34,7 +34,6 @@
 
 	mu      sync.Mutex
 	process *process
-	started time.Time
 	boot    int
 	ended   bool
 }
@@ -106,7 +105,7 @@
 	h.boot++
 	h.note("start %d, process %d", h.boot, cmd.Process.Pid)
 	p := &process{cmd: cmd, exited: make(chan struct{})}
-	h.process, h.started = p, time.Now()
+	h.process = p
 	go h.reap(p)
 	return nil, nil
 }
