Log the prefix blocks of each request, and list those that were in crashes

A request's line named only its last shared block, and the line on a crash no request. Request lines now have all shared blocks (16 at the most), crash lines the digests, and 'logs crashes' lists the blocks by crashes with the answers in between. No logic changes.

--- a/cmd/briarlink/logs.go
+++ b/cmd/briarlink/logs.go
@@ -13,8 +13,9 @@
 )
 
 type logsCmd struct {
-	Check  logsCheckCmd  `cmd:"" help:"Check that log lines are as documented, and print those that are not."`
-	Report logsReportCmd `cmd:"" help:"Summarise requests over time: served, late, refused, failed by cause, hit rate, first events."`
+	Check   logsCheckCmd   `cmd:"" help:"Check that log lines are as documented, and print those that are not."`
+	Crashes logsCrashesCmd `cmd:"" help:"List the prefix blocks of the requests that were running when backend servers crashed."`
+	Report  logsReportCmd  `cmd:"" help:"Summarise requests over time: served, late, refused, failed by cause, hit rate, first events."`
 }
 
 type logsReportCmd struct {
@@ -53,6 +54,22 @@
 	return errors.Wrap(f.Close(), "write a drawing")
 }
 
+type logsCrashesCmd struct {
+	Files []string `arg:"" help:"Log files of all hosts."`
+	Most  int      `default:"20" help:"Number of prefix blocks to list."`
+}
+
+// Run implements the logs crashes command.
+func (c *logsCrashesCmd) Run() error {
+	logs := newLogFiles(c.Files)
+	defer logs.Close()
+	blocks, crashed, err := logreport.Crashes(logs)
+	if err != nil {
+		return err
+	}
+	return logreport.CrashTable(os.Stdout, blocks, crashed, c.Most)
+}
+
 type logsCheckCmd struct {
 	Files []string `arg:"" optional:"" help:"Log files; standard input without any."`
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 // maxSends limits the attempts at one request, including those that replicas refused.
 const maxSends = 5
 
+// maxReportedBlocks limits the prefix blocks in a request's report.
+const maxReportedBlocks = 16
+
 // newMachine returns the state machine of one request.
 func newMachine() *fsm.FSM {
 	return fsm.NewFSM(StateWaiting, fsm.Events{
@@ -119,8 +122,10 @@
 	Fetched int
 	// Shared is the number of prompt tokens in prefix blocks that other requests may share;
 	// Prefix is the ID of the last such block.
-	Shared  int
-	Prefix  string
+	Shared int
+	Prefix string
+	// Blocks are the IDs of the shared prefix blocks, up to maxReportedBlocks.
+	Blocks  []string
 	Salt    string
 	Source  string
 	Sink    string
@@ -216,6 +221,9 @@
 	r.report.Prompt = req.Caller.PromptTokens
 	if n := len(req.Caller.Blocks); n > 1 {
 		r.report.Prefix = req.Caller.Blocks[n-2].ID
+		for _, block := range req.Caller.Blocks[:min(n-1, maxReportedBlocks)] {
+			r.report.Blocks = append(r.report.Blocks, block.ID)
+		}
 	}
 	r.report.Ran, r.arrived = req.PriorRuns, req.PriorRuns
 	if req.PriorRuns == 0 {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -127,6 +127,7 @@
 	if ex.report.Prompt > 0 {
 		fields["prompt"], fields["cached"], fields["fetched"] = ex.report.Prompt, ex.report.Cached, ex.report.Fetched
 		fields["weights"], fields["shared"], fields["prefix"] = ex.report.Weights, ex.report.Shared, ex.report.Prefix
+		fields["blocks"] = ex.report.Blocks
 		fields["source"], fields["sink"], fields["salt"] = ex.report.Source, ex.report.Sink, ex.report.Salt
 		fields["first_ms"], fields["expected_ms"] = ex.report.First.Milliseconds(), ex.report.Expected.Milliseconds()
 	}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -63,6 +63,7 @@
 	Cached       int       `json:"cached"`
 	Fetched      int       `json:"fetched"`
 	Digest       string    `json:"digest"`
+	Blocks       []string  `json:"blocks"`
 	Tries        []Attempt `json:"tries"`
 }
 
--- a/internal/replica/crash.go
+++ b/internal/replica/crash.go
@@ -92,10 +92,21 @@
 	if len(c.requests) == 0 {
 		return
 	}
-	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "requests": len(c.requests)}).Warn("replica crashed while it was running requests")
+	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "requests": len(c.requests), "digests": loggedDigests(c.requests)}).Warn("replica crashed while it was running requests")
 	t.pendingCrashes = append(t.pendingCrashes, c)
 }
 
+// maxLoggedDigests limits the requests that the line on a crash names.
+const maxLoggedDigests = 16
+
+func loggedDigests(requests []quarantine.Digest) []string {
+	out := make([]string, min(len(requests), maxLoggedDigests))
+	for i := range out {
+		out[i] = requests[i].String()
+	}
+	return out
+}
+
 // clearBroken forgets the connections that broke before the given time, at which a request
 // was sent that the server has since answered: no crash broke them.
 func (e *entry) clearBroken(sent time.Time) {
