Known red: requests with one prefix block crash servers without end

The engine stand-in can crash at five points of an answer, and write answers without length or chunks.

--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -31,6 +31,8 @@
 	s       *site
 	name    string
 	address string
+	// options are those of its engine beyond the ones that start sets.
+	options engine.Options
 
 	mu     sync.Mutex
 	server *http.Server
@@ -38,9 +40,9 @@
 	up     bool
 }
 
-func (s *site) crashingServer(name string) *crashingServer {
+func (s *site) crashingServer(name string, options engine.Options) *crashingServer {
 	s.t.Helper()
-	c := &crashingServer{s: s, name: name, address: "127.0.0.1:0"}
+	c := &crashingServer{s: s, name: name, address: "127.0.0.1:0", options: options}
 	c.start()
 	s.t.Cleanup(func() {
 		c.mu.Lock()
@@ -61,10 +63,11 @@
 	c.address = listener.Addr().String()
 	c.starts++
 	id := fmt.Sprintf("%s-%d", c.name, c.starts)
-	e := engine.New(engine.Options{
-		ID: id, Service: "writer", Address: c.address, Zone: "z1", Slots: 8, Model: "m", Events: 6, Pace: time.Millisecond,
-		OnCrash: func() { c.crash(id) },
-	})
+	options := c.options
+	options.ID, options.Service, options.Address, options.Zone, options.Model = id, "writer", c.address, "z1", "m"
+	options.Slots, options.Events = 8, 6
+	options.OnCrash = func() { c.crash(id) }
+	e := engine.New(options)
 	c.server = &http.Server{Handler: e.Handler()}
 	go c.server.Serve(listener)
 	if err := e.Register(func(key string, entry any) error { return c.s.store.PutJSON(platform.ReplicaTopic, key, entry) }, false); err != nil {
@@ -76,6 +79,9 @@
 func (c *crashingServer) crash(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.up || id != fmt.Sprintf("%s-%d", c.name, c.starts) {
+		return
+	}
 	c.up = false
 	c.server.Close()
 	time.AfterFunc(restartDelay, func() {
@@ -94,7 +100,7 @@
 	}
 	var servers []*crashingServer
 	for i := range 4 {
-		servers = append(servers, s.crashingServer(fmt.Sprint("i-frail-", i)))
+		servers = append(servers, s.crashingServer(fmt.Sprint("i-frail-", i), engine.Options{Pace: time.Millisecond}))
 	}
 	s.configure(1)
 	return s, servers
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -53,8 +53,28 @@
 	// connection of the server and make it unreachable for a while. If it is nil, such
 	// requests run as others do.
 	OnCrash func()
+	// CrashBlock is the ID of a prefix block that crashes the server, by OnCrash, as soon as it has
+	// written its answer to a request with the block up to CrashPoint. A request's last block, which
+	// is its own, does not count.
+	CrashBlock string
+	CrashPoint CrashPoint
+	// UntilClose makes the server write answers with neither a length nor chunks, which end with
+	// their connection.
+	UntilClose bool
 }
 
+// CrashPoint is how far a server writes an answer before it crashes.
+type CrashPoint string
+
+// Crash points of answers.
+const (
+	BeforeHead  CrashPoint = "before the head"
+	AfterHead   CrashPoint = "after the head"
+	WithinEvent CrashPoint = "within an event"
+	AfterEvent  CrashPoint = "after an event"
+	AfterAnswer CrashPoint = "after the answer"
+)
+
 // PoisonBody is the prefix of the body of a request that crashes each server that runs it.
 const PoisonBody = "crash the server:"
 
@@ -327,6 +347,14 @@
 		e.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
+	if e.UntilClose {
+		// Package net/http then sends neither a length nor chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if e.crashesOn(r) {
+		w.Header().Set(wire.Seal, "seal-of-"+e.ID)
+		e.serveUntilCrash(w, r)
+	}
 	if fault == Lose {
 		<-r.Context().Done()
 		return
@@ -374,7 +402,9 @@
 func (e *Engine) serveBuffered(w http.ResponseWriter, fault Fault, body []byte) {
 	time.Sleep(e.Work)
 	answer := fmt.Sprintf("answer of %s to %d bytes", e.ID, len(body))
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if !e.UntilClose {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	}
 	if fault == Cut {
 		_, _ = io.WriteString(w, answer[:len(answer)/2])
 		panic(http.ErrAbortHandler)
@@ -385,6 +415,45 @@
 // EventText returns the text of the n-th event of a stream, where n starts at 1.
 func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
+// crashesOn reports whether the server crashes when it answers a request.
+func (e *Engine) crashesOn(r *http.Request) bool {
+	if e.OnCrash == nil || e.CrashBlock == "" {
+		return false
+	}
+	blocks := strings.Split(r.Header.Get(wire.Prefix), ",")
+	return slices.ContainsFunc(blocks[:len(blocks)-1], func(block string) bool {
+		name, _, _ := strings.Cut(block, ":")
+		return name == e.CrashBlock
+	})
+}
+
+// serveUntilCrash writes the answer up to the crash point, and crashes.
+func (e *Engine) serveUntilCrash(w http.ResponseWriter, r *http.Request) {
+	flush := http.NewResponseController(w)
+	switch e.CrashPoint {
+	case BeforeHead:
+	case AfterHead:
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+	case WithinEvent:
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, EventText(1)[:8])
+	case AfterEvent:
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, EventText(1))
+	case AfterAnswer:
+		e.serveStream(w, r, "")
+	}
+	if e.CrashPoint != BeforeHead {
+		// The connection ends anyway.
+		_ = flush.Flush()
+	}
+	// The answer reaches its receiver before the connection ends.
+	time.Sleep(e.Pace)
+	e.OnCrash()
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(wire.Weights, strconv.FormatInt(e.Version(), 10))
