Quarantine prefix blocks that crash servers

What callers saw: 29 and 40 servers crashed in half a minute, with all streams on them; 4 to 27 % of the short lookups failed. The requests that did it shared one prefix block and nothing else. Cause: hosts recognised a request by a digest of organisation, method, host, target and body. No two of these requests were alike, so every one was the first. Change: a request has a fingerprint, which adds its prefix blocks but for the last. A block is refused after four separate crashes without an answered request between, or five and 2.5 s without one, unless another block explains them better. A block that was answered before takes five, and answers to other requests. A request that lacks the blocks which may be the cause in its place is served. Crash times are those of the broken connections; a record that is full keeps separate crashes. Attempts that are registered after their request was refused are cancelled too. Compatibility: records carry a new field; hosts of the build before treat a block as a request that never comes.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -90,16 +90,21 @@
 	return maxFirstEventTargets * route.LatencyTarget
 }
 
-// rejectPoison returns an error if the request is quarantined because servers crashed while
-// running it, whoever sent it. Each further server would crash too, along with all requests
-// that it is running. It is called before each attempt, as another host may have reported a
-// crash since the last one.
+// rejectPoison returns an error if the request, or one of its prefix blocks, is quarantined because
+// servers crashed while running it, whoever sent it. Each further server would crash too, along with
+// all requests that it is running. It is called before each attempt, as another host may have
+// reported a crash since the last one.
 func (r *run) rejectPoison() error {
-	n := r.d.crashes.Refused(r.report.Digest, clock.Now())
-	if n == 0 {
+	refusal, refused := r.d.crashes.Check(r.fingerprint, clock.Now())
+	switch {
+	case !refused:
 		return nil
+	case refusal.Block < 0:
+		return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running this request; it is not sent to others", refusal.Crashes))
 	}
-	return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running this request; it is not sent to others", n))
+	r.report.RefusedBlock = r.fingerprint.Blocks[refusal.Block]
+	return errkind.New(errkind.Quarantined, fmt.Sprintf("%d backend servers crashed while they were running requests with the prefix block %s; none is sent to others",
+		refusal.Crashes, r.req.Caller.Blocks[refusal.Block].ID))
 }
 
 // errQuarantined is the cause with which attempts at a quarantined request are cancelled.
@@ -109,7 +114,7 @@
 // the request may still be queued at a server, which would crash too.
 func (x *exchange) watchQuarantine() {
 	if !x.started {
-		x.stopQuarantineWatch = x.d.crashes.OnRefused(x.report.Digest, func() { x.cancel(errQuarantined) })
+		x.stopQuarantineWatch = x.d.crashes.OnRefused(x.fingerprint, clock.Now(), func() { x.cancel(errQuarantined) })
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -93,7 +93,7 @@
 	now := clock.Now()
 	switch {
 	case result == replica.Answered || result == replica.Failed:
-		x.d.crashes.Answered(x.report.Digest, now)
+		x.d.crashes.Answered(x.fingerprint, now)
 	case result == replica.Lost && upstream.IsConnectionBroken(err):
 		x.choice.Flight.ConnectionBroken(now)
 	case (result == replica.Lost || result == replica.Cancelled) && mayHaveRun:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -92,6 +92,20 @@
 	return quarantine.DigestOf(organisation, r.Method, r.Host, r.Target, r.Body)
 }
 
+// maxBlockDigests limits the prefix blocks by which a request is recognised.
+const maxBlockDigests = 64
+
+// blockDigests returns the digests of the prefix blocks that other requests may share: all but the
+// last, which belongs to the request itself or to its conversation.
+func (r *Request) blockDigests(scope string) []quarantine.Digest {
+	shared := max(0, len(r.Caller.Blocks)-1)
+	out := make([]quarantine.Digest, min(shared, maxBlockDigests))
+	for i := range out {
+		out[i] = quarantine.BlockDigest(scope, r.Caller.Blocks[i].ID)
+	}
+	return out
+}
+
 // Answer writes the answer to the caller.
 type Answer interface {
 	// Buffered writes a complete answer that is not streamed.
@@ -137,9 +151,11 @@
 	Unreachable bool
 	// Holds counts how often the request waited for another request's prefill.
 	Holds int
-	// Digest is equal for all attempts at the same request, even under different IDs.
-	Digest   quarantine.Digest
-	Attempts []Attempt
+	// Digest is equal for all attempts at the same request, even under different IDs. RefusedBlock is
+	// the digest of the prefix block because of which the request was refused, or 0.
+	Digest       quarantine.Digest
+	RefusedBlock quarantine.Digest
+	Attempts     []Attempt
 }
 
 // Attempt is the outcome of one attempt.
@@ -198,7 +214,8 @@
 	// lastEvent is the number of the last forwarded event, 0 before the first.
 	lastEvent int64
 	// started is set once the headers of a stream are written to the caller.
-	started bool
+	started     bool
+	fingerprint quarantine.Fingerprint
 	// errorAnswer is the last answer with a server error; it is forwarded if no other
 	// replica answers.
 	errorAnswer *bufferedAnswer
@@ -218,6 +235,7 @@
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
 	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}}
 	r.report.Digest = req.digest()
+	r.fingerprint = quarantine.Fingerprint{Request: r.report.Digest, Blocks: req.blockDigests(d.scheduler.SharingScope(req.Organisation))}
 	r.report.Prompt = req.Caller.PromptTokens
 	if n := len(req.Caller.Blocks); n > 1 {
 		r.report.Prefix = req.Caller.Blocks[n-2].ID
@@ -308,7 +326,7 @@
 		Repeatable:    req.Route.Repeatable(),
 		MaxHold:       r.maxHold(),
 		Exclude:       r.exclude,
-		Digest:        r.report.Digest,
+		Fingerprint:   r.fingerprint,
 		AcquirePermit: func(id string) bool { return r.d.AcquirePermit(ctx, id) },
 	}, now)
 	if err != nil {
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -13,7 +13,7 @@
 // recordCrashes records that servers, numbered from first, crashed while running the request.
 func recordCrashes(d *Dispatcher, req *Request, first, servers int) {
 	for i := range servers {
-		d.crashes.Crashed(quarantine.Server(first+i), []quarantine.Digest{req.digest()}, time.Now())
+		d.crashes.Crashed(quarantine.Server(first+i), []quarantine.Fingerprint{{Request: req.digest()}}, time.Now(), time.Now())
 	}
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -137,6 +137,9 @@
 			fields["digest"] = ex.report.Digest.String()
 		}
 	}
+	if ex.report.RefusedBlock != 0 {
+		fields["refused_block"] = ex.report.RefusedBlock.String()
+	}
 	line := ex.s.Log.WithFields(fields)
 	if err != nil {
 		if retryAfter := errkind.From(err).Retry(); retryAfter > 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -43,6 +43,7 @@
 // request share. They are relevant whenever they were logged.
 var digestMessages = map[string]bool{
 	"request refused from now on: servers crash under it": true, "request is let in again": true,
+	"prefix block refused from now on: servers crash under requests with it": true, "prefix block is let in again": true,
 }
 
 // Messages on the configuration and the weights in force.
@@ -75,7 +76,7 @@
 		return Explanation{}, err
 	}
 	c := collector{filter: filter{
-		id: id, digest: r.Digest, host: last.Source, replicas: r.Replicas(), everything: everything,
+		id: id, digest: r.Digest, refusedBlock: r.RefusedBlock, host: last.Source, replicas: r.Replicas(), everything: everything,
 		from: r.Arrival(last.At).Add(-windowBefore), arrived: r.Arrival(last.At), to: last.At.Add(windowAfter),
 	}, version: r.Weights}
 	if err := logs.Each(c.add); err != nil {
@@ -123,10 +124,12 @@
 
 // filter selects the lines that are relevant to a request.
 type filter struct {
-	id       string
-	digest   string
-	host     string
-	replicas map[string]bool
+	id     string
+	digest string
+	// refusedBlock is the digest of the prefix block because of which the request was refused, or "".
+	refusedBlock string
+	host         string
+	replicas     map[string]bool
 	// from and to limit the time of relevant lines; arrived is when the request arrived.
 	from       time.Time
 	arrived    time.Time
@@ -152,7 +155,7 @@
 		return false
 	}
 	if digestMessages[h.Message] {
-		return f.digest != "" && h.Digest == f.digest
+		return h.Digest != "" && (h.Digest == f.digest || h.Digest == f.refusedBlock)
 	}
 	if f.replicas[h.Replica] {
 		return f.everything || near && replicaMessages[h.Message]
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -64,6 +64,7 @@
 	Fetched      int       `json:"fetched"`
 	Digest       string    `json:"digest"`
 	Blocks       []string  `json:"blocks"`
+	RefusedBlock string    `json:"refused_block"`
 	Tries        []Attempt `json:"tries"`
 }
 
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -204,7 +204,7 @@
 	again := s.host("b", s.address)
 	eventually(t, "readiness", again.ready)
 	eventually(t, "four servers", func() bool { return allRegistered(servers, again) })
-	eventually(t, "the quarantine on the started host", func() bool { return again.node.crashes.Count(time.Now()) == 1 })
+	eventually(t, "the quarantine on the started host", func() bool { requests, _ := again.node.crashes.Count(time.Now()); return requests == 1 })
 	before := countCrashes(servers)
 	for i := range 3 {
 		sendPoison(t, again, fmt.Sprint("e-", i))
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -12,8 +12,8 @@
 
 // replicaCrashed attributes a server's crash to the requests that it was running, and notifies
 // the other hosts at once, as the same request may reach them next.
-func (n *Node) replicaCrashed(server quarantine.Server, requests []quarantine.Digest, now time.Time) {
-	n.crashes.Crashed(server, requests, now)
+func (n *Node) replicaCrashed(server quarantine.Server, running []quarantine.Fingerprint, at time.Time) {
+	n.crashes.Crashed(server, running, at, clock.Now())
 	n.requestHeartbeat()
 }
 
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -279,6 +279,8 @@
 	m.LostContacts.Update(float64(n.replicas.LostContacts()))
 	m.Connections.Update(float64(n.pool.Opened()))
 	m.BulkRead.Update(float64(n.bulkReads.Spent()))
-	m.Quarantined.Update(float64(n.crashes.Count(now)))
+	requests, blocks := n.crashes.Count(now)
+	m.Quarantined.Update(float64(requests))
+	m.QuarantinedBlocks.Update(float64(blocks))
 	m.DroppedLines.Update(float64(n.logWriter.Dropped()))
 }
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -322,7 +322,7 @@
 		}
 	}
 	for server := range quarantine.Server(2) {
-		a.node.replicaCrashed(server+1, []quarantine.Digest{7}, time.Now())
+		a.node.replicaCrashed(server+1, []quarantine.Fingerprint{{Request: 7}}, time.Now())
 	}
 	eventually(t, "the address and the crashes in the store", held(2))
 	s.restore(copied)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -66,6 +66,8 @@
 	// Quarantined is the number of quarantined requests: backend servers crashed while
 	// running them, so they are rejected.
 	Quarantined tally.Gauge
+	// QuarantinedBlocks is the same for prefix blocks.
+	QuarantinedBlocks tally.Gauge
 	// DroppedLines is the number of dropped log lines.
 	DroppedLines tally.Gauge
 }
@@ -85,33 +87,34 @@
 	}, reportInterval)
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.8, 15)
 	return &Metrics{
-		scope:         scope,
-		traffic:       newTrafficCounters(scope),
-		named:         map[string]bool{},
-		First:         scope.Histogram("first_event_seconds", buckets),
-		Whole:         scope.Histogram("answer_seconds", buckets),
-		PromptTokens:  scope.Counter("prompt_tokens"),
-		CachedTokens:  scope.Counter("cached_tokens"),
-		FetchedTokens: scope.Counter("fetched_tokens"),
-		Repeats:       scope.Counter("repeats"),
-		Resumed:       scope.Counter("resumed_streams"),
-		Open:          scope.Gauge("open_requests"),
-		ConfigVersion: scope.Gauge("config_version"),
-		StoreAge:      scope.Gauge("store_age_seconds"),
-		StoreEra:      scope.Gauge("store_era"),
-		Hosts:         scope.Gauge("hosts"),
-		RoutingHosts:  scope.Gauge("routing_hosts"),
-		Replicas:      scope.Gauge("replicas"),
-		Lacking:       scope.Gauge("replicas_lacking_weights"),
-		LackingAge:    scope.Gauge("replicas_lacking_weights_seconds"),
-		LeaseHeld:     scope.Gauge("lease_held"),
-		Orders:        scope.Counter("load_orders"),
-		LostContacts:  scope.Gauge("services_without_contact"),
-		Connections:   scope.Gauge("backend_connections_opened"),
-		BulkRead:      scope.Gauge("bulk_bytes_read"),
-		Malformed:     scope.Counter("malformed_entries"),
-		Quarantined:   scope.Gauge("quarantined_requests"),
-		DroppedLines:  scope.Gauge("log_lines_dropped"),
+		scope:             scope,
+		traffic:           newTrafficCounters(scope),
+		named:             map[string]bool{},
+		First:             scope.Histogram("first_event_seconds", buckets),
+		Whole:             scope.Histogram("answer_seconds", buckets),
+		PromptTokens:      scope.Counter("prompt_tokens"),
+		CachedTokens:      scope.Counter("cached_tokens"),
+		FetchedTokens:     scope.Counter("fetched_tokens"),
+		Repeats:           scope.Counter("repeats"),
+		Resumed:           scope.Counter("resumed_streams"),
+		Open:              scope.Gauge("open_requests"),
+		ConfigVersion:     scope.Gauge("config_version"),
+		StoreAge:          scope.Gauge("store_age_seconds"),
+		StoreEra:          scope.Gauge("store_era"),
+		Hosts:             scope.Gauge("hosts"),
+		RoutingHosts:      scope.Gauge("routing_hosts"),
+		Replicas:          scope.Gauge("replicas"),
+		Lacking:           scope.Gauge("replicas_lacking_weights"),
+		LackingAge:        scope.Gauge("replicas_lacking_weights_seconds"),
+		LeaseHeld:         scope.Gauge("lease_held"),
+		Orders:            scope.Counter("load_orders"),
+		LostContacts:      scope.Gauge("services_without_contact"),
+		Connections:       scope.Gauge("backend_connections_opened"),
+		BulkRead:          scope.Gauge("bulk_bytes_read"),
+		Malformed:         scope.Counter("malformed_entries"),
+		Quarantined:       scope.Gauge("quarantined_requests"),
+		QuarantinedBlocks: scope.Gauge("quarantined_blocks"),
+		DroppedLines:      scope.Gauge("log_lines_dropped"),
 	}, reporter.HTTPHandler(), closer
 }
 
--- a/internal/quarantine/save.go
+++ b/internal/quarantine/save.go
@@ -14,6 +14,10 @@
 // fewer crashes.
 const minSavedCrashes = 2
 
+// maxSavedCrashes is the number of crashes beyond which further ones are not saved: with it, a
+// request or block is refused.
+const maxSavedCrashes = max(maxCrashes, minBlockEpisodes)
+
 // Unsaved returns the records that this host is to write to the store or remove from it.
 // Without them, a fleet that lost power would let as many servers crash as before.
 func (t *Table) Unsaved() []platform.QuarantineRecord {
@@ -34,6 +38,7 @@
 	if r == nil || len(r.crashes) < minSavedCrashes {
 		return q
 	}
+	q.Block = r.block
 	for server, at := range r.crashes {
 		q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(server), AtMs: at.UnixMilli()})
 	}
@@ -61,7 +66,7 @@
 	for _, c := range q.Crashes {
 		age := max(0, now.Sub(time.UnixMilli(c.AtMs)))
 		if age < crashRetention {
-			t.add(Digest(q.Digest), Server(c.Server), now.Add(-age), now)
+			t.add(Digest(q.Digest), q.Block, Server(c.Server), now.Add(-age), now)
 			expired = false
 		}
 	}
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -23,7 +23,7 @@
 	observer, receiver := newTable(), newTable()
 	var record platform.QuarantineRecord
 	for i, want := range []int{0, 2, 3} {
-		observer.Crashed(Server(10+i), []Digest{poison, innocent + Digest(i)}, at(float64(i)))
+		observer.Crashed(Server(10+i), running(poison, innocent+Digest(i)), at(float64(i)), at(float64(i)))
 		receiver.ApplyReport(observer.Changes(at(float64(i)), true), at(float64(i)))
 		unsaved := observer.Unsaved()
 		if want == 0 && len(unsaved) == 0 {
@@ -43,12 +43,12 @@
 			t.Errorf("a started host treats %d saved crashes as expired or as another number", want)
 		}
 	}
-	if receiver.Count(at(3)) != 1 || len(receiver.Unsaved()) != 0 {
+	if requests, _ := receiver.Count(at(3)); requests != 1 || len(receiver.Unsaved()) != 0 {
 		t.Error("a host that only received reports saves them too, or does not refuse the request")
 	}
 	started := newTable()
 	started.Load(record, at(5))
-	started.Answered(poison, at(6))
+	started.Answered(Fingerprint{Request: poison}, at(6))
 	cleared := started.Unsaved()
 	if len(cleared) != 1 || !cleared[0].Encode().Removed {
 		t.Errorf("after an answer: %+v", cleared)
@@ -65,10 +65,10 @@
 // two are being written to the store.
 func TestCrashesDuringStoreWriteAreSaved(t *testing.T) {
 	table := newTable()
-	table.Crashed(10, []Digest{poison}, at(0))
-	table.Crashed(11, []Digest{poison}, at(1))
+	table.Crashed(10, running(poison), at(0), at(0))
+	table.Crashed(11, running(poison), at(1), at(1))
 	written := table.Unsaved()[0]
-	table.Crashed(12, []Digest{poison}, at(2))
+	table.Crashed(12, running(poison), at(2), at(2))
 	table.Saved(written)
 	if left := table.Unsaved(); len(left) != 1 || len(left[0].Crashes) != 3 || len(table.Dirty) != 1 {
 		t.Errorf("still unsaved: %+v", left)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +23,9 @@
 	refusalDuration = 10 * time.Minute
 	// crashRetention is how long a crash is remembered.
 	crashRetention = time.Hour
-	// maxRecords limits the remembered requests, at about 200 bytes each.
-	maxRecords = 1024
-	// maxPerRecord limits the crashes that are remembered for each request.
+	// maxRecords limits the remembered requests and blocks, at about 200 bytes each.
+	maxRecords = 2048
+	// maxPerRecord limits the crashes that are remembered for each of them.
 	maxPerRecord = 8
 )
 
@@ -34,19 +38,27 @@
 	return Server(xxh3.HashStringSeed(id, uint64(started)))
 }
 
-// record is what this host has recorded about one request.
+// record is what this host has recorded about one request or prefix block.
 type record struct {
-	// crashes holds the crash times of the servers that were running the request.
+	// block is set for a prefix block.
+	block bool
+	// crashes holds the crash times of the servers that were running the request, or requests with
+	// the block.
 	crashes map[Server]time.Time
-	// answered is when a server last answered the request completely, or zero: earlier
-	// crashes were caused by another request.
+	// answered is when a server last answered such a request, or zero: earlier crashes had another
+	// cause.
 	answered time.Time
-	// refusing is set if the last log line about the request says that it is refused.
+	// answersBefore is the value of Table.answers when the first of the crashes was recorded.
+	answersBefore int
+	// refusing is set if the last log line about it says that it is refused.
 	refusing bool
+	// verdict is as of the table's change judgedAt.
+	verdict  verdict
+	judgedAt uint64
 }
 
-// Table holds the requests that were running when backend servers crashed, as observed by
-// this host or reported by others. It is safe for concurrent use; mu is its only lock.
+// Table holds the requests and prefix blocks that were running when backend servers crashed, as
+// observed by this host or reported by others. It is safe for concurrent use; mu is its only lock.
 type Table struct {
 	log *logrus.Logger
 	// Dirty holds an element while there are unsaved records.
@@ -54,18 +66,26 @@
 
 	mu      sync.Mutex
 	records map[Digest]*record
-	// updates holds the requests with updates to report, and cursor the refused request that
-	// was resent last.
+	// changes counts the changes of records.
+	changes uint64
+	// answered remembers the blocks of answered requests, and answers counts these requests.
+	answered answeredBlocks
+	answers  int
+	// updates holds the digests with updates to report, and cursor the refused one that was resent
+	// last.
 	updates map[Digest]*update
 	cursor  Digest
-	// unsaved are the requests whose record in the store is outdated.
+	// unsaved are the digests whose record in the store is outdated.
 	unsaved map[Digest]bool
-	// inFlight holds the attempts to cancel once their request is refused.
+	// inFlight holds, by each of their digests, the attempts to cancel once their request is refused.
 	inFlight map[Digest]map[*attempt]bool
 }
 
 // attempt is an attempt in flight.
-type attempt struct{ cancel func() }
+type attempt struct {
+	fingerprint Fingerprint
+	cancel      func()
+}
 
 // NewTable returns an empty table.
 func NewTable(log *logrus.Logger) *Table {
@@ -76,33 +96,78 @@
 	}
 }
 
-// Crashed records that a server crashed while it was running these requests.
-func (t *Table) Crashed(server Server, requests []Digest, now time.Time) {
+// Crashed records that a server crashed at the given time while it was running these requests.
+func (t *Table) Crashed(server Server, running []Fingerprint, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, d := range requests {
-		t.updates[d] = &update{observedAt: now}
-		t.add(d, server, now, now)
+	for _, f := range running {
+		t.observeCrash(f.Request, false, server, at, now)
+		for _, d := range f.Blocks {
+			t.observeCrash(d, true, server, at, now)
+		}
 	}
 }
 
-// Answered records that a server has answered a request completely.
-func (t *Table) Answered(d Digest, now time.Time) {
+func (t *Table) observeCrash(d Digest, block bool, server Server, at, now time.Time) {
+	t.updates[d] = &update{observedAt: now}
+	t.add(d, block, server, at, now)
+}
+
+// Answered records that a server has answered a request completely, or has gone on for so long with
+// its answer that the request does not crash it.
+func (t *Table) Answered(f Fingerprint, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answers++
+	t.recordAnswer(f.Request, now)
+	for _, d := range f.Blocks {
+		t.answered.add(d, now)
+		t.recordAnswer(d, now)
+	}
+}
+
+func (t *Table) recordAnswer(d Digest, now time.Time) {
 	r := t.records[d]
 	if r == nil || len(r.crashes) == 0 {
 		return
 	}
 	t.updates[d] = &update{observedAt: now}
-	t.clear(d, r, now)
+	t.clear(d, r, now, now)
+}
+
+// Suspected reports whether a server crashed while running the request, or one that shares a prefix
+// block with it, and none has been answered since.
+func (t *Table) Suspected(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashed := func(d Digest) bool { return t.records[d] != nil && len(t.records[d].crashes) > 0 }
+	return crashed(f.Request) || slices.ContainsFunc(f.Blocks, crashed)
+}
+
+// Refusal says why a request is refused.
+type Refusal struct {
+	// Crashes is the number of crashes attributed to the request or the block.
+	Crashes int
+	// Block is the index of the block in the request's fingerprint, -1 for the whole request.
+	Block int
 }
 
-// Refused returns the number of crashes attributed to a request if it must not be sent to
-// another server, or else 0.
-func (t *Table) Refused(d Digest, now time.Time) int {
+// Check reports whether a request must not be sent to another server, and why.
+func (t *Table) Check(f Fingerprint, now time.Time) (Refusal, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.check(f, now)
+}
+
+func (t *Table) check(f Fingerprint, now time.Time) (Refusal, bool) {
+	if n := t.refusedRequest(f.Request, now); n > 0 {
+		return Refusal{Crashes: n, Block: -1}, true
+	}
+	block, n := t.refusedBlock(f.Blocks, now)
+	return Refusal{Crashes: n, Block: block}, n > 0
+}
+
+func (t *Table) refusedRequest(d Digest, now time.Time) int {
 	r := t.records[d]
 	if r == nil {
 		return 0
@@ -113,122 +178,125 @@
 }
 
 // OnRefused calls cancel, which must not block, once a request is refused, unless stop was
-// called before: attempts that are queued at other servers would crash these too.
-func (t *Table) OnRefused(d Digest, cancel func()) (stop func()) {
-	running := &attempt{cancel}
+// called before: attempts that are queued at other servers would crash these too. It calls cancel
+// at once if the request is refused already.
+func (t *Table) OnRefused(f Fingerprint, now time.Time, cancel func()) (stop func()) {
+	running := &attempt{f, cancel}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[d] == nil {
-		t.inFlight[d] = map[*attempt]bool{}
+	digests := append([]Digest{f.Request}, f.Blocks...)
+	for _, d := range digests {
+		if t.inFlight[d] == nil {
+			t.inFlight[d] = map[*attempt]bool{}
+		}
+		t.inFlight[d][running] = true
+	}
+	if _, refused := t.check(f, now); refused {
+		cancel()
 	}
-	t.inFlight[d][running] = true
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.inFlight[d], running)
-		if len(t.inFlight[d]) == 0 {
-			delete(t.inFlight, d)
+		for _, d := range digests {
+			delete(t.inFlight[d], running)
+			if len(t.inFlight[d]) == 0 {
+				delete(t.inFlight, d)
+			}
 		}
 	}
 }
 
-// Count returns the number of requests that are refused.
-func (t *Table) Count(now time.Time) int {
+// Count returns the number of requests and of blocks that are refused.
+func (t *Table) Count(now time.Time) (requests, blocks int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
 	for d, r := range t.records {
-		if t.refused(d, r, now) > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// refused returns the number of crashes attributed to a request if it is to be refused, or
-// else 0.
-func (t *Table) refused(d Digest, r *record, now time.Time) int {
-	newest := time.Time{}
-	for _, at := range r.crashes {
-		if at.After(newest) {
-			newest = at
+		switch {
+		case t.refused(d, r, now) == 0:
+		case r.block:
+			blocks++
+		default:
+			requests++
 		}
 	}
-	if len(r.crashes) < maxCrashes || now.Sub(newest) >= refusalDuration {
-		return 0
-	}
-	if n := t.attributedCrashes(d, r); n >= maxCrashes {
-		return n
-	}
-	return 0
-}
-
-// attributedCrashes returns the number of a request's crashes that no other request explains
-// better. A server runs many requests when it crashes: a request that crashed several other
-// servers is the cause, and those running beside it are not.
-func (t *Table) attributedCrashes(d Digest, r *record) int {
-	n := 0
-	for server := range r.crashes {
-		if !t.explainedByAnother(d, server, len(r.crashes)) {
-			n++
-		}
-	}
-	return n
+	return requests, blocks
 }
 
-// explainedByAnother reports whether another request with more crashes was running on a
-// server when it crashed.
-func (t *Table) explainedByAnother(d Digest, server Server, crashes int) bool {
-	for other, r := range t.records {
-		if _, ran := r.crashes[server]; ran && other != d && len(r.crashes) > crashes {
-			return true
-		}
-	}
-	return false
-}
-
-// setRefusing logs when the refusal of a request begins or ends, and cancels its attempts in
-// flight when it begins.
+// setRefusing logs when the refusal of a request or block begins or ends, and cancels the attempts
+// in flight that are refused when it begins.
 func (t *Table) setRefusing(d Digest, r *record, crashes int) {
 	refusing := crashes > 0
 	if refusing == r.refusing {
 		return
 	}
 	r.refusing = refusing
+	line := t.log.WithField("digest", d.String())
+	switch {
+	case refusing && r.block:
+		line.WithField("crashes", crashes).Warn("prefix block refused from now on: servers crash under requests with it")
+	case refusing:
+		line.WithField("crashes", crashes).Warn("request refused from now on: servers crash under it")
+	case r.block:
+		line.Info("prefix block is let in again")
+	default:
+		line.Info("request is let in again")
+	}
 	if refusing {
-		t.log.WithFields(logrus.Fields{"digest": d.String(), "crashes": crashes}).Warn("request refused from now on: servers crash under it")
-		for a := range t.inFlight[d] {
+		t.cancelRefused(d, r)
+	}
+}
+
+func (t *Table) cancelRefused(d Digest, r *record) {
+	for a := range t.inFlight[d] {
+		if !r.block || t.mayCrash(a.fingerprint.Blocks, r) {
 			a.cancel()
 		}
-	} else {
-		t.log.WithField("digest", d.String()).Info("request is let in again")
 	}
 }
 
 // add records a crash, and reports whether it is new.
-func (t *Table) add(d Digest, server Server, at, now time.Time) bool {
+func (t *Table) add(d Digest, block bool, server Server, at, now time.Time) bool {
 	r := t.records[d]
 	if r == nil {
 		t.evictIfFull(now)
 		r = &record{crashes: map[Server]time.Time{}}
 		t.records[d] = r
 	}
+	r.block = r.block || block
+	t.recallAnswer(d, r, at, now)
 	if _, known := r.crashes[server]; known || !at.After(r.answered) {
 		return false
 	}
 	if len(r.crashes) >= maxPerRecord {
-		delete(r.crashes, oldestCrash(r.crashes))
+		delete(r.crashes, mostCrowdedCrash(r.crashes))
+	}
+	if len(r.crashes) == 0 {
+		r.answersBefore = t.answers
 	}
 	r.crashes[server] = at
-	if n := len(r.crashes); n >= minSavedCrashes && n <= maxCrashes {
+	t.changes++
+	if n := len(r.crashes); n >= minSavedCrashes && n <= maxSavedCrashes {
 		t.markUnsavedIfObserved(d)
 	}
 	t.setRefusing(d, r, t.refused(d, r, now))
 	return true
 }
 
+// recallAnswer applies the last answer to a request with a block when a crash of the block is
+// recorded, and has it reported: hosts learn of the crashes of others later than of their own
+// answers. An answer before the crash is reported only once the block has crashes already, as most
+// blocks of a single crash are answered again within moments.
+func (t *Table) recallAnswer(d Digest, r *record, crashed, now time.Time) {
+	at := t.answered.last(d)
+	if !at.After(r.answered) || at.Before(crashed) && len(r.crashes) == 0 {
+		return
+	}
+	t.updates[d] = &update{observedAt: now}
+	t.clear(d, r, at, now)
+}
+
 // clear drops the crashes up to a complete answer.
-func (t *Table) clear(d Digest, r *record, answered time.Time) {
+func (t *Table) clear(d Digest, r *record, answered, now time.Time) {
 	if !answered.After(r.answered) {
 		return
 	}
@@ -241,7 +309,23 @@
 			delete(r.crashes, server)
 		}
 	}
-	t.setRefusing(d, r, 0)
+	t.changes++
+	t.setRefusing(d, r, t.refused(d, r, now))
+}
+
+// mostCrowdedCrash returns the crash that another one followed most closely. The remaining crashes
+// show best that they were separate ones, and the newest one is among them.
+func mostCrowdedCrash(crashes map[Server]time.Time) Server {
+	servers := slices.SortedFunc(maps.Keys(crashes), func(a, b Server) int {
+		return cmp.Or(crashes[a].Compare(crashes[b]), cmp.Compare(a, b))
+	})
+	crowded, shortest := servers[0], time.Duration(math.MaxInt64)
+	for i, server := range servers[1:] {
+		if gap := crashes[server].Sub(crashes[servers[i]]); gap < shortest {
+			crowded, shortest = servers[i], gap
+		}
+	}
+	return crowded
 }
 
 func oldestCrash(crashes map[Server]time.Time) Server {
@@ -262,6 +346,7 @@
 		for server, at := range r.crashes {
 			if now.Sub(at) >= crashRetention {
 				delete(r.crashes, server)
+				t.changes++
 			}
 		}
 		if len(r.crashes) == 0 && now.Sub(r.answered) >= reportDuration {
@@ -298,4 +383,5 @@
 	}
 	delete(t.records, victim)
 	delete(t.updates, victim)
+	t.changes++
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -16,6 +16,21 @@
 
 const poison, innocent = Digest(1), Digest(2)
 
+// running returns the fingerprints of requests without prefix blocks.
+func running(requests ...Digest) []Fingerprint {
+	var out []Fingerprint
+	for _, d := range requests {
+		out = append(out, Fingerprint{Request: d})
+	}
+	return out
+}
+
+// Refused returns the number of crashes attributed to a request if it is refused, or else 0.
+func (t *Table) Refused(d Digest, now time.Time) int {
+	refusal, _ := t.Check(Fingerprint{Request: d}, now)
+	return refusal.Crashes
+}
+
 func newTable() *Table {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -30,8 +45,8 @@
 func TestCrashesSeenByDifferentHostsAdd(t *testing.T) {
 	hosts := []*Table{newTable(), newTable(), newTable()}
 	for i, h := range hosts {
-		h.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
-		h.Crashed(Server(10), []Digest{poison}, at(float64(i)))
+		h.Crashed(Server(10+i), running(poison), at(float64(i)), at(float64(i)))
+		h.Crashed(Server(10), running(poison), at(float64(i)), at(float64(i)))
 		if n := h.Refused(poison, at(3)); n != 0 {
 			t.Fatalf("refused after the crashes that one host observed: %d", n)
 		}
@@ -56,13 +71,13 @@
 func TestRequestsRunningWithAPoisonRequestAreServed(t *testing.T) {
 	a, b := newTable(), newTable()
 	for i := range 3 {
-		a.Crashed(Server(10+i), []Digest{poison, innocent}, at(float64(i)))
+		a.Crashed(Server(10+i), running(poison, innocent), at(float64(i)), at(float64(i)))
 	}
 	if a.Refused(poison, at(3)) == 0 {
 		t.Error("the poison request is admitted")
 	}
 	b.ApplyReport(a.Changes(at(3), true), at(3))
-	a.Answered(innocent, at(4))
+	a.Answered(Fingerprint{Request: innocent}, at(4))
 	if a.Refused(innocent, at(4)) != 0 {
 		t.Error("a request that was answered is refused")
 	}
@@ -72,11 +87,11 @@
 	}
 	c := newTable()
 	for i := range 4 {
-		c.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
+		c.Crashed(Server(10+i), running(poison), at(float64(i)), at(float64(i)))
 	}
-	c.Crashed(Server(10), []Digest{innocent}, at(5))
-	c.Crashed(Server(11), []Digest{innocent}, at(5))
-	c.Crashed(Server(12), []Digest{innocent}, at(5))
+	c.Crashed(Server(10), running(innocent), at(5), at(5))
+	c.Crashed(Server(11), running(innocent), at(5), at(5))
+	c.Crashed(Server(12), running(innocent), at(5), at(5))
 	if c.Refused(innocent, at(5)) != 0 {
 		t.Error("a request is refused for crashes that another one explains")
 	}
@@ -88,13 +103,13 @@
 func TestRefusalExpires(t *testing.T) {
 	table := newTable()
 	for i := range 3 {
-		table.Crashed(Server(10+i), []Digest{poison}, at(float64(i)))
+		table.Crashed(Server(10+i), running(poison), at(float64(i)), at(float64(i)))
 	}
 	later := at(2).Add(refusalDuration)
 	if table.Refused(poison, later.Add(-time.Millisecond)) == 0 || table.Refused(poison, later) != 0 {
 		t.Error("not refused for refusalDuration after the last crash")
 	}
-	table.Crashed(Server(20), []Digest{poison}, later)
+	table.Crashed(Server(20), running(poison), later, later)
 	if table.Refused(poison, later) == 0 {
 		t.Error("admitted after another crash")
 	}
@@ -112,7 +127,7 @@
 	const refused = 8
 	for d := range Digest(refused) {
 		for i := range 3 {
-			informed.Crashed(Server(100*uint64(d)+uint64(i)+1), []Digest{d + 1, 1000 + d*10 + Digest(i)}, at(float64(i)))
+			informed.Crashed(Server(100*uint64(d)+uint64(i)+1), running(d+1, 1000+d*10+Digest(i)), at(float64(i)), at(float64(i)))
 		}
 	}
 	now := at(60)
@@ -120,7 +135,7 @@
 		now = now.Add(150 * time.Millisecond)
 		started.ApplyReport(informed.Changes(now, true), now)
 	}
-	if n := started.Count(now); n != refused {
+	if n, _ := started.Count(now); n != refused {
 		t.Errorf("%d of %d refused requests received", n, refused)
 	}
 }
@@ -130,10 +145,10 @@
 func TestMemoryIsBounded(t *testing.T) {
 	table := newTable()
 	for i := range 2 * maxPerRecord {
-		table.Crashed(Server(1+i), []Digest{poison}, at(float64(i)))
+		table.Crashed(Server(1+i), running(poison), at(float64(i)), at(float64(i)))
 	}
 	for i := range 3 * maxRecords {
-		table.Crashed(Server(1000+i), []Digest{Digest(100 + i)}, at(20+float64(i)/1000))
+		table.Crashed(Server(1000+i), running(Digest(100+i)), at(20+float64(i)/1000), at(20+float64(i)/1000))
 	}
 	if len(table.records) > maxRecords || len(table.records[poison].crashes) > maxPerRecord {
 		t.Errorf("%d requests, %d crashes of one", len(table.records), len(table.records[poison].crashes))
@@ -187,10 +202,10 @@
 				for range 7 {
 					exchange(false)
 				}
-				hosts[host].Answered(d, now)
+				hosts[host].Answered(Fingerprint{Request: d}, now)
 				crashes[d], answered[d] = 0, true
 			} else {
-				hosts[host].Crashed(Server(1+n), []Digest{d}, now)
+				hosts[host].Crashed(Server(1+n), running(d), now, now)
 				crashes[d]++
 			}
 			exchange(true)
@@ -211,7 +226,7 @@
 func BenchmarkRefused(b *testing.B) {
 	table := newTable()
 	for i := range maxRecords {
-		table.Crashed(Server(1+i), []Digest{Digest(1 + i)}, start)
+		table.Crashed(Server(1+i), running(Digest(1+i)), start, start)
 	}
 	for b.Loop() {
 		table.Refused(Digest(1), start)
@@ -221,7 +236,7 @@
 func BenchmarkApplyReport(b *testing.B) {
 	from, to := newTable(), newTable()
 	for i := range maxUpdates {
-		from.Crashed(Server(1), []Digest{Digest(1 + i)}, start)
+		from.Crashed(Server(1), running(Digest(1+i)), start, start)
 	}
 	reports := from.Changes(start, true)
 	if len(reports) != maxUpdates {
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -92,14 +92,20 @@
 	defer t.mu.Unlock()
 	for _, report := range reports {
 		d := Digest(report.Digest)
-		if r := t.records[d]; r != nil && report.AnsweredMs != nil {
-			t.clear(d, r, timeOfAge(*report.AnsweredMs, now))
-		}
+		t.applyAnswered(d, report, now)
 		for _, c := range report.Crashes {
 			if at := timeOfAge(c.AgeMs, now); now.Sub(at) < crashRetention {
-				t.add(d, Server(c.Server), at, now)
+				t.add(d, report.Block, Server(c.Server), at, now)
 			}
 		}
+		// The record may have been added by the crashes.
+		t.applyAnswered(d, report, now)
+	}
+}
+
+func (t *Table) applyAnswered(d Digest, report *pb.RequestCrashes, now time.Time) {
+	if r := t.records[d]; r != nil && report.AnsweredMs != nil {
+		t.clear(d, r, timeOfAge(*report.AnsweredMs, now), now)
 	}
 }
 
@@ -108,7 +114,7 @@
 }
 
 func toProto(d Digest, r *record, now time.Time) *pb.RequestCrashes {
-	out := &pb.RequestCrashes{Digest: uint64(d)}
+	out := &pb.RequestCrashes{Digest: uint64(d), Block: r.block}
 	if !r.answered.IsZero() {
 		ms := now.Sub(r.answered).Milliseconds()
 		out.AnsweredMs = &ms
--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -166,10 +166,10 @@
 		const servers = 4
 		table := manyServers(servers)
 		crashes := 0
-		table.OnCrash = func(quarantine.Server, []quarantine.Digest, time.Time) { crashes++ }
+		table.OnCrash = func(quarantine.Server, []quarantine.Fingerprint, time.Time) { crashes++ }
 		var flights []*Flight
 		for i := range servers {
-			flights = append(flights, table.Begin(fmt.Sprintf("i-%05d", i), Work{Digest: 7}, time.Now()))
+			flights = append(flights, table.Begin(fmt.Sprintf("i-%05d", i), Work{Fingerprint: quarantine.Fingerprint{Request: 7}}, time.Now()))
 		}
 		time.Sleep(10 * time.Millisecond)
 		for _, f := range flights {
--- a/internal/replica/crash.go
+++ b/internal/replica/crash.go
@@ -23,17 +23,18 @@
 // brokenRequest is a request whose exchange with its server ended before the complete
 // answer.
 type brokenRequest struct {
-	digest quarantine.Digest
+	fingerprint quarantine.Fingerprint
 	// at is when the exchange ended; from expires on, a crash of the server is no longer
-	// attributed to the request.
+	// attributed to the request. byServer is set if the server's side ended it.
 	at, expires time.Time
+	byServer    bool
 }
 
 // crash is the crash of a server while it was running requests.
 type crash struct {
-	server   quarantine.Server
-	requests []quarantine.Digest
-	at       time.Time
+	server  quarantine.Server
+	running []quarantine.Fingerprint
+	at      time.Time
 }
 
 // ConnectionBroken records that the connection broke before the complete answer. A probe of the
@@ -46,7 +47,7 @@
 	if t.isCutOff(e) {
 		return
 	}
-	e.recordBroken(f.work.Digest, now, crashWindow)
+	e.recordBroken(brokenRequest{fingerprint: f.work.Fingerprint, at: now, expires: now.Add(crashWindow), byServer: true})
 	if e.recentlyRefused(now) {
 		t.attributeRefused(e, now)
 		return
@@ -63,16 +64,15 @@
 	if f.table.isCutOff(f.entry) {
 		return
 	}
-	f.entry.recordBroken(f.work.Digest, now, abandonedCrashWindow)
+	f.entry.recordBroken(brokenRequest{fingerprint: f.work.Fingerprint, at: now, expires: now.Add(abandonedCrashWindow)})
 }
 
-// recordBroken remembers a request for the given window, in place of the oldest if the limit
-// is reached.
-func (e *entry) recordBroken(d quarantine.Digest, now time.Time, window time.Duration) {
+// recordBroken remembers a request, in place of the oldest if the limit is reached.
+func (e *entry) recordBroken(b brokenRequest) {
 	if len(e.brokenRequests) >= maxBrokenRequests {
 		e.brokenRequests = e.brokenRequests[1:]
 	}
-	e.brokenRequests = append(e.brokenRequests, brokenRequest{digest: d, at: now, expires: now.Add(window)})
+	e.brokenRequests = append(e.brokenRequests, b)
 }
 
 // attributeCrash attributes the end of a server to the requests that broke recently. The end
@@ -82,27 +82,42 @@
 		e.brokenRequests = nil
 		return
 	}
-	c := crash{server: quarantine.ServerOf(e.reg.ID, e.reg.Started), at: now}
+	c := crash{server: quarantine.ServerOf(e.reg.ID, e.reg.Started), at: e.crashTime(now)}
 	for _, b := range e.brokenRequests {
 		if now.Before(b.expires) {
-			c.requests = append(c.requests, b.digest)
+			c.running = append(c.running, b.fingerprint)
 		}
 	}
 	e.brokenRequests = nil
-	if len(c.requests) == 0 {
+	if len(c.running) == 0 {
 		return
 	}
-	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "requests": len(c.requests), "digests": loggedDigests(c.requests)}).Warn("replica crashed while it was running requests")
+	t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "requests": len(c.running), "digests": loggedDigests(c.running)}).Warn("replica crashed while it was running requests")
 	t.pendingCrashes = append(t.pendingCrashes, c)
 }
 
+// crashTime returns when the server crashed: connections break with it, while its entry may be
+// removed seconds later.
+func (e *entry) crashTime(now time.Time) time.Time {
+	at := time.Time{}
+	for _, b := range e.brokenRequests {
+		if b.byServer && now.Before(b.expires) && b.at.After(at) {
+			at = b.at
+		}
+	}
+	if at.IsZero() {
+		return now
+	}
+	return at
+}
+
 // maxLoggedDigests limits the requests that the line on a crash names.
 const maxLoggedDigests = 16
 
-func loggedDigests(requests []quarantine.Digest) []string {
-	out := make([]string, min(len(requests), maxLoggedDigests))
+func loggedDigests(running []quarantine.Fingerprint) []string {
+	out := make([]string, min(len(running), maxLoggedDigests))
 	for i := range out {
-		out[i] = requests[i].String()
+		out[i] = running[i].Request.String()
 	}
 	return out
 }
@@ -128,7 +143,7 @@
 	t.pendingCrashes = nil
 	t.mu.Unlock()
 	for _, c := range pending {
-		t.OnCrash(c.server, c.requests, c.at)
+		t.OnCrash(c.server, c.running, c.at)
 	}
 }
 
--- a/internal/replica/crash_test.go
+++ b/internal/replica/crash_test.go
@@ -17,9 +17,11 @@
 
 func newCrashFixture() *crashFixture {
 	w := &crashFixture{Table: NewTable(quietLog(), func(string, string) {})}
-	w.OnCrash = func(server quarantine.Server, requests []quarantine.Digest, _ time.Time) {
+	w.OnCrash = func(server quarantine.Server, running []quarantine.Fingerprint, _ time.Time) {
 		w.servers = append(w.servers, server)
-		w.requests = append(w.requests, requests...)
+		for _, f := range running {
+			w.requests = append(w.requests, f.Request)
+		}
 	}
 	w.Register(registrationOf(1000, 1), 0)
 	other := registrationOf(1000, 1)
@@ -36,7 +38,7 @@
 
 // breakRequest sends a request whose connection breaks at the given time.
 func (w *crashFixture) breakRequest(d quarantine.Digest, at time.Time) {
-	f := w.Begin("a", Work{Digest: d, Expected: time.Second}, at.Add(-50*time.Millisecond))
+	f := w.Begin("a", Work{Fingerprint: quarantine.Fingerprint{Request: d}, Expected: time.Second}, at.Add(-50*time.Millisecond))
 	f.ConnectionBroken(at)
 	f.End(Lost, at)
 }
@@ -48,7 +50,7 @@
 // server ended.
 func TestCrashIsAttributedToRunningRequests(t *testing.T) {
 	w, now := newCrashFixture(), time.Now()
-	late := w.Begin("a", Work{Digest: 3}, now)
+	late := w.Begin("a", Work{Fingerprint: quarantine.Fingerprint{Request: 3}}, now)
 	w.breakRequest(1, now)
 	w.breakRequest(2, now)
 	if probes := w.TakeProbeTargets(); probes["a"] != crashAddress || len(w.TakeProbeTargets()) != 0 {
@@ -74,7 +76,7 @@
 func TestAbandonedRequestsMayCrashTheirServer(t *testing.T) {
 	for after, want := range map[time.Duration]int{abandonedCrashWindow - time.Millisecond: 1, abandonedCrashWindow: 0} {
 		w, now := newCrashFixture(), time.Now()
-		f := w.Begin("a", Work{Digest: 1}, now)
+		f := w.Begin("a", Work{Fingerprint: quarantine.Fingerprint{Request: 1}}, now)
 		f.Abandoned(now)
 		f.End(Cancelled, now)
 		w.ConnectionRefused("a", crashAddress, now.Add(after))
@@ -107,7 +109,7 @@
 	now := time.Now()
 	for name, later := range map[string]func(*crashFixture){
 		"answers": func(w *crashFixture) {
-			f := w.Begin("a", Work{Digest: 9}, now.Add(time.Millisecond))
+			f := w.Begin("a", Work{Fingerprint: quarantine.Fingerprint{Request: 9}}, now.Add(time.Millisecond))
 			f.AnswerStarted(now.Add(2 * time.Millisecond))
 			f.End(Answered, now.Add(3*time.Millisecond))
 			w.ConnectionRefused("a", crashAddress, now.Add(time.Second))
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -23,8 +23,8 @@
 	ServiceTime time.Duration
 	Slowdown    float64
 	Engine      bool
-	// Digest identifies the request.
-	Digest quarantine.Digest
+	// Fingerprint identifies the request and its prefix blocks.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Flight is a request in flight at a server. It is safe for concurrent use.
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -67,7 +67,7 @@
 	IsKnownService func(service string) bool
 	// OnCrash is called, without the lock, for each server that crashed, with the requests
 	// that it was running; it is set before use.
-	OnCrash func(server quarantine.Server, requests []quarantine.Digest, now time.Time)
+	OnCrash func(server quarantine.Server, running []quarantine.Fingerprint, at time.Time)
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -162,7 +162,7 @@
 func NewTable(log *logrus.Logger, onRemove func(id, address string)) *Table {
 	return &Table{
 		log: log, onRemove: onRemove, IsKnownService: func(string) bool { return true },
-		OnCrash: func(quarantine.Server, []quarantine.Digest, time.Time) {},
+		OnCrash: func(quarantine.Server, []quarantine.Fingerprint, time.Time) {},
 		machine: newMachine(), entries: map[string]*entry{}, active: map[string]*entry{}, lapsed: map[string]*entry{}, withSlowdown: map[string]*entry{}, limited: map[string]*entry{}, brittle: map[string]*entry{}, rejectedAt: map[string]time.Time{}, borrowedAt: map[string]time.Time{}, services: services{}, wanted: map[string][]wantedVersion{}, newestHeld: map[serviceModel]int64{}, otherLoads: newLoads(), peerSlowdowns: slowdownReports{}, contacts: map[string]*contact{},
 	}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -39,8 +39,8 @@
 	MaxHold time.Duration
 	// Exclude holds the replicas that have already been tried.
 	Exclude map[string]bool
-	// Digest identifies the request for the quarantine.
-	Digest quarantine.Digest
+	// Fingerprint identifies the request and its prefix blocks for the quarantine.
+	Fingerprint quarantine.Fingerprint
 	// AcquirePermit acquires a permit to send the request to a server that limits its requests,
 	// and reports whether it did. It may wait for another host's answer.
 	AcquirePermit func(id string) bool
@@ -122,12 +122,20 @@
 // isolated organisations, by organisation.
 func (s *Scheduler) Salt(model string, version int64, o *config.Organisation) string {
 	salt := model + "/w" + strconv.FormatInt(version, 10)
-	if o != nil && (o.Isolated || !s.shareCache) {
-		salt += "/" + o.Name
+	if scope := s.SharingScope(o); scope != "" {
+		salt += "/" + scope
 	}
 	return salt
 }
 
+// SharingScope returns the name of an organisation that shares no prompts with others, or "".
+func (s *Scheduler) SharingScope(o *config.Organisation) string {
+	if o != nil && (o.Isolated || !s.shareCache) {
+		return o.Name
+	}
+	return ""
+}
+
 // Pick chooses a replica and counts the request as sent to it, unless it is to be held.
 func (s *Scheduler) Pick(req *Request, now time.Time) (*Choice, error) {
 	capacity := 0
@@ -283,7 +291,7 @@
 	work := replica.Work{
 		Prefill: prefill, Memory: req.PromptTokens + req.OutputTokens,
 		Expected: d.Expected, PrefillTime: time.Duration(d.Slowdown * float64(s.policy.PrefillTime(prefill))),
-		ServiceTime: d.ServiceTime, Slowdown: d.Slowdown, Engine: capacity > 0, Digest: req.Digest,
+		ServiceTime: d.ServiceTime, Slowdown: d.Slowdown, Engine: capacity > 0, Fingerprint: req.Fingerprint,
 	}
 	c.Flight = s.replicas.Begin(d.ID, work, now)
 	if c.Flight == nil {
