Count an answer that ends with its connection once its server lives on

Cause: such an answer looks complete when its server crashes between two events, or right after the last one. It was taken for a complete answer, which clears the request and its blocks. Change: it is remembered with the connections that broke. Where the request is suspected already, the server is probed at once; others cost no connection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -37,6 +37,8 @@
 	cancel context.CancelCauseFunc
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
+	// untilClose is set if the answer ends with its connection.
+	untilClose bool
 	// stopQuarantineWatch stops watching for a quarantine of the request; nil once the stream
 	// has started.
 	stopQuarantineWatch func()
@@ -92,8 +94,10 @@
 func (x *exchange) recordCrashEvidence(result replica.Result, err error, mayHaveRun bool) {
 	now := clock.Now()
 	switch {
+	case result == replica.Answered && x.untilClose:
+		x.choice.Flight.AnsweredUntilClose(x.d.crashes.Suspected(x.fingerprint), now)
 	case result == replica.Answered || result == replica.Failed:
-		x.d.crashes.Answered(x.fingerprint, now)
+		x.d.crashes.Answered(x.fingerprint, now, now)
 	case result == replica.Lost && upstream.IsConnectionBroken(err):
 		x.choice.Flight.ConnectionBroken(now)
 	case (result == replica.Lost || result == replica.Cancelled) && mayHaveRun:
@@ -124,6 +128,7 @@
 		return x.handleNotRun(resp)
 	}
 	x.report.Ran++
+	x.untilClose = resp.UntilClose()
 	if !resp.Answer.Sealed || resp.Answer.ID != x.req.ID {
 		resp.Finish(false)
 		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -22,7 +22,12 @@
 func (n *Node) probeBroken(ctx context.Context) {
 	for id, address := range n.replicas.TakeProbeTargets() {
 		go func() {
-			if err := n.pool.CheckReachable(ctx, address); upstream.IsConnectionRefused(err) {
+			began := clock.Now()
+			err := n.pool.CheckReachable(ctx, address)
+			if err == nil {
+				n.replicas.ProbeAnswered(id, address, began)
+			}
+			if upstream.IsConnectionRefused(err) {
 				n.replicas.ConnectionRefused(id, address, clock.Now())
 				n.replicas.Reached(id, false, clock.Now())
 				n.probeContacts(ctx)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -152,6 +152,7 @@
 		n.updateRetryBudget(now)
 		n.logEndedEpisodes(now)
 		n.crashes.Expire(now)
+		n.replicas.ConfirmAnswers(now)
 		n.markReady()
 		n.updateGauges(now)
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -252,6 +252,7 @@
 	})
 	n.crashes = quarantine.NewTable(log)
 	n.replicas.OnCrash = n.replicaCrashed
+	n.replicas.OnAnswered = func(f quarantine.Fingerprint, at time.Time) { n.crashes.Answered(f, at, clock.Now()) }
 	n.engines.OnAnswer = n.replicas.RecordNoticeAt
 	n.engines.BeforeCall = n.beforeEngineCall
 	n.replicas.Off = off
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -48,7 +48,7 @@
 	}
 	started := newTable()
 	started.Load(record, at(5))
-	started.Answered(Fingerprint{Request: poison}, at(6))
+	started.Answered(Fingerprint{Request: poison}, at(6), at(6))
 	cleared := started.Unsaved()
 	if len(cleared) != 1 || !cleared[0].Encode().Removed {
 		t.Errorf("after an answer: %+v", cleared)
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -219,7 +219,7 @@
 			kept = append(kept, r)
 		default:
 			r.stop()
-			s.tables[r.host].Answered(r.Fingerprint, s.now)
+			s.tables[r.host].Answered(r.Fingerprint, s.now, s.now)
 		}
 	}
 	server.running = kept
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -113,26 +113,25 @@
 	t.add(d, block, server, at, now)
 }
 
-// Answered records that a server has answered a request completely, or has gone on for so long with
-// its answer that the request does not crash it.
-func (t *Table) Answered(f Fingerprint, now time.Time) {
+// Answered records that a server answered a request completely at the given time, and lived on.
+func (t *Table) Answered(f Fingerprint, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.answers++
-	t.recordAnswer(f.Request, now)
+	t.recordAnswer(f.Request, at, now)
 	for _, d := range f.Blocks {
-		t.answered.add(d, now)
-		t.recordAnswer(d, now)
+		t.answered.add(d, at)
+		t.recordAnswer(d, at, now)
 	}
 }
 
-func (t *Table) recordAnswer(d Digest, now time.Time) {
+func (t *Table) recordAnswer(d Digest, at, now time.Time) {
 	r := t.records[d]
 	if r == nil || len(r.crashes) == 0 {
 		return
 	}
 	t.updates[d] = &update{observedAt: now}
-	t.clear(d, r, now, now)
+	t.clear(d, r, at, now)
 }
 
 // Suspected reports whether a server crashed while running the request, or one that shares a prefix
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -77,7 +77,7 @@
 		t.Error("the poison request is admitted")
 	}
 	b.ApplyReport(a.Changes(at(3), true), at(3))
-	a.Answered(Fingerprint{Request: innocent}, at(4))
+	a.Answered(Fingerprint{Request: innocent}, at(4), at(4))
 	if a.Refused(innocent, at(4)) != 0 {
 		t.Error("a request that was answered is refused")
 	}
@@ -202,7 +202,7 @@
 				for range 7 {
 					exchange(false)
 				}
-				hosts[host].Answered(Fingerprint{Request: d}, now)
+				hosts[host].Answered(Fingerprint{Request: d}, now, now)
 				crashes[d], answered[d] = 0, true
 			} else {
 				hosts[host].Crashed(Server(1+n), running(d), now, now)
--- a/internal/replica/crash.go
+++ b/internal/replica/crash.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,15 @@
 	// attributed to the request. byServer is set if the server's side ended it.
 	at, expires time.Time
 	byServer    bool
+	// answered is set if the answer seemed complete, but would also if the server had crashed: it ended
+	// with its connection. It counts once the server has shown that it lives on.
+	answered bool
+}
+
+// confirmedAnswer is an answered request whose server has lived on.
+type confirmedAnswer struct {
+	fingerprint quarantine.Fingerprint
+	at          time.Time
 }
 
 // crash is the crash of a server while it was running requests.
@@ -67,6 +77,55 @@
 	f.entry.recordBroken(brokenRequest{fingerprint: f.work.Fingerprint, at: now, expires: now.Add(abandonedCrashWindow)})
 }
 
+// AnsweredUntilClose records an answer that ended with its connection. If the request is suspected of
+// crashing servers, the server is probed at once.
+func (f *Flight) AnsweredUntilClose(suspected bool, now time.Time) {
+	t, e := f.table, f.entry
+	t.mu.Lock()
+	defer t.unlockAndNotify()
+	if t.isCutOff(e) {
+		return
+	}
+	e.recordBroken(brokenRequest{fingerprint: f.work.Fingerprint, at: now, expires: now.Add(crashWindow), byServer: true, answered: true})
+	e.needsProbe = e.needsProbe || suspected
+	t.track(t.active, e)
+	t.track(t.unconfirmed, e)
+}
+
+// ProbeAnswered records that a server accepted a connection, or kept one open, after the given time.
+func (t *Table) ProbeAnswered(id, address string, began time.Time) {
+	t.mu.Lock()
+	defer t.unlockAndNotify()
+	if e := t.entries[id]; e != nil && e.reg.Address == address {
+		t.confirmAnswers(e, func(b brokenRequest) bool { return b.at.Before(began) })
+	}
+}
+
+// ConfirmAnswers counts the answers that ended with their connections, and whose servers have not
+// crashed within crashWindow.
+func (t *Table) ConfirmAnswers(now time.Time) {
+	t.mu.Lock()
+	defer t.unlockAndNotify()
+	for id, e := range t.unconfirmed {
+		t.confirmAnswers(e, func(b brokenRequest) bool { return !now.Before(b.expires) })
+		if !slices.ContainsFunc(e.brokenRequests, func(b brokenRequest) bool { return b.answered }) {
+			delete(t.unconfirmed, id)
+		}
+	}
+}
+
+// confirmAnswers counts the answers of a server that ended with their connections and that lives
+// reports to be before a sign of life.
+func (t *Table) confirmAnswers(e *entry, lives func(b brokenRequest) bool) {
+	e.brokenRequests = slices.DeleteFunc(e.brokenRequests, func(b brokenRequest) bool {
+		confirmed := b.answered && lives(b)
+		if confirmed {
+			t.pendingAnswers = append(t.pendingAnswers, confirmedAnswer{b.fingerprint, b.at})
+		}
+		return confirmed
+	})
+}
+
 // recordBroken remembers a request, in place of the oldest if the limit is reached.
 func (e *entry) recordBroken(b brokenRequest) {
 	if len(e.brokenRequests) >= maxBrokenRequests {
@@ -124,27 +183,26 @@
 
 // clearBroken forgets the connections that broke before the given time, at which a request
 // was sent that the server has since answered: no crash broke them.
-func (e *entry) clearBroken(sent time.Time) {
-	kept := e.brokenRequests[:0]
-	for _, b := range e.brokenRequests {
-		if !b.at.Before(sent) {
-			kept = append(kept, b)
-		}
-	}
-	e.brokenRequests = kept
+func (t *Table) clearBroken(e *entry, sent time.Time) {
+	before := func(b brokenRequest) bool { return b.at.Before(sent) }
+	t.confirmAnswers(e, before)
+	e.brokenRequests = slices.DeleteFunc(e.brokenRequests, before)
 	if e.connectionRefusedAt.Before(sent) {
 		e.connectionRefusedAt = time.Time{}
 	}
 }
 
-// unlockAndNotify releases the lock and then reports the pending crashes.
+// unlockAndNotify releases the lock and then reports the pending crashes and confirmed answers.
 func (t *Table) unlockAndNotify() {
-	pending := t.pendingCrashes
-	t.pendingCrashes = nil
+	crashes, answers := t.pendingCrashes, t.pendingAnswers
+	t.pendingCrashes, t.pendingAnswers = nil, nil
 	t.mu.Unlock()
-	for _, c := range pending {
+	for _, c := range crashes {
 		t.OnCrash(c.server, c.running, c.at)
 	}
+	for _, a := range answers {
+		t.OnAnswered(a.fingerprint, a.at)
+	}
 }
 
 // TakeProbeTargets returns the addresses of the servers to probe because a connection that carried
--- a/internal/replica/crash_test.go
+++ b/internal/replica/crash_test.go
@@ -132,3 +132,46 @@
 		}
 	}
 }
+
+// TestAnswerUntilCloseCountsOnceTheServerLivesOn guards against a request that crashes servers and is
+// taken for answered each time: an answer that ends with its connection looks complete when its server
+// crashes between two events. It counts after a sign of life, and otherwise the request was running
+// when the server crashed.
+func TestAnswerUntilCloseCountsOnceTheServerLivesOn(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		next              func(w *crashFixture)
+		answered, crashed int
+	}{
+		"nothing yet":            {func(w *crashFixture) { w.ConfirmAnswers(now.Add(crashWindow - time.Millisecond)) }, 0, 0},
+		"no crash in the window": {func(w *crashFixture) { w.ConfirmAnswers(now.Add(crashWindow)) }, 1, 0},
+		"accepts a connection":   {func(w *crashFixture) { w.ProbeAnswered("a", crashAddress, now.Add(time.Millisecond)) }, 1, 0},
+		"accepted one before":    {func(w *crashFixture) { w.ProbeAnswered("a", crashAddress, now) }, 0, 0},
+		"answers a later request": {func(w *crashFixture) {
+			w.Begin("a", Work{}, now.Add(time.Millisecond)).AnswerStarted(now.Add(2 * time.Millisecond))
+		}, 1, 0},
+		"answers an earlier request": {func(w *crashFixture) {
+			w.Begin("a", Work{}, now.Add(-time.Millisecond)).AnswerStarted(now.Add(2 * time.Millisecond))
+		}, 0, 0},
+		"refuses connections": {func(w *crashFixture) {
+			w.ConnectionRefused("a", crashAddress, now.Add(50*time.Millisecond))
+			w.ConfirmAnswers(now.Add(crashWindow))
+		}, 0, 1},
+		"its entry is removed": {func(w *crashFixture) {
+			w.Remove("a", true)
+			w.ConfirmAnswers(now.Add(crashWindow))
+		}, 0, 1},
+	} {
+		w := newCrashFixture()
+		answered := 0
+		w.OnAnswered = func(quarantine.Fingerprint, time.Time) { answered++ }
+		f := w.Begin("a", Work{Fingerprint: quarantine.Fingerprint{Request: 1}}, now.Add(-50*time.Millisecond))
+		f.AnswerStarted(now.Add(-10 * time.Millisecond))
+		f.AnsweredUntilClose(false, now)
+		f.End(Answered, now)
+		c.next(w)
+		if answered != c.answered || len(w.requests) != c.crashed {
+			t.Errorf("%s: answered %d times, in %d crashes", name, answered, len(w.requests))
+		}
+	}
+}
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -76,7 +76,7 @@
 	}
 	f.answerStarted = true
 	f.ratio = float64(now.Sub(f.start)) / float64(max(f.work.Expected, minTimedExpectation))
-	f.entry.clearBroken(f.start)
+	f.table.clearBroken(f.entry, f.start)
 	f.table.updateHealth(f.entry, "an answer began", now, func(h *health) { h.markUp() })
 	if f.entry.recordSlowdown(f, now.Sub(f.start)) {
 		f.table.track(f.table.withSlowdown, f.entry)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -68,6 +68,9 @@
 	// OnCrash is called, without the lock, for each server that crashed, with the requests
 	// that it was running; it is set before use.
 	OnCrash func(server quarantine.Server, running []quarantine.Fingerprint, at time.Time)
+	// OnAnswered is called, without the lock, for each answer that ended with its connection, once its
+	// server has shown that it lives on; it is set before use.
+	OnAnswered func(request quarantine.Fingerprint, at time.Time)
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -76,6 +79,8 @@
 	// entries that lapsed during a store outage, withSlowdown those with a known slowdown.
 	// Entries are removed from these sets later than they leave the state.
 	active, lapsed, withSlowdown map[string]*entry
+	// unconfirmed holds the entries with answers that are not confirmed yet.
+	unconfirmed map[string]*entry
 	// limited holds the entries that limit their requests. The next report starts after
 	// limitCursor.
 	limited     map[string]*entry
@@ -108,8 +113,9 @@
 	slowdownCursor   string
 	// contacts holds, by service, whether this host reaches any of its servers.
 	contacts map[string]*contact
-	// pendingCrashes are passed to OnCrash once the lock is released.
+	// pendingCrashes and pendingAnswers are passed to OnCrash and OnAnswered once the lock is released.
 	pendingCrashes []crash
+	pendingAnswers []confirmedAnswer
 	// generation counts the changes of the set of servers and of those that may be used.
 	generation uint64
 }
@@ -162,7 +168,7 @@
 func NewTable(log *logrus.Logger, onRemove func(id, address string)) *Table {
 	return &Table{
 		log: log, onRemove: onRemove, IsKnownService: func(string) bool { return true },
-		OnCrash: func(quarantine.Server, []quarantine.Fingerprint, time.Time) {},
+		OnCrash: func(quarantine.Server, []quarantine.Fingerprint, time.Time) {}, OnAnswered: func(quarantine.Fingerprint, time.Time) {}, unconfirmed: map[string]*entry{},
 		machine: newMachine(), entries: map[string]*entry{}, active: map[string]*entry{}, lapsed: map[string]*entry{}, withSlowdown: map[string]*entry{}, limited: map[string]*entry{}, brittle: map[string]*entry{}, rejectedAt: map[string]time.Time{}, borrowedAt: map[string]time.Time{}, services: services{}, wanted: map[string][]wantedVersion{}, newestHeld: map[serviceModel]int64{}, otherLoads: newLoads(), peerSlowdowns: slowdownReports{}, contacts: map[string]*contact{},
 	}
 }
@@ -269,6 +275,7 @@
 	t.fire(e, eventRemove, reason)
 	delete(t.entries, id)
 	delete(t.active, id)
+	delete(t.unconfirmed, id)
 	delete(t.withSlowdown, id)
 	delete(t.limited, id)
 	delete(t.brittle, id)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -217,11 +217,17 @@
 	return nil, errors.New("the connection carried answers to other requests")
 }
 
+// UntilClose reports whether the answer has neither a length nor chunks: it ends with its connection,
+// and looks complete if the server crashed while writing it.
+func (r *Response) UntilClose() bool {
+	return r.raw.ContentLength < 0 && len(r.raw.TransferEncoding) == 0
+}
+
 // Finish ends the exchange; complete states that the whole body was read. The connection is
 // kept only if it was, nothing else has arrived, and the whole request was written.
 func (r *Response) Finish(complete bool) {
 	active := r.stop()
-	if !complete || !active || r.close || r.raw.ContentLength < 0 && len(r.raw.TransferEncoding) == 0 {
+	if !complete || !active || r.close || r.UntilClose() {
 		r.conn.Conn.Close()
 		return
 	}
