Take a stream that ends within an event for a broken connection

What callers saw: nothing wrong in their answer (it was broken off), but the crash of its server was noticed late or not at all. Cause: without length or chunks, a stream whose server crashes ends in a clean end of file. Before: TestStreamThatEndsWithinAnEventIsBrokenOff fails (no server to probe; the caller's part held). After: it passes; TestFailureInvariants draws such streams too.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -51,12 +51,14 @@
 	streams      behaviour = "streams"
 	cutsStream   behaviour = "cuts its stream"
 	skips        behaviour = "skips an event"
+	// endsWithinEvent streams without length or chunks, and ends within an event.
+	endsWithinEvent behaviour = "ends within an event"
 	// answersAtCheck answers at the moment of the first check for a hang.
 	answersAtCheck behaviour = "answers at a check"
 )
 
 var behaviours = []behaviour{
-	unreachable, timesOut, refuses, misdirects, cutsBefore, answers, answers, fails, unsealed, foreign, cutsBody, hangs, streams, streams, cutsStream, skips,
+	unreachable, timesOut, refuses, misdirects, cutsBefore, answers, answers, fails, unsealed, foreign, cutsBody, hangs, streams, streams, cutsStream, skips, endsWithinEvent,
 }
 
 const (
@@ -153,6 +155,8 @@
 		write(head(200) + seal + length + wholeBody[:5])
 	case hangs:
 		_, _ = io.Copy(io.Discard, r)
+	case endsWithinEvent:
+		write(head(200) + seal + "Content-Type: text/event-stream\r\n\r\n" + eventText(1) + eventText(2)[:5])
 	case streams, cutsStream, skips:
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		write(head(200) + seal + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -13,8 +13,10 @@
 const maxEvent = 1 << 20
 
 var (
-	errEventTooLarge  = errors.New("event exceeds the size limit")
-	errEventTruncated = errors.New("stream ended within an event")
+	errEventTooLarge = errors.New("event exceeds the size limit")
+	// errEventTruncated counts as a broken connection: a stream without length or chunks ends like this
+	// if its server crashes.
+	errEventTruncated = errors.Wrap(io.ErrUnexpectedEOF, "stream ended within an event")
 	errEventOrder     = errors.New("event without an ID or out of order")
 )
 
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -123,3 +123,23 @@
 		}
 	})
 }
+
+// TestStreamThatEndsWithinAnEventIsBrokenOff guards against a crash that is not noticed: a stream
+// without length or chunks whose server crashes within an event ends as if it had been closed. Its
+// caller must not take it for complete, and its server is probed.
+func TestStreamThatEndsWithinAnEventIsBrokenOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{endsWithinEvent}, ranAt: map[string]bool{}}
+		d, table := newDispatcher(f)
+		req := resumable()
+		req.Route.Resumable = false
+		out := &recorder{}
+		report, err := d.Run(context.Background(), req, out)
+		if !errkind.Is(err, errkind.BackendLost) || report.Sends != 1 || out.body != eventText(1) {
+			t.Errorf("%v after %d attempts, the caller got %q", err, report.Sends, out.body)
+		}
+		if probes := table.TakeProbeTargets(); probes[report.Replica] == "" {
+			t.Errorf("servers to probe: %v, want %s", probes, report.Replica)
+		}
+	})
+}
