An error answer clears no crash

Cause, found in the search for the same class: a server that answers a poison request with an error, maybe without running it, cleared the crashes of other servers under it. Before: TestErrorAnswerClearsNoCrash fails (served after three crashes). After: it passes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,9 +94,11 @@
 func (x *exchange) recordCrashEvidence(result replica.Result, err error, mayHaveRun bool) {
 	now := clock.Now()
 	switch {
+	case result == replica.Answered && x.report.Status >= http.StatusBadRequest:
+		// The server may not have run the request.
 	case result == replica.Answered && x.untilClose:
 		x.choice.Flight.AnsweredUntilClose(x.d.crashes.Suspected(x.fingerprint), now)
-	case result == replica.Answered || result == replica.Failed:
+	case result == replica.Answered:
 		x.d.crashes.Answered(x.fingerprint, now, now)
 	case result == replica.Lost && upstream.IsConnectionBroken(err):
 		x.choice.Flight.ConnectionBroken(now)
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -143,3 +143,21 @@
 		}
 	})
 }
+
+// TestErrorAnswerClearsNoCrash guards against a server that answers a poison request with an error
+// without running it: the crashes of other servers must still count.
+func TestErrorAnswerClearsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{fails}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		req := nonIdempotent()
+		recordCrashes(d, req, 1, 2)
+		if report, err := d.Run(context.Background(), req, &recorder{}); err != nil || report.Status != 500 {
+			t.Fatalf("%+v, %v", report, err)
+		}
+		recordCrashes(d, req, 10, 1)
+		if _, err := d.Run(context.Background(), nonIdempotent(), &recorder{}); !errkind.Is(err, errkind.Quarantined) {
+			t.Errorf("after three crashes and an error: %v", err)
+		}
+	})
+}
