A stream that goes on for two seconds clears its request of crashes

Cause, found in the search for the same class: only a complete answer was evidence. Where answers last longer than servers stay up (a restart in series, long generations), the block that all requests begin with is in every crash and in no complete answer. Before: TestLongStreamClearsCrashes fails (refused after three crashes while it is answered). After: it passes.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -109,6 +110,7 @@
 func (x *exchange) forwardEvent(resp *upstream.Response, ev event) error {
 	now := clock.Now()
 	x.choice.Flight.AnswerStarted(now)
+	x.recordSurvival(now)
 	if !x.started {
 		x.started = true
 		x.unwatchQuarantine()
@@ -123,6 +125,22 @@
 	return x.out.Event(ev.data)
 }
 
+// survivalTime is how long after its first event a stream shows that its request does not crash the
+// server.
+const survivalTime = 2 * time.Second
+
+// recordSurvival clears the request of crashes once its server has gone on with the answer for
+// survivalTime. Long streams may not end between the crashes of several servers.
+func (x *exchange) recordSurvival(now time.Time) {
+	if x.firstEventAt.IsZero() {
+		x.firstEventAt = now
+	}
+	if !x.survived && now.Sub(x.firstEventAt) >= survivalTime {
+		x.survived = true
+		x.d.crashes.Answered(x.fingerprint, now, now)
+	}
+}
+
 // streamEnded handles the clean end of a stream.
 func (x *exchange) streamEnded(resp *upstream.Response) (replica.Result, error) {
 	if x.started {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,6 +39,10 @@
 	hangWatch *hangWatch
 	// untilClose is set if the answer ends with its connection.
 	untilClose bool
+	// firstEventAt is when this attempt's first event arrived, and survived is set once the stream has
+	// gone on for survivalTime.
+	firstEventAt time.Time
+	survived     bool
 	// stopQuarantineWatch stops watching for a quarantine of the request; nil once the stream
 	// has started.
 	stopQuarantineWatch func()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -51,6 +51,8 @@
 	streams      behaviour = "streams"
 	cutsStream   behaviour = "cuts its stream"
 	skips        behaviour = "skips an event"
+	// streamsSlowly streams with slowPause between events.
+	streamsSlowly behaviour = "streams slowly"
 	// endsWithinEvent streams without length or chunks, and ends within an event.
 	endsWithinEvent behaviour = "ends within an event"
 	// answersAtCheck answers at the moment of the first check for a hang.
@@ -63,6 +65,7 @@
 
 const (
 	testEvents   = 6
+	slowPause    = 700 * time.Millisecond
 	testService  = "s"
 	testReplicas = 4
 	wholeBody    = "the whole answer"
@@ -157,7 +160,7 @@
 		_, _ = io.Copy(io.Discard, r)
 	case endsWithinEvent:
 		write(head(200) + seal + "Content-Type: text/event-stream\r\n\r\n" + eventText(1) + eventText(2)[:5])
-	case streams, cutsStream, skips:
+	case streams, cutsStream, skips, streamsSlowly:
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		write(head(200) + seal + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		f.events(c, b, last)
@@ -167,6 +170,9 @@
 func (f *fleet) events(c net.Conn, b behaviour, last int) {
 	for n := last + 1; n <= testEvents; n++ {
 		text := eventText(n)
+		if b == streamsSlowly && n > 1 {
+			time.Sleep(slowPause)
+		}
 		if b == cutsStream && n > testEvents/2 {
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text)/2, text[:len(text)/2])
 			return
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -161,3 +161,40 @@
 		}
 	})
 }
+
+// TestLongStreamClearsCrashes guards against the quarantine of requests with long answers, none of
+// which is complete while servers end one after the other for another reason: a server that goes on
+// with its answer for survivalTime does not crash under the request.
+func TestLongStreamClearsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{streamsSlowly}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		req := resumable()
+		req.Route.PauseTarget = slowPause
+		recordCrashes(d, req, 1, 2)
+		events := 0
+		out := &onEvent{recorder: &recorder{}, do: func() {
+			if events++; events == testEvents-1 {
+				recordCrashes(d, req, 10, 1)
+				if refusal, refused := d.crashes.Check(quarantine.Fingerprint{Request: req.digest()}, time.Now()); refused {
+					t.Errorf("refused after %d crashes while it is answered", refusal.Crashes)
+				}
+			}
+		}}
+		if _, err := d.Run(context.Background(), req, out); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// onEvent is a caller that calls do when it receives an event.
+type onEvent struct {
+	*recorder
+	do func()
+}
+
+// Event implements Answer.
+func (c *onEvent) Event(data []byte) error {
+	c.do()
+	return c.recorder.Event(data)
+}
