Refuse no block that a started fleet does not remember as answered

Cause: all hosts had lost power three times within 2.3 s, so none remembered an answer with a2, and it had four crashes beside the poison block in the next 1.7 s. Of two blocks never answered, one was explained by another only with half as many crashes. Change: for 10 s after its start a host takes every block for one that was answered before (five separate crashes, four other answers). A refusal is saved, and reported to other hosts, so that a block refused before a restart stays refused. A block whose crashes are all but one those of a block with more is not the cause; one with two of its own is.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -223,7 +223,7 @@
 	pool := upstream.NewPool()
 	pool.Dial = f.dial
 	s := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
-	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now()), quarantine.NewTable(log)), table
+	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now()), quarantine.NewTable(log, time.Now())), table
 }
 
 func testRequest(kind config.Kind, resumable bool, attempts int) *Request {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -74,7 +74,7 @@
 		Stopping:       func() bool { return false },
 		Directory:      func(string) []string { return []string{"10.0.0.1:1"} },
 		AnswerTTL:      time.Second,
-		Dispatcher:     dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now()), quarantine.NewTable(log)),
+		Dispatcher:     dispatch.New(scheduler, table, pool, retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now()), quarantine.NewTable(log, time.Now())),
 		Limiter:        quota.NewLimiter(quota.Terms{Window: 10 * time.Second, Over: 0.1}, time.Second, time.Now().Add(-time.Minute)),
 		IsCutOff:       func(string) bool { return false },
 		LostContact:    func(string) bool { return false },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,7 +250,7 @@
 		n.pool.Forget(address)
 		n.loader.Forget(id)
 	})
-	n.crashes = quarantine.NewTable(log)
+	n.crashes = quarantine.NewTable(log, clock.Now())
 	n.replicas.OnCrash = n.replicaCrashed
 	n.replicas.OnAnswered = func(f quarantine.Fingerprint, at time.Time) { n.crashes.Answered(f, at, clock.Now()) }
 	n.engines.OnAnswer = n.replicas.RecordNoticeAt
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -24,6 +24,9 @@
 	minOwnCrashes = 2
 	// maxOtherCauses is the number of other blocks that are taken to explain a block's crashes.
 	maxOtherCauses = 2
+	// warmUp is how long after its start a host does not take a block for one that was never answered:
+	// all hosts may have lost power, and with it what was answered.
+	warmUp = 10 * time.Second
 	// episodeLength is the time within which crashes count as one episode for prefix blocks: an
 	// outage ends many servers at once, with requests that share blocks on all of them.
 	episodeLength = 250 * time.Millisecond
@@ -31,15 +34,20 @@
 
 // attributedCrashes returns the crashes of a request or block that nothing else explains better. A
 // server runs many requests when it crashes: what crashed several other servers is the cause, and
-// what was running beside it is not.
+// what was running beside it is not. A block that crashes servers by itself may run beside another one
+// that does.
 func (t *Table) attributedCrashes(d Digest, r *record) []time.Time {
-	var out []time.Time
+	var own, all []time.Time
 	for server, at := range r.crashes {
+		all = append(all, at)
 		if !t.explainedByAnother(d, r, server) {
-			out = append(out, at)
+			own = append(own, at)
 		}
 	}
-	return out
+	if r.block && !r.everAnswered() && len(own) >= minOwnCrashes {
+		return all
+	}
+	return own
 }
 
 // explainedByAnother reports whether something else that was running on a server when it crashed is
@@ -61,9 +69,6 @@
 		// A block that was answered before may be in all requests of a caller. Two crashes under a
 		// block that never was are hardly a coincidence.
 		return other.everAnswered() && n >= minSavedCrashes
-	case r.block && other.block:
-		// Two blocks that crash servers may run beside each other.
-		return n >= 2*m
 	case !r.block && other.block:
 		// The whole request is the narrower cause.
 		return n >= m
@@ -125,7 +130,10 @@
 // proven reports whether the crashes are enough to refuse a prefix block to all requests.
 func (t *Table) proven(r *record, now time.Time) bool {
 	v := r.verdict
-	if r.everAnswered() {
+	if r.refusedBefore && v.attributed >= minBlockEpisodes {
+		return true
+	}
+	if r.everAnswered() || now.Sub(t.started) < warmUp {
 		// Where nothing is answered, the servers end for another reason.
 		return v.episodes >= minAnsweredBlockEpisodes && t.answers-r.answersBefore >= minOtherAnswers
 	}
--- a/internal/quarantine/save.go
+++ b/internal/quarantine/save.go
@@ -16,7 +16,7 @@
 
 // maxSavedCrashes is the number of crashes beyond which further ones are not saved: with it, a
 // request or block is refused.
-const maxSavedCrashes = max(maxCrashes, minBlockEpisodes)
+const maxSavedCrashes = max(maxCrashes, minAnsweredBlockEpisodes)
 
 // Unsaved returns the records that this host is to write to the store or remove from it.
 // Without them, a fleet that lost power would let as many servers crash as before.
@@ -38,7 +38,7 @@
 	if r == nil || len(r.crashes) < minSavedCrashes {
 		return q
 	}
-	q.Block = r.block
+	q.Block, q.Refused = r.block, r.block && r.refusing
 	for server, at := range r.crashes {
 		q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(server), AtMs: at.UnixMilli()})
 	}
@@ -70,9 +70,23 @@
 			expired = false
 		}
 	}
+	if q.Refused {
+		t.adoptRefusal(Digest(q.Digest), now)
+	}
 	return expired
 }
 
+// adoptRefusal refuses a block that another host refuses, or that was refused when its record was
+// saved: this host may have started since, and not remember which blocks were answered.
+func (t *Table) adoptRefusal(d Digest, now time.Time) {
+	r := t.records[d]
+	if r == nil || len(r.crashes) == 0 || r.refusedBefore {
+		return
+	}
+	r.refusedBefore = true
+	t.setRefusing(d, r, t.refused(d, r, now))
+}
+
 // SaveAgain makes this host save the records again whose last crash was after a time: the store may
 // have lost them.
 func (t *Table) SaveAgain(since time.Time) {
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/briarlink/briarlink/platform"
 )
@@ -89,3 +90,53 @@
 		t.Error("refused for another time than refusalDuration")
 	}
 }
+
+// crashSeparately records one crash in each of so many episodes of requests with a block.
+func crashSeparately(t *Table, block Digest, crashes int) {
+	for i := range crashes {
+		t.Crashed(Server(10+i), []Fingerprint{{Request: Digest(100 + i), Blocks: []Digest{block}}}, at(float64(i)), at(float64(i)))
+	}
+}
+
+func refusesBlock(t *Table, block Digest, now time.Time) bool {
+	_, refused := t.Check(Fingerprint{Request: innocent, Blocks: []Digest{block}}, now)
+	return refused
+}
+
+// TestRefusedBlockSurvivesPowerLoss guards against a fleet that loses power and then lets servers crash
+// under a block that it had refused, and against one host that does after its restart.
+func TestRefusedBlockSurvivesPowerLoss(t *testing.T) {
+	const block = Digest(7)
+	observer := newTable()
+	crashSeparately(observer, block, minBlockEpisodes)
+	fromStore, fromPeer := NewTable(observer.log, at(5)), NewTable(observer.log, at(5))
+	for _, q := range observer.Unsaved() {
+		fromStore.Load(storeRoundTrip(t, q), at(5))
+	}
+	fromPeer.ApplyReport(observer.Changes(at(5), true), at(5))
+	for name, table := range map[string]*Table{"the observer": observer, "one that reads the store": fromStore, "one that has a report": fromPeer} {
+		if !refusesBlock(table, block, at(5)) {
+			t.Errorf("%s does not refuse the block", name)
+		}
+	}
+	fromPeer.Answered(Fingerprint{Blocks: []Digest{block}}, at(6), at(6))
+	fromPeer.ApplyReport(observer.Changes(at(6), true), at(6))
+	if refusesBlock(fromPeer, block, at(6)) {
+		t.Error("refused after an answer")
+	}
+}
+
+// TestStartedHostsDoNotTakeBlocksForUnanswered guards against fleets that lose power and then refuse
+// the block of a sixth of all requests, as no host remembers that it was answered: 180 requests in soak
+// seed 5506.
+func TestStartedHostsDoNotTakeBlocksForUnanswered(t *testing.T) {
+	const block = Digest(7)
+	started := NewTable(newTable().log, start)
+	crashSeparately(started, block, minBlockEpisodes)
+	if refusesBlock(started, block, at(5)) {
+		t.Error("refused by a host that has just started")
+	}
+	if !refusesBlock(started, block, start.Add(warmUp)) {
+		t.Error("not refused once the host remembers what was answered")
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -52,6 +52,9 @@
 	answersBefore int
 	// refusing is set if the last log line about it says that it is refused.
 	refusing bool
+	// refusedBefore is set if another host refused the block, or this one before it started, and no
+	// request with it was answered since.
+	refusedBefore bool
 	// verdict is as of the table's change judgedAt.
 	verdict  verdict
 	judgedAt uint64
@@ -60,7 +63,8 @@
 // Table holds the requests and prefix blocks that were running when backend servers crashed, as
 // observed by this host or reported by others. It is safe for concurrent use; mu is its only lock.
 type Table struct {
-	log *logrus.Logger
+	log     *logrus.Logger
+	started time.Time
 	// Dirty holds an element while there are unsaved records.
 	Dirty chan struct{}
 
@@ -87,10 +91,10 @@
 	cancel      func()
 }
 
-// NewTable returns an empty table.
-func NewTable(log *logrus.Logger) *Table {
+// NewTable returns the empty table of a host that starts.
+func NewTable(log *logrus.Logger, now time.Time) *Table {
 	return &Table{
-		log: log, Dirty: make(chan struct{}, 1),
+		log: log, started: now, Dirty: make(chan struct{}, 1),
 		records: map[Digest]*record{}, updates: map[Digest]*update{}, unsaved: map[Digest]bool{},
 		inFlight: map[Digest]map[*attempt]bool{},
 	}
@@ -242,6 +246,7 @@
 	}
 	if refusing {
 		t.cancelRefused(d, r)
+		t.markUnsavedIfObserved(d)
 	}
 }
 
@@ -299,7 +304,7 @@
 	if !answered.After(r.answered) {
 		return
 	}
-	r.answered = answered
+	r.answered, r.refusedBefore = answered, false
 	if len(r.crashes) >= minSavedCrashes {
 		t.markUnsavedIfObserved(d)
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -34,7 +34,7 @@
 func newTable() *Table {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return NewTable(log)
+	return NewTable(log, start.Add(-warmUp))
 }
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -100,6 +100,9 @@
 		}
 		// The record may have been added by the crashes.
 		t.applyAnswered(d, report, now)
+		if report.Refused {
+			t.adoptRefusal(d, now)
+		}
 	}
 }
 
@@ -114,7 +117,7 @@
 }
 
 func toProto(d Digest, r *record, now time.Time) *pb.RequestCrashes {
-	out := &pb.RequestCrashes{Digest: uint64(d), Block: r.block}
+	out := &pb.RequestCrashes{Digest: uint64(d), Block: r.block, Refused: r.block && r.refusing}
 	if !r.answered.IsZero() {
 		ms := now.Sub(r.answered).Milliseconds()
 		out.AnsweredMs = &ms
