--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,6 +39,10 @@
 7.1 edge-2 {"level":"warning","msg":"request refused from now on: servers crash under it","digest":"6b47bf19d2b6dff2","crashes":3,"time":"2026-06-01T10:00:07.1Z"}
 7.2 edge-2 {"level":"warning","msg":"request refused from now on: servers crash under it","digest":"1111111111111111","crashes":3,"time":"2026-06-01T10:00:07.2Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"quarantined","error":"quarantined: 3 backend servers crashed while they were running this request; it is not sent to others","ms":0,"sends":0,"ran":0,"config":7,"state":"failed","digest":"6b47bf19d2b6dff2","tries":null,"time":"2026-06-01T10:00:10Z"}`,
+	"quarantined-block": `
+7.1 edge-2 {"level":"warning","msg":"prefix block refused from now on: servers crash under requests with it","digest":"6b47bf19d2b6dff2","crashes":4,"time":"2026-06-01T10:00:07.1Z"}
+7.2 edge-2 {"level":"warning","msg":"prefix block refused from now on: servers crash under requests with it","digest":"1111111111111111","crashes":4,"time":"2026-06-01T10:00:07.2Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"quarantined","error":"quarantined: 4 backend servers crashed while they were running requests with the prefix block 2b55; none is sent to others","ms":0,"sends":0,"ran":0,"config":7,"state":"failed","digest":"22","blocks":["a1","2b55"],"refused_block":"6b47bf19d2b6dff2","tries":null,"time":"2026-06-01T10:00:10Z"}`,
 	"replica-crashed": `
 10.0 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-1","reason":"unreachable","time":"2026-06-01T10:00:10Z"}
 10.0 edge-1 {"level":"warning","msg":"replica crashed while it was running requests","replica":"i-1","requests":7,"time":"2026-06-01T10:00:10.02Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -49,6 +49,9 @@
 	case errkind.Unauthenticated, errkind.NotFound:
 		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
 	case errkind.Quarantined:
+		if r.RefusedBlock != "" {
+			return fmt.Sprintf("the caller was denied: servers crash under requests with one of its prefix blocks; it has not run (%s)", r.Error)
+		}
 		return fmt.Sprintf("the caller was denied: servers crash under this request, whoever sends it on; it has not run (%s)", r.Error)
 	case errkind.BackendLost:
 		if r.AnswerStarted() {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -246,3 +246,27 @@
 		to.ApplyReport(reports, start)
 	}
 }
+
+// BenchmarkCheckRefusedBlock measures the denial of a request while the table is full.
+func BenchmarkCheckRefusedBlock(b *testing.B) {
+	table := newTable()
+	crashSeparately(table, 7, maxPerRecord)
+	for i := range maxRecords {
+		table.Crashed(Server(1000+i), running(Digest(1000+i)), start, start)
+	}
+	request := Fingerprint{Request: innocent, Blocks: []Digest{6, 7}}
+	for b.Loop() {
+		if _, refused := table.Check(request, at(10)); !refused {
+			b.Fatal("not refused")
+		}
+	}
+}
+
+// BenchmarkAnswered measures an answer to a request with four blocks, none of which is suspected.
+func BenchmarkAnswered(b *testing.B) {
+	table := newTable()
+	request := Fingerprint{Request: innocent, Blocks: []Digest{3, 4, 5, 6}}
+	for b.Loop() {
+		table.Answered(request, start, start)
+	}
+}
