Crashes from before a host's start prove nothing by themselves

Cause: all hosts were killed between answers to the block and the removal of its crashes from the store. The hosts that started read five crashes, each followed by an answer that nobody remembered, and saw two more beside the poison block. Before: TestCrashesBeforeTheStartProveNothing fails.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -98,9 +98,10 @@
 
 // verdict is what the crashes of a request or block show.
 type verdict struct {
-	// attributed is the number of crashes that nothing else explains better, in as many episodes.
-	attributed, episodes int
-	newest               time.Time
+	// attributed is the number of crashes that nothing else explains better, in as many episodes, of
+	// which episodesHere were after the start of this host.
+	attributed, episodes, episodesHere int
+	newest                             time.Time
 }
 
 // refused returns the number of crashes attributed to a request or block if it is to be refused, or
@@ -122,6 +123,7 @@
 func (t *Table) judge(d Digest, r *record) verdict {
 	attributed := t.attributedCrashes(d, r)
 	v := verdict{attributed: len(attributed), episodes: episodes(attributed)}
+	v.episodesHere = episodes(slices.DeleteFunc(attributed, func(at time.Time) bool { return at.Before(t.started) }))
 	for _, at := range r.crashes {
 		if at.After(v.newest) {
 			v.newest = at
@@ -137,8 +139,9 @@
 		return true
 	}
 	if r.everAnswered() || now.Sub(t.started) < warmUp {
-		// Where nothing is answered, the servers end for another reason.
-		return v.episodes >= minAnsweredBlockEpisodes && t.answers-r.answersBefore >= minOtherAnswers
+		// Where nothing is answered, the servers end for another reason. Crashes before the start may have
+		// been followed by answers that are not remembered.
+		return v.episodesHere >= minAnsweredBlockEpisodes && t.answers-r.answersBefore >= minOtherAnswers
 	}
 	return v.episodes >= minBlockEpisodes || v.attributed >= minUnansweredCrashes && now.Sub(v.newest) >= unansweredTime
 }
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -140,3 +140,30 @@
 		t.Error("not refused once the host remembers what was answered")
 	}
 }
+
+// TestCrashesBeforeTheStartProveNothing guards against fleets that lose power, read crashes from the
+// store whose answers were not written any more, and refuse a block of all callers: 24 requests in soak
+// seed 5526.
+func TestCrashesBeforeTheStartProveNothing(t *testing.T) {
+	const block = Digest(7)
+	crash := func(table *Table, n int) {
+		table.Crashed(Server(10+n), []Fingerprint{{Request: Digest(100 + n), Blocks: []Digest{block}}}, at(float64(n)), at(float64(n)))
+	}
+	observer := newTable()
+	for n := range 3 {
+		crash(observer, n)
+	}
+	started := NewTable(observer.log, at(2.5))
+	for _, q := range observer.Unsaved() {
+		started.Load(storeRoundTrip(t, q), at(3))
+	}
+	for n := range minOtherAnswers {
+		started.Answered(Fingerprint{Request: Digest(200 + n)}, at(3), at(3))
+	}
+	for n := 3; n < minAnsweredBlockEpisodes; n++ {
+		crash(started, n)
+	}
+	if refusesBlock(started, block, at(6)) {
+		t.Error("refused for crashes before the start of the host")
+	}
+}
