--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -96,7 +96,7 @@
 	return n
 }
 
-// verdict is what the crashes of a request or block show.
+// verdict is what the crashes of a request or block show. It is kept until a record changes.
 type verdict struct {
 	// attributed is the number of crashes that nothing else explains better, in as many episodes, of
 	// which episodesHere were after the start of this host.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -48,7 +48,8 @@
 	// answered is when a server last answered such a request, or zero: earlier crashes had another
 	// cause.
 	answered time.Time
-	// answersBefore is the value of Table.answers when the first of the crashes was recorded.
+	// answersBefore is the value of Table.answers when the first of the crashes was recorded. Answers
+	// since then are to other requests, as one to this would have cleared the crashes.
 	answersBefore int
 	// refusing is set if the last log line about it says that it is refused.
 	refusing bool
--- a/internal/replica/crash.go
+++ b/internal/replica/crash.go
@@ -21,8 +21,8 @@
 	maxBrokenRequests = 256
 )
 
-// brokenRequest is a request whose exchange with its server ended before the complete
-// answer.
+// brokenRequest is a request whose exchange with its server ended before the complete answer, or
+// may have.
 type brokenRequest struct {
 	fingerprint quarantine.Fingerprint
 	// at is when the exchange ended; from expires on, a crash of the server is no longer
@@ -114,8 +114,8 @@
 	}
 }
 
-// confirmAnswers counts the answers of a server that ended with their connections and that lives
-// reports to be before a sign of life.
+// confirmAnswers counts the answers of a server that ended with their connections, if lives reports
+// that the server lived on after them.
 func (t *Table) confirmAnswers(e *entry, lives func(b brokenRequest) bool) {
 	e.brokenRequests = slices.DeleteFunc(e.brokenRequests, func(b brokenRequest) bool {
 		confirmed := b.answered && lives(b)
