--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,6 +14,8 @@
 	// takes minOtherAnswers answers of this host to other requests since the first of the crashes.
 	minAnsweredBlockEpisodes = 5
 	minOtherAnswers          = 4
+	// manyOtherAnswers is the same if some of the crashes were before the start of this host.
+	manyOtherAnswers = 32
 	// minUnansweredCrashes is the number of crashes in fewer episodes, as of many such requests at once,
 	// after which a block is refused if no request with it was ever answered, nor is one within
 	// unansweredTime: other servers answer what an outage interrupted.
@@ -141,7 +143,9 @@
 	if r.everAnswered() || now.Sub(t.started) < warmUp {
 		// Where nothing is answered, the servers end for another reason. Crashes before the start may have
 		// been followed by answers that are not remembered.
-		return v.episodesHere >= minAnsweredBlockEpisodes && t.answers-r.answersBefore >= minOtherAnswers
+		others := t.answers - r.answersBefore
+		return v.episodesHere >= minAnsweredBlockEpisodes && others >= minOtherAnswers ||
+			v.episodes >= minAnsweredBlockEpisodes && others >= manyOtherAnswers
 	}
 	return v.episodes >= minBlockEpisodes || v.attributed >= minUnansweredCrashes && now.Sub(v.newest) >= unansweredTime
 }
