A host that has received 48 answers remembers enough to judge blocks

Cause: a fleet that has just started was slow to refuse a block for ten seconds, whatever it had been answered since.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -29,9 +29,11 @@
 	minIndependentCrashes = 3
 	// maxOtherCauses is the number of other blocks that are taken to explain a block's crashes.
 	maxOtherCauses = 2
-	// warmUp is how long after its start a host does not take a block for one that was never answered:
-	// all hosts may have lost power, and with it what was answered.
-	warmUp = 10 * time.Second
+	// warmUp is how long after its start a host does not take a block for one that was never answered,
+	// unless it has received warmUpAnswers since: all hosts may have lost power, and with it what was
+	// answered.
+	warmUp        = 10 * time.Second
+	warmUpAnswers = 48
 	// episodeLength is the time within which crashes count as one episode for prefix blocks: an
 	// outage ends many servers at once, with requests that share blocks on all of them.
 	episodeLength = 250 * time.Millisecond
@@ -140,7 +142,7 @@
 	if r.refusedBefore && v.attributed >= minBlockEpisodes {
 		return true
 	}
-	if r.everAnswered() || now.Sub(t.started) < warmUp {
+	if r.everAnswered() || now.Sub(t.started) < warmUp && t.answers < warmUpAnswers {
 		// Where nothing is answered, the servers end for another reason. Crashes before the start may have
 		// been followed by answers that are not remembered.
 		others := t.answers - r.answersBefore
--- a/internal/quarantine/save_test.go
+++ b/internal/quarantine/save_test.go
@@ -139,6 +139,12 @@
 	if !refusesBlock(started, block, start.Add(warmUp)) {
 		t.Error("not refused once the host remembers what was answered")
 	}
+	for n := range warmUpAnswers {
+		started.Answered(Fingerprint{Request: Digest(1000 + n)}, at(5), at(5))
+	}
+	if !refusesBlock(started, block, at(5)) {
+		t.Error("not refused by a host that has received many answers since its start")
+	}
 }
 
 // TestCrashesBeforeTheStartProveNothing guards against fleets that lose power, read crashes from the
