--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,9 +45,10 @@
 			Mode:        "retain",
 			Deadline:    durationpb.New(8 * time.Second),
 		},
-		Move: &pb.MoveSettings{Share: 0.1, RollBack: durationpb.New(5 * time.Second)},
-		Stop: &pb.StopSettings{Grace: durationpb.New(8 * time.Second)},
-		Log:  &pb.LogSettings{Level: "info", LinesPerSecond: 400},
+		Overload: &pb.OverloadSettings{TargetUtilisation: 0.6},
+		Move:     &pb.MoveSettings{Share: 0.1, RollBack: durationpb.New(5 * time.Second)},
+		Stop:     &pb.StopSettings{Grace: durationpb.New(8 * time.Second)},
+		Log:      &pb.LogSettings{Level: "info", LinesPerSecond: 400},
 	}
 }
 
@@ -120,6 +121,10 @@
 		"member.dead_after", "must be more than twice member.heartbeat_interval")
 }
 
+// maxMemoryShare leaves memory for the rest of the process: its tables, and garbage that is not
+// collected yet.
+const maxMemoryShare = 0.5
+
 func (c *checker) numbers(s *pb.Settings) {
 	c.inRange("request.max_body_bytes", float64(s.Request.MaxBodyBytes), 1<<10, 1<<30)
 	c.inRange("request.max_header_bytes", float64(s.Request.MaxHeaderBytes), 1<<10, 1<<20)
@@ -129,6 +134,9 @@
 	c.inRange("quota.slack", s.Quota.Slack, 0, 1e12)
 	c.inRange("move.share", s.Move.Share, 0, 1)
 	c.inRange("move.slack", s.Move.Slack, 0, 1e6)
+	c.inRange("overload.target_utilisation", s.Overload.TargetUtilisation, 0.1, 1)
+	c.inRange("overload.memory_share", s.Overload.MemoryShare, 0, maxMemoryShare)
+	c.require(s.Overload.MemoryShare == 0 || s.Host.MemoryMb > 0, "overload.memory_share", "needs host.memory_mb")
 	c.inRange("weights.concurrency", float64(s.Weights.Concurrency), 1, 1e4)
 	c.inRange("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 1e6)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// TestBadOverloadSettings guards against budgets and shares that no host can keep to.
+func TestBadOverloadSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"memory_share": -0.1}`:     "overload.memory_share: must be 0 to 0.5",
+		`{"memory_share": 0.2}`:      "overload.memory_share: needs host.memory_mb",
+		`{"memory_share": "much"}`:   "overload.memory_share: want a double without a unit",
+		`{"target_utilisation": 40}`: "overload.target_utilisation: must be 0.1 to 1",
+		`{"fair_share": 1}`:          "overload.fair_share: want a bool without a unit",
+		`{"fair_shares": true}`:      "overload.fair_shares: unknown setting",
+	} {
+		_, err := Parse([]byte("{" + required + `, "overload": ` + text + "}"))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
 func TestNamesAreNoAddresses(t *testing.T) {
 	for _, address := range []string{"localhost:80", "127.0.0.1", "127.0.0.1:0", ":80"} {
 		text := strings.Replace("{"+required+"}", "127.0.0.1:4", address, 1)
