Accept a reload from the start of the serve command on

Its log has no line of the process; the fault log shows 'reload host 0', then 'process is gone: signal: hangup'. Change: the handler is registered before the settings are read and listeners opened. The few milliseconds of the program's own start remain. Ruled out: load, as no request was in progress and the seven other hosts were ready.

--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -50,6 +50,9 @@
 
 // Run implements the serve command.
 func (c *serveCmd) Run() error {
+	// First, as a reload that is requested while the host starts would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	s, err := load(c.Settings)
 	if err != nil {
 		return usage(err)
@@ -68,8 +71,6 @@
 		return err
 	}
 	n := node.New(s, off, log, lines)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		for range hup {
 			if err := c.reload(n); err != nil {
--- a/cmd/briarlink/main_test.go
+++ b/cmd/briarlink/main_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 	"github.com/sebdah/goldie/v2"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
@@ -33,6 +36,44 @@
 	}
 }
 
+// serveVariable makes the test binary run the serve command with the settings file that it names.
+const serveVariable = "BRIARLINK_TEST_SERVE"
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(serveVariable); file != "" {
+		os.Exit(run([]string{"serve", "--settings", file}))
+	}
+	os.Exit(m.Run())
+}
+
+// TestReloadDuringStart guards against a process that ends because it is asked to reload its settings
+// before it has read them.
+func TestReloadDuringStart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), serveVariable+"="+file)
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	// Opening the pipe returns once the process reads its settings.
+	settings, err := os.OpenFile(file, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Error(err)
+	}
+	fmt.Fprintln(settings, "{}")
+	settings.Close()
+	var exit *exec.ExitError
+	if err := command.Wait(); !errors.As(err, &exit) || exit.ExitCode() != exitUsage {
+		t.Errorf("the process ended with %v, want the exit code of invalid settings", err)
+	}
+}
+
 // TestExitCodes checks the exit codes of commands that need no running host.
 func TestExitCodes(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.hujson")
