Requests wait for prefix blocks that another replica is prefilling

Cause: a request waits only if the replica chosen for it is prefilling its blocks. Change: with overload.await_prefill, a replica that is prefilling the blocks is a source whose blocks are ready at a known time. A candidate that waits for them and fetches them competes by score; if it wins, the request is held within the limits of holds and scheduled again. Package await plans these fetches, so that a source's link carries them, and tracks prefills of this host that are late. awaited_ms in the request's line, briarlink_awaited_prefills, and a sentence of explain show such a wait.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -29,14 +29,22 @@
 	return time.Duration(maxHoldTargets * float64(r.req.Route.LatencyTarget))
 }
 
-// hold waits while the chosen replica prefills shared prefix blocks for another request, so
-// that they are computed only once. It reports whether it waited; the caller then picks a
+// timeLeft returns what is left of the route's latency target, or of the deadline if that is less.
+func (r *run) timeLeft(now time.Time) time.Duration {
+	return min(r.began.Add(r.req.Route.LatencyTarget).Sub(now), r.req.Deadline.Sub(now))
+}
+
+// hold waits while the chosen replica, or its source, prefills shared prefix blocks for another
+// request, so that they are computed only once. It reports whether it waited; the caller then picks a
 // replica again.
 func (r *run) hold(ctx context.Context, choice *schedule.Choice) bool {
 	if choice.Hold == 0 {
 		return false
 	}
 	r.report.Holds++
+	if choice.AwaitsSource {
+		r.report.Awaited += choice.Hold
+	}
 	clock.Sleep(ctx, choice.Hold)
 	return true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -149,8 +149,10 @@
 	// the service's replicas. Unreachable is set if a connection to a replica failed.
 	CutOff      bool
 	Unreachable bool
-	// Holds counts how often the request waited for another request's prefill.
-	Holds int
+	// Holds counts how often the request waited for another request's prefill. Awaited is how long
+	// it waited for prefix blocks that a replica other than its own was prefilling.
+	Holds   int
+	Awaited time.Duration
 	// Digest is equal for all attempts at the same request, even under different IDs. RefusedBlock is
 	// the digest of the prefix block because of which the request was refused, or 0.
 	Digest       quarantine.Digest
@@ -325,6 +327,7 @@
 		LatencyTarget: req.Route.LatencyTarget,
 		Repeatable:    req.Route.Repeatable(),
 		MaxHold:       r.maxHold(),
+		TimeLeft:      r.timeLeft(now),
 		Exclude:       r.exclude,
 		Fingerprint:   r.fingerprint,
 		AcquirePermit: func(id string) bool { return r.d.AcquirePermit(ctx, id) },
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -137,6 +137,9 @@
 			fields["digest"] = ex.report.Digest.String()
 		}
 	}
+	if ex.report.Awaited > 0 {
+		fields["awaited_ms"] = ex.report.Awaited.Milliseconds()
+	}
 	if ex.report.RefusedBlock != 0 {
 		fields["refused_block"] = ex.report.RefusedBlock.String()
 	}
@@ -161,6 +164,9 @@
 	m.PromptTokens.Inc(int64(r.Prompt))
 	m.CachedTokens.Inc(int64(r.Cached))
 	m.FetchedTokens.Inc(int64(r.Fetched))
+	if r.Awaited > 0 {
+		m.AwaitedPrefills.Inc(1)
+	}
 	m.Repeats.Inc(int64(max(0, r.Sends-1)))
 	m.Resumed.Inc(int64(r.Resumed))
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,6 +65,8 @@
 8.0 edge-1 {"level":"info","msg":"weights wanted","model":"m","version":2,"time":"2026-06-01T10:00:08Z"}
 9.9 edge-2 {"level":"info","msg":"order to load weights","replica":"i-1","version":2,"time":"2026-06-01T10:00:09.9Z"}
 10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":600,"first_ms":210,"expected_ms":200,"target_ms":800,"sends":1,"ran":1,"replica":"i-1","config":7,"weights":1,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
+	"awaited-prefill": `
+10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":900,"first_ms":590,"expected_ms":140,"target_ms":800,"awaited_ms":430,"sends":1,"ran":1,"replica":"i-1","source":"i-2","config":7,"weights":1,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
 	"replicas-own-failure": `
 9.1 edge-2 {"level":"warning","msg":"replica thought down","replica":"i-2","reason":"cancelled","time":"2026-06-01T10:00:09.1Z"}
 10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"backend_error","status":500,"ms":62,"sends":2,"ran":2,"replica":"i-2","config":7,"state":"complete","tries":[{"Replica":"i-1","Result":"failed","Reason":"the replica answered 500","Ms":30},{"Replica":"i-2","Result":"failed","Reason":"the replica answered 500","Ms":29}],"time":"2026-06-01T10:00:10.1Z"}`,
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -22,6 +22,9 @@
 	if evidence := lossEvidence(r, lines); evidence != "" {
 		text += "; " + evidence
 	}
+	if r.AwaitedMs > 0 {
+		text += fmt.Sprintf("; it waited %.0f ms for prefix blocks that another replica was prefilling", r.AwaitedMs)
+	}
 	if old := describeOldWeights(r, end, newer); old != "" {
 		text += "; " + old
 	}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -62,6 +62,7 @@
 	Shared       int       `json:"shared"`
 	Cached       int       `json:"cached"`
 	Fetched      int       `json:"fetched"`
+	AwaitedMs    float64   `json:"awaited_ms"`
 	Digest       string    `json:"digest"`
 	Blocks       []string  `json:"blocks"`
 	RefusedBlock string    `json:"refused_block"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,7 +1,7 @@
 // Package node wires the components of one entry host together and runs them.
 //
 // Lock order: the tables (topic.Table, member.Table, replica.Table, prefix.Index, retry.Budget,
-// quota.Limiter, quarantine.Table, permit.Granter, rollout.Lease, rollout.Loader, canary.Table)
+// quota.Limiter, quarantine.Table, permit.Granter, rollout.Lease, rollout.Loader, canary.Table, await.Table)
 // are never locked two at a time, and no lock is held during a call to another table or process.
 // The exception is Node.stateMu, which is taken before the lock of member.Table. A topic.Table
 // delivers one record at a time, without holding its lock.
@@ -265,6 +265,7 @@
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
 	n.scheduler.NotifyPeers = n.requestHeartbeat
 	n.scheduler.Off = off
+	n.scheduler.AwaitPrefill = s.GetOverload().GetAwaitPrefill()
 	n.scheduler.Canaries = n.canaries
 	n.budget = retry.NewBudget(s.Retry.Ratio, s.Retry.Window.AsDuration(), 0, 1, n.started)
 	n.limiter = quota.NewLimiter(quota.Terms{
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -30,6 +30,8 @@
 	PromptTokens  tally.Counter
 	CachedTokens  tally.Counter
 	FetchedTokens tally.Counter
+	// AwaitedPrefills counts requests that waited for a prefill at another replica than their own.
+	AwaitedPrefills tally.Counter
 	// Repeats counts retries: sends of a request after its first. Resumed counts streams
 	// continued by another replica.
 	Repeats tally.Counter
@@ -95,6 +97,7 @@
 		PromptTokens:      scope.Counter("prompt_tokens"),
 		CachedTokens:      scope.Counter("cached_tokens"),
 		FetchedTokens:     scope.Counter("fetched_tokens"),
+		AwaitedPrefills:   scope.Counter("awaited_prefills"),
 		Repeats:           scope.Counter("repeats"),
 		Resumed:           scope.Counter("resumed_streams"),
 		Open:              scope.Gauge("open_requests"),
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,6 +81,13 @@
 	Source       string
 	FetchTime    time.Duration
 	TransferTime time.Duration
+	// AwaitTime is how long the request is held before it is sent to the replica, which works
+	// off its queue meanwhile: until the replica or, with AwaitsSource, its source has prefilled
+	// the blocks. It is 0 if the request is sent at once. HeldAhead is the prefill time of other
+	// requests that are held for the replica.
+	AwaitTime    time.Duration
+	HeldAhead    time.Duration
+	AwaitsSource bool
 }
 
 // Request holds the properties of a request that the decision depends on.
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -42,7 +42,7 @@
 		queued := float64(max(0, c.Requests+1-c.Slots))
 		return c.slowdown() * serviceTime * (1 + queued/float64(max(1, c.Slots)))
 	}
-	return c.slowdown()*serviceTime + millis(c.FetchTime) + p.waiting(req, c)
+	return c.slowdown()*serviceTime + millis(c.FetchTime) + max(millis(c.AwaitTime+c.HeldAhead), p.waiting(req, c))
 }
 
 // serviceTime returns Decision.ServiceTime in milliseconds: the time to the first event, or to a
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/xxh3"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/await"
 	"github.com/briarlink/briarlink/internal/canary"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/mechanism"
@@ -37,6 +38,9 @@
 	Repeatable bool
 	// MaxHold is the maximum time for which the request may be held.
 	MaxHold time.Duration
+	// TimeLeft is what is left of the request's latency target or, if that is less, of its
+	// deadline. The request is not held for another replica's prefill beyond it.
+	TimeLeft time.Duration
 	// Exclude holds the replicas that have already been tried.
 	Exclude map[string]bool
 	// Fingerprint identifies the request and its prefix blocks for the quarantine.
@@ -55,9 +59,10 @@
 	Flight *replica.Flight
 	// Shared is the number of tokens in the shared prefix blocks of the prompt.
 	Shared int
-	// Hold is above 0 if the request should wait and be scheduled again: the replica is
-	// prefilling the same prefix blocks for another request, and a request sent before this is
-	// done would prefill them too. The request is not counted as sent then.
+	// Hold is above 0 if the request should wait and be scheduled again: the replica, or with
+	// AwaitsSource the replica's source, is prefilling the same prefix blocks for another request,
+	// and a request sent before this is done would prefill them too. The request is not counted
+	// as sent then.
 	Hold time.Duration
 
 	prompt   prefix.Prompt
@@ -92,6 +97,8 @@
 	zone       string
 	shareCache bool
 	links      links
+	// awaited holds the planned fetches of what replicas are prefilling.
+	awaited    await.Table
 	reuse      *reuseTracker
 	rejections *rejectionQueue
 	// NotifyPeers requests that other hosts be notified at once.
@@ -101,6 +108,10 @@
 	Canaries *canary.Table
 	// Off holds the mechanisms that are disabled. It is set before use.
 	Off mechanism.Off
+	// AwaitPrefill makes a replica a source of the prefix blocks that it is prefilling: requests
+	// may be held until they are ready and be sent to a replica that fetches them. It is set
+	// before use.
+	AwaitPrefill bool
 
 	mu          sync.Mutex
 	pendingSent []*pb.PrefixSent
@@ -221,10 +232,12 @@
 	for i, r := range replicas {
 		candidates[i].Replica = r
 	}
-	if req.Service.Engine != nil && req.Service.Engine.CacheTokens > 0 {
-		s.addCaches(req, candidates, func(version int64) prefix.Prompt { return s.prompt(prompts, req, version) }, now)
+	prompt := func(version int64) prefix.Prompt { return s.prompt(prompts, req, version) }
+	caches := req.Service.Engine != nil && req.Service.Engine.CacheTokens > 0
+	if caches {
+		s.addCaches(req, candidates, prompt, now)
 	}
-	return s.policy.Decide(&route.Request{
+	r := &route.Request{
 		AvailabilityZone: s.zone,
 		PromptTokens:     req.PromptTokens,
 		OutputTokens:     req.OutputTokens,
@@ -233,7 +246,12 @@
 		Repeatable:       req.Repeatable,
 		Exclude:          req.Exclude,
 		Affinity:         LeadingBlockKey(req.Blocks),
-	}, candidates)
+	}
+	decision, err := s.policy.Decide(r, candidates)
+	if err != nil || !caches || !s.awaits() {
+		return decision, err
+	}
+	return s.decideAwaited(req, decision, r, candidates, prompt, now), nil
 }
 
 // prompt returns the shared prefix blocks, hashed with the salt of a weights version.
@@ -273,8 +291,14 @@
 func (s *Scheduler) commit(req *Request, d route.Decision, prompts map[int64]prefix.Prompt, capacity int, now time.Time) *Choice {
 	p := s.prompt(prompts, req, d.Weights)
 	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
+	if d.AwaitsSource {
+		c.Hold = d.AwaitTime
+		s.recordHold(req, c, now)
+		return c
+	}
 	if hold := s.holdTime(c, now); !s.Off[mechanism.Holds] && !d.Limited && hold > 0 && hold <= req.MaxHold {
 		c.Hold = hold
+		s.recordHold(req, c, now)
 		return c
 	}
 	if d.Limited {
@@ -327,5 +351,5 @@
 	if c.Prefilling < minHoldTokens {
 		return 0
 	}
-	return s.index.ReadyAt(c.ID, c.prompt).Sub(now) + holdMargin
+	return s.readyAt(c.ID, c.prompt, now).Sub(now) + holdMargin
 }
--- a/internal/schedule/sent.go
+++ b/internal/schedule/sent.go
@@ -21,6 +21,7 @@
 		return
 	}
 	s.index.Add(c.ID, c.prompt, c.capacity, now.Add(c.Expected))
+	s.beginPrefill(c, now)
 	s.reuse.record(c.sharingScope, c.stablePrefix, now)
 	sent := &pb.PrefixSent{
 		Replica: c.ID, ReadyMs: int32(c.Expected.Milliseconds()), Sharers: c.sharingScope, Prefix: uint64(c.stablePrefix),
@@ -41,6 +42,7 @@
 func (s *Scheduler) PrefillDone(c *Choice, now time.Time) {
 	if c.capacity > 0 {
 		s.index.Add(c.ID, c.prompt, c.capacity, now)
+		s.awaited.End(c.ID, c.prompt.Blocks)
 	}
 }
 
@@ -51,7 +53,10 @@
 }
 
 // PrefillFailed removes what the chosen replica was expected to prefill from the index.
-func (s *Scheduler) PrefillFailed(c *Choice) { s.index.RemoveFailed(c.ID, c.prompt) }
+func (s *Scheduler) PrefillFailed(c *Choice) {
+	s.index.RemoveFailed(c.ID, c.prompt)
+	s.awaited.End(c.ID, c.prompt.Blocks)
+}
 
 // maxPendingSent limits the number of sent prompts reported in one heartbeat.
 const maxPendingSent = 40
--- a/internal/schedule/sources.go
+++ b/internal/schedule/sources.go
@@ -35,8 +35,10 @@
 	for i := range candidates {
 		c := &candidates[i]
 		held, prefilled := s.index.Held(c.ID, prompt(c.Weights), now)
+		prefilled = s.prefilled(c.ID, prompt(c.Weights), prefilled, now)
 		c.Cached, c.Prefilling = held, held-prefilled
-		if prefilled >= minFetchTokens && !s.Off[mechanism.ReplicaFetch] && c.Usable && !c.Suspected && !c.Limited && !c.Trial && !c.Loading && c.UnresponsiveFor < maxSourceSilence {
+		s.addOwnHold(req, c, prompt(c.Weights), now)
+		if prefilled >= minFetchTokens && !s.Off[mechanism.ReplicaFetch] && canBeSource(c) {
 			sources = append(sources, source{c, prefilled})
 		}
 	}
@@ -55,6 +57,11 @@
 	}
 }
 
+// canBeSource reports whether other replicas may fetch from a replica.
+func canBeSource(c *route.Candidate) bool {
+	return c.Usable && !c.Suspected && !c.Limited && !c.Trial && !c.Loading && c.UnresponsiveFor < maxSourceSilence
+}
+
 // maxSourceSilence is the time without an answer from which a replica is no longer used as a
 // source. A dead source delays a request by some hundred milliseconds.
 const maxSourceSilence = 250 * time.Millisecond
