Directories name further hosts while those of a zone are short of CPU time

Cause: only the large hosts get callers.

Change: hosts measure their CPU time against host.cores and report it in heartbeats and relayed states. Package directory decides which hosts an answer names: the same as before while these use at most the target; above it, standby hosts of the zone and then serving hosts of other zones, each in a part of the answers by its cores. Only with overload.directory_by_load.

The need is computed from what all hosts of the zone use. By the usual hosts alone an answer would return to them as soon as others relieve them.

--- a/internal/node/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,17 +1,15 @@
-package node
+package directory
 
 import (
 	"fmt"
 	"testing"
-
-	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 )
 
 // serving returns hosts of a zone with the given numbers of cores.
-func serving(zone string, cores ...float64) []*pb.Heartbeat {
-	var out []*pb.Heartbeat
+func serving(zone string, cores ...float64) []Host {
+	var out []Host
 	for i, c := range cores {
-		out = append(out, &pb.Heartbeat{Host: fmt.Sprint(zone, "-", i), AvailabilityZone: zone, Cores: c})
+		out = append(out, Host{Address: fmt.Sprint(zone, "-", i), Zone: zone, Cores: c})
 	}
 	return out
 }
@@ -24,7 +22,7 @@
 	others := append(serving("b", 0.8, 0.8), serving("c", 0.8, 0.8)...)
 	for name, c := range map[string]struct {
 		zone    string
-		serving []*pb.Heartbeat
+		serving []Host
 		want    int
 	}{
 		"large hosts of the zone":          {"a", append(serving("a", 0.8, 0.8), others...), 2},
@@ -38,7 +36,7 @@
 		"nobody serves":                    {"a", nil, 0},
 		"two sizes, one half of the other": {"a", append(serving("a", 0.4, 0.4), others...), 2},
 	} {
-		if got := hostsFor(c.zone, c.serving); len(got) != c.want {
+		if got := usualHosts(c.zone, c.serving); len(got) != c.want {
 			t.Errorf("%s: %d hosts are listed, want %d", name, len(got), c.want)
 		}
 	}
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -76,6 +76,10 @@
 	if !v.FullMesh && tick%toStandbyTicks == 0 {
 		a.Standby = append(a.Standby, t.standbyAudience(now)...)
 	}
+	if t.ByLoad && !v.FullMesh && !v.SelfRouting && working && tick%fromStandbyTicks == 0 {
+		// Relays send heartbeats only to hosts that ask for them.
+		a.Ask = t.peerAddresses(v.Relays)
+	}
 	t.notifyFormerAudience(v, &a)
 	if v.SelfRouting || t.activeRelays(v, now) == 0 {
 		a.Ask = append(a.Ask, t.probeTargets(now)...)
@@ -237,7 +241,7 @@
 		}
 		if h.announced < stateAnnouncements {
 			h.announced++
-			out = append(out, h.state(now))
+			out = append(out, t.state(h, now))
 		}
 	}
 	return out
@@ -248,7 +252,7 @@
 	n = min(n, len(hosts))
 	for i := range n {
 		h := hosts[(*cursor+i)%len(hosts)]
-		out = append(out, h.state(now))
+		out = append(out, t.state(h, now))
 	}
 	if n > 0 {
 		*cursor = (*cursor + n) % len(hosts)
@@ -256,12 +260,16 @@
 	return out
 }
 
-// state returns the host's state as relayed to other hosts.
-func (h *host) state(now time.Time) *pb.MemberState {
+// state returns a host's state as relayed to other hosts.
+func (t *Table) state(h *host, now time.Time) *pb.MemberState {
 	b := h.heartbeat
-	return &pb.MemberState{
+	m := &pb.MemberState{
 		Host: b.Host, Incarnation: b.Incarnation, Sequence: b.Sequence, AvailabilityZone: b.AvailabilityZone,
 		CallerAddress: b.CallerAddress, PeerAddress: b.PeerAddress, Ready: b.Ready, Leaving: b.Leaving,
 		Routing: b.Routing, Cores: b.Cores, Settled: b.Settled, Detached: b.Detached, AgeMs: now.Sub(h.lastSeen).Milliseconds(),
 	}
+	if t.ByLoad {
+		m.Utilisation = b.Utilisation
+	}
+	return m
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -45,6 +45,10 @@
 	// unknown hosts provide in each zone.
 	selectRouting func(known []Candidate, unknown map[string]float64) map[string]bool
 
+	// ByLoad is set before use if callers may be sent to standby hosts, by load: utilisation is then
+	// relayed, and standby hosts that work still ask their relays for heartbeats.
+	ByLoad bool
+
 	mu    sync.Mutex
 	hosts map[string]*host
 	// ordered holds all of hosts and this host itself, sorted by byOrder.
@@ -323,6 +327,7 @@
 		Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, AvailabilityZone: m.AvailabilityZone,
 		CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Ready: m.Ready, Leaving: m.Leaving,
 		Routing: m.Routing, Cores: m.Cores, Settled: m.Settled, Detached: m.Detached,
+		Utilisation: m.Utilisation,
 	}, sent)
 	h.direct = now.Sub(h.lastDirect) < t.deadAfter
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -26,6 +26,10 @@
 	Routing     []*pb.Heartbeat
 	Serving     []*pb.Heartbeat
 	SelfRouting bool
+	// Standby are the other ready hosts that are not cut off, in a pseudo-random order that all hosts
+	// share; filled in with Table.ByLoad. Callers may be sent to them while the serving hosts have too
+	// little CPU time.
+	Standby []*pb.Heartbeat
 	// Rank is this host's position in an order of all live hosts, routing hosts first. Hosts
 	// that see the same live hosts agree on the order.
 	Rank int
@@ -82,6 +86,9 @@
 	v := &View{SelfRouting: chosen[t.self.Host], Live: liveCount, Unknown: unknown, FullMesh: liveCount <= MaxSmallFleet, createdAt: now}
 	v.assignRoles(live, chosen, t.self)
 	t.replaceDetached(v, live, cores)
+	if t.ByLoad {
+		v.collectStandby(live)
+	}
 	if !v.SelfRouting {
 		v.Relays = t.selectRelays(v.Routing)
 	}
@@ -157,6 +164,22 @@
 	}
 }
 
+// collectStandby fills in Standby.
+func (v *View) collectStandby(live []*host) {
+	taken := make(map[string]bool, len(v.Routing)+len(v.Serving))
+	for _, b := range v.Routing {
+		taken[b.Host] = true
+	}
+	for _, b := range v.Serving {
+		taken[b.Host] = true
+	}
+	for _, h := range live {
+		if b := h.heartbeat; b.Ready && !b.Detached && !taken[b.Host] {
+			v.Standby = append(v.Standby, b)
+		}
+	}
+}
+
 func coresOf(hosts []*pb.Heartbeat) float64 {
 	sum := 0.0
 	for _, b := range hosts {
--- /dev/null
+++ b/internal/node/directory.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/directory"
+	"github.com/briarlink/briarlink/internal/hostload"
+	"github.com/briarlink/briarlink/internal/member"
+	"github.com/briarlink/briarlink/internal/obs"
+)
+
+// directoryByLoad reports whether hosts report their utilisation and directories consider it.
+func (n *Node) directoryByLoad() bool { return n.settings.Overload.GetDirectoryByLoad() }
+
+// measureLoad returns this host's utilisation for its heartbeats, 0 if it is unknown or not reported.
+func (n *Node) measureLoad(now time.Time) int32 {
+	if !n.directoryByLoad() {
+		return 0
+	}
+	cpu, err := hostload.ProcessTime()
+	if err != nil {
+		n.log.WithError(err).Debug("CPU time not read")
+		return 0
+	}
+	n.load.Observe(cpu, now)
+	return n.load.Utilisation()
+}
+
+// answerDirectory answers a directory query of callers in an availability zone.
+func (n *Node) answerDirectory(zone string) []string {
+	now := clock.Now()
+	a := n.chooseHosts(zone, now)
+	n.metrics.DirectoryHosts.Update(float64(len(a.Addresses)))
+	n.relief.record(n.log, zone, a, now)
+	return a.Addresses
+}
+
+// directory returns, in random order, addresses of hosts for callers in an availability zone.
+func (n *Node) directory(zone string) []string { return n.chooseHosts(zone, clock.Now()).Addresses }
+
+func (n *Node) chooseHosts(zone string, now time.Time) directory.Answer {
+	target := 0.0
+	if n.directoryByLoad() {
+		target = n.settings.Overload.TargetUtilisation
+	}
+	return directory.Choose(zone, n.directoryFleet(now), target, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// viewedFleet is what directories use of a view.
+type viewedFleet struct {
+	view  *member.View
+	fleet directory.Fleet
+}
+
+// directoryFleet returns the hosts that directories may name. It is computed once for each view, as
+// thousands of hosts may be on standby.
+func (n *Node) directoryFleet(now time.Time) directory.Fleet {
+	v := n.members.View(now)
+	cached := n.viewedFleet.Load()
+	if cached == nil || cached.view != v {
+		cached = &viewedFleet{v, directory.Fleet{Serving: n.directoryHosts(v.Serving), Standby: n.directoryHosts(v.Standby)}}
+		n.viewedFleet.Store(cached)
+	}
+	return cached.fleet
+}
+
+func (n *Node) directoryHosts(hosts []*pb.Heartbeat) []directory.Host {
+	out := make([]directory.Host, len(hosts))
+	for i, b := range hosts {
+		out[i] = directory.Host{Address: b.CallerAddress, Zone: b.AvailabilityZone, Cores: b.Cores, Utilisation: b.Utilisation}
+		if b.Host == n.settings.Host.Id {
+			out[i].Utilisation = n.load.Utilisation()
+		}
+	}
+	return out
+}
+
+// maxReliefZones limits the number of zones that a reliefLog tracks, as callers state the zone.
+const maxReliefZones = 64
+
+// reliefLog logs when directory answers of this host start and stop naming further hosts because of
+// load. Its zero value is ready to use; it is safe for concurrent use.
+type reliefLog struct {
+	mu sync.Mutex
+	// further holds the zones for which further hosts are named.
+	further map[string]bool
+	limiter obs.Limiter
+}
+
+func (r *reliefLog) record(log *logrus.Logger, zone string, a directory.Answer, now time.Time) {
+	if !r.changes(zone, a.Further > 0) {
+		return
+	}
+	others, ok := r.limiter.Allow(now)
+	if !ok {
+		return
+	}
+	log.WithFields(logrus.Fields{"zone": zone, "further": a.Further, "usual": a.Usual, "others": others}).Info("directory names other hosts by load")
+}
+
+// changes reports whether further hosts are named for a zone from now on, or no longer.
+func (r *reliefLog) changes(zone string, further bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.further[zone] == further || further && len(r.further) >= maxReliefZones {
+		return false
+	}
+	if r.further == nil {
+		r.further = map[string]bool{}
+	}
+	if further {
+		r.further[zone] = true
+	} else {
+		delete(r.further, zone)
+	}
+	return true
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -145,6 +145,7 @@
 	b.LeaseEnd, b.LeaseEra = n.lease.LogEndIfHeld(), n.lease.LogEra()
 	b.Settled = n.settled(now)
 	b.Detached = n.members.Detached()
+	b.Utilisation = n.measureLoad(now)
 	b.Contacts = n.contactMessages(now)
 	b.Brittle = n.replicas.BrittleReports(now)
 	for _, l := range n.replicas.LimitReports(now) {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -283,5 +283,6 @@
 	requests, blocks := n.crashes.Count(now)
 	m.Quarantined.Update(float64(requests))
 	m.QuarantinedBlocks.Update(float64(blocks))
+	m.Utilisation.Update(float64(n.load.Utilisation()) / 1000)
 	m.DroppedLines.Update(float64(n.logWriter.Dropped()))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/briarlink/briarlink/internal/entry"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/forward"
+	"github.com/briarlink/briarlink/internal/hostload"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
 	"github.com/briarlink/briarlink/internal/obs"
@@ -135,6 +136,12 @@
 	loader       *rollout.Loader
 	metrics      *obs.Metrics
 	entry        *entry.Server
+	// load measures this host's utilisation, and relief logs which zones' directories name further
+	// hosts because of it.
+	load   *hostload.Meter
+	relief reliefLog
+	// viewedFleet caches what directories use of the last view.
+	viewedFleet atomic.Pointer[viewedFleet]
 
 	// stateMu serialises reports of this host's state to the membership table, and is held over
 	// no other call.
@@ -222,10 +229,12 @@
 		responses:          responseCache{deflated: map[recordRange][]byte{}},
 		started:            clock.Now(),
 		routingHistory:     routingHistory{},
+		load:               hostload.NewMeter(s.Host.Cores),
 		firstReadDelay:     chooseFirstReadDelay(s.Member),
 	}
 	n.store.OnEra = n.storeRestored
 	n.members = member.NewTable(n.self(), s.Member.DeadAfter.AsDuration())
+	n.members.ByLoad = n.directoryByLoad()
 	if off[mechanism.PrimaryHosts] {
 		n.members.ChooseAll()
 	}
@@ -342,7 +351,7 @@
 		CheckAccepting:  n.refuse,
 		Ready:           n.ready,
 		Stopping:        n.leaving,
-		Directory:       n.directory,
+		Directory:       n.answerDirectory,
 		AnswerTTL:       s.Request.AnswerTtl.AsDuration(),
 		Dispatcher:      dispatcher,
 		IsCutOff:        n.isCutOff,
@@ -369,60 +378,6 @@
 	}
 }
 
-// directory returns, in random order, addresses of hosts for callers in an availability zone.
-func (n *Node) directory(zone string) []string {
-	var out []string
-	for _, h := range hostsFor(zone, n.members.View(clock.Now()).Serving) {
-		out = append(out, h.CallerAddress)
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), maxDirectory)]
-}
-
-const (
-	// A host is large if it has at least largeHostShare of the cores of the largest host. Large
-	// hosts suffice on their own if they have at least minLargeShare of all cores.
-	largeHostShare = 0.5
-	minLargeShare  = 0.5
-	// minZoneHosts is the minimum number of hosts listed for a zone, so that one may fail.
-	minZoneHosts = 2
-)
-
-// hostsFor returns the serving hosts that callers in an availability zone should use: those in
-// the zone, to limit cross-zone traffic, or all if the zone has too few. Callers choose among
-// them uniformly, so small hosts, which route where a zone has lost its large ones, are listed
-// only if the large ones have too few cores in all.
-func hostsFor(zone string, serving []*pb.Heartbeat) []*pb.Heartbeat {
-	maxCores, totalCores := 0.0, 0.0
-	for _, h := range serving {
-		maxCores = max(maxCores, h.Cores)
-		totalCores += h.Cores
-	}
-	var large, inZone []*pb.Heartbeat
-	largeTotal := 0.0
-	for _, h := range serving {
-		if h.Cores >= largeHostShare*maxCores {
-			large = append(large, h)
-			largeTotal += h.Cores
-		}
-	}
-	if largeTotal < minLargeShare*totalCores {
-		large = serving
-	}
-	for _, h := range large {
-		if h.AvailabilityZone == zone {
-			inZone = append(inZone, h)
-		}
-	}
-	if len(inZone) >= minZoneHosts {
-		return inZone
-	}
-	return large
-}
-
-// maxDirectory is the maximum number of addresses that callers accept.
-const maxDirectory = 64
-
 // stop shuts down without aborting requests that end before drainShare of the grace time has
 // passed. Directories of other hosts drop this host at once. Callers with an older directory
 // answer are served until closeShare of the grace time has passed; then open requests finish.
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -68,6 +68,10 @@
 	Quarantined tally.Gauge
 	// QuarantinedBlocks is the same for prefix blocks.
 	QuarantinedBlocks tally.Gauge
+	// Utilisation is the CPU time that this host uses, as a fraction of what it provides.
+	// DirectoryHosts is the number of hosts named by the last directory answer.
+	Utilisation    tally.Gauge
+	DirectoryHosts tally.Gauge
 	// DroppedLines is the number of dropped log lines.
 	DroppedLines tally.Gauge
 }
@@ -114,6 +118,8 @@
 		Malformed:         scope.Counter("malformed_entries"),
 		Quarantined:       scope.Gauge("quarantined_requests"),
 		QuarantinedBlocks: scope.Gauge("quarantined_blocks"),
+		Utilisation:       scope.Gauge("utilisation"),
+		DirectoryHosts:    scope.Gauge("directory_hosts"),
 		DroppedLines:      scope.Gauge("log_lines_dropped"),
 	}, reporter.HTTPHandler(), closer
 }
