Standby hosts that work know the load of all hosts, and keep their relays

Cause: a standby host with requests in flight knows only its own load, and asks its relays for no heartbeats, so that after 2.5 s it has no relay left.

Such hosts keep asking their relays, and report for a second after their last request. Only with overload.directory_by_load.

--- /dev/null
+++ b/internal/member/byload_test.go
@@ -0,0 +1,109 @@
+package member
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+)
+
+// newFleetByLoad starts a fleet of the first customer's size whose directories consider load.
+func newFleetByLoad(t *testing.T) *sim {
+	s := newSim(t, 3, 2, 23)
+	for _, h := range s.hosts {
+		h.byLoad = true
+		h.start(s)
+	}
+	return s
+}
+
+func namesOf(hosts []*pb.Heartbeat) string {
+	var out []string
+	for _, b := range hosts {
+		out = append(out, b.Host)
+	}
+	return strings.Join(out, ",")
+}
+
+// TestStandbyHostsAreListedInOneOrder guards against directories of different hosts that add different standby
+// hosts, and against any that send callers to hosts that are leaving, not ready or cut off.
+func TestStandbyHostsAreListedInOneOrder(t *testing.T) {
+	s := newFleetByLoad(t)
+	unfit := map[string]bool{}
+	for i, h := range s.hosts[10:13] {
+		h.self.Ready, h.self.Leaving, h.self.Detached = i != 0, i == 1, i == 2
+		h.start(s)
+		unfit[h.self.Host] = true
+	}
+	s.run(30 * time.Second)
+	want := namesOf(s.hosts[0].table.View(s.now).Standby)
+	if n := strings.Count(want, ",") + 1; n != 66 {
+		t.Errorf("%d standby hosts are listed, want 69 less the three that are unfit", n)
+	}
+	for _, h := range s.hosts {
+		v := h.table.View(s.now)
+		if got := namesOf(v.Standby); !unfit[h.self.Host] && got != want {
+			t.Errorf("%s lists %s, want %s", h.self.Host, got, want)
+		}
+		for _, b := range append(v.Routing, v.Standby...) {
+			if unfit[b.Host] {
+				t.Errorf("%s lists %s", h.self.Host, b.Host)
+			}
+		}
+	}
+}
+
+// TestWorkingStandbyHostsKeepTheirRelays guards against standby hosts that lose sight of rate limits, configurations
+// and other hosts as soon as callers are sent to them: with requests in flight they sent heartbeats to all
+// routing hosts, but asked none for heartbeats.
+func TestWorkingStandbyHostsKeepTheirRelays(t *testing.T) {
+	s := newFleetByLoad(t)
+	s.run(10 * time.Second)
+	for _, h := range s.hosts {
+		h.working = h.self.Cores < 0.5
+	}
+	for range 10 {
+		s.run(time.Second)
+		for _, h := range s.hosts {
+			if h.working && !h.table.HasActiveRelay(s.now) {
+				t.Fatalf("%s has no relay", h.self.Host)
+			}
+		}
+	}
+}
+
+// TestUtilisationReachesAllHosts guards against directories that decide by old reports, and against utilisation in
+// the messages of hosts that do not consider it.
+func TestUtilisationReachesAllHosts(t *testing.T) {
+	s := newFleetByLoad(t)
+	s.run(10 * time.Second)
+	for _, h := range s.hosts {
+		h.self.Utilisation, h.working = 900, true
+	}
+	known := func() int {
+		n := 0
+		for _, h := range s.hosts {
+			for _, other := range h.table.Hosts(s.now) {
+				if other.Heartbeat.Utilisation == 900 {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	all := len(s.hosts) * (len(s.hosts) - 1)
+	s.run(time.Second)
+	afterSecond := float64(known()) / float64(all)
+	s.run(5 * time.Second)
+	t.Logf("known of %.2f of the hosts after 1 s, of %.4f after 6 s", afterSecond, float64(known())/float64(all))
+	if known() < all*99/100 {
+		t.Errorf("utilisation of %d of %d hosts is known", known(), all)
+	}
+	s.hosts[0].table.ByLoad = false
+	for _, m := range s.hosts[0].table.MemberStates(true, s.now) {
+		if m.Utilisation != 0 {
+			t.Errorf("%s is relayed with its utilisation", m.Host)
+		}
+	}
+}
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -21,7 +21,9 @@
 	sequence  uint64
 	tick      int
 	down      bool
-	partition string
+	// working is set while the host has requests in flight, and byLoad if it reports utilisation.
+	working, byLoad bool
+	partition       string
 	// sent and received count datagrams, bytes the size of those sent.
 	sent, received, bytes int
 }
@@ -73,6 +75,7 @@
 // start resets the host to one that only knows the addresses of the seeds.
 func (h *simHost) start(s *sim) {
 	h.table = NewTable(proto.CloneOf(h.self), testDeadAfter)
+	h.table.ByLoad = h.byLoad
 	h.tick = s.rng.IntN(fromStandbyTicks)
 	for i := 0; i < min(3, len(s.hosts)); i++ {
 		h.table.AddPeer(s.hosts[i].self.PeerAddress, s.now)
@@ -96,7 +99,7 @@
 
 func (s *sim) sendHeartbeats(h *simHost) {
 	h.table.Expire(s.now)
-	to := h.table.IntervalAudience(h.tick, false, s.now)
+	to := h.table.IntervalAudience(h.tick, h.working, s.now)
 	h.tick++
 	v := h.table.View(s.now)
 	for _, kind := range []struct {
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -156,6 +156,19 @@
 	return out
 }
 
+// PeerAddresses returns the peer addresses of the given hosts that are known.
+func (t *Table) PeerAddresses(hosts []string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, id := range hosts {
+		if h := t.hosts[id]; h != nil {
+			out = append(out, h.heartbeat.PeerAddress)
+		}
+	}
+	return out
+}
+
 func withinAskTTL(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < askTTL }
 
 // probeTargets returns the addresses to be probed now, the least recently probed first.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,19 @@
 	return n.load.Utilisation()
 }
 
+// workRetention is how long after its last request a standby host still reports to all routing hosts:
+// twice the time over which utilisation is measured. They would otherwise keep a high one for seconds.
+const workRetention = time.Second
+
+// hasWork reports whether the routing hosts need the reports of this host.
+func (n *Node) hasWork(now time.Time) bool {
+	if n.replicas.HasRequests() {
+		n.workedAt = now
+		return true
+	}
+	return n.directoryByLoad() && !n.workedAt.IsZero() && now.Sub(n.workedAt) < workRetention
+}
+
 // answerDirectory answers a directory query of callers in an availability zone.
 func (n *Node) answerDirectory(zone string) []string {
 	now := clock.Now()
@@ -121,3 +135,41 @@
 	}
 	return true
 }
+
+// sendToStandby sends a heartbeat to standby hosts. Those with requests in flight also get the loads of
+// all hosts at servers, as they receive the reports of no other host.
+func (n *Node) sendToStandby(b *pb.Heartbeat, to []string, now time.Time) {
+	var working, rest []string
+	if n.directoryByLoad() && b.Routing {
+		atWork := n.members.PeerAddresses(n.replicas.HostsWithRequests())
+		for _, address := range to {
+			if slices.Contains(atWork, address) {
+				working = append(working, address)
+			}
+		}
+	}
+	for _, address := range to {
+		if !slices.Contains(working, address) {
+			rest = append(rest, address)
+		}
+	}
+	if len(rest) > 0 {
+		n.send(b, rest)
+	}
+	if len(working) > 0 {
+		b.TotalLoads = n.replicas.TotalLoads(now)
+		n.send(b, working)
+	}
+}
+
+// applyTotalLoads applies the loads of all hosts that a relay reports to this host. A routing host receives
+// the loads of each host instead.
+func (n *Node) applyTotalLoads(b *pb.Heartbeat, now time.Time) {
+	switch {
+	case !n.directoryByLoad():
+	case n.members.View(now).SelfRouting:
+		n.replicas.DropTotalLoads()
+	case len(b.TotalLoads) > 0:
+		n.replicas.SetTotalLoads(b.TotalLoads, now)
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -38,7 +38,7 @@
 	for tick := 0; ; {
 		now := clock.Now()
 		n.updateLimitShares(now)
-		n.sendHeartbeat(n.members.IntervalAudience(tick, n.replicas.HasRequests() || n.limiter.HasUnreported() || n.crashes.HasUnreported(), now), true, now)
+		n.sendHeartbeat(n.members.IntervalAudience(tick, n.hasWork(now) || n.limiter.HasUnreported() || n.crashes.HasUnreported(), now), true, now)
 		tick++
 		for untilTick := true; untilTick; {
 			select {
@@ -101,7 +101,7 @@
 		n.send(full, to.Routing)
 	}
 	if len(to.Standby) > 0 {
-		n.send(n.standbyHeartbeat(state, now), to.Standby)
+		n.sendToStandby(n.standbyHeartbeat(state, now), to.Standby, now)
 	}
 	if len(to.Ask) > 0 {
 		state.Asks = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,8 @@
 	// hosts because of it.
 	load   *hostload.Meter
 	relief reliefLog
+	// workedAt is when this host last had requests in flight. Only the heartbeat loop uses it.
+	workedAt time.Time
 	// viewedFleet caches what directories use of the last view.
 	viewedFleet atomic.Pointer[viewedFleet]
 
--- a/internal/replica/loads.go
+++ b/internal/replica/loads.go
@@ -142,11 +142,7 @@
 		if len(e.flights) == 0 && recent.ended == 0 {
 			continue
 		}
-		own := e.ownLoad(now)
-		out = append(out, &pb.ReplicaLoad{
-			Replica: id, Ended: recent.ended, Failed: t.reportedFailures(e, recent),
-			Requests: own.requests, PrefillTokens: own.prefill, MemoryTokens: own.memory, Waiting: own.waiting,
-		})
+		out = append(out, t.ownReport(e, now))
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Replica < out[j].Replica })
 	return out
@@ -184,6 +180,15 @@
 	return l
 }
 
+// ownReport returns the load of this host at a server, as it reports it to other hosts.
+func (t *Table) ownReport(e *entry, now time.Time) *pb.ReplicaLoad {
+	own, recent := e.ownLoad(now), e.failures.recent(now)
+	return &pb.ReplicaLoad{
+		Replica: e.reg.ID, Ended: recent.ended, Failed: t.reportedFailures(e, recent),
+		Requests: own.requests, PrefillTokens: own.prefill, MemoryTokens: own.memory, Waiting: own.waiting,
+	}
+}
+
 // recentOutcomes returns how recent exchanges of all hosts with a server ended.
 func (t *Table) recentOutcomes(e *entry, now time.Time) outcomes {
 	o := e.failures.recent(now)
