--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -28,10 +28,13 @@
 type host struct {
 	id, ip, zone string
 	cores        int
-	binary       string
-	settings     string
-	log          string
-	store        *proxy
+	// memoryMB is the setting host.memory_mb, and overload what the section of that name holds.
+	memoryMB int
+	overload string
+	binary   string
+	settings string
+	log      string
+	store    *proxy
 
 	mu          sync.Mutex
 	process     *process
@@ -51,14 +54,15 @@
 // settingsFor returns a host's settings; all hosts use the same ports.
 func settingsFor(h *host, seeds string) string {
 	return fmt.Sprintf(`{
-  "host": {"id": %q, "availability_zone": %q, "cores": %[7]d},
+  "host": {"id": %q, "availability_zone": %q, "cores": %[7]d, "memory_mb": %[14]d},
   "listen": {"caller": "%[3]s:18000", "ready": "%[3]s:18001", "directory": "%[3]s:18002", "operator": "%[3]s:18003", "peer": "%[3]s:18004", "metrics": "%[3]s:18005"},
   "platform": {"address": %[4]q},
   "member": {"seeds": [%[5]s]},
   "stop": {"grace": "%[6]s"},
   "move": {"share": %[11]g, "slack": %[12]d, "roll_back": "%[13]s"},
   "quota": {"window": "%[8]s", "over": %[9]g, "slack": %[10]d},
-}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime)
+  "overload": {%[15]s},
+}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime, h.memoryMB, h.overload)
 }
 
 // pid returns the ID of the running process, or 0.
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -47,7 +47,9 @@
 	requests int
 	served   int
 	// canary describes how the canary release of the seed ended; "" if it has none.
-	canary     string
+	canary string
+	// figures are those behind the checks of an overload seed, "" for other seeds.
+	figures    string
 	violations []string
 	err        error
 }
@@ -98,7 +100,7 @@
 func report(results <-chan result) error {
 	failed := 0
 	for r := range results {
-		fmt.Printf("seed %d: %d requests, %d served, %d broken%s\n", r.seed, r.requests, r.served, len(r.violations), r.canary)
+		fmt.Printf("seed %d: %d requests, %d served, %d broken%s%s\n", r.seed, r.requests, r.served, len(r.violations), r.canary, r.figures)
 		for _, line := range r.violations {
 			fmt.Println("  " + line)
 		}
@@ -134,7 +136,11 @@
 	if err := fx.startHosts(); err != nil {
 		return result{seed: seed, err: err}
 	}
-	r := fx.runSeed(seed, c.Length)
+	run := fx.runSeed
+	if hasOverload(seed) {
+		run = fx.runOverload
+	}
+	r := run(seed, c.Length)
 	if len(r.violations) == 0 && r.err == nil {
 		r.err = os.RemoveAll(dir)
 	} else {
--- a/test/soak/servercuts.go
+++ b/test/soak/servercuts.go
@@ -39,7 +39,9 @@
 // cutOffName is the name of the disturbance of a host that is cut off from all servers.
 const cutOffName = "cut off from the servers"
 
-func hasServerCuts(seed uint64) bool { return seed%fleetSeeds >= serverCutSeeds }
+func hasServerCuts(seed uint64) bool {
+	return seed%fleetSeeds >= serverCutSeeds && !hasOverload(seed)
+}
 
 // cutMode is what a cut does to the open connections between a host and the servers. New ones are reset
 // in each mode: a proxy cannot leave a connection attempt without an answer, and one that opens a
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -48,6 +48,9 @@
 )
 
 func sizeOf(seed uint64) size {
+	if hasOverload(seed) {
+		return planOverload(seed).size()
+	}
 	s := plainSize(seed)
 	if hasCanary(seed) {
 		s.spares = s.jobs
@@ -73,6 +76,8 @@
 	front         *proxy
 	http          *http.Server
 	listenAddress string
+	// slots is the number of requests that the server runs at once, 0 if it does not limit them.
+	slots int
 	// replacing is held while one incarnation replaces another.
 	replacing sync.Mutex
 	// crashed is set from a crash while running a request until the next incarnation.
@@ -125,6 +130,8 @@
 	// can see it in the server's answers.
 	delayLeaving bool
 	faults       *disturbances
+	// overload is the load of an overload seed; its kind is "" for other seeds.
+	overload overloadPlan
 }
 
 // Each seed uses one of the address blocks 127.0.N.0/24, with N from firstBlock to
@@ -154,6 +161,10 @@
 		size: sizeOf(seed), dir: dir, cutsServers: hasServerCuts(seed), poisonOptions: poisonOptions(seed), store: store.New(), observed: newObservations(), notices: newNotices(), faults: &disturbances{},
 		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
 	}
+	if hasOverload(seed) {
+		fx.overload = planOverload(seed)
+		fx.cutsServers = fx.overload.cut != ""
+	}
 	fx.operator = newOperator(fx.store)
 	fx.backend = listener.Addr().String()
 	fx.http = &http.Server{Handler: fx.store.Handler()}
@@ -208,6 +219,7 @@
 		cores = largeCores
 	}
 	h := &host{id: id, cores: cores, ip: fx.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: filepath.Join(fx.dir, id+".log")}
+	h.memoryMB, h.overload = fx.overload.settings()
 	h.settings = filepath.Join(fx.dir, id+".hujson")
 	if err := os.WriteFile(h.settings, []byte(settingsFor(h, seeds)), 0o644); err != nil {
 		return err
@@ -226,6 +238,9 @@
 	if i >= fx.size.writers {
 		s.service = "jobs"
 	}
+	if fx.overload.kind != "" {
+		s.service, s.slots = fx.overload.server(i)
+	}
 	if s.front, err = newProxy(fx.ip(100+i)+":0", s.listenAddress); err != nil {
 		return nil, err
 	}
@@ -234,6 +249,9 @@
 	}
 	fx.startServer(s)
 	s.http = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { s.current().Handler().ServeHTTP(rw, r) })}
+	if s.slots > 0 {
+		s.http.Handler, s.http.ConnContext = limited(s, s.http.Handler), limitBuffers
+	}
 	go s.http.Serve(listener)
 	return s, nil
 }
@@ -256,6 +274,13 @@
 // servers don't report when they started.
 func (fx *fixture) startWithID(s *server, id string) {
 	o := engine.Options{ID: id, Service: s.service, Address: s.front.address(), Zone: "zone-0", Slots: 8, Events: streamEvents, Pace: 40 * time.Millisecond, LoadTime: 250 * time.Millisecond}
+	if s.slots > 0 {
+		o.Slots, o.Work = s.slots, plainWork
+	}
+	if s.service == filesService {
+		// Without the proxy, whose buffers would take a good part of each answer.
+		o.Address = s.listenAddress
+	}
 	if s.service == "writer" {
 		o.Model, o.Started = model, time.Now().UnixMilli()
 		o.CrashBlock, o.CrashPoint, o.UntilClose = fx.poisonOptions.CrashBlock, fx.poisonOptions.CrashPoint, fx.poisonOptions.UntilClose
--- a/test/standin/caller/caller.go
+++ b/test/standin/caller/caller.go
@@ -120,6 +120,11 @@
 // default transport that callers share.
 func (c *Caller) KeepConnections() { c.client.Transport = &http.Transport{} }
 
+// CloseConnections makes the caller send each request over a new connection.
+func (c *Caller) CloseConnections() {
+	c.client.Transport = &http.Transport{DisableKeepAlives: true}
+}
+
 // SendTo sends a request to an address.
 func (c *Caller) SendTo(ctx context.Context, address string, r Request) (Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, strings.NewReader(r.Body))
