--- a/test/soak/overload.go
+++ b/test/soak/overload.go
@@ -53,7 +53,8 @@
 	fileSlots    = 4000
 	largeAnswer  = 2 << 20
 	largeBody    = 4 << 20
-	// largeDeadline is longer than a seed: only the load itself or a host ends a slow request.
+	// largeTarget and largeDeadline are so long that no host refuses or ends a slow request for its time.
+	largeTarget   = 20 * time.Second
 	largeDeadline = time.Minute
 	// overloadConfig is a version of the configuration above those that the operator writes.
 	overloadConfig = 1000
@@ -112,6 +113,18 @@
 	return p
 }
 
+// fault describes the fault.
+func (p overloadPlan) fault() string {
+	if p.faultAt == 0 {
+		return "no fault"
+	}
+	what := "cut off from the servers, " + string(p.cut)
+	if p.cut == "" {
+		what = "killed"
+	}
+	return fmt.Sprintf("host %d %s after %v for %v", p.victim, what, p.faultAt.Round(pollInterval), p.faultTime.Round(pollInterval))
+}
+
 // holdsMemory reports whether the load makes hosts hold memory.
 func (p overloadPlan) holdsMemory() bool { return p.kind == slowReaders || p.kind == heldUploads }
 
@@ -128,14 +141,6 @@
 	return filesService, fileSlots
 }
 
-// capacity returns the number of requests a second that servers with these slots take.
-func capacity(slots ...int) (perSecond float64) {
-	for _, n := range slots {
-		perSecond += float64(n) / plainWork.Seconds()
-	}
-	return perSecond
-}
-
 // settings returns host.memory_mb and what the section overload of each host's settings holds.
 func (p overloadPlan) settings() (memoryMB int, overload string) {
 	const on = `"fair_share": true, "directory_by_load": true, "await_prefill": true`
@@ -157,7 +162,7 @@
 		r := k.route()
 		r["SloMs"], r["TimeoutMs"] = plainTarget.Milliseconds(), plainDeadline.Milliseconds()
 		if k.service == filesService {
-			r["TimeoutMs"] = largeDeadline.Milliseconds()
+			r["SloMs"], r["TimeoutMs"] = largeTarget.Milliseconds(), largeDeadline.Milliseconds()
 		}
 		routes = append(routes, r)
 	}
@@ -199,24 +204,20 @@
 		case <-r.Context().Done():
 			return
 		}
-		if s.service == filesService && r.Method == http.MethodGet {
-			writeLarge(w, r, s)
+		if s.service != filesService || r.Method != http.MethodGet {
+			next.ServeHTTP(w, r)
 			return
 		}
-		next.ServeHTTP(w, r)
+		w.Header().Set(wire.Attempt, r.Header.Get(wire.Attempt))
+		w.Header().Set(wire.Seal, "seal-of-"+s.current().ID)
+		w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+		// An error means that the host has ended the connection.
+		_, _ = w.Write(largeContent)
 	})
 }
 
 var largeContent = make([]byte, largeAnswer)
 
-func writeLarge(w http.ResponseWriter, r *http.Request, s *server) {
-	w.Header().Set(wire.Attempt, r.Header.Get(wire.Attempt))
-	w.Header().Set(wire.Seal, "seal-of-"+s.current().ID)
-	w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
-	// An error means that the host has ended the connection.
-	_, _ = w.Write(largeContent)
-}
-
 func limitBuffers(ctx context.Context, c net.Conn) context.Context {
 	// The load is the same if a size cannot be set.
 	_ = c.(*net.TCPConn).SetWriteBuffer(socketBuffer)
@@ -230,30 +231,28 @@
 	defer stop()
 	go fx.heartbeats(ctx)
 	fx.waitReady()
-	l := newOverloadLoad(fx)
-	l.end = l.pressedAt.Add(length)
+	l := newOverloadLoad(fx, length)
 	var group sync.WaitGroup
-	for _, part := range []func(){func() { l.plainCallers(seed) }, l.slowCallers, l.watchMemory, fx.overloadFault(l.pressedAt)} {
-		group.Go(part)
-	}
+	group.Go(func() { l.plainCallers(seed) })
+	group.Go(l.slowCallers)
+	group.Go(l.watchMemory)
+	group.Go(l.runFault)
 	group.Wait()
 	figures := fx.checkOverload(l)
 	r := fx.result(seed)
-	r.figures = fmt.Sprintf("; %s, %d hosts, fault after %v: %s", fx.overload.kind, len(fx.hosts), fx.overload.faultAt, figures)
+	r.figures = fmt.Sprintf("; %s, %d hosts, %s: %s", fx.overload.kind, len(fx.hosts), fx.overload.fault(), figures)
 	return r
 }
 
-// overloadFault returns what kills a host and starts it again, or cuts it off from the servers.
-func (fx *fixture) overloadFault(pressedAt time.Time) func() {
-	p := fx.overload
-	return func() {
-		time.Sleep(time.Until(pressedAt.Add(p.faultAt)))
-		switch {
-		case p.faultAt == 0:
-		case p.cut == "":
-			fx.killHost(p.victim, p.faultTime)
-		default:
-			fx.cutFromServers(func(i int) bool { return i == p.victim }, p.cut, p.faultTime)
-		}
+// runFault kills a host and starts it again, or cuts it off from the servers.
+func (l *overloadLoad) runFault() {
+	p := l.fx.overload
+	time.Sleep(time.Until(l.pressedAt.Add(p.faultAt)))
+	switch {
+	case p.faultAt == 0:
+	case p.cut == "":
+		l.fx.killHost(p.victim, p.faultTime)
+	default:
+		l.fx.cutFromServers(func(i int) bool { return i == p.victim }, p.cut, p.faultTime)
 	}
 }
--- a/test/soak/overload_test.go
+++ b/test/soak/overload_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"os/exec"
 	"slices"
@@ -22,7 +25,7 @@
 	fx := testFixture()
 	fx.overload = overloadPlan{kind: kind, hosts: 1, slots: slots}
 	fx.hosts = []*host{{id: "entry-0", process: &process{cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getpid()}}}}}
-	l := newOverloadLoad(fx)
+	l := newOverloadLoad(fx, 0)
 	l.end = time.Now()
 	l.pressedAt = l.end.Add(-11 * time.Second)
 	for i, n := range slots {
@@ -111,6 +114,10 @@
 		if got := l.fx.isExcused(d); got != want {
 			t.Errorf("%s: excused %v, want %v", name, got, want)
 		}
+		d.tries[0].err = &url.Error{Err: context.DeadlineExceeded}
+		if got := l.fx.isExcused(d); got != (name == cutOffName) {
+			t.Errorf("%s: a request without an answer is excused: %v", name, got)
+		}
 		d.tries[0].err = nil
 		d.tries[0].from = d.from.Add(recoveryTime - time.Second)
 		if l.fx.isExcused(d) {
@@ -179,3 +186,30 @@
 		t.Errorf("got %v, %v, %v", hwm, rss, none)
 	}
 }
+
+// TestOwnerOfConnection guards against a cut that hits the connections of another host, or none.
+func TestOwnerOfConnection(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	c, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	self := &host{process: &process{cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getpid()}}}}
+	parent := &host{process: &process{cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getppid()}}}}
+	if got := ownerOf(accepted.(*net.TCPConn), []*host{parent, self}); got != self {
+		t.Errorf("owner %v", got)
+	}
+	if got := ownerOf(accepted.(*net.TCPConn), []*host{parent}); got != nil {
+		t.Errorf("owner %v", got)
+	}
+}
--- a/test/soak/overloadcheck.go
+++ b/test/soak/overloadcheck.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -58,13 +60,14 @@
 	return s.err == nil && s.answer.Status == http.StatusOK && s.answer.Whole && s.to.Sub(d.from) <= limit
 }
 
-// isExcused reports whether a fault excuses that a demand was not served: a request broke with the host
-// that was killed, or went to one that had been cut off for less than recoveryTime.
+// isExcused reports whether a fault excuses that a demand was not served: a connection broke with the host
+// that was killed, or a request went to one that had been cut off for less than recoveryTime.
 func (fx *fixture) isExcused(d *demand) bool {
 	for _, s := range d.tries {
 		if fx.faults.any(s.from, s.to, func(f *disturbance) bool {
 			justCut := f.name == cutOffName && s.from.Sub(f.from) < recoveryTime
-			return f.host == s.host && (justCut || f.name == "kill" && s.err != nil)
+			broke := f.name == "kill" && s.err != nil && !errors.Is(s.err, context.DeadlineExceeded)
+			return f.host == s.host && (justCut || broke)
 		}) {
 			return true
 		}
@@ -106,6 +109,14 @@
 	return c
 }
 
+// capacity returns the number of requests a second that servers with these slots take.
+func capacity(slots ...int) (perSecond float64) {
+	for _, n := range slots {
+		perSecond += float64(n) / plainWork.Seconds()
+	}
+	return perSecond
+}
+
 // runsPerServer counts the runs of each plain server while pressed.
 func (l *overloadLoad) runsPerServer() (counts []int, total int) {
 	counts = make([]int, len(l.fx.overload.slots))
@@ -196,7 +207,11 @@
 func (fx *fixture) checkBesideSlow(l *overloadLoad) string {
 	others := l.countServed(0, organisations-1)
 	fx.checkServed("the other callers", others, minBesideSlow)
-	figures := others.String() + "; peak MB"
+	figures := others.String()
+	if l.slow.Err() != nil {
+		figures += fmt.Sprintf("; slow callers ended at %d MB", maxResidentMB)
+	}
+	figures += "; peak MB"
 	for _, h := range fx.hosts {
 		figures += fmt.Sprintf(" %.0f", l.peakMB[h])
 		if l.peakMB[h] > hostMemoryMB {
--- a/test/soak/overloadload.go
+++ b/test/soak/overloadload.go
@@ -58,8 +58,9 @@
 	tooMuch context.CancelFunc
 }
 
-func newOverloadLoad(fx *fixture) *overloadLoad {
+func newOverloadLoad(fx *fixture, length time.Duration) *overloadLoad {
 	l := &overloadLoad{fx: fx, pressedAt: time.Now().Add(overloadWarmUp), peakMB: map[*host]float64{}}
+	l.end = l.pressedAt.Add(length)
 	l.slow, l.tooMuch = context.WithCancel(context.Background())
 	return l
 }
@@ -75,7 +76,11 @@
 		c.retry.CloseConnections()
 		group.Go(func() {
 			for n := 0; n < maxOverloadRequests && time.Now().Before(l.end); n++ {
-				time.Sleep(time.Duration(rng.ExpFloat64() / l.rate(i, time.Now()) * float64(time.Second)))
+				rate := l.fx.overload.rate
+				if l.fx.overload.kind == storm && i == 0 && time.Now().After(l.pressedAt) {
+					rate = stormRate
+				}
+				time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 				own := rand.New(rand.NewPCG(rng.Uint64(), 0))
 				group.Go(func() { c.send(own) })
 			}
@@ -83,14 +88,6 @@
 	}
 }
 
-// rate returns the requests a second of an organisation.
-func (l *overloadLoad) rate(organisation int, now time.Time) float64 {
-	if l.fx.overload.kind == storm && organisation == 0 && !now.Before(l.pressedAt) {
-		return stormRate
-	}
-	return l.fx.overload.rate
-}
-
 // plainCaller sends the plain requests of one organisation.
 type plainCaller struct {
 	load         *overloadLoad
--- a/test/soak/servercuts.go
+++ b/test/soak/servercuts.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -32,8 +31,6 @@
 	maxFailedFirstTries   = 10
 	failedFirstTriesShare = 50
 	minServedRatio        = 2.0 / 3
-	// maxSocketReads is how often the owner of a connection is looked for.
-	maxSocketReads = 4
 )
 
 // cutOffName is the name of the disturbance of a host that is cut off from all servers.
@@ -147,17 +144,11 @@
 
 // ownerOf returns which of the given hosts' processes opened a connection to a proxy, or nil.
 func ownerOf(c *net.TCPConn, hosts []*host) *host {
-	inode := ""
-	// The kernel's table changes while it is read, and an entry may be missed.
-	for range maxSocketReads {
-		if inode = socketInode(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr)); inode != "" {
-			break
-		}
-	}
-	if inode == "" {
+	inode := socketInode(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
+	if inode == 0 {
 		return nil
 	}
-	link := "socket:[" + inode + "]"
+	link := fmt.Sprintf("socket:[%d]", inode)
 	for _, h := range hosts {
 		if pid := h.pid(); pid != 0 && hasOpen(pid, link) {
 			return h
@@ -188,32 +179,6 @@
 	return false
 }
 
-// socketInode returns the inode of the socket with the given local and remote address, or "".
-func socketInode(local, remote *net.TCPAddr) string {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	ends := []byte(" " + procAddress(local) + " " + procAddress(remote) + " ")
-	at := bytes.Index(table, ends)
-	if at < 0 {
-		return ""
-	}
-	// After the addresses: state, queues, timer, retransmits, user, timeout, inode.
-	const inodeField = 6
-	fields := strings.Fields(string(table[at+len(ends) : min(len(table), at+len(ends)+100)]))
-	if len(fields) <= inodeField {
-		return ""
-	}
-	return fields[inodeField]
-}
-
-// procAddress returns an address as the kernel prints it.
-func procAddress(a *net.TCPAddr) string {
-	ip := a.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%s", ip[3], ip[2], ip[1], ip[0], strings.ToUpper(fmt.Sprintf("%04s", strconv.FormatInt(int64(a.Port), 16))))
-}
-
 // otherwiseDisturbed reports whether a host was disturbed by anything but a cut from the servers.
 func (fx *fixture) otherwiseDisturbed(h *host, from, to time.Time) bool {
 	return fx.faults.any(from, to, func(d *disturbance) bool {
