--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -42,33 +42,62 @@
 	Standby []Host
 }
 
-// Answer is a directory answer.
-type Answer struct {
-	Addresses []string
+// Plan says how often the hosts are named in answers for callers in an availability zone. It does not
+// change, and is safe for concurrent use.
+type Plan struct {
 	// Usual is the number of hosts that are named without regard to load, and Further the number of
-	// other hosts that answers currently name, each in a part of them.
+	// other hosts that answers name, each in a part of them.
 	Usual, Further int
+
+	hosts []listed
+}
+
+// listed is a host with the part of the answers that name it.
+type listed struct {
+	address string
+	share   float64
 }
 
-// Choose returns the answer for callers in an availability zone, in random order. target is the
-// utilisation above which further hosts are named; 0 for none.
-func Choose(zone string, f Fleet, target float64, rng *rand.Rand) Answer {
+// NewPlan returns the plan for a zone. target is the utilisation above which further hosts are named; 0
+// for none.
+func NewPlan(zone string, f Fleet, target float64) *Plan {
 	usual := usualHosts(zone, f.Serving)
-	a := Answer{Usual: len(usual)}
 	var further []named
 	if target > 0 {
 		further = furtherHosts(zone, usual, f, target)
 	}
-	if a.Further = len(further); a.Further > 0 {
-		a.Addresses = sample(append(byCores(usual), further...), rng)
-	} else {
-		for _, h := range usual {
-			a.Addresses = append(a.Addresses, h.Address)
+	p := &Plan{Usual: len(usual), Further: len(further)}
+	if p.Further > 0 {
+		p.hosts = byShare(append(byCores(usual), further...))
+		return p
+	}
+	for _, h := range usual {
+		p.hosts = append(p.hosts, listed{h.Address, 1})
+	}
+	return p
+}
+
+// Addresses returns the addresses of one answer, in random order.
+//
+// Systematic sampling keeps their number constant up to one: with a number that varies more, the hosts
+// that are in each answer would get more than their part, as callers choose uniformly.
+func (p *Plan) Addresses(rng *rand.Rand) []string {
+	hosts := slices.Clone(p.hosts)
+	rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	var out []string
+	next, sum := rng.Float64(), 0.0
+	for _, h := range hosts {
+		if h.share >= 1 {
+			out = append(out, h.address)
+			continue
+		}
+		if sum += h.share; sum > next {
+			out = append(out, h.address)
+			next++
 		}
 	}
-	rng.Shuffle(len(a.Addresses), func(i, j int) { a.Addresses[i], a.Addresses[j] = a.Addresses[j], a.Addresses[i] })
-	a.Addresses = a.Addresses[:min(len(a.Addresses), MaxAddresses)]
-	return a
+	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), MaxAddresses)]
 }
 
 // usualHosts returns the serving hosts that callers in an availability zone should use: those in
@@ -122,30 +151,18 @@
 	return out
 }
 
-// sample returns the addresses of one answer. The part of the answers that lists a host is its cores
-// relative to the largest host's, as callers choose among the addresses of an answer uniformly.
-// Systematic sampling keeps the number of addresses constant up to one: with a number that varies more,
-// the hosts that are in each answer would get more than their part.
-func sample(hosts []named, rng *rand.Rand) []string {
+// byShare returns the part of the answers that names each host: its cores relative to the largest host's,
+// as callers choose among the addresses of an answer uniformly.
+func byShare(hosts []named) []listed {
 	largest := slices.MaxFunc(hosts, func(a, b named) int { return cmp.Compare(a.cores, b.cores) }).cores
 	total := 0.0
 	for _, h := range hosts {
 		total += h.cores / largest
 	}
 	scale := min(1, MaxAddresses/total)
-	rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	var out []string
-	next, sum := rng.Float64(), 0.0
-	for _, h := range hosts {
-		share := h.cores / largest * scale
-		switch sum += share; {
-		case share >= 1:
-			out = append(out, h.Address)
-			sum--
-		case sum > next:
-			out = append(out, h.Address)
-			next++
-		}
+	out := make([]listed, len(hosts))
+	for i, h := range hosts {
+		out[i] = listed{h.Address, h.cores / largest * scale}
 	}
 	return out
 }
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -16,11 +16,11 @@
 
 // simHost is one host of a simulated fleet.
 type simHost struct {
-	table     *Table
-	self      *pb.Heartbeat
-	sequence  uint64
-	tick      int
-	down      bool
+	table    *Table
+	self     *pb.Heartbeat
+	sequence uint64
+	tick     int
+	down     bool
 	// working is set while the host has requests in flight, and byLoad if it reports utilisation.
 	working, byLoad bool
 	partition       string
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -49,39 +49,46 @@
 // answerDirectory answers a directory query of callers in an availability zone.
 func (n *Node) answerDirectory(zone string) []string {
 	now := clock.Now()
-	a := n.chooseHosts(zone, now)
-	n.metrics.DirectoryHosts.Update(float64(len(a.Addresses)))
-	n.relief.record(n.log, zone, a, now)
-	return a.Addresses
+	plan := n.directoryPlan(zone, now)
+	names := plan.Addresses(newRandom())
+	n.metrics.DirectoryHosts.Update(float64(len(names)))
+	n.relief.record(n.log, zone, plan, now)
+	return names
 }
 
 // directory returns, in random order, addresses of hosts for callers in an availability zone.
-func (n *Node) directory(zone string) []string { return n.chooseHosts(zone, clock.Now()).Addresses }
-
-func (n *Node) chooseHosts(zone string, now time.Time) directory.Answer {
-	target := 0.0
-	if n.directoryByLoad() {
-		target = n.settings.Overload.TargetUtilisation
-	}
-	return directory.Choose(zone, n.directoryFleet(now), target, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+func (n *Node) directory(zone string) []string {
+	return n.directoryPlan(zone, clock.Now()).Addresses(newRandom())
 }
 
-// viewedFleet is what directories use of a view.
-type viewedFleet struct {
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// directoryPlans are the plans for a view. They are computed once for each view and zone, as hundreds of
+// callers may ask in the time, and thousands of hosts may be on standby.
+type directoryPlans struct {
 	view  *member.View
 	fleet directory.Fleet
+	// byZone maps zones to plans.
+	byZone sync.Map
 }
 
-// directoryFleet returns the hosts that directories may name. It is computed once for each view, as
-// thousands of hosts may be on standby.
-func (n *Node) directoryFleet(now time.Time) directory.Fleet {
+func (n *Node) directoryPlan(zone string, now time.Time) *directory.Plan {
 	v := n.members.View(now)
-	cached := n.viewedFleet.Load()
-	if cached == nil || cached.view != v {
-		cached = &viewedFleet{v, directory.Fleet{Serving: n.directoryHosts(v.Serving), Standby: n.directoryHosts(v.Standby)}}
-		n.viewedFleet.Store(cached)
+	plans := n.directoryPlans.Load()
+	if plans == nil || plans.view != v {
+		plans = &directoryPlans{view: v, fleet: directory.Fleet{Serving: n.directoryHosts(v.Serving), Standby: n.directoryHosts(v.Standby)}}
+		n.directoryPlans.Store(plans)
+	}
+	if known, ok := plans.byZone.Load(zone); ok {
+		return known.(*directory.Plan)
+	}
+	target := 0.0
+	if n.directoryByLoad() {
+		target = n.settings.Overload.TargetUtilisation
 	}
-	return cached.fleet
+	plan := directory.NewPlan(zone, plans.fleet, target)
+	plans.byZone.Store(zone, plan)
+	return plan
 }
 
 func (n *Node) directoryHosts(hosts []*pb.Heartbeat) []directory.Host {
@@ -107,15 +114,15 @@
 	limiter obs.Limiter
 }
 
-func (r *reliefLog) record(log *logrus.Logger, zone string, a directory.Answer, now time.Time) {
-	if !r.changes(zone, a.Further > 0) {
+func (r *reliefLog) record(log *logrus.Logger, zone string, p *directory.Plan, now time.Time) {
+	if !r.changes(zone, p.Further > 0) {
 		return
 	}
 	others, ok := r.limiter.Allow(now)
 	if !ok {
 		return
 	}
-	log.WithFields(logrus.Fields{"zone": zone, "further": a.Further, "usual": a.Usual, "others": others}).Info("directory names other hosts by load")
+	log.WithFields(logrus.Fields{"zone": zone, "further": p.Further, "usual": p.Usual, "others": others}).Info("directory names other hosts by load")
 }
 
 // changes reports whether further hosts are named for a zone from now on, or no longer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,8 +142,8 @@
 	relief reliefLog
 	// workedAt is when this host last had requests in flight. Only the heartbeat loop uses it.
 	workedAt time.Time
-	// viewedFleet caches what directories use of the last view.
-	viewedFleet atomic.Pointer[viewedFleet]
+	// directoryPlans caches the plans of directories for the last view.
+	directoryPlans atomic.Pointer[directoryPlans]
 
 	// stateMu serialises reports of this host's state to the membership table, and is held over
 	// no other call.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -122,6 +122,12 @@
 }
 
 func (s *site) host(id, storeAddress string, peers ...*host) *host {
+	s.t.Helper()
+	return s.hostWith(id, storeAddress, func(*pb.Settings) {}, peers...)
+}
+
+// hostWith starts a host whose settings are changed.
+func (s *site) hostWith(id, storeAddress string, change func(*pb.Settings), peers ...*host) *host {
 	s.t.Helper()
 	set := settings.Defaults()
 	set.Host.Id, set.Host.AvailabilityZone = id, "z1"
@@ -136,6 +142,7 @@
 	set.Platform.CallTimeout = durationpb.New(300 * time.Millisecond)
 	set.Replica.PollInterval = durationpb.New(20 * time.Millisecond)
 	set.Stop.Grace = durationpb.New(time.Second)
+	change(set)
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	n := New(set, nil, log, lines)
 	link := newServerLink()
