Utilisation outlasts relays of the build before

Cause: in a fleet of two builds a relay of the earlier one reports hosts without their utilisation, so that answers would change from heartbeat to heartbeat.

Change: the last utilisation of an incarnation is kept for 10 s.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -32,6 +32,9 @@
 	// relayedStandbyTimeout is the timeout of a standby host that is only seen through others.
 	// With hundreds of standby hosts each is relayed about every ten seconds.
 	relayedStandbyTimeout = time.Minute
+	// utilisationRetention is how long a host's utilisation is kept while relays of an earlier build
+	// report the host without it.
+	utilisationRetention = 10 * time.Second
 	// probeTTL is how long an address without a live host is probed.
 	probeTTL = 3 * time.Minute
 )
@@ -96,6 +99,8 @@
 	direct          bool
 	lastDirect      time.Time
 	directHeartbeat *pb.Heartbeat
+	// utilisationAt is when the utilisation in heartbeat was received.
+	utilisationAt time.Time
 	// lastAsked is when the host last asked for heartbeats.
 	lastAsked time.Time
 	// changedAt is when the host's state last changed, and announced how often the new state
@@ -255,6 +260,9 @@
 	}
 	h = t.apply(b, now)
 	h.direct, h.lastDirect, h.directHeartbeat = true, now, b
+	if b.Utilisation > 0 {
+		h.utilisationAt = now
+	}
 	if b.Asks {
 		h.lastAsked = now
 	}
@@ -323,12 +331,19 @@
 	if h != nil && h.heartbeat.Incarnation == m.Incarnation && h.heartbeat.Sequence >= m.Sequence {
 		return
 	}
+	utilisation := m.Utilisation
+	if h != nil && h.heartbeat.Incarnation == m.Incarnation && utilisation == 0 && now.Sub(h.utilisationAt) < utilisationRetention {
+		utilisation = h.heartbeat.Utilisation
+	}
 	h = t.apply(&pb.Heartbeat{
 		Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, AvailabilityZone: m.AvailabilityZone,
 		CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, Ready: m.Ready, Leaving: m.Leaving,
 		Routing: m.Routing, Cores: m.Cores, Settled: m.Settled, Detached: m.Detached,
-		Utilisation: m.Utilisation,
+		Utilisation: utilisation,
 	}, sent)
+	if m.Utilisation > 0 {
+		h.utilisationAt = now
+	}
 	h.direct = now.Sub(h.lastDirect) < t.deadAfter
 }
 
