Directories name no standby hosts while servers are brittle

Cause: standby hosts have no slots of brittle servers, so requests for these would wait there and be refused.

Change: while any server says that it is brittle, directories name the usual hosts only.

Result: TestDirectoryByLoad passes.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -83,7 +83,8 @@
 		return known.(*directory.Plan)
 	}
 	target := 0.0
-	if n.directoryByLoad() {
+	// Standby hosts have no slots of brittle servers, and would refuse most of their requests.
+	if n.directoryByLoad() && !n.replicas.HasBrittle() {
 		target = n.settings.Overload.TargetUtilisation
 	}
 	plan := directory.NewPlan(zone, plans.fleet, target)
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/settings"
+	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
@@ -74,6 +75,12 @@
 		if got := strings.Count(log.String(), line); got != map[bool]int{false: 0, true: 1}[byLoad] {
 			t.Errorf("by load %v: %d log lines: %s", byLoad, got, log)
 		}
+		n.replicas.Register(platform.Registration{ID: "s", Service: "jobs", Address: "127.0.0.1:9", Started: 1}, 1)
+		n.replicas.ApplyBrittle("h0", &pb.BrittleServer{Replica: "s", Started: 1, Brittle: true, MaxRejections: 5}, clock.Now())
+		report(1000)
+		if names := n.answerDirectory("z1"); len(names) != 4 {
+			t.Errorf("by load %v: before a brittle server %v are named, want the four large ones", byLoad, names)
+		}
 		now := clock.Now()
 		n.commonHeartbeat(now)
 		if got := n.commonHeartbeat(now.Add(time.Second)).Utilisation; (got > 0) != byLoad {
--- a/internal/replica/brittle.go
+++ b/internal/replica/brittle.go
@@ -204,6 +204,18 @@
 	return e != nil && e.brittle.brittle
 }
 
+// HasBrittle reports whether any server says that it is brittle.
+func (t *Table) HasBrittle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.brittle {
+		if e.brittle.brittle {
+			return true
+		}
+	}
+	return false
+}
+
 // BrittleReports returns what servers recently stated in answers to this host, in turn, for the other
 // hosts.
 func (t *Table) BrittleReports(now time.Time) []*pb.BrittleServer {
