explain: say that hosts were short of CPU time

Cause: nothing in a verdict says that a late answer came from a host that was short of CPU time.

Result: go test -race ./internal/explain and go test ./internal/doccheck pass.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -46,6 +46,9 @@
 	"prefix block refused from now on: servers crash under requests with it": true, "prefix block is let in again": true,
 }
 
+// directoryByLoad is the message on the hosts that directories name because of load.
+const directoryByLoad = "directory names other hosts by load"
+
 // Messages on the configuration and the weights in force.
 const (
 	configInForce = "configuration in force"
@@ -160,6 +163,9 @@
 	if f.replicas[h.Replica] {
 		return f.everything || near && replicaMessages[h.Message]
 	}
+	if h.Message == directoryByLoad {
+		return near && f.fromServingHost(h)
+	}
 	during := !h.At.Before(f.arrived)
 	return during && hostMessages[h.Message] && f.fromServingHost(h)
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -60,6 +60,10 @@
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"deadline_exceeded","error":"deadline_exceeded: the deadline passed","ms":800,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"failed","tries":[{"Replica":"i-1","Result":"cancelled","Reason":"ended","Ms":790}],"time":"2026-06-01T10:00:10.1Z"}`,
 	"configuration-changed": `
 9.5 edge-1 {"level":"info","msg":"configuration in force","version":8,"time":"2026-06-01T10:00:09.5Z"}
+10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":1400,"first_ms":1390,"expected_ms":60,"target_ms":150,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
+	"short-of-cpu-time": `
+9.5 edge-1 {"level":"info","msg":"directory names other hosts by load","zone":"z1","usual":2,"further":5,"others":0,"time":"2026-06-01T10:00:09.5Z"}
+9.6 edge-2 {"level":"info","msg":"directory names other hosts by load","zone":"z1","usual":2,"further":6,"others":0,"time":"2026-06-01T10:00:09.6Z"}
 10.1 edge-1 {"level":"info","msg":"request","request":"r-1","outcome":"ok","status":200,"ms":1400,"first_ms":1390,"expected_ms":60,"target_ms":150,"sends":1,"ran":1,"replica":"i-1","config":7,"state":"complete","time":"2026-06-01T10:00:10.1Z"}`,
 	"old-weights": `
 8.0 edge-1 {"level":"info","msg":"weights wanted","model":"m","version":2,"time":"2026-06-01T10:00:08Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -28,7 +28,19 @@
 	if changed := describeConfigChange(r, lines); changed != "" {
 		text += "; " + changed
 	}
-	return text
+	return text + describeRelief(lines)
+}
+
+// describeRelief says that hosts were short of CPU time around the time of the request, so that
+// directories named others.
+func describeRelief(lines []logline.Line) string {
+	for i := range lines {
+		if l := &lines[i]; l.Message == directoryByLoad && l.Number("further") > 0 {
+			return fmt.Sprintf("; the hosts of zone %s were short of CPU time: from %s on, directories named %.0f others",
+				l.Text("zone"), l.At.UTC().Format(time.RFC3339Nano), l.Number("further"))
+		}
+	}
+	return ""
 }
 
 // describeOutcome says what the caller received.
