Total loads: build reports of the 64 most loaded servers only

Cause: with thousands of busy servers a relay built a report of each, in every heartbeat to working standby hosts.

Change: servers are ranked by plain counts first.

Result: go test -race -run 'Total|Standby|Loads|Expire' ./internal/replica passes.

--- a/internal/replica/total.go
+++ b/internal/replica/total.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -35,25 +34,37 @@
 func (t *Table) TotalLoads(now time.Time) []*pb.ReplicaLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	totals := map[string]*pb.ReplicaLoad{}
+	type server struct {
+		id       string
+		requests int32
+		prefill  int32
+	}
+	servers := make([]server, 0, len(t.otherLoads.sums)+len(t.active))
 	for id, sum := range t.otherLoads.sums {
-		totals[id] = &pb.ReplicaLoad{Replica: id}
-		addLoad(totals[id], sum, 1)
+		if t.active[id] == nil {
+			servers = append(servers, server{id, sum.Requests, sum.PrefillTokens})
+		}
 	}
 	for id, e := range t.active {
-		own := t.ownReport(e, now)
-		if idle(own) {
-			continue
+		if l := t.totalLoad(e, now); t.otherLoads.sums[id] != nil || l.requests > 0 {
+			servers = append(servers, server{id, l.requests, l.prefill})
 		}
-		if totals[id] == nil {
-			totals[id] = &pb.ReplicaLoad{Replica: id}
-		}
-		addLoad(totals[id], own, 1)
 	}
-	out := slices.SortedFunc(maps.Values(totals), func(a, b *pb.ReplicaLoad) int {
-		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(b.PrefillTokens, a.PrefillTokens), cmp.Compare(a.Replica, b.Replica))
+	slices.SortFunc(servers, func(a, b server) int {
+		return cmp.Or(cmp.Compare(b.requests, a.requests), cmp.Compare(b.prefill, a.prefill), cmp.Compare(a.id, b.id))
 	})
-	return out[:min(len(out), maxTotalLoads)]
+	var out []*pb.ReplicaLoad
+	for _, s := range servers[:min(len(servers), maxTotalLoads)] {
+		total := &pb.ReplicaLoad{Replica: s.id}
+		if sum := t.otherLoads.sums[s.id]; sum != nil {
+			addLoad(total, sum, 1)
+		}
+		if e := t.active[s.id]; e != nil {
+			addLoad(total, t.ownReport(e, now), 1)
+		}
+		out = append(out, total)
+	}
+	return out
 }
 
 // SetTotalLoads records the loads of all hosts at some servers, as a relay reports them. What this host
