Package fairshare: shares of a service's capacity while it is short

Change: package internal/fairshare decides per service whether a request of an organisation is admitted, from this host's demand and from other hosts' reports: max-min shares of the measured capacity, token buckets by each host's part, digests of refused requests, Retry-After. It is not wired yet.

--- /dev/null
+++ b/internal/fairshare/load_test.go
@@ -0,0 +1,147 @@
+package fairshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	simCapacity = 160
+	// Requirement 1 of docs/design/overload.md.
+	minServed, minUsed = 0.95, 0.9
+)
+
+// newStorm returns a simulation in which seven organisations send 15 requests a second to servers
+// that take 160, and an eighth 90 from 3 s on.
+func newStorm(t *testing.T, hosts int) (s *sim, others []*traffic, storming *traffic) {
+	s = newSim(t, hosts)
+	s.addServers(4, simCapacity)
+	for i := range 7 {
+		others = append(others, &traffic{organisation: fmt.Sprint("o", i), rate: 15, cost: 1, urgent: true})
+		s.send(others[i])
+	}
+	s.send(&traffic{organisation: "storm", rate: 15, cost: 1, urgent: true, to: 3 * time.Second})
+	storming = &traffic{organisation: "storm", rate: 90, cost: 1, urgent: true, from: 3 * time.Second}
+	s.send(storming)
+	return s, others, storming
+}
+
+// check fails unless the traffics are served and the servers are used, in the measurement.
+func (s *sim) check(what string, capacity float64, traffics ...*traffic) {
+	s.t.Helper()
+	sent, inTime, twice := 0, 0, 0
+	for _, tr := range traffics {
+		sent, inTime, twice = sent+tr.sent, inTime+tr.inTime, twice+tr.refusedTwice
+	}
+	served := float64(inTime) / float64(sent)
+	s.t.Logf("%s: %.3f of %d in time, %d refused twice, servers used to %.3f", what, served, sent, twice, s.used/capacity)
+	if served < minServed || s.used < minUsed*capacity {
+		s.t.Error("too little")
+	}
+}
+
+// TestStormLeavesOthersTheirShare guards against one organisation that takes what others need, and
+// against servers that stand idle for it, also if most callers use one host.
+func TestStormLeavesOthersTheirShare(t *testing.T) {
+	for _, hosts := range []int{1, 3, 9, 24} {
+		for _, firstHost := range []float64{0, 0.7} {
+			s, others, storming := newStorm(t, hosts)
+			s.firstHost = firstHost
+			s.measure(3*time.Second, 15*time.Second)
+			s.check(fmt.Sprint(hosts, " hosts, ", firstHost, " at one"), simCapacity, others...)
+			if left := float64(storming.inTime) / 12; left < minUsed*(simCapacity-105) {
+				t.Errorf("the storm gets %.1f a second of the %d that others leave", left, simCapacity-105)
+			}
+		}
+	}
+}
+
+// TestLongUrgentRequestsAreNotStarvedByShortOnes guards against shares by requests instead of cost,
+// and against buckets that are smaller than the largest requests.
+func TestLongUrgentRequestsAreNotStarvedByShortOnes(t *testing.T) {
+	const capacity = 200_000
+	for _, hosts := range []int{3, 24} {
+		for _, organisation := range []string{"long", "short"} {
+			s := newSim(t, hosts)
+			s.addServers(4, capacity)
+			long := &traffic{organisation: organisation, rate: 4, cost: 17_000, urgent: true, deadline: 8 * time.Second}
+			s.send(long)
+			s.send(&traffic{organisation: "short", rate: 1000, cost: 400, deadline: 4 * time.Second})
+			s.measure(3*time.Second, 15*time.Second)
+			s.check(fmt.Sprint(hosts, " hosts, long requests of ", organisation), capacity, long)
+		}
+	}
+}
+
+// TestNothingIsRefusedWithoutShortage guards against fairness where there is enough for all, and
+// against one server that rejects everything and so makes the service look short.
+func TestNothingIsRefusedWithoutShortage(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		s := newSim(t, 9)
+		s.addServers(4, simCapacity)
+		s.servers[0].rejects = broken
+		for i := range 4 {
+			s.send(&traffic{organisation: fmt.Sprint(i), rate: 8 * float64(i+1), cost: 1, urgent: true})
+		}
+		s.measure(0, 20*time.Second)
+		t.Logf("a server rejects: %v; refused for a share: %d", broken, s.refusals)
+		if s.refusals > 0 {
+			t.Error("refused without a shortage")
+		}
+	}
+}
+
+// TestOneOrganisationAloneGetsAll guards against capacity that is kept for organisations that do not
+// use it. Without organisations, all requests count as of one.
+func TestOneOrganisationAloneGetsAll(t *testing.T) {
+	s := newSim(t, 9)
+	s.addServers(4, simCapacity)
+	s.send(&traffic{rate: 250, cost: 1, urgent: true})
+	idle := &traffic{organisation: "idle", rate: 0.5, cost: 1}
+	s.send(idle)
+	s.measure(2*time.Second, 17*time.Second)
+	s.check("one organisation", simCapacity, idle)
+}
+
+// TestSharesSurviveLostHosts guards against parts that are doubled or lost while a host is killed,
+// started or cut off in a storm.
+func TestSharesSurviveLostHosts(t *testing.T) {
+	for _, hosts := range []int{3, 9} {
+		s, others, _ := newStorm(t, hosts)
+		s.run(6 * time.Second)
+		s.hosts[1].down = true
+		s.measure(7500*time.Millisecond, 13*time.Second)
+		s.check(fmt.Sprint(hosts, " hosts, one killed"), simCapacity, others...)
+		s.addHost()
+		s.measure(15*time.Second, 20*time.Second)
+		s.check("one started", simCapacity, others...)
+		s.hosts[2].cut = true
+		s.measure(22*time.Second, 30*time.Second)
+		s.check("one cut off", simCapacity, others...)
+		s.hosts[2].cut = false
+		s.measure(32*time.Second, 37*time.Second)
+		s.check("one back", simCapacity, others...)
+	}
+}
+
+// TestCapacityFollowsServers guards against a capacity that is measured once: a server is lost, and
+// what comes back is used within 2 s.
+func TestCapacityFollowsServers(t *testing.T) {
+	s, others, _ := newStorm(t, 9)
+	s.run(7 * time.Second)
+	s.servers[0].down = true
+	s.measure(9*time.Second, 15*time.Second)
+	s.check("a server lost", simCapacity*0.75, others...)
+	s.servers[0].down = false
+	s.measure(18500*time.Millisecond, 25*time.Second)
+	s.check("the server back", simCapacity, others...)
+}
+
+// TestHostsWithoutReportsShareToo guards against shares that fail beside hosts of the build before.
+func TestHostsWithoutReportsShareToo(t *testing.T) {
+	s, others, _ := newStorm(t, 9)
+	s.hosts[8].silent = true
+	s.measure(3*time.Second, 15*time.Second)
+	s.check("one host of the build before", simCapacity, others...)
+}
