--- a/internal/fairshare/refusals.go
+++ b/internal/fairshare/refusals.go
@@ -13,6 +13,7 @@
 	// often each is reported, as heartbeats may be lost.
 	maxReportedRefusals = 64
 	refusalReports      = 2
+	maxReportDelay      = time.Second
 )
 
 // refusal is a request that some host refused for want of capacity.
@@ -28,6 +29,8 @@
 	byDigest map[uint64]*refusal
 	// order has them in order of time, including some that are no longer in byDigest.
 	order []*refusal
+	// own has those that are still to be reported.
+	own []*refusal
 }
 
 func newRefusals() refusals { return refusals{byDigest: map[uint64]*refusal{}} }
@@ -41,6 +44,9 @@
 	entry := &refusal{digest, now, reports}
 	r.byDigest[digest] = entry
 	r.order = append(r.order, entry)
+	if reports > 0 {
+		r.own = append(r.own, entry)
+	}
 	if len(r.order) > 2*maxRefusals {
 		r.order = slices.DeleteFunc(r.order, func(e *refusal) bool { return r.byDigest[e.digest] != e })
 	}
@@ -74,18 +80,21 @@
 	}
 }
 
-// report returns the digests to report next, the newest first.
+// report returns the digests to report next, the newest first. Those that do not fit in for
+// maxReportDelay are not reported: their callers are back by then.
 func (r *refusals) report(now time.Time) []uint64 {
-	r.expire(now)
 	var out []uint64
-	for _, entry := range slices.Backward(r.order) {
+	for _, entry := range slices.Backward(r.own) {
 		if len(out) == maxReportedRefusals {
 			break
 		}
-		if entry.reports > 0 && r.byDigest[entry.digest] == entry {
+		if r.byDigest[entry.digest] == entry {
 			entry.reports--
 			out = append(out, entry.digest)
 		}
 	}
+	r.own = slices.DeleteFunc(r.own, func(e *refusal) bool {
+		return e.reports == 0 || now.Sub(e.at) >= maxReportDelay || r.byDigest[e.digest] != e
+	})
 	return out
 }
