Share the capacity of services that are short of it (overload.fair_share)

Cause: see docs/design/overload.md, part 3; package fairshare decided nothing yet.

Change: dispatch asks for the organisation's share before the first attempt, and reports answers, rejections and refusals for expected time. Requests that servers rejected or that would be too late end as overloaded, not run, with the Retry-After of the package. A request that comes back is admitted if it can be answered before its deadline. Heartbeats carry demands and refused requests. Metrics, two log messages, two fields of the request line, a verdict of explain. With the setting off, nothing of it is called.

Nothing is refused for a share while no server has answered anything: the capacity is not known then.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -56,27 +56,30 @@
 
 // admit returns an error with a Retry-After if the chosen replica would answer the request
 // too late, or if the request would delay more urgent ones. A request that may have reached
-// a replica before is always admitted.
+// a replica before is always admitted. One that was refused before for want of capacity is admitted if it
+// can be answered before its deadline.
 func (r *run) admit(choice *schedule.Choice, now time.Time) error {
 	if r.arrived > 0 {
 		return nil
 	}
 	left := r.req.Deadline.Sub(now)
-	if !r.d.Off[mechanism.LateRefusal] {
+	if !r.d.Off[mechanism.LateRefusal] && !r.report.Returned {
 		left = min(left, maxExpected(r.req.Route))
 	}
 	if choice.Expected > left {
+		r.recordLate(choice, left, now)
 		return errkind.New(errkind.Overloaded, fmt.Sprintf("the first answer is expected after %d ms, and accepted up to %d ms",
 			choice.Expected.Milliseconds(), left.Milliseconds())).After(max(minRetryAfter, choice.Expected-left))
 	}
 	s := r.req.Service
-	if r.d.Off[mechanism.UrgentRefusal] || r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
+	if r.d.Off[mechanism.UrgentRefusal] || r.report.Returned || r.req.Route.Kind != config.Streaming || s.UrgentTarget == 0 || r.req.Route.Priority <= s.UrgentPriority {
 		return nil
 	}
 	limit := time.Duration(maxUrgentWaitTargets * float64(s.UrgentTarget))
 	if choice.QueueTime <= limit {
 		return nil
 	}
+	r.recordLate(choice, left, now)
 	return errkind.New(errkind.Overloaded, fmt.Sprintf("the wait is expected to be %d ms, and %d ms are left to more urgent requests",
 		choice.QueueTime.Milliseconds(), limit.Milliseconds())).After(max(minRetryAfter, choice.QueueTime))
 }
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -21,6 +21,9 @@
 func (x *exchange) handleNotRun(resp *upstream.Response) (replica.Result, error) {
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswer))
 	resp.Finish(err == nil)
+	if resp.Status == http.StatusServiceUnavailable {
+		x.recordRejection(clock.Now())
+	}
 	if resp.Status == http.StatusServiceUnavailable && x.choice.Flight.Rejected(clock.Now()) {
 		x.d.scheduler.NotifyPeers()
 	}
@@ -65,6 +68,7 @@
 		x.errorAnswer = &bufferedAnswer{resp.Status, header, body}
 		return replica.Failed, errkind.New(errkind.BackendError, fmt.Sprintf("the replica answered %d", resp.Status))
 	}
+	x.recordServed(now)
 	x.report.Status = resp.Status
 	if err := x.out.Buffered(resp.Status, header, body); err != nil {
 		return replica.Answered, errkind.Wrap(errkind.CallerGone, err, "the caller left")
@@ -117,6 +121,7 @@
 		x.report.First = now.Sub(x.run.began)
 		x.report.Status = resp.Status
 		x.d.scheduler.PrefillDone(x.choice, now)
+		x.recordServed(now)
 		if err := x.out.Start(resp.Status, platform.AnswerHeaders(resp.Header)); err != nil {
 			return err
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/fairshare"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
@@ -81,6 +82,8 @@
 	// PriorRuns counts the attempts of another host, which passed the request on, in which a replica
 	// may have run it.
 	PriorRuns int
+	// Forwarded is set if another host passed the request on.
+	Forwarded bool
 }
 
 // digest returns a hash that is equal for every attempt at the request.
@@ -155,7 +158,11 @@
 	// the digest of the prefix block because of which the request was refused, or 0.
 	Digest       quarantine.Digest
 	RefusedBlock quarantine.Digest
-	Attempts     []Attempt
+	// Shortage says why the request was refused while its service was short of capacity, or "".
+	// Returned is set if a host refused it for that before, and its caller came back.
+	Shortage string
+	Returned bool
+	Attempts []Attempt
 }
 
 // Attempt is the outcome of one attempt.
@@ -183,6 +190,9 @@
 	IsCutOff func(service string) bool
 	// Off holds the disabled mechanisms. It must be set before the first request.
 	Off mechanism.Off
+	// Shares divides the capacity of services that are short of it; nil if that is not enabled. It must
+	// be set before the first request.
+	Shares *fairshare.Table
 }
 
 // New returns a dispatcher that works on the tables of one host.
@@ -209,6 +219,10 @@
 	connectRetried bool
 	// roomWait is how long the request has waited for room at brittle replicas.
 	roomWait time.Duration
+	// shareChecked is set once the organisation's share was asked for, and refusedLate once the request
+	// was refused because of its expected time. rejections counts the servers that rejected it.
+	shareChecked, refusedLate bool
+	rejections                int
 	// arrived counts the attempts that may have reached a replica.
 	arrived int
 	// lastEvent is the number of the last forwarded event, 0 before the first.
@@ -271,6 +285,9 @@
 			r.report.CutOff = true
 			return r.finish(ctx, errkind.New(errkind.NoBackend, "this host reaches no replica of the service"))
 		}
+		if err := r.checkShare(); err != nil {
+			return r.finish(ctx, err)
+		}
 		choice, err := r.pick(ctx)
 		if errors.Is(err, route.ErrNoRoom) && r.waitForRoom(ctx) {
 			continue
@@ -391,7 +408,7 @@
 	if r.report.Ran > 0 && e.Kind.Answer().Run == errkind.NotRun {
 		return errkind.Wrap(errkind.BackendLost, err, "the replica was lost and no other could take over")
 	}
-	return e
+	return r.refuseForShortage(ctx, e)
 }
 
 func deadlinePassed(ctx context.Context) bool { return ctx.Err() == context.DeadlineExceeded }
--- /dev/null
+++ b/internal/dispatch/shares_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/fairshare"
+	"github.com/briarlink/briarlink/internal/route"
+	"github.com/briarlink/briarlink/internal/schedule"
+	"github.com/briarlink/briarlink/internal/upstream"
+)
+
+// shareFleet returns a dispatcher that shares capacity, and a function that runs a request with a body
+// of an organisation.
+func shareFleet(plan ...behaviour) (*Dispatcher, func(organisation, body string, forwarded bool) (Report, error)) {
+	f := &fleet{plan: plan, ranAt: map[string]bool{}}
+	d, _ := newDispatcher(f)
+	d.Shares = fairshare.NewTable(1)
+	return d, func(organisation, body string, forwarded bool) (Report, error) {
+		// Scripted replicas close their connections after one answer.
+		d.pool = upstream.NewPool()
+		d.pool.Dial = f.dial
+		req := idempotent()
+		req.Organisation, req.Body, req.Forwarded = &config.Organisation{Name: organisation}, []byte(body), forwarded
+		req.Deadline = time.Now().Add(3 * time.Second)
+		ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+		defer cancel()
+		return d.Run(ctx, req, &recorder{})
+	}
+}
+
+// TestRejectedRequestIsOverloaded guards against refusals that name no time to come back at which
+// capacity is expected, and against a service that is not found short when servers reject a request.
+func TestRejectedRequestIsOverloaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, run := shareFleet(refuses, refuses, refuses, refuses, refuses)
+		report, err := run("a", "x", false)
+		retry := errkind.From(err).Retry()
+		if !errkind.Is(err, errkind.Overloaded) || errkind.From(err).Kind.Answer().Status != http.StatusServiceUnavailable || report.Ran > 0 || report.Shortage != ShortageServers {
+			t.Errorf("%v, %+v", err, report)
+		}
+		if retry < 200*time.Millisecond || retry > time.Second {
+			t.Errorf("asked back after %v", retry)
+		}
+		if s := d.Shares.TakeStatuses(time.Now()); len(s) != 1 || !s[0].Short || s[0].Refused != 1 {
+			t.Errorf("%+v", s)
+		}
+		time.Sleep(retry)
+		if report, err := run("a", "x", false); err != nil || !report.Returned {
+			t.Errorf("back: %v, %+v", err, report)
+		}
+	})
+}
+
+// TestOrganisationAboveItsShareIsRefusedUnsent guards against requests that reach a server before their
+// organisation's share is looked at, against shares that refuse others, and against a request that two
+// hosts decide on.
+func TestOrganisationAboveItsShareIsRefusedUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, run := shareFleet()
+		refused := 0
+		for range 500 {
+			d.Shares.Arrived(fairshare.Request{Service: testService, Organisation: "many", Cost: 1}, time.Now())
+		}
+		for i := range 30 {
+			time.Sleep(30 * time.Millisecond)
+			if i%6 == 0 {
+				d.Shares.MarkShort(testService, time.Now())
+				if _, err := run("few", "x", false); err != nil {
+					t.Errorf("an organisation below its share: %v", err)
+				}
+			}
+			report, err := run("many", "x"+string(rune('0'+i)), i%2 == 1)
+			switch {
+			case err == nil:
+			case i%2 == 1:
+				t.Errorf("a request that was passed on: %v", err)
+			case !errkind.Is(err, errkind.Overloaded) || report.Sends > 0 || report.Shortage != ShortageShare:
+				t.Errorf("%v, %+v", err, report)
+			default:
+				refused++
+			}
+		}
+		if refused == 0 {
+			t.Error("nothing was refused")
+		}
+	})
+}
+
+// TestReturnedRequestMayBeLate guards against a caller that comes back only to be refused for a latency
+// target, although its deadline allows for an answer.
+func TestReturnedRequestMayBeLate(t *testing.T) {
+	for _, returned := range []bool{false, true} {
+		r := &run{d: &Dispatcher{Shares: fairshare.NewTable(1)}, req: testRequest(config.Streaming, true, 2)}
+		r.report.Returned = returned
+		err := r.admit(&schedule.Choice{Decision: route.Decision{Expected: 2 * time.Second, ServiceTime: time.Millisecond}}, time.Now())
+		if admitted := err == nil; admitted != returned {
+			t.Errorf("returned %v: %v", returned, err)
+		}
+	}
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -140,6 +140,12 @@
 	if ex.report.RefusedBlock != 0 {
 		fields["refused_block"] = ex.report.RefusedBlock.String()
 	}
+	if ex.report.Shortage != "" {
+		fields["shortage"] = ex.report.Shortage
+	}
+	if ex.report.Returned {
+		fields["returned"] = true
+	}
 	line := ex.s.Log.WithFields(fields)
 	if err != nil {
 		if retryAfter := errkind.From(err).Retry(); retryAfter > 0 {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -229,6 +229,7 @@
 		Caller:       ex.caller,
 		Deadline:     ex.deadline(),
 		PriorRuns:    ex.mark.Ran,
+		Forwarded:    ex.isForwarded,
 	}
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,6 +36,7 @@
 		"started": true, "stopped": true, "this host's machine was suspended": true, "stopping: callers are sent elsewhere": true,
 		"store lost": true, "store regained": true, "store was restored from a copy": true, configInForce: true,
 		"organisation over its rate limit": true, "contact with a service lost": true, "contact with a service regained": true, "rate limit changed": true, "rate limit not taken": true,
+		"service short of capacity": true, "service no longer short of capacity": true,
 	}
 )
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,10 @@
 var cases = map[string]string{
 	"refusal": `
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the wait is expected to be 431 ms, and 400 ms are left to more urgent requests","ms":2,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
+	"above-share": `
+9.9 edge-1 {"level":"warning","msg":"service short of capacity","service":"jobs","capacity":176,"offered":195,"time":"2026-06-01T10:00:09.9Z"}
+10.0 edge-1 {"level":"warning","msg":"service short of capacity","service":"jobs","capacity":176,"offered":195,"time":"2026-06-01T10:00:10Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the service is short of capacity, and the organisation is above its share: it sends 90 a second over all hosts, and gets 71 of 176","shortage":"share","returned":true,"ms":0,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
 	"over-limit": `
 9.2 edge-1 {"level":"info","msg":"rate limit changed","organisation":"museum-a","before":"90000 tokens a second, burst 90000","limit":"47000 tokens a second, burst 112000","version":7,"time":"2026-06-01T10:00:09.2Z"}
 10.1 edge-1 {"level":"warning","msg":"organisation over its rate limit","organisation":"museum-a","limit":"47000 tokens a second, burst 112000","time":"2026-06-01T10:00:10Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/logline"
 	"github.com/briarlink/briarlink/internal/obs"
@@ -40,6 +41,9 @@
 	if kind == errkind.QuotaExceeded {
 		return describeOverLimit(r)
 	}
+	if r.Shortage != "" {
+		return describeShortage(r)
+	}
 	if kind.Answer().Refusal() {
 		return fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms; it has not run (%s)", r.Ms, r.RetryAfterMs, r.Error)
 	}
@@ -72,6 +76,24 @@
 		r.Config, r.RetryAfterMs, r.Error)
 }
 
+// describeShortage describes a refusal for want of a service's capacity: whether other organisations'
+// load played a part, and whether the caller had been refused before.
+func describeShortage(r *logline.Request) string {
+	text := fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms, ", r.Ms, r.RetryAfterMs)
+	switch r.Shortage {
+	case dispatch.ShortageShare:
+		text += "as its organisation was above its share of a service that is short of capacity"
+	case dispatch.ShortageServers:
+		text += "as servers had no room for it"
+	default:
+		text += "as servers would have answered it too late, or more urgent ones"
+	}
+	if r.Returned {
+		text += "; it had been refused before"
+	}
+	return fmt.Sprintf("%s; it has not run (%s)", text, r.Error)
+}
+
 func describeAnswer(r *logline.Request) string {
 	text := fmt.Sprintf("the caller got %d from replica %s after %.0f ms", statusOr(r.Status, http.StatusOK), r.Replica, r.Ms)
 	if r.FirstMs > 0 && r.ExpectedMs > 0 && r.FirstMs > lateFactor*r.ExpectedMs {
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -86,7 +86,8 @@
 	plan      plan
 	// nextReturn is when the last refused caller was asked to come back.
 	nextReturn time.Time
-	// inEpisode is set while the service counts as short for the log, and the rest counts requests.
+	// inEpisode is set while the service counts as short for the log. The rest counts requests since
+	// the last status, and in the episode.
 	inEpisode                      bool
 	refused, returned              int64
 	episodeRefused, episodeReturns int64
@@ -153,8 +154,6 @@
 	d.Admitted = t.hasRoom(s, a, r, &d, now)
 	switch {
 	case !d.Admitted:
-		s.refused++
-		s.episodeRefused++
 		d.RetryAfter = t.refuse(s, r, now)
 	default:
 		s.admitted.add(1, now)
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -72,6 +72,11 @@
 	}
 	next := plan{at: now, capacity: served * headroomAfter(t.sinceShort(s, now)), others: others}
 	next.level = fairLevel(next.capacity, totals)
+	if served == 0 {
+		// The capacity is not known, as after a start, or while no server is up. Servers that come
+		// back would otherwise stand idle.
+		next.level = math.Inf(1)
+	}
 	switch {
 	case hosts > 0:
 		next.rates = s.rates(&next, totals, now)
--- a/internal/fairshare/retryafter.go
+++ b/internal/fairshare/retryafter.go
@@ -16,6 +16,8 @@
 // refused before, at the rate at which this host admits requests of the service. Where the caller's
 // remaining time allows for less, it is a random time, so that callers do not return together.
 func (t *Table) refuse(s *service, r Request, now time.Time) time.Duration {
+	s.refused++
+	s.episodeRefused++
 	t.refused.add(r.Digest, refusalReports, now)
 	gap := time.Duration(float64(time.Second) / max(minAdmitRate, s.admitted.perSecond(now)))
 	earliest := now.Add(minRetryAfter)
--- a/internal/fairshare/status.go
+++ b/internal/fairshare/status.go
@@ -16,15 +16,15 @@
 	// Capacity is the cost per second that all hosts together admit while the service is short, and
 	// Offered what all organisations together ask for.
 	Capacity, Offered float64
-	// Refused counts the requests refused for their organisation's share, Returned those that were
-	// refused before and then admitted. EpisodeRefused and EpisodeReturned are those since the
-	// service became short.
+	// Refused counts the requests refused since the last call, Returned those that were refused before
+	// and then admitted. EpisodeRefused and EpisodeReturned are those since the service became short.
 	Refused, Returned               int64
 	EpisodeRefused, EpisodeReturned int64
 }
 
-// Statuses returns the states of all services that had requests at this host, by name.
-func (t *Table) Statuses(now time.Time) []Status {
+// TakeStatuses returns the states of all services that had requests at this host, by name, and begins to
+// count anew.
+func (t *Table) TakeStatuses(now time.Time) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Status
@@ -51,6 +51,7 @@
 			st.Offered += a.offered.perSecond(now)
 		}
 	}
+	s.refused, s.returned = 0, 0
 	switch {
 	case st.Short && !s.inEpisode:
 		s.inEpisode, st.Changed = true, true
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -65,6 +65,8 @@
 	Digest       string    `json:"digest"`
 	Blocks       []string  `json:"blocks"`
 	RefusedBlock string    `json:"refused_block"`
+	Shortage     string    `json:"shortage"`
+	Returned     bool      `json:"returned"`
 	Tries        []Attempt `json:"tries"`
 }
 
--- a/internal/member/split.go
+++ b/internal/member/split.go
@@ -13,6 +13,9 @@
 // hashBytes is the encoded size of an element of a list of hashes.
 const hashBytes = 4
 
+// refusedBytes is the encoded size of the digest of a refused request.
+const refusedBytes = 8
+
 // Split divides a heartbeat into several that each fit into a datagram. Each of them repeats
 // the fields about the host itself, contains a part of the lists, and has its own sequence
 // number, obtained from nextSequence.
@@ -33,6 +36,11 @@
 	appendAll(s, whole.Limits, func(b *pb.Heartbeat, m *pb.ServerLimit) { b.Limits = append(b.Limits, m) })
 	appendAll(s, whole.Contacts, func(b *pb.Heartbeat, m *pb.ServiceContact) { b.Contacts = append(b.Contacts, m) })
 	appendAll(s, whole.Brittle, func(b *pb.Heartbeat, m *pb.BrittleServer) { b.Brittle = append(b.Brittle, m) })
+	appendAll(s, whole.Demands, func(b *pb.Heartbeat, m *pb.ServiceDemand) { b.Demands = append(b.Demands, m) })
+	for _, digest := range whole.Refused {
+		s.reserve(refusedBytes)
+		s.current.Refused = append(s.current.Refused, digest)
+	}
 	for _, sum := range whole.Digest {
 		s.reserve(hashBytes)
 		s.current.Digest = append(s.current.Digest, sum)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -92,6 +92,9 @@
 // sendHeartbeat sends one heartbeat. atInterval is false for a requested one between intervals.
 func (n *Node) sendHeartbeat(to member.Audience, atInterval bool, now time.Time) {
 	state := n.commonHeartbeat(now)
+	if atInterval && len(to.Routing)+len(to.Standby) > 0 {
+		n.addDemand(state, now)
+	}
 	if len(to.Routing) > 0 {
 		full := proto.CloneOf(state)
 		if atInterval {
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -34,6 +34,7 @@
 	n.replicas.SetLoads(b.Host, b.Loads, now)
 	n.limiter.ApplyReport(quota.UsageReport{Host: b.Host, Incarnation: b.Incarnation, Routing: b.Routing, Uses: b.Uses}, now)
 	n.crashes.ApplyReport(b.Crashes, now)
+	n.applyDemand(b, now)
 	n.lease.ApplyHolderReport(b.Host, b.LeaseEra, b.LeaseEnd)
 	n.canaries.ReceivePermits(b.MovePermits, now)
 	n.canaries.ReceiveAnswers(b.Host, b.Incarnation, b.MoveAnswers)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -155,6 +155,7 @@
 		n.replicas.ConfirmAnswers(now)
 		n.markReady()
 		n.updateGauges(now)
+		n.logShortages(now)
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,8 +1,8 @@
 // Package node wires the components of one entry host together and runs them.
 //
 // Lock order: the tables (topic.Table, member.Table, replica.Table, prefix.Index, retry.Budget,
-// quota.Limiter, quarantine.Table, permit.Granter, rollout.Lease, rollout.Loader, canary.Table)
-// are never locked two at a time, and no lock is held during a call to another table or process.
+// quota.Limiter, quarantine.Table, permit.Granter, rollout.Lease, rollout.Loader, canary.Table,
+// fairshare.Table) are never locked two at a time, and no lock is held during a call to another table or process.
 // The exception is Node.stateMu, which is taken before the lock of member.Table. A topic.Table
 // delivers one record at a time, without holding its lock.
 package node
@@ -30,6 +30,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/entry"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/fairshare"
 	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
@@ -120,7 +121,9 @@
 	budget      *retry.Budget
 	limiter     *quota.Limiter
 	crashes     *quarantine.Table
-	lease       *rollout.Lease
+	// shares divides the capacity of services that are short of it; nil unless the settings enable it.
+	shares *fairshare.Table
+	lease  *rollout.Lease
 	// canaries are the canary releases of services, canaryLease is the lease for decisions about
 	// them, and releaseStatuses are their stored statuses. releaseOrdered is closed by the first
 	// order.
@@ -251,6 +254,9 @@
 		n.loader.Forget(id)
 	})
 	n.crashes = quarantine.NewTable(log, clock.Now())
+	if s.Overload.GetFairShare() {
+		n.shares = fairshare.NewTable(n.incarnation)
+	}
 	n.replicas.OnCrash = n.replicaCrashed
 	n.replicas.OnAnswered = func(f quarantine.Fingerprint, at time.Time) { n.crashes.Answered(f, at, clock.Now()) }
 	n.engines.OnAnswer = n.replicas.RecordNoticeAt
@@ -335,6 +341,7 @@
 	s := n.settings
 	dispatcher := dispatch.New(n.scheduler, n.replicas, n.pool, n.budget, n.crashes)
 	dispatcher.Off = n.off
+	dispatcher.Shares = n.shares
 	dispatcher.AcquirePermit = n.acquireRequestPermit
 	dispatcher.IsCutOff = n.isCutOff
 	n.entry = entry.New(entry.Deps{
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -148,6 +148,19 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("permits").Inc(1)
 }
 
+// Shortage sets whether a service is short of capacity, and counts the requests that were refused for
+// that and those that came back and were admitted. The number of services is small.
+func (m *Metrics) Shortage(service string, short bool, refused, returned int64) {
+	scope := m.scope.Tagged(map[string]string{"service": service})
+	value := 0.0
+	if short {
+		value = 1
+	}
+	scope.Gauge("service_short").Update(value)
+	scope.Counter("shortage_refused").Inc(refused)
+	scope.Counter("shortage_returned").Inc(returned)
+}
+
 // Forwarded counts a request that this host passed on to another one.
 func (m *Metrics) Forwarded(answered bool) {
 	result := "failed"
