--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -35,6 +35,7 @@
 	n.applyTotalLoads(b, now)
 	n.limiter.ApplyReport(quota.UsageReport{Host: b.Host, Incarnation: b.Incarnation, Routing: b.Routing, Uses: b.Uses}, now)
 	n.crashes.ApplyReport(b.Crashes, now)
+	n.applyDemand(b, now)
 	n.lease.ApplyHolderReport(b.Host, b.LeaseEra, b.LeaseEnd)
 	n.canaries.ReceivePermits(b.MovePermits, now)
 	n.canaries.ReceiveAnswers(b.Host, b.Incarnation, b.MoveAnswers)
