--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,6 +41,8 @@
 	// ports keeps the hosts' heartbeat ports reserved until all hosts have stopped, so that
 	// heartbeats to a stopped host do not reach a host of another test.
 	ports []*os.File
+	// adjust changes the settings of the hosts that are started next; it may be nil.
+	adjust func(*pb.Settings)
 }
 
 func newSite(t *testing.T) *site {
@@ -136,6 +138,9 @@
 	set.Platform.CallTimeout = durationpb.New(300 * time.Millisecond)
 	set.Replica.PollInterval = durationpb.New(20 * time.Millisecond)
 	set.Stop.Grace = durationpb.New(time.Second)
+	if s.adjust != nil {
+		s.adjust(set)
+	}
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	n := New(set, nil, log, lines)
 	link := newServerLink()
