--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -48,8 +49,9 @@
 	}
 	served := s.served.perSecond(now)
 	others, hosts, lastReport := map[uint64]float64{}, 0, time.Time{}
-	for _, p := range t.peers {
-		report, known := p.services[serviceKey(s.name)]
+	// In a fixed order, so that sums are the same in each run of a test.
+	for _, host := range slices.Sorted(maps.Keys(t.peers)) {
+		report, known := t.peers[host].services[serviceKey(s.name)]
 		if !known {
 			continue
 		}
