fairshare: admit a quarter beyond the measured capacity

Trial: allowing no second attempt to organisations above their share brought nothing. go test -race ./internal/fairshare ok; TestOrganisationsShareCapacity ok.

--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -26,8 +26,8 @@
 	// headroom is how far beyond the measured capacity requests are admitted. Without it, the measured
 	// capacity could never grow: it falls until servers reject no more than what is admitted beyond it.
 	// With 1.1, servers that reject what they cannot begin at once were used to 0.83 in a simulation,
-	// with 1.3 to 0.89, and 0.98 of the requests of others than the storming organisation were served.
-	headroom = 1.3
+	// with 1.25 to 0.88, and 0.98 of the requests of others than the storming organisation were served.
+	headroom = 1.25
 	// growthDelay is the time after the last sign of a shortage from which more than headroom is
 	// admitted, and maxGrowth what is added to it when the shortage is about to be over. With headroom
 	// alone, servers of long requests stood idle for most of a second after each time that they
