fairshare: no kept rate of 0; tests of isolation, wrong reports, short deadlines

Cause: a host that lost contact kept a rate of 0 for organisations that had sent nothing there in the last second.

--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -92,6 +92,21 @@
 	})
 }
 
+// TestShortDeadlineIsNoShortage guards against callers that make a service look short of capacity by
+// asking for answers sooner than any server gives them.
+func TestShortDeadlineIsNoShortage(t *testing.T) {
+	for _, alone := range []time.Duration{time.Millisecond, time.Second} {
+		r := &run{d: &Dispatcher{Shares: fairshare.NewTable(1)}, req: testRequest(config.Streaming, true, 2)}
+		if err := r.admit(&schedule.Choice{Decision: route.Decision{Expected: 2 * time.Second, ServiceTime: alone}}, time.Now()); err == nil {
+			t.Error("admitted")
+		}
+		s := r.d.Shares.TakeStatuses(time.Now())
+		if short := len(s) > 0 && s[0].Short; short != (alone == time.Millisecond) {
+			t.Errorf("alone %v: short %v", alone, short)
+		}
+	}
+}
+
 // TestReturnedRequestMayBeLate guards against a caller that comes back only to be refused for a latency
 // target, although its deadline allows for an answer.
 func TestReturnedRequestMayBeLate(t *testing.T) {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	_ "github.com/briarlink/briarlink/test/fixedseed"
 )
 
@@ -82,6 +85,61 @@
 	}
 }
 
+// TestIsolatedHostKeepsItsPart guards against a host that takes the whole capacity as soon as it hears
+// nobody, and against one that keeps to its part for good.
+func TestIsolatedHostKeepsItsPart(t *testing.T) {
+	table, request, now := shortTable(1)
+	other, _, _ := shortTable(2)
+	for i := range uint64(60) {
+		other.Arrived(request(i), now)
+	}
+	demands, _ := other.Report(now)
+	table.Apply("other", demands, nil, now)
+	// admitted counts a second of 100 requests, of which servers answer those that are admitted and 50 of
+	// another organisation.
+	admitted := func(from time.Time) (n int) {
+		for i := range 100 {
+			at := from.Add(time.Duration(i) * 10 * time.Millisecond)
+			if table.Admit(request(uint64(i)+uint64(at.UnixNano())), at).Admitted {
+				table.Answered("s", 1, at)
+				n++
+			}
+			if i%2 == 0 {
+				table.Arrived(Request{Service: "s", Organisation: "b", Cost: 1}, at)
+				table.Answered("s", 1, at)
+			}
+			table.MarkShort("s", at)
+		}
+		return n
+	}
+	var perSecond []int
+	for i := range 9 {
+		perSecond = append(perSecond, admitted(now.Add(time.Duration(i)*time.Second)))
+	}
+	t.Logf("admitted each second, of which the first has reports: %v", perSecond)
+	if perSecond[4] > perSecond[1]*11/10 || perSecond[8] < perSecond[4]*3/2 {
+		t.Error("the part was not kept, or kept for good")
+	}
+}
+
+// TestWrongReportsAreIgnored guards against another host's figures that stop admission for good, or make
+// a service short for ever.
+func TestWrongReportsAreIgnored(t *testing.T) {
+	table, request, now := shortTable(1)
+	for i, figure := range []float64{math.NaN(), math.Inf(1), -1e300} {
+		table.Apply(fmt.Sprint(i), []*pb.ServiceDemand{{
+			Service: serviceKey("s"), ShortMs: proto.Int64(math.MaxInt64 - int64(i)), Served: figure,
+			Organisations: []*pb.OrganisationDemand{{Organisation: organisationKey("a"), Offered: figure}},
+		}}, nil, now)
+	}
+	if d := table.Admit(request(1), now); !d.Admitted || !(d.Capacity > 0 && d.Capacity < 1e6) {
+		t.Errorf("%+v", d)
+	}
+	if table.TakeStatuses(now.Add(shortTime))[0].Short {
+		t.Error("still short")
+	}
+}
+
 // TestRefusalsAreBounded guards against memory that grows with what is refused.
 func TestRefusalsAreBounded(t *testing.T) {
 	r := newRefusals()
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -92,12 +92,13 @@
 	return &s.plan
 }
 
-// rates returns this host's part of the share of each organisation that is above its share.
+// rates returns this host's part of the share of each organisation that is above its share. One that
+// sends nothing here has none, so that no rate of 0 is kept for it.
 func (s *service) rates(p *plan, totals map[uint64]float64, now time.Time) map[uint64]float64 {
 	out := map[uint64]float64{}
 	for key, a := range s.accounts {
-		if totals[key] > p.level {
-			out[key] = p.level * a.offered.perSecond(now) / totals[key]
+		if own := a.offered.perSecond(now); own > 0 && totals[key] > p.level {
+			out[key] = p.level * own / totals[key]
 		}
 	}
 	return out
