Memory budget for requests and answers: bodies counted before they are read

Cause: a host read any body and buffered any answer into memory, with doubling copies: 581 MB with 100 callers that withhold the last byte of 4 MB. Change: internal/membudget reserves bytes for bodies, buffered answers, stream events and caller connections; a request without room is refused at once, large answers wait at the server, and under pressure the slowest bodies (408, not run) and then the slowest readers are ended. Sockets have fixed buffers. Upstream no longer copies a large body. Off unless overload.memory_share is set.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/internal/upstream"
@@ -49,9 +50,12 @@
 // forwardBuffered reads the answer to its end before any of it is forwarded, so that the
 // request can be retried if the answer breaks off.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	body, err := x.readAnswer(ctx, resp)
 	resp.Finish(err == nil)
 	now := clock.Now()
+	if errors.Is(err, membudget.ErrNoRoom) {
+		return replica.Cancelled, errkind.Wrap(errkind.Internal, err, "the answer is larger than this host's memory budget")
+	}
 	if err != nil {
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive) {
 			return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
@@ -76,6 +80,13 @@
 func (x *exchange) forwardStream(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
 	x.fire(eventStream)
 	events := newEventReader(resp.Body)
+	room := x.streamRoom(ctx)
+	defer room.release()
+	if err := room.open(); err != nil {
+		resp.Finish(false)
+		return x.streamLost(ctx, err)
+	}
+	events.room = room.grow
 	stall := x.watchStall()
 	defer stall.stop()
 	for {
@@ -96,6 +107,7 @@
 			resp.Finish(false)
 			return replica.Cancelled, errkind.Wrap(errkind.CallerGone, err, "the caller left")
 		}
+		room.forwarded()
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
@@ -81,6 +82,8 @@
 	// PriorRuns counts the attempts of another host, which passed the request on, in which a replica
 	// may have run it.
 	PriorRuns int
+	// Memory is what the request has reserved of this host's memory; nil without a budget.
+	Memory *membudget.Hold
 }
 
 // digest returns a hash that is equal for every attempt at the request.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -29,15 +29,24 @@
 }
 
 // eventReader splits a stream into events.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r *bufio.Reader
+	// room asks for memory for an event of a size before it is used.
+	room func(size int) error
+}
 
-func newEventReader(body io.Reader) *eventReader { return &eventReader{bufio.NewReader(body)} }
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{bufio.NewReader(body), func(int) error { return nil }}
+}
 
 // next returns the next complete event, or io.EOF if the stream ends between two events.
 func (er *eventReader) next() (event, error) {
 	var ev event
 	for {
 		line, err := er.r.ReadSlice('\n')
+		if err := er.room(len(ev.data) + len(line)); err != nil {
+			return ev, err
+		}
 		ev.data = append(ev.data, line...)
 		if len(ev.data) > maxEvent {
 			return ev, errEventTooLarge
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -32,8 +32,7 @@
 	ex.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	ex.answered = true
 	ex.w.WriteHeader(status)
-	_, err := ex.w.Write(body)
-	return errors.Wrap(err, "write an answer")
+	return errors.Wrap(ex.write(body), "write an answer")
 }
 
 // Start implements dispatch.Answer: it writes the head of a streamed answer.
@@ -46,10 +45,10 @@
 
 // Event implements dispatch.Answer: it writes and flushes one event of a streamed answer.
 func (ex *exchange) Event(data []byte) error {
-	if _, err := ex.w.Write(data); err != nil {
+	if err := ex.write(data); err != nil {
 		return errors.Wrap(err, "write an event")
 	}
-	return errors.Wrap(http.NewResponseController(ex.w).Flush(), "flush an event")
+	return errors.Wrap(ex.flush(), "flush an event")
 }
 
 type errorBody struct {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/forward"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/oai"
 	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/platform"
@@ -42,13 +42,17 @@
 	passedOn forward.Report
 	// charged is what was charged to the organisation's rate limit for one run.
 	charged int64
+	// memory is what the request has reserved of this host's memory; nil without a budget.
+	memory *membudget.Hold
 	// answered is true once writing of an answer to the caller has begun.
 	answered bool
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	ex := &exchange{s: s, w: w, r: r, arrived: clock.Now(), view: s.View()}
-	err := ex.handle()
+	ex.memory = s.Memory.Open(ex.endTransfer)
+	defer ex.memory.Release()
+	err := ex.explainEnd(ex.handle())
 	ex.log(err)
 	if err == nil {
 		return
@@ -172,12 +176,18 @@
 	if limit <= 0 {
 		limit = ex.s.MaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(ex.w, ex.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if ex.r.ContentLength > limit {
 		return nil, errkind.New(errkind.TooLarge, "the body is too large")
 	}
-	if err != nil {
+	body, err := ex.receiveBody(limit)
+	var tooLarge *http.MaxBytesError
+	var refused *errkind.Error
+	switch {
+	case errors.As(err, &refused):
+		return nil, refused
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.TooLarge, "the body is too large")
+	case err != nil:
 		return nil, errkind.Wrap(errkind.CallerGone, err, "the body could not be read")
 	}
 	return body, nil
@@ -229,6 +239,7 @@
 		Caller:       ex.caller,
 		Deadline:     ex.deadline(),
 		PriorRuns:    ex.mark.Ran,
+		Memory:       ex.memory,
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/forward"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/platform"
@@ -53,8 +54,10 @@
 	// to the other hosts what it has admitted.
 	Limiter     *quota.Limiter
 	ReportUsage func()
-	Metrics     *obs.Metrics
-	Log         *logrus.Logger
+	// Memory limits the memory of bodies and answers; nil sets no limits.
+	Memory  *membudget.Budget
+	Metrics *obs.Metrics
+	Log     *logrus.Logger
 	// MaxBodyBytes applies where the configuration sets no limit, DefaultDeadline where the
 	// caller sets no timeout.
 	MaxBodyBytes    int64
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -52,6 +52,8 @@
 	DeadlineExceeded
 	// CallerGone means the caller closed its connection.
 	CallerGone
+	// BodyTooSlow means the body arrived too slowly while this host was short of memory.
+	BodyTooSlow
 	count
 )
 
@@ -99,6 +101,7 @@
 	BackendError:       {"backend_error", http.StatusBadGateway, connect.CodeUnknown, MayHaveRun, 0},
 	DeadlineExceeded:   {"deadline_exceeded", http.StatusGatewayTimeout, connect.CodeDeadlineExceeded, MayHaveRun, 0},
 	CallerGone:         {"caller_gone", statusCallerGone, connect.CodeCanceled, MayHaveRun, 0},
+	BodyTooSlow:        {"body_too_slow", http.StatusRequestTimeout, connect.CodeAborted, NotRun, 500 * time.Millisecond},
 }
 
 // statusCallerGone appears in logs only: the caller is gone and receives no answer.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/briarlink/briarlink/internal/clock"
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/upstream"
 	"github.com/briarlink/briarlink/platform"
 )
@@ -98,7 +99,7 @@
 			continue
 		}
 		report.Status, report.Rejected = resp.Status, !resp.Answer.Sealed
-		return report, copyAnswer(ctx, resp, out)
+		return report, copyAnswer(ctx, resp, out, req.Memory)
 	}
 	return Report{}, errkind.New(errkind.NoBackend, "this host reaches no replica of the service, and no other host that does can be reached")
 }
@@ -124,7 +125,7 @@
 }
 
 // copyAnswer writes the other host's answer to out, a stream as its parts arrive.
-func copyAnswer(ctx context.Context, resp *upstream.Response, out dispatch.Answer) error {
+func copyAnswer(ctx context.Context, resp *upstream.Response, out dispatch.Answer, memory *membudget.Hold) error {
 	header := platform.AnswerHeaders(resp.Header)
 	succeeded := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if succeeded && !resp.Answer.Sealed {
@@ -134,7 +135,7 @@
 	if succeeded && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
 		return copyStream(ctx, resp, header, out)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	body, err := membudget.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer), min(resp.Length(), maxBufferedAnswer), roomIn(ctx, memory))
 	resp.Finish(err == nil)
 	if err != nil {
 		return lost(ctx, err, "the answer of the host that the request was passed on to was cut")
@@ -145,6 +146,17 @@
 	return nil
 }
 
+// roomIn returns what reserves the memory of an answer.
+func roomIn(ctx context.Context, memory *membudget.Hold) membudget.Room {
+	return func(bytes int64) error {
+		if bytes < 0 {
+			memory.Return(membudget.Answer, -bytes)
+			return nil
+		}
+		return memory.Await(ctx, membudget.Answer, bytes, func() {})
+	}
+}
+
 func copyStream(ctx context.Context, resp *upstream.Response, header http.Header, out dispatch.Answer) error {
 	if err := out.Start(resp.Status, header); err != nil {
 		resp.Finish(false)
--- /dev/null
+++ b/internal/membudget/budget.go
@@ -0,0 +1,254 @@
+// Package membudget limits the memory that callers' requests and answers use on this host. Each
+// request and each connection reserves bytes before it uses them and returns them once. Under
+// memory pressure the slowest callers are ended.
+//
+// It has no network and no clock of its own. The lock of a Hold and that of its Budget are never
+// held together.
+package membudget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is what memory is used for.
+type Kind int
+
+// The kinds of memory.
+const (
+	// Body is the body of a request.
+	Body Kind = iota
+	// Answer is a buffered answer, or an event of a stream.
+	Answer
+	// Socket is a caller's connection: its socket buffer and what the server keeps for it.
+	Socket
+	// Kinds is the number of kinds.
+	Kinds
+)
+
+// String returns the name of the kind in metrics and logs.
+func (k Kind) String() string { return [...]string{"body", "answer", "socket"}[k] }
+
+// Step is the number of bytes by which a reservation of unknown size grows. A reservation of at
+// most one step is a small one.
+const Step = 64 << 10
+
+// Shares of the budget up to which reservations are granted. Large bodies leave room for answers,
+// without which the requests would never end, and both leave room for small requests, so that these
+// are served while large ones are refused or wait.
+const (
+	bodyShare     = 0.625
+	pressureShare = 0.75
+	smallShare    = 0.9375
+	// maxWantedShare limits the bytes that are made free at once for those that lack room.
+	maxWantedShare = 0.25
+)
+
+// ErrNoRoom means that a reservation can never be granted, as it exceeds the budget.
+var ErrNoRoom = errors.New("more than this host's memory budget")
+
+// Budget is a host's budget of bytes. A nil Budget sets no limits. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+
+	mu    sync.Mutex
+	held  [Kinds]int64
+	total int64
+	holds map[*Hold]bool
+	// waiters wait for room in order of arrival; wanted are the bytes that were refused since the
+	// last Relieve, by the limit that refused them.
+	waiters []*waiter
+	wanted  map[int64]int64
+	counts  Counts
+}
+
+// Counts are the numbers of refused reservations and of ended transfers since the start.
+type Counts struct{ Refused, Ended [Kinds]int64 }
+
+// waiter is a reservation that waits for room.
+type waiter struct {
+	hold  *Hold
+	kind  Kind
+	bytes int64
+	// granted is closed when the bytes are reserved.
+	granted chan struct{}
+}
+
+// New returns a budget of limit bytes, or nil if limit is not positive.
+func New(limit int64) *Budget {
+	if limit <= 0 {
+		return nil
+	}
+	return &Budget{limit: limit, holds: map[*Hold]bool{}, wanted: map[int64]int64{}}
+}
+
+// Limit returns the size of the budget.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Held returns the bytes in use by kind.
+func (b *Budget) Held() [Kinds]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Counts returns what was refused and ended so far.
+func (b *Budget) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// Open returns an empty hold. If its transfer is chosen to be ended, end is called once, with the
+// kind of the transfer, while the transfer is in progress; it must not block or call the Hold. A
+// nil Budget returns nil, which grants everything.
+func (b *Budget) Open(end func(Kind)) *Hold {
+	if b == nil {
+		return nil
+	}
+	h := &Hold{b: b, end: end}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holds[h] = true
+	return h
+}
+
+// grantLimit returns the bytes in use up to which a reservation is granted, by the bytes of its kind that
+// its hold then has.
+func (b *Budget) grantLimit(kind Kind, bytes int64) int64 {
+	share := pressureShare
+	switch {
+	case kind == Socket:
+		share = 1
+	case bytes <= Step:
+		share = smallShare
+	case kind == Body:
+		share = bodyShare
+	}
+	return int64(share * float64(b.limit))
+}
+
+// tryReserve reserves bytes for a hold if there is room. b.mu is held.
+func (b *Budget) tryReserve(h *Hold, kind Kind, bytes int64) bool {
+	if h.released || b.total+bytes > b.grantLimit(kind, h.held[kind]+bytes) {
+		return false
+	}
+	b.add(h, kind, bytes)
+	return true
+}
+
+// add changes the bytes that a hold has. b.mu is held.
+func (b *Budget) add(h *Hold, kind Kind, bytes int64) {
+	h.held[kind] += bytes
+	b.held[kind] += bytes
+	b.total += bytes
+}
+
+// grantWaiting grants the waiting reservations that have room. Large ones are granted in order of
+// arrival; small ones do not wait for them. b.mu is held.
+func (b *Budget) grantWaiting() {
+	kept := b.waiters[:0]
+	blocked := false
+	for _, w := range b.waiters {
+		large := w.hold.held[w.kind]+w.bytes > Step
+		if large && blocked || !b.tryReserve(w.hold, w.kind, w.bytes) {
+			blocked = blocked || large
+			kept = append(kept, w)
+			continue
+		}
+		close(w.granted)
+	}
+	clear(b.waiters[len(kept):])
+	b.waiters = kept
+}
+
+// excess returns the bytes that must become free to end the pressure and to make room for some of what
+// was refused or waits. b.mu is held.
+func (b *Budget) excess() int64 {
+	for _, w := range b.waiters {
+		b.wanted[b.grantLimit(w.kind, w.hold.held[w.kind]+w.bytes)] += w.bytes
+	}
+	excess := b.total - int64(pressureShare*float64(b.limit))
+	for limit, bytes := range b.wanted {
+		excess = max(excess, b.total+min(bytes, int64(maxWantedShare*float64(b.limit)))-limit)
+	}
+	clear(b.wanted)
+	return excess
+}
+
+// Relieve ends the slowest callers if the budget is under pressure. It must be called a few times
+// a second.
+func (b *Budget) Relieve(now time.Time) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	excess := b.excess()
+	holds := make([]*Hold, 0, len(b.holds))
+	bytes := make([]int64, 0, len(b.holds))
+	for h := range b.holds {
+		holds = append(holds, h)
+		bytes = append(bytes, h.base+h.held[Body]+h.held[Answer]+h.held[Socket])
+	}
+	b.mu.Unlock()
+	var entries []Entry
+	var moving []*Hold
+	for i, h := range holds {
+		if e, ok := h.entry(now); ok {
+			e.Bytes = bytes[i]
+			entries = append(entries, e)
+			moving = append(moving, h)
+		}
+	}
+	for _, i := range Choose(entries, excess) {
+		if moving[i].endTransfer(entries[i].Kind) {
+			b.countEnded(entries[i].Kind)
+		}
+	}
+}
+
+func (b *Budget) countEnded(kind Kind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Ended[kind]++
+}
+
+// await waits until a reservation is granted or ctx ends.
+func (b *Budget) await(ctx context.Context, h *Hold, kind Kind, bytes int64, beforeWait func()) error {
+	b.mu.Lock()
+	if h.held[kind]+bytes > b.grantLimit(kind, h.held[kind]+bytes) {
+		b.counts.Refused[kind]++
+		b.mu.Unlock()
+		return ErrNoRoom
+	}
+	w := &waiter{h, kind, bytes, make(chan struct{})}
+	b.waiters = append(b.waiters, w)
+	b.grantWaiting()
+	b.mu.Unlock()
+	select {
+	case <-w.granted:
+		return nil
+	default:
+		beforeWait()
+	}
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.waiters {
+		if other == w {
+			b.waiters = append(b.waiters[:i], b.waiters[i+1:]...)
+			b.counts.Refused[kind]++
+			b.grantWaiting()
+			return errors.Wrap(ctx.Err(), "wait for memory")
+		}
+	}
+	// It was granted at the same moment.
+	return nil
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -104,7 +104,7 @@
 		listener net.Listener
 		handler  http.Handler
 	}{
-		{"callers", l.callers, n.entry.Handler()},
+		{"callers", limitConnections(l.callers, n.memory), n.entry.Handler()},
 		{"ready", l.ready, n.entry.ReadyHandler()},
 		{"directory", l.directory, n.entry.DirectoryHandler()},
 		{"operators", l.operators, operators},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
 	"github.com/briarlink/briarlink/internal/permit"
@@ -135,6 +136,11 @@
 	loader       *rollout.Loader
 	metrics      *obs.Metrics
 	entry        *entry.Server
+	// memory is the budget for callers' requests and answers, nil if it is off. memoryCounts are the counts
+	// at the last sweep; only the sweep loop uses them.
+	memory           *membudget.Budget
+	memoryCounts     membudget.Counts
+	memoryLogLimiter obs.Limiter
 
 	// stateMu serialises reports of this host's state to the membership table, and is held over
 	// no other call.
@@ -224,6 +230,9 @@
 		routingHistory:     routingHistory{},
 		firstReadDelay:     chooseFirstReadDelay(s.Member),
 	}
+	n.memory = newMemoryBudget(s)
+	n.pool.Dial = limitDial(n.pool.Dial, n.memory)
+	n.forwardPool.Dial = limitDial(n.forwardPool.Dial, n.memory)
 	n.store.OnEra = n.storeRestored
 	n.members = member.NewTable(n.self(), s.Member.DeadAfter.AsDuration())
 	if off[mechanism.PrimaryHosts] {
@@ -350,6 +359,7 @@
 		Forwarder:       &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget},
 		Limiter:         n.limiter,
 		ReportUsage:     n.requestHeartbeat,
+		Memory:          n.memory,
 		Metrics:         n.metrics,
 		Log:             n.log,
 		MaxBodyBytes:    s.Request.MaxBodyBytes,
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -118,6 +118,15 @@
 	}, reporter.HTTPHandler(), closer
 }
 
+// Memory updates the bytes that callers' requests use of the memory budget, and counts what was refused
+// and ended since the last call, for one kind of memory.
+func (m *Metrics) Memory(kind string, held, refused, ended int64) {
+	tagged := m.scope.Tagged(map[string]string{"kind": kind})
+	tagged.Gauge("memory_held_bytes").Update(float64(held))
+	tagged.Counter("memory_refused").Inc(refused)
+	tagged.Counter("memory_ended").Inc(ended)
+}
+
 // maxNamed is the maximum number of organisations whose rejections are counted by name.
 const maxNamed = 32
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -152,14 +152,17 @@
 // because the server may answer before it has read the whole body.
 func (c *conn) write(w io.Writer, req *Request) {
 	c.writeDone = make(chan error, 1)
-	data := encode(req)
-	if len(data) <= maxInlineWrite {
-		_, err := w.Write(data)
+	first, rest := encode(req)
+	if len(rest) == 0 {
+		_, err := w.Write(first)
 		c.writeDone <- err
 		return
 	}
 	go func() {
-		_, err := w.Write(data)
+		_, err := w.Write(first)
+		if err == nil {
+			_, err = w.Write(rest)
+		}
 		c.writeDone <- err
 	}()
 }
@@ -180,8 +183,9 @@
 	return n, err
 }
 
-// encode returns the request in wire format.
-func encode(req *Request) []byte {
+// encode returns the request in wire format, in two parts. The first has at most maxInlineWrite bytes
+// of the body, so that a small request is sent at once; the rest of a large body is not copied.
+func encode(req *Request) (first, rest []byte) {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
 	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
@@ -190,8 +194,9 @@
 	// Writing to a buffer never fails.
 	_ = req.Header.WriteSubset(&b, map[string]bool{"Host": true, "Content-Length": true})
 	b.WriteString("\r\n")
-	b.Write(req.Body)
-	return b.Bytes()
+	inline := min(len(req.Body), max(0, maxInlineWrite-b.Len()))
+	b.Write(req.Body[:inline])
+	return b.Bytes(), req.Body[inline:]
 }
 
 // readAnswer reads the head of the request's answer. It skips informational (1xx) answers and
@@ -223,6 +228,9 @@
 	return r.raw.ContentLength < 0 && len(r.raw.TransferEncoding) == 0
 }
 
+// Length returns the declared length of the body, or -1 if there is none.
+func (r *Response) Length() int64 { return r.raw.ContentLength }
+
 // Finish ends the exchange; complete states that the whole body was read. The connection is
 // kept only if it was, nothing else has arrived, and the whole request was written.
 func (r *Response) Finish(complete bool) {
