--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -37,12 +37,18 @@
 const Step = 64 << 10
 
 // Shares of the budget up to which reservations are granted. Large bodies leave room for answers,
-// without which the requests would never end, and both leave room for small requests, so that these
-// are served while large ones are refused or wait.
+// without which the requests would never end, and both leave room for connections and for small
+// requests, so that these are served while large ones are refused or wait.
 const (
 	bodyShare     = 0.625
 	pressureShare = 0.75
+	mediumShare   = 0.875
 	smallShare    = 0.9375
+	// maxMediumShare is the largest part of the budget that a medium reservation has. Withheld large
+	// bodies and unread answers do not keep those out.
+	maxMediumShare = 1.0 / 128
+	// minSocketShare is what large bodies and answers leave to connections that are not open yet.
+	minSocketShare = 0.25
 	// maxWantedShare limits the bytes that are made free at once for those that lack room.
 	maxWantedShare = 0.25
 )
@@ -58,10 +64,10 @@
 	held  [Kinds]int64
 	total int64
 	holds map[*Hold]bool
-	// waiters wait for room in order of arrival; wanted are the bytes that were refused since the
-	// last Relieve, by the limit that refused them.
+	// waiters wait for room in order of arrival; lacking is the largest shortage of what was refused
+	// since the last Relieve.
 	waiters []*waiter
-	wanted  map[int64]int64
+	lacking int64
 	counts  Counts
 }
 
@@ -82,7 +88,7 @@
 	if limit <= 0 {
 		return nil
 	}
-	return &Budget{limit: limit, holds: map[*Hold]bool{}, wanted: map[int64]int64{}}
+	return &Budget{limit: limit, holds: map[*Hold]bool{}}
 }
 
 // Limit returns the size of the budget.
@@ -116,24 +122,47 @@
 	return h
 }
 
+// part returns a share of the budget in bytes.
+func (b *Budget) part(share float64) int64 { return int64(share * float64(b.limit)) }
+
 // grantLimit returns the bytes in use up to which a reservation is granted, by the bytes of its kind that
 // its hold then has.
 func (b *Budget) grantLimit(kind Kind, bytes int64) int64 {
-	share := pressureShare
 	switch {
 	case kind == Socket:
-		share = 1
+		return b.limit
 	case bytes <= Step:
-		share = smallShare
+		return b.part(smallShare)
+	case bytes <= b.part(maxMediumShare):
+		return b.part(mediumShare)
 	case kind == Body:
-		share = bodyShare
+		return b.part(bodyShare)
+	default:
+		return b.part(pressureShare)
+	}
+}
+
+// shortage returns by how many bytes a reservation of a hold exceeds its limit. b.mu is held.
+func (b *Budget) shortage(kind Kind, held, bytes int64) int64 {
+	used := b.total
+	if kind != Socket && held+bytes > Step {
+		used += max(0, b.part(minSocketShare)-b.held[Socket])
 	}
-	return int64(share * float64(b.limit))
+	return used + bytes - b.grantLimit(kind, held+bytes)
+}
+
+// canFit reports whether a reservation would be granted if nothing else were in use.
+func (b *Budget) canFit(kind Kind, bytes int64) bool {
+	limit := b.grantLimit(kind, bytes)
+	if kind != Socket && bytes > Step {
+		limit -= b.part(minSocketShare)
+	}
+	return bytes <= limit
 }
 
 // tryReserve reserves bytes for a hold if there is room. b.mu is held.
 func (b *Budget) tryReserve(h *Hold, kind Kind, bytes int64) bool {
-	if h.released || b.total+bytes > b.grantLimit(kind, h.held[kind]+bytes) {
+	if h.released || b.shortage(kind, h.held[kind], bytes) > 0 {
 		return false
 	}
 	b.add(h, kind, bytes)
@@ -168,14 +197,13 @@
 // excess returns the bytes that must become free to end the pressure and to make room for some of what
 // was refused or waits. b.mu is held.
 func (b *Budget) excess() int64 {
+	excess := max(b.lacking, b.total-b.part(pressureShare))
+	b.lacking = 0
+	waiting := int64(0)
 	for _, w := range b.waiters {
-		b.wanted[b.grantLimit(w.kind, w.hold.held[w.kind]+w.bytes)] += w.bytes
-	}
-	excess := b.total - int64(pressureShare*float64(b.limit))
-	for limit, bytes := range b.wanted {
-		excess = max(excess, b.total+min(bytes, int64(maxWantedShare*float64(b.limit)))-limit)
+		waiting += w.bytes
+		excess = max(excess, b.shortage(w.kind, w.hold.held[w.kind], min(waiting, max(w.bytes, b.part(maxWantedShare)))))
 	}
-	clear(b.wanted)
 	return excess
 }
 
@@ -219,7 +247,7 @@
 // await waits until a reservation is granted or ctx ends.
 func (b *Budget) await(ctx context.Context, h *Hold, kind Kind, bytes int64, beforeWait func()) error {
 	b.mu.Lock()
-	if h.held[kind]+bytes > b.grantLimit(kind, h.held[kind]+bytes) {
+	if !b.canFit(kind, h.held[kind]+bytes) {
 		b.counts.Refused[kind]++
 		b.mu.Unlock()
 		return ErrNoRoom
--- a/internal/membudget/hold.go
+++ b/internal/membudget/hold.go
@@ -46,8 +46,8 @@
 	}
 	h.b.counts.Refused[kind]++
 	// Nobody is ended for what would not fit into an empty budget.
-	if limit := h.b.grantLimit(kind, h.held[kind]+bytes); h.held[kind]+bytes <= limit {
-		h.b.wanted[limit] += bytes
+	if h.b.canFit(kind, h.held[kind]+bytes) {
+		h.b.lacking = max(h.b.lacking, h.b.shortage(kind, h.held[kind], bytes))
 	}
 	return false
 }
