--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -19,6 +19,10 @@
 // readAnswer reads a whole answer into memory that is reserved first. If there is no room, the answer
 // stays at the server until there is, or ctx ends.
 func (x *exchange) readAnswer(ctx context.Context, resp *upstream.Response) ([]byte, error) {
+	if x.req.Memory != nil && resp.Length() > membudget.Step {
+		// How long it takes to read a large answer depends on this host's memory.
+		x.choice.Flight.AnswerStarted(clock.Now())
+	}
 	reserved := int64(0)
 	body, err := membudget.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer), min(resp.Length(), maxBufferedAnswer), func(bytes int64) error {
 		err := x.awaitMemory(ctx, bytes)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -117,6 +117,9 @@
 	if ex.passedOn.Host != "" {
 		fields["forwarded_to"] = ex.passedOn.Host
 	}
+	if ex.memory.Ended() {
+		fields["ended_for_memory"] = true
+	}
 	if ex.isForwarded {
 		fields["forwarded_by"] = ex.mark.Host
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,11 @@
 var cases = map[string]string{
 	"refusal": `
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the wait is expected to be 431 ms, and 400 ms are left to more urgent requests","ms":2,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
+	"body-too-slow": `
+10.0 edge-1 {"level":"warning","msg":"memory budget: requests refused or slow callers ended","body":62000000,"budget":96468992,"ended_body":1,"time":"2026-06-01T10:00:10Z"}
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"body_too_slow","error":"body_too_slow: the body arrived too slowly while this host was short of memory","ended_for_memory":true,"ms":2250,"sends":0,"ran":0,"config":7,"retry_after_ms":500,"state":"","time":"2026-06-01T10:00:10.1Z"}`,
+	"answer-read-too-slowly": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the answer was aborted: its caller read it too slowly while this host was short of memory","ended_for_memory":true,"ms":4100,"first_ms":40,"sends":1,"ran":1,"replica":"i-1","status":200,"config":7,"state":"failed","time":"2026-06-01T10:00:10.1Z"}`,
 	"over-limit": `
 9.2 edge-1 {"level":"info","msg":"rate limit changed","organisation":"museum-a","before":"90000 tokens a second, burst 90000","limit":"47000 tokens a second, burst 112000","version":7,"time":"2026-06-01T10:00:09.2Z"}
 10.1 edge-1 {"level":"warning","msg":"organisation over its rate limit","organisation":"museum-a","limit":"47000 tokens a second, burst 112000","time":"2026-06-01T10:00:10Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -40,6 +40,9 @@
 	if kind == errkind.QuotaExceeded {
 		return describeOverLimit(r)
 	}
+	if r.EndedForMemory {
+		return describeEndedForMemory(r, kind)
+	}
 	if kind.Answer().Refusal() {
 		return fmt.Sprintf("the caller was refused after %.0f ms and asked back after %.0f ms; it has not run (%s)", r.Ms, r.RetryAfterMs, r.Error)
 	}
@@ -72,6 +75,15 @@
 		r.Config, r.RetryAfterMs, r.Error)
 }
 
+// describeEndedForMemory describes a request that the host ended because its caller was slow while the
+// host was short of memory.
+func describeEndedForMemory(r *logline.Request, kind errkind.Kind) string {
+	if kind == errkind.BodyTooSlow {
+		return fmt.Sprintf("the caller got %d after %.0f ms: its body arrived too slowly while the host was short of memory; it has not run", kind.Answer().Status, r.Ms)
+	}
+	return fmt.Sprintf("the answer of replica %s was aborted after %.0f ms: the caller read it too slowly while the host was short of memory", r.Replica, r.Ms)
+}
+
 func describeAnswer(r *logline.Request) string {
 	text := fmt.Sprintf("the caller got %d from replica %s after %.0f ms", statusOr(r.Status, http.StatusOK), r.Replica, r.Ms)
 	if r.FirstMs > 0 && r.ExpectedMs > 0 && r.FirstMs > lateFactor*r.ExpectedMs {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -42,30 +42,32 @@
 
 // Request is the decoded line that ends a request.
 type Request struct {
-	ID           string    `json:"request"`
-	Outcome      string    `json:"outcome"`
-	Error        string    `json:"error"`
-	Route        string    `json:"route"`
-	Status       int       `json:"status"`
-	Replica      string    `json:"replica"`
-	Sends        int       `json:"sends"`
-	Ran          int       `json:"ran"`
-	Ms           float64   `json:"ms"`
-	FirstMs      float64   `json:"first_ms"`
-	ExpectedMs   float64   `json:"expected_ms"`
-	TargetMs     float64   `json:"target_ms"`
-	DeadlineMs   float64   `json:"deadline_ms"`
-	RetryAfterMs float64   `json:"retry_after_ms"`
-	Config       int64     `json:"config"`
-	ConfigAgeMs  float64   `json:"config_age_ms"`
-	Weights      int64     `json:"weights"`
-	Shared       int       `json:"shared"`
-	Cached       int       `json:"cached"`
-	Fetched      int       `json:"fetched"`
-	Digest       string    `json:"digest"`
-	Blocks       []string  `json:"blocks"`
-	RefusedBlock string    `json:"refused_block"`
-	Tries        []Attempt `json:"tries"`
+	ID           string  `json:"request"`
+	Outcome      string  `json:"outcome"`
+	Error        string  `json:"error"`
+	Route        string  `json:"route"`
+	Status       int     `json:"status"`
+	Replica      string  `json:"replica"`
+	Sends        int     `json:"sends"`
+	Ran          int     `json:"ran"`
+	Ms           float64 `json:"ms"`
+	FirstMs      float64 `json:"first_ms"`
+	ExpectedMs   float64 `json:"expected_ms"`
+	TargetMs     float64 `json:"target_ms"`
+	DeadlineMs   float64 `json:"deadline_ms"`
+	RetryAfterMs float64 `json:"retry_after_ms"`
+	// EndedForMemory is set if the host ended the request because its caller was slow while memory was short.
+	EndedForMemory bool      `json:"ended_for_memory"`
+	Config         int64     `json:"config"`
+	ConfigAgeMs    float64   `json:"config_age_ms"`
+	Weights        int64     `json:"weights"`
+	Shared         int       `json:"shared"`
+	Cached         int       `json:"cached"`
+	Fetched        int       `json:"fetched"`
+	Digest         string    `json:"digest"`
+	Blocks         []string  `json:"blocks"`
+	RefusedBlock   string    `json:"refused_block"`
+	Tries          []Attempt `json:"tries"`
 }
 
 // Arrival returns when the request arrived, given the time of the line that ends it.
