Memory budget: 503 to connections without room, aborted answers leave the socket

Cause: a connection without room was closed without an answer; up to 16 KB of an aborted answer stayed in its socket, which nothing counts. Change: such connections get 503, 64 at a time; an abort resets the connection.

--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -1,13 +1,18 @@
 package node
 
 import (
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/netdial"
 )
@@ -43,6 +48,8 @@
 type limitedListener struct {
 	net.Listener
 	budget *membudget.Budget
+	// refusing counts the connections that are being refused.
+	refusing atomic.Int64
 }
 
 // limitConnections returns a listener whose connections are counted, or l itself without a budget.
@@ -53,10 +60,10 @@
 	if c, ok := l.(syscall.Conn); ok {
 		netdial.LimitListener(c, socketBuffer(b))
 	}
-	return &limitedListener{l, b}
+	return &limitedListener{Listener: l, budget: b}
 }
 
-// Accept implements net.Listener. Connections without room are closed at once.
+// Accept implements net.Listener. Connections without room are refused at once.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
@@ -66,7 +73,7 @@
 		hold := l.budget.Open(func(membudget.Kind) {})
 		if !hold.Reserve(membudget.Socket, connectionCost(l.budget)) {
 			hold.Release()
-			_ = conn.Close()
+			l.refuse(conn)
 			continue
 		}
 		tcp, ok := conn.(*net.TCPConn)
@@ -77,6 +84,42 @@
 	}
 }
 
+const (
+	// refuseTime is how long a refused caller may take to read the answer, and maxRefusing limits the
+	// connections that wait for it. Others are closed without an answer.
+	refuseTime  = 500 * time.Millisecond
+	maxRefusing = 64
+)
+
+// refuse answers a connection without room, whose request is not read, with 503, and closes it.
+func (l *limitedListener) refuse(conn net.Conn) {
+	if l.refusing.Add(1) > maxRefusing {
+		l.refusing.Add(-1)
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer l.refusing.Add(-1)
+		defer conn.Close()
+		// An error ends the following calls too, and the caller is gone then.
+		_ = conn.SetDeadline(time.Now().Add(refuseTime))
+		_, _ = io.WriteString(conn, noRoomAnswer)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		// Closing a connection with unread data would reset it, and the caller might lose the answer.
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+}
+
+// noRoomAnswer is the answer to a connection without room.
+var noRoomAnswer = func() string {
+	kind := errkind.Overloaded.Answer()
+	body := fmt.Sprintf(`{"error":{"type":%q,"message":"this host has no memory for another connection","run_state":%q}}`, kind.Name, kind.Run)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nRetry-After: %.3f\r\nConnection: close\r\n\r\n%s",
+		kind.Status, http.StatusText(kind.Status), len(body), kind.RetryAfter.Seconds(), body)
+}()
+
 // countedConn is a connection that counts towards the budget until it is closed.
 type countedConn struct {
 	net.Conn
@@ -101,6 +144,16 @@
 	return c.TCPConn.Close()
 }
 
+// SetWriteDeadline implements net.Conn. A deadline in the past aborts the answer: the system then drops what
+// it has not sent, which a slow caller would keep in memory.
+func (c *countedTCP) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) {
+		// An error means that the connection is closed.
+		_ = c.SetLinger(0)
+	}
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // relieveMemory ends slow callers under memory pressure, and reports what is held, refused and ended.
 func (n *Node) relieveMemory(now time.Time) {
 	if n.memory == nil {
--- a/internal/node/memory_failure_test.go
+++ b/internal/node/memory_failure_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/test/standin/engine"
 )
@@ -107,3 +108,35 @@
 		t.Errorf("%d of %d bytes, %v; %+v", got+rest, size, err, h.node.memory.Counts())
 	}
 }
+
+// TestConnectionsWithoutRoomAreRefused guards against callers that hold all of the budget by open connections, and that get
+// no answer then.
+func TestConnectionsWithoutRoomAreRefused(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	h := s.hostWith("a", s.address, func(set *pb.Settings) { set.Host.MemoryMb, set.Overload.MemoryShare = 1, 0.5 })
+	eventually(t, "readiness", h.ready)
+	address := h.settings.Listen.Caller
+	const room = (1 << 19) / (32 << 10)
+	var open []io.Closer
+	for range room {
+		conn, err := connect(t, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, conn)
+	}
+	eventually(t, "all of the budget in use", func() bool { return h.node.memory.Held()[membudget.Socket] == 1<<19 })
+	resp, leave := requestAnswer(t, address, "refused", 0)
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || s.jobs.Ran("refused") != 0 {
+		t.Errorf("answer %v, ran %d times", resp, s.jobs.Ran("refused"))
+	}
+	leave()
+	for _, conn := range open {
+		conn.Close()
+	}
+	eventually(t, "the room of closed connections", func() bool { return h.node.memory.Held()[membudget.Socket] == 0 })
+	if resp, _ := requestAnswer(t, address, "served", 0); resp.StatusCode != http.StatusOK {
+		t.Errorf("answer %v once there is room", resp)
+	}
+}
