--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -172,3 +172,36 @@
 	}
 	eventuallyFree(t, b)
 }
+
+// TestSoundCallersWithLargeBodiesAreServed guards against ending or refusing sound callers: five bodies of 2 MB that
+// arrive at a megabyte per second find room and are served, also while a caller without room causes pressure.
+func TestSoundCallersWithLargeBodiesAreServed(t *testing.T) {
+	f := newFixture(t)
+	b := f.limitMemory(t, 32<<20)
+	const size, part = 2 << 20, 64 << 10
+	var conns []net.Conn
+	for i := range 5 {
+		conns = append(conns, f.withhold(t, fmt.Sprint("sound-", i), size, part))
+	}
+	for sent := part; sent < size; sent += part {
+		for _, conn := range conns {
+			if _, err := conn.Write(make([]byte, part)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if sent == size/2 {
+			f.withhold(t, "refused", 9<<20, 1)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for i, conn := range conns {
+		if resp := answerOf(t, conn, 10*time.Second); resp.StatusCode != http.StatusOK {
+			t.Errorf("caller %d got %v", i, resp)
+		}
+		conn.Close()
+	}
+	if c := b.Counts(); c.Refused[membudget.Body] != 1 || c.Ended != [membudget.Kinds]int64{} {
+		t.Errorf("%+v", c)
+	}
+	eventuallyFree(t, b)
+}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -177,15 +177,15 @@
 	b.total += bytes
 }
 
-// grantWaiting grants the waiting reservations that have room. Large ones are granted in order of
-// arrival; small ones do not wait for them. b.mu is held.
+// grantWaiting grants the waiting reservations that have room, in order of arrival. One with a higher limit,
+// which is smaller, does not wait for those before it. b.mu is held.
 func (b *Budget) grantWaiting() {
 	kept := b.waiters[:0]
-	blocked := false
+	blocked := int64(-1)
 	for _, w := range b.waiters {
-		large := w.hold.held[w.kind]+w.bytes > Step
-		if large && blocked || !b.tryReserve(w.hold, w.kind, w.bytes) {
-			blocked = blocked || large
+		limit := b.grantLimit(w.kind, w.hold.held[w.kind]+w.bytes)
+		if limit <= blocked || !b.tryReserve(w.hold, w.kind, w.bytes) {
+			blocked = max(blocked, limit)
 			kept = append(kept, w)
 			continue
 		}
@@ -220,7 +220,7 @@
 	bytes := make([]int64, 0, len(b.holds))
 	for h := range b.holds {
 		holds = append(holds, h)
-		bytes = append(bytes, h.base+h.held[Body]+h.held[Answer]+h.held[Socket])
+		bytes = append(bytes, h.held[Body]+h.held[Answer]+h.held[Socket])
 	}
 	b.mu.Unlock()
 	var entries []Entry
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -175,6 +175,11 @@
 		if err := small.Await(t.Context(), Answer, Step, func() { t.Error("a small answer waits") }); err != nil {
 			t.Error(err)
 		}
+		medium := b.Open(nil)
+		if err := medium.Await(t.Context(), Answer, 100<<10, func() { t.Error("a medium answer waits") }); err != nil {
+			t.Error(err)
+		}
+		medium.Release()
 		if err := small.Await(t.Context(), Answer, 32<<20, nil); !errors.Is(err, ErrNoRoom) {
 			t.Errorf("%v for more than the budget", err)
 		}
--- a/internal/membudget/hold.go
+++ b/internal/membudget/hold.go
@@ -11,8 +11,6 @@
 type Hold struct {
 	b   *Budget
 	end func(Kind)
-	// base is memory outside this hold that becomes free with it, set before its first transfer.
-	base int64
 
 	// held and released are protected by the budget's lock.
 	held     [Kinds]int64
@@ -26,14 +24,6 @@
 	meter  meter
 }
 
-// SetBase states memory that is reserved elsewhere and becomes free if this hold's transfer is
-// ended, such as that of the connection. It must be called before the first transfer.
-func (h *Hold) SetBase(bytes int64) {
-	if h != nil {
-		h.base = bytes
-	}
-}
-
 // Reserve reserves bytes, and reports whether there was room.
 func (h *Hold) Reserve(kind Kind, bytes int64) bool {
 	if h == nil {
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -83,10 +83,10 @@
 	return resp.StatusCode
 }
 
-// mediumBody is the size of the larger bodies of sound callers.
+// mediumBody is the size of the larger bodies and answers of sound callers.
 const mediumBody = 256 << 10 / min(2, raceScale)
 
-// soundCaller sends small requests one after the other over one connection, and one with a body of 256 KB in each ten. It
+// soundCaller sends small requests one after the other over one connection, and one with a body and an answer of 256 KB in each ten. It
 // counts what was served, in half a second, and in a tenth.
 type soundCaller struct{ sent, served, inTime, quick, largeSent, largeServed int }
 
@@ -97,7 +97,7 @@
 		target, body := "/updates/1?bytes=20000", "small"
 		large := n%10 == 9
 		if large {
-			target, body = "/updates/1", strings.Repeat("x", mediumBody)
+			target, body = fmt.Sprint("/updates/1?bytes=", mediumBody), strings.Repeat("x", mediumBody)
 		}
 		req, err := http.NewRequest(http.MethodPost, "http://"+address+target, strings.NewReader(body))
 		if err != nil {
