--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/fairshare"
 	"github.com/briarlink/briarlink/internal/mechanism"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
@@ -84,6 +85,8 @@
 	PriorRuns int
 	// Forwarded is set if another host passed the request on.
 	Forwarded bool
+	// Memory is what the request has reserved of this host's memory; nil without a budget.
+	Memory *membudget.Hold
 }
 
 // digest returns a hash that is equal for every attempt at the request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/briarlink/briarlink/internal/hostload"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/member"
+	"github.com/briarlink/briarlink/internal/membudget"
 	"github.com/briarlink/briarlink/internal/obs"
 	"github.com/briarlink/briarlink/internal/peer"
 	"github.com/briarlink/briarlink/internal/permit"
@@ -148,6 +149,11 @@
 	workedAt time.Time
 	// directoryPlans caches the plans of directories for the last view.
 	directoryPlans atomic.Pointer[directoryPlans]
+	// memory is the budget for callers' requests and answers, nil if it is off. memoryCounts are the counts
+	// at the last sweep; only the sweep loop uses them.
+	memory           *membudget.Budget
+	memoryCounts     membudget.Counts
+	memoryLogLimiter obs.Limiter
 
 	// stateMu serialises reports of this host's state to the membership table, and is held over
 	// no other call.
@@ -238,6 +244,11 @@
 		load:               hostload.NewMeter(s.Host.Cores),
 		firstReadDelay:     chooseFirstReadDelay(s.Member),
 	}
+	n.memory = newMemoryBudget(s)
+	if n.memory != nil {
+		n.pool = upstream.NewPoolWithBuffers(socketBuffer(n.memory))
+		n.forwardPool = upstream.NewPoolWithBuffers(socketBuffer(n.memory))
+	}
 	n.store.OnEra = n.storeRestored
 	n.members = member.NewTable(n.self(), s.Member.DeadAfter.AsDuration())
 	n.members.ByLoad = n.directoryByLoad()
@@ -370,6 +381,7 @@
 		Forwarder:       &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget},
 		Limiter:         n.limiter,
 		ReportUsage:     n.requestHeartbeat,
+		Memory:          n.memory,
 		Metrics:         n.metrics,
 		Log:             n.log,
 		MaxBodyBytes:    s.Request.MaxBodyBytes,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -73,7 +74,7 @@
 	s.t.Helper()
 	var e *engine.Engine
 	o.Address = serve(s.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.Handler().ServeHTTP(w, r) }))
-	o.Zone, o.Slots = "z1", 8
+	o.Zone, o.Slots = "z1", cmp.Or(o.Slots, 8)
 	e = engine.New(o)
 	put := func(key string, entry any) error { return s.store.PutJSON(platform.ReplicaTopic, key, entry) }
 	if err := e.Register(put, false); err != nil {
