Only an answer restores contact with a service's servers

Cause: a host that lost contact regained it by a connection that stayed open for 250 ms, and a host whose connections open while nothing comes back never lost it: its requests all ended at their deadlines. Change: while contact is lost, probes send a health check (an engine's report, the HealthPath of a plain service, which the configuration is now decoded with) and wait for an answer of any kind to something sent since. A request that hangs begins a silence (package silence), in which up to four servers each 500 ms are asked; if four, or all, have not answered for 1.2 s and another host has reached the service since, contact is lost. Probes of connections that fail stay as they were.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,8 @@
 	Name string
 	// MaxConnections is the limit for each replica, over all hosts.
 	MaxConnections int
+	// HealthPath is the path at which replicas answer health checks, "" if it is not known.
+	HealthPath string
 	// Engine is nil for services without a model engine and for KV cache stores.
 	Engine *Engine
 	// Store is set for a KV cache store only.
--- a/internal/node/contacts.go
+++ b/internal/node/contacts.go
@@ -9,9 +9,13 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/internal/reach"
 	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/silence"
+	"github.com/briarlink/briarlink/internal/upstream"
+	"github.com/briarlink/briarlink/platform"
 )
 
 // neverReachedAge is the reported age of the contact with a service that this host never reached.
@@ -57,17 +61,52 @@
 
 // probeContacts checks whether this host reaches the services that it seems to be cut off from.
 func (n *Node) probeContacts(ctx context.Context) {
-	connect, check := n.replicas.TakeContactProbes(clock.Now())
-	for id, address := range check {
-		n.replicas.RecordContactCheck(id, n.pool.HasOpen(address), clock.Now())
-	}
-	for id, address := range connect {
+	now := clock.Now()
+	for _, p := range n.replicas.TakeContactProbes(now) {
+		if p.Ask {
+			go n.askContact(ctx, p)
+			continue
+		}
 		go func() {
 			began := clock.Now()
-			err := n.pool.Probe(ctx, address)
-			n.replicas.RecordContactProbe(id, err == nil, began, clock.Now())
+			err := n.pool.Probe(ctx, p.Address)
+			n.replicas.RecordContactProbe(p.ID, err == nil, began, clock.Now())
 		}()
 	}
+	for service, since := range n.replicas.SilentServices(now) {
+		if n.reach.ReachedSince(service, since, now) {
+			n.replicas.LoseContact(service, now)
+		}
+	}
+}
+
+// askContact sends a health check to a server. An answer of any kind proves contact. A server that limits
+// its requests is asked with a permit.
+func (n *Node) askContact(ctx context.Context, p replica.ContactProbe) {
+	ctx, cancel := context.WithTimeout(ctx, silence.AskTimeout)
+	defer cancel()
+	if n.beforeEngineCall(ctx, p.Address, platform.CallReport) != nil {
+		return
+	}
+	service := n.service(p.Service)
+	method, target, header := platform.HealthCheck(service.Engine != nil, service.HealthPath, p.ID)
+	began := clock.Now()
+	n.replicas.RecordContactAsked(p.ID, began)
+	err := n.pool.Ask(ctx, p.Address, &upstream.Request{Method: method, Target: target, Host: p.Address, Header: header})
+	switch {
+	case err == nil:
+		n.replicas.RecordContactAnswer(p.ID, began, clock.Now())
+	case ctx.Err() == nil:
+		n.replicas.RecordContactProbe(p.ID, false, began, clock.Now())
+	}
+}
+
+// service returns the configuration of a service, an empty one if there is none.
+func (n *Node) service(name string) *config.Service {
+	if c := n.config.Load(); c != nil && c.Services[name] != nil {
+		return c.Services[name]
+	}
+	return &config.Service{Name: name}
 }
 
 // updateDetached announces to the other hosts whether this host is cut off from a service that others
--- a/internal/node/cutlink_test.go
+++ b/internal/node/cutlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -25,6 +26,8 @@
 	cutRefusesNew cutMode = "refuses new"
 	// cutResetsAccepted resets open connections and each new one just after it was accepted.
 	cutResetsAccepted cutMode = "resets accepted"
+	// cutSwallows accepts new connections, and answers nothing on any.
+	cutSwallows cutMode = "swallows"
 )
 
 // cutConnectTimeout is after how long a connection attempt in a hanging cut fails, as in production.
@@ -78,6 +81,8 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.ECONNREFUSED}
 	case cutResetsAccepted:
 		return dialResetting(ctx)
+	case cutSwallows:
+		return dialSwallowing(ctx)
 	}
 	raw, err := netdial.New(waitLimit).DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -111,6 +116,28 @@
 	return dialed, accepted.Close()
 }
 
+// dialSwallowing opens a connection whose other side reads everything and never answers.
+func dialSwallowing(ctx context.Context) (net.Conn, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer listener.Close()
+	dialed, err := netdial.New(waitLimit).DialContext(ctx, "tcp4", listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		defer accepted.Close()
+		_, _ = io.Copy(io.Discard, accepted)
+	}()
+	return dialed, nil
+}
+
 // cutConn is a connection over the link.
 type cutConn struct {
 	net.Conn
@@ -119,12 +146,15 @@
 	closed chan struct{}
 }
 
+// silent reports whether a cut in this mode leaves open connections without an answer.
+func (m cutMode) silent() bool { return m == cutHangs || m == cutSwallows }
+
 // Read returns nothing while the cut hangs.
 func (c *cutConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	for {
 		mode, changed := c.link.current()
-		if mode != cutHangs {
+		if !mode.silent() {
 			return n, err
 		}
 		select {
@@ -137,7 +167,7 @@
 
 // Write sends nothing while the cut hangs; the sender does not notice.
 func (c *cutConn) Write(b []byte) (int, error) {
-	if mode, _ := c.link.current(); mode == cutHangs {
+	if mode, _ := c.link.current(); mode.silent() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -253,7 +253,10 @@
 	n.crashes = quarantine.NewTable(log, clock.Now())
 	n.replicas.OnCrash = n.replicaCrashed
 	n.replicas.OnAnswered = func(f quarantine.Fingerprint, at time.Time) { n.crashes.Answered(f, at, clock.Now()) }
-	n.engines.OnAnswer = n.replicas.RecordNoticeAt
+	n.engines.OnAnswer = func(address string, a platform.ReplicaAnswer, began time.Time) {
+		n.replicas.RecordAnswerAt(address, began, clock.Now())
+		n.replicas.RecordNoticeAt(address, a, began)
+	}
 	n.engines.BeforeCall = n.beforeEngineCall
 	n.replicas.Off = off
 	n.replicas.IsKnownService = func(service string) bool {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -139,7 +139,7 @@
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	n := New(set, nil, log, lines)
 	link := newServerLink()
-	n.pool.Dial = link.dial
+	n.pool.Dial, n.engines.Dial = link.dial, link.dial
 	for _, p := range peers {
 		n.members.AddPeer(p.settings.Listen.Peer, time.Now())
 	}
--- a/internal/node/servercut_test.go
+++ b/internal/node/servercut_test.go
@@ -137,7 +137,7 @@
 // they reach no server, although other hosts reach them: five of nine did so for as long as the cut
 // lasted, and directories went on naming them.
 func TestCallersOfHostsCutOffFromServersAreServed(t *testing.T) {
-	for _, mode := range []cutMode{cutHangs, cutResets, cutRefusesNew, cutResetsAccepted} {
+	for _, mode := range []cutMode{cutHangs, cutResets, cutRefusesNew, cutResetsAccepted, cutSwallows} {
 		for _, cutHosts := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%s, %d of 3", mode, cutHosts), func(t *testing.T) {
 				t.Parallel()
@@ -173,6 +173,9 @@
 				stop()
 				wg.Wait()
 				t.Logf("cut hosts served %d of %d, the others %d of %d; failed: %v, %v", cut.served, cut.sent, others.served, others.sent, cut.failed, others.failed)
+				if cut.sent == 0 {
+					t.Error("no request that began at a cut host within 2 s ended in that time")
+				}
 				if brokenRecover(cut, others) {
 					t.Errorf("cut hosts served %d of %d first tries, the others %d of %d", cut.served, cut.sent, others.served, others.sent)
 				}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -87,6 +87,19 @@
 	return false
 }
 
+// ReachedSince reports whether some host has reached a service since the given time.
+func (t *Table) ReachedSince(service string, since, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hash := ServiceHash(service)
+	for _, services := range t.hosts {
+		if r := services[hash]; r.reaches(now) && r.reachedAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r report) reaches(now time.Time) bool {
 	return !r.lost && !r.receivedAt.IsZero() && now.Sub(r.receivedAt) < MaxAge && now.Sub(r.reachedAt) < MaxAge
 }
--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/internal/silence"
 )
 
 const (
@@ -35,11 +37,12 @@
 	failedProbes int
 	// doubtedAt is when the first exchange since seenAt failed or hung, or zero.
 	doubtedAt time.Time
-	// connectedAt holds, while the host is cut off, when connections to servers were last opened. One that
-	// is still open at the next round of probes ends the cut.
-	connectedAt map[string]time.Time
-	// lostAt is since when the host counts as cut off from the service, or zero.
-	lostAt time.Time
+	// silence follows whether anything answers although connections open.
+	silence silence.Watch
+	// lostAt is since when the host counts as cut off from the service, or zero. Only answers to what
+	// was sent from evidenceFrom on end the cut.
+	lostAt       time.Time
+	evidenceFrom time.Time
 	// regainedAt is when the last cut ended. Exchanges that began before it failed because of the cut.
 	regainedAt time.Time
 	// reachedBefore is when this host last reached a server before it was cut off.
@@ -50,23 +53,35 @@
 func (t *Table) contactOf(service string) *contact {
 	c := t.contacts[service]
 	if c == nil {
-		c = &contact{failed: map[string]bool{}, connectedAt: map[string]time.Time{}}
+		c = &contact{failed: map[string]bool{}}
 		t.contacts[service] = c
 	}
 	return c
 }
 
-// recordReached records that this host reached a server.
+// recordAnswered records that a server answered what was sent to it at the given time. While this host
+// is cut off from the service, an answer to what was sent before proves nothing.
+func (t *Table) recordAnswered(e *entry, began, now time.Time) {
+	if c := t.contactOf(e.reg.Service); !c.lost() || !began.Before(c.evidenceFrom) {
+		c.silence.End()
+		t.recordReached(e, now)
+	}
+}
+
+// recordReached records that this host reached a server: it answered or, while this host is not cut off
+// from the service, a connection to it could be opened.
 func (t *Table) recordReached(e *entry, now time.Time) {
 	e.failingSince = time.Time{}
 	c := t.contactOf(e.reg.Service)
 	if c.lostAt.IsZero() {
 		t.attributeOtherRefused(e, c, now)
 	}
-	c.seenAt, c.doubtedAt, c.probedAt = now, time.Time{}, time.Time{}
+	c.seenAt, c.doubtedAt = now, time.Time{}
+	if !c.silence.Active() {
+		c.probedAt = time.Time{}
+	}
 	c.failedProbes = 0
 	clear(c.failed)
-	clear(c.connectedAt)
 	if c.lostAt.IsZero() {
 		return
 	}
@@ -127,14 +142,39 @@
 		c.failedProbes++
 	}
 	if c.lostAt.IsZero() && t.allFailed(e.reg.Service, c) {
-		c.lostAt, c.reachedBefore = now, c.seenAt
-		t.dropFailures(e.reg.Service)
-		t.dropBroken(e.reg.Service)
-		t.log.WithFields(logrus.Fields{"service": e.reg.Service, "failed": len(c.failed), "silence_ms": now.Sub(c.seenAt).Milliseconds()}).Warn("contact with a service lost")
-		t.doubtOtherServices(now)
+		t.loseContact(e.reg.Service, c, now, now)
 	}
 }
 
+// loseContact counts this host as cut off from a service. Answers to what was sent before evidenceFrom do
+// not end that.
+func (t *Table) loseContact(service string, c *contact, evidenceFrom, now time.Time) {
+	c.lostAt, c.evidenceFrom, c.reachedBefore = now, evidenceFrom, c.provedAt()
+	t.dropFailures(service)
+	t.dropBroken(service)
+	t.log.WithFields(logrus.Fields{
+		"service": service, "failed": len(c.failed), "unanswered": c.silence.Unanswered(now), "silence_ms": now.Sub(c.reachedBefore).Milliseconds(),
+	}).Warn("contact with a service lost")
+	t.doubtOtherServices(now)
+}
+
+// provedAt returns when this host last reached a server. While nothing answers, connections that open do
+// not count.
+func (c *contact) provedAt() time.Time {
+	if since := c.silence.Since(); c.silence.Active() && since.Before(c.seenAt) {
+		return since
+	}
+	return c.seenAt
+}
+
+// recordHang records that a server answers nothing although it was reached. The silence lasts until
+// something answers, whether or not connections open.
+func (t *Table) recordHang(service string, now time.Time) {
+	c := t.contactOf(service)
+	c.doubt(now)
+	c.silence.Begin(now)
+}
+
 // doubt records that the contact has been doubtful since the given time.
 func (c *contact) doubt(since time.Time) {
 	if c.doubtedAt.IsZero() || since.Before(c.doubtedAt) {
@@ -202,7 +242,7 @@
 	out := make([]Contact, 0, len(t.services))
 	for service := range t.services {
 		c := t.contactOf(service)
-		out = append(out, Contact{service, c.lost(), c.seenAt})
+		out = append(out, Contact{service, c.lost(), c.provedAt()})
 	}
 	slices.SortFunc(out, func(a, b Contact) int {
 		if a.Lost != b.Lost {
@@ -229,67 +269,142 @@
 	return n
 }
 
-// TakeContactProbes returns the addresses of the servers to connect to now, by ID, because the contact
-// with their service is doubtful or lost, and of those to which a connection of the last round has to
-// be checked.
-func (t *Table) TakeContactProbes(now time.Time) (connect, check map[string]string) {
+// ContactProbe is a server to connect to because the contact with its service is doubtful or lost.
+type ContactProbe struct {
+	ID      string
+	Address string
+	Service string
+	// Ask is set if only an answer proves contact: the server is to be sent a health check.
+	Ask bool
+}
+
+// TakeContactProbes returns the probes that are due now.
+func (t *Table) TakeContactProbes(now time.Time) []ContactProbe {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	connect, check = map[string]string{}, map[string]string{}
+	var out []ContactProbe
 	for service, c := range t.contacts {
 		interval, limit := doubtProbeInterval, minFailedProbes
 		if c.lost() {
 			interval, limit = lostProbeInterval, lostProbes
 		}
-		if c.doubtedAt.IsZero() || now.Sub(c.doubtedAt) < doubtDelay || now.Sub(c.probedAt) < interval {
+		doubtful := !c.doubtedAt.IsZero() && now.Sub(c.doubtedAt) >= doubtDelay
+		silent := c.silence.Active() && now.Sub(c.silence.Since()) >= doubtDelay
+		if !doubtful && !silent || now.Sub(c.probedAt) < interval {
 			continue
 		}
 		c.probedAt = now
-		for id := range c.connectedAt {
-			if e := t.entries[id]; e != nil {
-				check[id] = e.reg.Address
-			}
-		}
-		clear(c.connectedAt)
-		t.addContactProbes(connect, service, c, limit)
+		out = append(out, t.contactProbes(service, c, limit, now)...)
 	}
-	return connect, check
+	return out
 }
 
-// addContactProbes adds up to limit servers of a service, chosen at random. While the contact is only
-// doubtful, those that failed already are left out.
-func (t *Table) addContactProbes(out map[string]string, service string, c *contact, limit int) {
+// contactProbes returns up to limit servers of a service, chosen at random. While the contact is only
+// doubtful, those that failed already are left out. While it is lost, all are asked; while nothing
+// answers, silence.Asks of them.
+func (t *Table) contactProbes(service string, c *contact, limit int, now time.Time) []ContactProbe {
+	var out []ContactProbe
+	asks := 0
 	ids := t.services[service]
 	for _, i := range rand.Perm(len(ids)) {
 		id := ids[i]
-		if limit == 0 {
-			return
+		if len(out) == limit {
+			break
+		}
+		if !t.provesContact(id, c) || !c.lost() && c.failed[id] {
+			continue
+		}
+		ask := c.lost() || c.silence.Active() && asks < silence.Asks && c.silence.MayAsk(id, now)
+		if !ask && c.doubtedAt.IsZero() {
+			continue
 		}
-		if t.provesContact(id, c) && (c.lost() || !c.failed[id]) {
-			out[id] = t.entries[id].reg.Address
-			limit--
+		if ask {
+			asks++
 		}
+		out = append(out, ContactProbe{ID: id, Address: t.entries[id].reg.Address, Service: service, Ask: ask})
 	}
+	return out
 }
 
-// RecordContactCheck records whether a connection that an earlier probe opened is still open.
-func (t *Table) RecordContactCheck(id string, open bool, now time.Time) {
+// RecordContactAsked records that a probe sends a health check to a server now.
+func (t *Table) RecordContactAsked(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		t.contactOf(e.reg.Service).silence.Asked(id, now)
+	}
+}
+
+// RecordContactAnswer records that a server answered a health check that was sent at the given time.
+func (t *Table) RecordContactAnswer(id string, began, now time.Time) {
 	t.mu.Lock()
 	defer t.unlockAndNotify()
-	if e := t.entries[id]; e != nil && open {
-		t.recordReached(e, now)
+	if e := t.entries[id]; e != nil {
+		t.recordAnswered(e, began, now)
+	}
+}
+
+// RecordAnswerAt records that the server at an address answered a call that began at the given time. It
+// matters only while the contact with its service is lost or in doubt.
+func (t *Table) RecordAnswerAt(address string, began, now time.Time) {
+	t.mu.Lock()
+	defer t.unlockAndNotify()
+	for service, c := range t.contacts {
+		if !c.lost() && !c.silence.Active() {
+			continue
+		}
+		for _, id := range t.services[service] {
+			if e := t.entries[id]; e.reg.Address == address {
+				t.recordAnswered(e, began, now)
+			}
+		}
+	}
+}
+
+// SilentServices returns the services of which no server answers anything although connections open,
+// and since when.
+func (t *Table) SilentServices(now time.Time) map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]time.Time{}
+	for service, c := range t.contacts {
+		if c.lost() || !c.silence.Active() {
+			continue
+		}
+		var expected []string
+		for _, id := range t.services[service] {
+			if t.provesContact(id, c) && !c.failed[id] {
+				expected = append(expected, id)
+			}
+		}
+		if c.silence.Total(expected, now) {
+			out[service] = c.silence.Since()
+		}
+	}
+	return out
+}
+
+// LoseContact counts this host as cut off from a service that is silent while other hosts get answers. An
+// answer to anything that was sent since the silence began ends that: the servers may be slow.
+func (t *Table) LoseContact(service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.contacts[service]; c != nil && !c.lost() && c.silence.Active() {
+		t.loseContact(service, c, c.silence.Since(), now)
+		// Connections to servers of other services open too in such a cut.
+		for other := range t.services {
+			t.contactOf(other).silence.Begin(now)
+		}
 	}
 }
 
 // recordConnected records that a connection to a server could be opened. While this host is cut off
-// from the service, that alone proves nothing: something on the way may accept connections and end
-// them a moment later.
+// from the service that proves nothing: something on the way may accept connections, and end them
+// or pass nothing on.
 func (t *Table) recordConnected(e *entry, now time.Time) {
 	if !t.isCutOff(e) {
 		t.recordReached(e, now)
-		return
 	}
-	t.contactOf(e.reg.Service).connectedAt[e.reg.ID] = now
 }
 
 // RecordContactProbe records the result of a connection attempt that TakeContactProbes asked for,
--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -17,6 +17,13 @@
 type link struct {
 	cut  bool
 	down map[string]bool
+	// swallows is set if connections open and nothing comes back, answerTime is the time of an answer to a
+	// health check, and othersReach is set if other hosts get answers.
+	swallows   bool
+	answerTime time.Duration
+	// slow servers accept requests and answer none, but answer health checks.
+	slow        map[string]bool
+	othersReach bool
 }
 
 func (l *link) reaches(id string) bool { return !l.cut && !l.down[id] }
@@ -24,12 +31,16 @@
 // play sends a request to each of the given servers and runs the probes that are due, as a host does
 // every 100 ms. Connections that fail time out after 400 ms.
 func (l *link) play(t *Table, targets []string) {
-	const connectTimeout = 400 * time.Millisecond
+	const connectTimeout, requestTimeout = 400 * time.Millisecond, 2 * time.Second
 	for _, id := range targets {
 		f := t.Begin(id, Work{Expected: 30 * time.Millisecond}, time.Now())
 		if f == nil {
 			continue
 		}
+		if l.swallows || l.slow[id] {
+			time.AfterFunc(requestTimeout, func() { f.End(Cancelled, time.Now()) })
+			continue
+		}
 		if l.reaches(id) {
 			f.AnswerStarted(time.Now())
 			f.End(Answered, time.Now())
@@ -37,17 +48,24 @@
 		}
 		time.AfterFunc(connectTimeout, func() { f.End(ConnectTimeout, time.Now()) })
 	}
-	connect, check := t.TakeContactProbes(time.Now())
-	for id := range check {
-		t.RecordContactCheck(id, l.reaches(id), time.Now())
+	for _, p := range t.TakeContactProbes(time.Now()) {
+		began := time.Now()
+		if p.Ask {
+			t.RecordContactAsked(p.ID, began)
+		}
+		switch {
+		case !l.reaches(p.ID):
+			time.AfterFunc(connectTimeout, func() { t.RecordContactProbe(p.ID, false, began, time.Now()) })
+		case !p.Ask:
+			t.RecordContactProbe(p.ID, true, began, time.Now())
+		case !l.swallows:
+			time.AfterFunc(l.answerTime, func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
+		}
 	}
-	for id := range connect {
-		if l.reaches(id) {
-			t.RecordContactProbe(id, true, time.Now(), time.Now())
-			continue
+	for service := range t.SilentServices(time.Now()) {
+		if l.othersReach {
+			t.LoseContact(service, time.Now())
 		}
-		began := time.Now()
-		time.AfterFunc(connectTimeout, func() { t.RecordContactProbe(id, false, began, time.Now()) })
 	}
 	_, due := t.DownServers(time.Now())
 	for id := range due {
@@ -238,3 +256,84 @@
 		t.Error("contact not lost although all connections broke and new ones fail")
 	}
 }
+
+// TestContactIsLostWhenNothingAnswers guards against a host whose requests all end at their deadlines, as
+// connections open and nothing comes back, and against contact that flaps meanwhile.
+func TestContactIsLostWhenNothingAnswers(t *testing.T) {
+	for _, servers := range []int{1, 2, 12, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			table, l := manyServers(servers), &link{othersReach: true}
+			play := func(ticks int, each func()) {
+				for i := range ticks {
+					l.play(table, []string{fmt.Sprintf("i-%05d", i%servers), fmt.Sprintf("i-%05d", i*7%servers)})
+					each()
+				}
+			}
+			play(10, func() {})
+			l.swallows = true
+			play(30, func() {})
+			play(60, func() {
+				if !table.LostContact("writer") {
+					t.Fatalf("%d servers: contact not lost, or regained, while nothing answers", servers)
+				}
+				if down, _ := table.DownServers(time.Now()); len(down) > 0 {
+					t.Fatalf("%d servers: reported down by a host that is cut off: %v", servers, down)
+				}
+			})
+			l.swallows = false
+			play(10, func() {})
+			if table.LostContact("writer") {
+				t.Errorf("%d servers: contact not regained 1 s after the cut", servers)
+			}
+		})
+	}
+}
+
+// TestSlowServersAreNoLoss guards against a host that passes its callers' requests on because servers are
+// slow, or because some hang, while others answer; and because all hang, at all hosts.
+func TestSlowServersAreNoLoss(t *testing.T) {
+	for name, l := range map[string]*link{
+		"slow health checks":  {othersReach: true, answerTime: time.Second, slow: map[string]bool{"i-00000": true, "i-00001": true, "i-00002": true, "i-00003": true}},
+		"some servers hang":   {othersReach: true, slow: map[string]bool{"i-00000": true, "i-00001": true}},
+		"no other host does":  {swallows: true},
+		"one server is down":  {othersReach: true, down: map[string]bool{"i-00002": true}, slow: map[string]bool{"i-00001": true}},
+		"nothing is the case": {othersReach: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			const servers = 4
+			table := manyServers(servers)
+			for i := range 80 {
+				l.play(table, []string{fmt.Sprintf("i-%05d", i%servers)})
+				table.DownServers(time.Now())
+				if table.LostContact("writer") {
+					t.Fatalf("%s: contact lost after %d ms", name, i*100)
+				}
+			}
+		})
+	}
+}
+
+// TestOldAnswersDoNotRegainContact guards against contact that is regained by an answer to a request that was
+// sent before the cut, or by connections that open.
+func TestOldAnswersDoNotRegainContact(t *testing.T) {
+	const servers = 3
+	table, now := manyServers(servers), time.Now()
+	old := table.Begin("i-00000", Work{}, now)
+	cut := now.Add(100 * time.Millisecond)
+	for i := range servers {
+		table.Reached(fmt.Sprintf("i-%05d", i), false, cut)
+	}
+	later := cut.Add(time.Second)
+	old.AnswerStarted(later)
+	old.End(Answered, later)
+	table.Reached("i-00001", true, later)
+	table.RecordContactProbe("i-00002", true, later, later)
+	table.RecordContactAnswer("i-00001", now, later)
+	if !table.LostContact("writer") {
+		t.Fatal("contact regained without an answer to anything sent after it was lost")
+	}
+	table.RecordContactAnswer("i-00001", cut, later)
+	if table.LostContact("writer") {
+		t.Error("contact not regained by an answer")
+	}
+}
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -83,7 +83,7 @@
 	}
 	f.entry.health.observe(now.Sub(f.start), f.work.Expected, now)
 	f.entry.markSeen(now)
-	f.table.recordReached(f.entry, now)
+	f.table.recordAnswered(f.entry, f.start, now)
 	f.table.detectLostAnswers(f, now)
 }
 
@@ -145,7 +145,7 @@
 	switch r {
 	case Answered, Failed, Refused:
 		f.entry.markSeen(now)
-		f.table.recordReached(f.entry, now)
+		f.table.recordAnswered(f.entry, f.start, now)
 	case Unreachable:
 		f.table.recordNotReached(f.entry, false, now, now)
 	case ConnectTimeout:
@@ -154,7 +154,9 @@
 		if f.broken && !f.answerStarted {
 			// The connection was open until it broke.
 			f.table.recordNotReached(f.entry, false, now, now)
-		} else if r == Lost || unresponsive {
+		} else if unresponsive {
+			f.table.recordHang(f.entry.reg.Service, now)
+		} else if r == Lost {
 			f.table.contactOf(f.entry.reg.Service).doubt(now)
 		}
 	}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -207,7 +207,7 @@
 	due = map[string]string{}
 	for id, e := range t.active {
 		t.updateLiveness(e, now)
-		hangs := e.unresponsive && t.reachedSince(e, now.Add(-e.unresponsiveFor(now)))
+		hangs := e.unresponsive && !t.contactOf(e.reg.Service).silence.Active() && t.reachedSince(e, now.Add(-e.unresponsiveFor(now)))
 		if hangs || e.health.shouldReport(now) && t.reachedSince(e, e.health.downSince) {
 			ids = append(ids, id)
 		}
@@ -270,7 +270,7 @@
 	unresponsive := unresponsiveFor > unresponsiveThreshold
 	if unresponsive && !e.unresponsive {
 		t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "silence_ms": unresponsiveFor.Milliseconds(), "requests": len(e.flights)}).Warn("replica gives no sign of life")
-		t.contactOf(e.reg.Service).doubt(now)
+		t.recordHang(e.reg.Service, now)
 	}
 	e.unresponsive = unresponsive
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -175,6 +176,26 @@
 	return nil
 }
 
+// maxAskBytes limits the body of an answer to Ask.
+const maxAskBytes = 64 << 10
+
+// Ask sends a request over a new connection, reads the whole answer, whatever its status, and keeps the
+// connection for a request. Errors are of type *Error.
+func (p *Pool) Ask(ctx context.Context, address string, req *Request) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return &Error{cause: err}
+	}
+	resp, err := c.exchange(ctx, req)
+	if err != nil {
+		return err
+	}
+	resp.pool = p
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAskBytes))
+	resp.Finish(err == nil && n < maxAskBytes)
+	return nil
+}
+
 // dial opens a connection. If it is refused, the limit learned from the server is removed.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.Dial(ctx, address)
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -245,6 +245,7 @@
 	mux.HandleFunc("GET /-/report", e.report)
 	mux.HandleFunc("POST /-/order", e.order)
 	mux.HandleFunc("GET /-/kv-events", e.kvEvents)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", e.serve)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
