Test waits for a prefill that another host sent

Cause: the tests of awaited prefills had one host, which knows of each prefill at once. Change: three hosts that report what they send after 20 ms, and a burst spread over them.

--- a/internal/schedule/awaited_test.go
+++ b/internal/schedule/awaited_test.go
@@ -22,7 +22,11 @@
 	t     *testing.T
 	s     *Scheduler
 	table *replica.Table
-	now   time.Time
+	// others are the schedulers of further hosts, which hear of each other's requests after reportDelay,
+	// and tables their tables.
+	others []*Scheduler
+	tables []*replica.Table
+	now    time.Time
 	// holds states when each engine has the shared blocks of a prompt.
 	holds     map[string]time.Time
 	prefilled int
@@ -68,14 +72,39 @@
 	return req
 }
 
+// reportDelay is the time until other hosts know of a request.
+const reportDelay = 20 * time.Millisecond
+
+// addHost adds another host.
+func (f *awaitFleet) addHost() {
+	s, _, table := newScheduler(engineIDs(8)...)
+	s.AwaitPrefill = f.s.AwaitPrefill
+	f.others, f.tables = append(f.others, s), append(f.tables, table)
+}
+
+// report tells the other hosts what a host has sent.
+func (f *awaitFleet) report(from *Scheduler) {
+	sent := from.TakeSent()
+	f.after(reportDelay, func() {
+		for _, s := range append([]*Scheduler{f.s}, f.others...) {
+			if s != from {
+				s.ApplySent(sent, service.Engine.CacheTokens, f.now)
+			}
+		}
+	})
+}
+
 // arrive schedules a request as package dispatch does, with its limits on holds.
-func (f *awaitFleet) arrive(block string) *awaitRequest {
-	r := &awaitRequest{block: block, arrived: f.now}
+func (f *awaitFleet) arrive(block string) *awaitRequest { return f.arriveAt(f.s, block) }
+
+func (f *awaitFleet) arriveAt(s *Scheduler, block string) *awaitRequest {
+	r := &awaitRequest{s: s, block: block, arrived: f.now}
 	f.schedule(r)
 	return r
 }
 
 type awaitRequest struct {
+	s       *Scheduler
 	block   string
 	arrived time.Time
 	holds   int
@@ -90,7 +119,7 @@
 		req.MaxHold = 560 * time.Millisecond
 	}
 	req.TimeLeft = r.arrived.Add(req.LatencyTarget).Sub(f.now)
-	c := pick(f.t, f.s, req, f.now)
+	c := pick(f.t, r.s, req, f.now)
 	if r.first == nil {
 		r.first = c
 	}
@@ -100,6 +129,7 @@
 		return
 	}
 	r.sent, r.sentAt = c, f.now
+	f.report(r.s)
 	f.send(r, c)
 }
 
@@ -127,7 +157,7 @@
 		f.holds[key(c.ID)] = f.now.Add(took)
 	}
 	f.after(took, func() {
-		f.s.PrefillDone(c, f.now)
+		r.s.PrefillDone(c, f.now)
 		c.Flight.AnswerStarted(f.now)
 		c.Flight.End(replica.Answered, f.now)
 	})
@@ -136,7 +166,9 @@
 // occupy puts other requests on an engine.
 func (f *awaitFleet) occupy(id string, d time.Duration) {
 	w := replica.Work{Prefill: int(d.Milliseconds()) * 50, Memory: 20_000, Expected: d, PrefillTime: d}
-	f.table.Begin(id, w, f.now)
+	for _, table := range append([]*replica.Table{f.table}, f.tables...) {
+		table.Begin(id, w, f.now)
+	}
 }
 
 // burst sends a request and, while its engine prefills it and has got other work, thirty more.
@@ -145,7 +177,10 @@
 	first := f.arrive("p")
 	f.occupy(first.sent.ID, 1500*time.Millisecond)
 	for i := range 30 {
-		f.after(time.Duration(5+7*i)*time.Millisecond, func() { out = append(out, f.arrive("p")) })
+		f.after(time.Duration(25+7*i)*time.Millisecond, func() {
+			s := append([]*Scheduler{f.s}, f.others...)[i%(1+len(f.others))]
+			out = append(out, f.arriveAt(s, "p"))
+		})
 	}
 	f.play()
 	return out
@@ -168,6 +203,24 @@
 	}
 }
 
+// TestHostsWaitForPrefillsOfOtherHosts guards against shared blocks that each host has prefilled again, since they are
+// being prefilled for a request of another host.
+func TestHostsWaitForPrefillsOfOtherHosts(t *testing.T) {
+	prefilled := func(await bool) int {
+		f := newAwaitFleet(t, await)
+		f.addHost()
+		f.addHost()
+		f.early = !await
+		f.burst()
+		return f.prefilled
+	}
+	off, on := prefilled(false), prefilled(true)
+	t.Logf("three hosts: %d shared tokens prefilled without waiting, %d with it", off, on)
+	if on > off/2 {
+		t.Errorf("three hosts: %d shared tokens prefilled without waiting, %d with it", off, on)
+	}
+}
+
 // TestFetchWaitsForALatePrefill guards against a fetch of blocks that were expected to be ready but
 // are not: it would read nothing, and they would be prefilled again.
 func TestFetchWaitsForALatePrefill(t *testing.T) {
