Hosts that are cut off spare the permits of servers with a request limit

Cause: a host that is cut off asked such a server up to eight times a second, each time with a permit that other hosts' requests need. Change: it asks each of these servers once in 3 s. Result: two health checks in 6 s instead of one each 250 ms (test).

--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -315,7 +315,7 @@
 			continue
 		}
 		ask := c.lost() || c.silence.Active() && asks < silence.Asks && c.silence.MayAsk(id, now)
-		if !ask && c.doubtedAt.IsZero() {
+		if !ask && c.doubtedAt.IsZero() || ask && !t.takeAsk(t.entries[id], now) {
 			continue
 		}
 		if ask {
@@ -326,6 +326,16 @@
 	return out
 }
 
+// takeAsk reports whether a server may be sent a health check now. One that limits its requests is not sent
+// another within silence.AskTimeout: a host that is cut off would use up permits that others need.
+func (t *Table) takeAsk(e *entry, now time.Time) bool {
+	if e.limit.limited && now.Sub(e.contactAskedAt) < silence.AskTimeout {
+		return false
+	}
+	e.contactAskedAt = now
+	return true
+}
+
 // RecordContactAsked records that a probe sends a health check to a server now.
 func (t *Table) RecordContactAsked(id string, now time.Time) {
 	t.mu.Lock()
--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/briarlink/briarlink/internal/quarantine"
+	"github.com/briarlink/briarlink/platform"
 
 	_ "github.com/briarlink/briarlink/test/fixedseed"
 )
@@ -337,3 +338,25 @@
 		t.Error("contact not regained by an answer")
 	}
 }
+
+// TestProbesSpareLimitedServers guards against a host that is cut off and spends the permits for servers that limit
+// their requests on health checks.
+func TestProbesSpareLimitedServers(t *testing.T) {
+	const servers = 2
+	table, now := manyServers(servers), time.Now()
+	f := table.Begin("i-00000", Work{}, now)
+	f.RecordNotice(platform.ReplicaAnswer{Sealed: true, LimitsRequests: true, RequestLimit: 2}, now)
+	f.End(Answered, now)
+	for i := range servers {
+		table.Reached(fmt.Sprintf("i-%05d", i), false, now.Add(time.Millisecond))
+	}
+	asked := map[string]int{}
+	for at := 200 * time.Millisecond; at < 6200*time.Millisecond; at += 100 * time.Millisecond {
+		for _, p := range table.TakeContactProbes(now.Add(at)) {
+			asked[p.ID]++
+		}
+	}
+	if asked["i-00000"] != 2 || asked["i-00001"] < 18 {
+		t.Errorf("health checks in 6 s: %v, want two of the server with a limit", asked)
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -126,6 +126,8 @@
 	state   string
 	reason  string
 	weights map[string]int64
+	// contactAskedAt is when a health check of the server was last due to learn whether this host has contact.
+	contactAskedAt time.Time
 	// loadingUntil is when a reported command to load weights is assumed to have failed.
 	loadingUntil time.Time
 	// unverifiedUntil is the time until which the server is asked which weights it holds,
