Hosts check services that another host is cut off from

Cause: where nothing answers a host and no other host has sent a request to the service of late, none is known to reach it: the host's requests went on to hang. Change: after 3 s of silence contact is lost also if another host may be idle. Hosts that callers are sent to check a service that another host reports itself cut off from, if they have not reached it for 3 s.

--- a/internal/node/contacts.go
+++ b/internal/node/contacts.go
@@ -74,10 +74,36 @@
 		}()
 	}
 	for service, since := range n.replicas.SilentServices(now) {
-		if n.reach.ReachedSince(service, since, now) {
+		if n.reach.ReachedSince(service, since, now) || now.Sub(since) >= idleHostsSilence && n.reach.MayReach(service, now) {
 			n.replicas.LoseContact(service, now)
 		}
 	}
+	n.checkIdleContacts(now)
+}
+
+const (
+	// idleHostsSilence is how long a service must be silent for this host to count as cut off from it if no
+	// other host is known to have reached it meanwhile, but one may be idle.
+	idleHostsSilence = 3 * time.Second
+	// maxContactAge is the age of this host's contact with a service from which it is checked while
+	// another host is cut off from it. It is below reach.MaxAge.
+	maxContactAge = 3 * time.Second
+)
+
+// checkIdleContacts has the contact with services checked that another host is cut off from, if this host
+// may be asked to run that host's requests and has not reached them of late.
+func (n *Node) checkIdleContacts(now time.Time) {
+	for _, c := range n.replicas.Contacts() {
+		if !c.Lost && now.Sub(c.ReachedAt) >= maxContactAge && n.reach.LostAnywhere(c.Service, now) && n.servesCallers(now) {
+			n.replicas.CheckContact(c.Service, now)
+		}
+	}
+}
+
+// servesCallers reports whether callers are sent to this host, or may be.
+func (n *Node) servesCallers(now time.Time) bool {
+	v := n.members.View(now)
+	return v.SelfRouting || slices.ContainsFunc(v.Serving, func(b *pb.Heartbeat) bool { return b.Host == n.settings.Host.Id })
 }
 
 // askContact sends a health check to a server. An answer of any kind proves contact. A server that limits
--- a/internal/node/servercut_test.go
+++ b/internal/node/servercut_test.go
@@ -190,3 +190,34 @@
 		}
 	}
 }
+
+// TestCallersAreServedWhereOtherHostsAreIdle guards against a host that is cut off and passes nothing on, as no other
+// host has sent a request to the service of late and knows that it reaches it.
+func TestCallersAreServedWhereOtherHostsAreIdle(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	a := s.host("a", s.address)
+	awaitDirectories(t, []*host{a, s.host("b", s.address, a)})
+	count := &tally{}
+	var counting sync.Map
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	keepSending(ctx, &wg, a, func() *tally {
+		if _, on := counting.Load("on"); on {
+			return count
+		}
+		return nil
+	}, func(string, int) {})
+	time.Sleep(500 * time.Millisecond)
+	a.link.cut(cutSwallows)
+	// Contact is lost after 4 s, and callers wait up to 2 s for the requests that they sent before.
+	time.Sleep(6 * time.Second)
+	counting.Store("on", true)
+	time.Sleep(time.Second)
+	stop()
+	wg.Wait()
+	t.Logf("%d of %d served; failed: %v", count.served, count.sent, count.failed)
+	if count.served < count.sent*2/3 || count.served == 0 {
+		t.Errorf("%d of %d served while another host reaches the servers", count.served, count.sent)
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -89,11 +89,27 @@
 
 // ReachedSince reports whether some host has reached a service since the given time.
 func (t *Table) ReachedSince(service string, since, now time.Time) bool {
+	return t.any(service, func(r report) bool { return r.reaches(now) && r.reachedAt.After(since) })
+}
+
+// MayReach reports whether some host does not report that it is cut off from a service. It may be idle and
+// not know.
+func (t *Table) MayReach(service string, now time.Time) bool {
+	return t.any(service, func(r report) bool { return !r.lost && now.Sub(r.receivedAt) < reportTTL })
+}
+
+// LostAnywhere reports whether some host reports that it is cut off from a service.
+func (t *Table) LostAnywhere(service string, now time.Time) bool {
+	return t.any(service, func(r report) bool { return r.cutOff(now) })
+}
+
+// any reports whether a host's report about a service matches.
+func (t *Table) any(service string, matches func(r report) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hash := ServiceHash(service)
 	for _, services := range t.hosts {
-		if r := services[hash]; r.reaches(now) && r.reachedAt.After(since) {
+		if r, reported := services[hash]; reported && matches(r) {
 			return true
 		}
 	}
--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -395,6 +395,15 @@
 	return out
 }
 
+// CheckContact has servers of a service asked for a health check if this host is not known to reach any now.
+func (t *Table) CheckContact(service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.contactOf(service); !c.lost() {
+		c.silence.Begin(now)
+	}
+}
+
 // LoseContact counts this host as cut off from a service that is silent while other hosts get answers. An
 // answer to anything that was sent since the silence began ends that: the servers may be slow.
 func (t *Table) LoseContact(service string, now time.Time) {
