--- a/internal/node/contacts.go
+++ b/internal/node/contacts.go
@@ -9,9 +9,13 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/internal/reach"
 	"github.com/briarlink/briarlink/internal/replica"
+	"github.com/briarlink/briarlink/internal/silence"
+	"github.com/briarlink/briarlink/internal/upstream"
+	"github.com/briarlink/briarlink/platform"
 )
 
 // neverReachedAge is the reported age of the contact with a service that this host never reached.
@@ -57,17 +61,78 @@
 
 // probeContacts checks whether this host reaches the services that it seems to be cut off from.
 func (n *Node) probeContacts(ctx context.Context) {
-	connect, check := n.replicas.TakeContactProbes(clock.Now())
-	for id, address := range check {
-		n.replicas.RecordContactCheck(id, n.pool.HasOpen(address), clock.Now())
-	}
-	for id, address := range connect {
+	now := clock.Now()
+	for _, p := range n.replicas.TakeContactProbes(now) {
+		if p.Ask {
+			go n.askContact(ctx, p)
+			continue
+		}
 		go func() {
 			began := clock.Now()
-			err := n.pool.Probe(ctx, address)
-			n.replicas.RecordContactProbe(id, err == nil, began, clock.Now())
+			err := n.pool.Probe(ctx, p.Address)
+			n.replicas.RecordContactProbe(p.ID, err == nil, began, clock.Now())
 		}()
 	}
+	for service, since := range n.replicas.SilentServices(now) {
+		if n.reach.ReachedSince(service, since, now) || now.Sub(since) >= idleHostsSilence && n.reach.MayReach(service, now) {
+			n.replicas.LoseContact(service, now)
+		}
+	}
+	n.checkIdleContacts(now)
+}
+
+const (
+	// idleHostsSilence is how long a service must be silent for this host to count as cut off from it if no
+	// other host is known to have reached it meanwhile, but one may be idle.
+	idleHostsSilence = 3 * time.Second
+	// maxContactAge is the age of this host's contact with a service from which it is checked while
+	// another host is cut off from it. It is below reach.MaxAge.
+	maxContactAge = 3 * time.Second
+)
+
+// checkIdleContacts has the contact with services checked that another host is cut off from, if this host
+// may be asked to run that host's requests and has not reached them of late.
+func (n *Node) checkIdleContacts(now time.Time) {
+	for _, c := range n.replicas.Contacts() {
+		if !c.Lost && now.Sub(c.ReachedAt) >= maxContactAge && n.reach.LostAnywhere(c.Service, now) && n.servesCallers(now) {
+			n.replicas.CheckContact(c.Service, now)
+		}
+	}
+}
+
+// servesCallers reports whether callers are sent to this host, or may be.
+func (n *Node) servesCallers(now time.Time) bool {
+	v := n.members.View(now)
+	return v.SelfRouting || slices.ContainsFunc(v.Serving, func(b *pb.Heartbeat) bool { return b.Host == n.settings.Host.Id })
+}
+
+// askContact sends a health check to a server. An answer of any kind proves contact. A server that limits
+// its requests is asked with a permit.
+func (n *Node) askContact(ctx context.Context, p replica.ContactProbe) {
+	ctx, cancel := context.WithTimeout(ctx, silence.AskTimeout)
+	defer cancel()
+	if n.beforeEngineCall(ctx, p.Address, platform.CallReport) != nil {
+		return
+	}
+	service := n.service(p.Service)
+	method, target, header := platform.HealthCheck(service.Engine != nil, service.HealthPath, p.ID)
+	began := clock.Now()
+	n.replicas.RecordContactAsked(p.ID, began)
+	err := n.pool.Ask(ctx, p.Address, &upstream.Request{Method: method, Target: target, Host: p.Address, Header: header})
+	switch {
+	case err == nil:
+		n.replicas.RecordContactAnswer(p.ID, began, clock.Now())
+	case ctx.Err() == nil:
+		n.replicas.RecordContactProbe(p.ID, false, began, clock.Now())
+	}
+}
+
+// service returns the configuration of a service, an empty one if there is none.
+func (n *Node) service(name string) *config.Service {
+	if c := n.config.Load(); c != nil && c.Services[name] != nil {
+		return c.Services[name]
+	}
+	return &config.Service{Name: name}
 }
 
 // updateDetached announces to the other hosts whether this host is cut off from a service that others
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -147,7 +147,7 @@
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	n := New(set, nil, log, lines)
 	link := newServerLink()
-	n.pool.Dial = link.dial
+	n.pool.Dial, n.engines.Dial = link.dial, link.dial
 	for _, p := range peers {
 		n.members.AddPeer(p.settings.Listen.Peer, time.Now())
 	}
--- a/internal/node/servercut_test.go
+++ b/internal/node/servercut_test.go
@@ -137,7 +137,7 @@
 // they reach no server, although other hosts reach them: five of nine did so for as long as the cut
 // lasted, and directories went on naming them.
 func TestCallersOfHostsCutOffFromServersAreServed(t *testing.T) {
-	for _, mode := range []cutMode{cutHangs, cutResets, cutRefusesNew, cutResetsAccepted} {
+	for _, mode := range []cutMode{cutHangs, cutResets, cutRefusesNew, cutResetsAccepted, cutSwallows} {
 		for _, cutHosts := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%s, %d of 3", mode, cutHosts), func(t *testing.T) {
 				t.Parallel()
@@ -173,6 +173,9 @@
 				stop()
 				wg.Wait()
 				t.Logf("cut hosts served %d of %d, the others %d of %d; failed: %v, %v", cut.served, cut.sent, others.served, others.sent, cut.failed, others.failed)
+				if cut.sent == 0 {
+					t.Error("no request that began at a cut host within 2 s ended in that time")
+				}
 				if brokenRecover(cut, others) {
 					t.Errorf("cut hosts served %d of %d first tries, the others %d of %d", cut.served, cut.sent, others.served, others.sent)
 				}
@@ -187,3 +190,34 @@
 		}
 	}
 }
+
+// TestCallersAreServedWhereOtherHostsAreIdle guards against a host that is cut off and passes nothing on, as no other
+// host has sent a request to the service of late and knows that it reaches it.
+func TestCallersAreServedWhereOtherHostsAreIdle(t *testing.T) {
+	s := newSite(t)
+	s.configure(1)
+	a := s.host("a", s.address)
+	awaitDirectories(t, []*host{a, s.host("b", s.address, a)})
+	count := &tally{}
+	var counting sync.Map
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	keepSending(ctx, &wg, a, func() *tally {
+		if _, on := counting.Load("on"); on {
+			return count
+		}
+		return nil
+	}, func(string, int) {})
+	time.Sleep(500 * time.Millisecond)
+	a.link.cut(cutSwallows)
+	// Contact is lost after 4 s, and callers wait up to 2 s for the requests that they sent before.
+	time.Sleep(6 * time.Second)
+	counting.Store("on", true)
+	time.Sleep(time.Second)
+	stop()
+	wg.Wait()
+	t.Logf("%d of %d served; failed: %v", count.served, count.sent, count.failed)
+	if count.served < count.sent*2/3 || count.served == 0 {
+		t.Errorf("%d of %d served while another host reaches the servers", count.served, count.sent)
+	}
+}
