--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -347,8 +347,8 @@
 	}
 }
 
-// TestRelievedFleetReturnsToUsualAnswers guards against callers that stay at small hosts after the load has gone.
-func TestRelievedFleetReturnsToUsualAnswers(t *testing.T) {
+// TestAnswersAreUsualAgainAfterLoad guards against callers that stay at small hosts after the load has gone.
+func TestAnswersAreUsualAgainAfterLoad(t *testing.T) {
 	s := newFleetSim(firstCustomer(), evenly(2.5, "a", "b", "c"))
 	s.run(15 * time.Second)
 	if a := choose("a", s.view(), target, s.rng); a.Further == 0 {
--- a/internal/directory/further.go
+++ b/internal/directory/further.go
@@ -6,18 +6,18 @@
 	// minStandbyUtilisation is the utilisation above which a standby host counts as used by callers. Its
 	// own tasks, such as applying configurations, need up to a tenth of a small host.
 	minStandbyUtilisation = 100
-	// minUsualShare is the part of the target below which the usual hosts are never relieved. Hosts that
+	// minUsualShare is the part of the target below which the usual hosts never get help from others. Hosts that
 	// share callers are used alike, so standby hosts that are used more than twice as much as these are
 	// busy with something else.
 	minUsualShare = 0.5
-	// lendingFactor is how many cores of other zones are named for each core that a zone lacks: the work
+	// otherZoneFactor is how many cores of other zones are named for each core that a zone lacks: the work
 	// that goes there no longer shows in the zone's own utilisation. spareFactor is how many times its
-	// spare cores a host is named with: the spare cores already exclude what it was lent for. In a
+	// spare cores a host is named with: the spare cores already exclude what other zones use of it. In a
 	// simulated fleet, a zone that needs 2.4 of its 1.6 cores is used at 1.0 with a spareFactor of 1,
 	// and at 0.86 to 0.90 with 3. Higher factors bring it nearer to the target, but react more to the
 	// noise of reports.
-	lendingFactor = 2
-	spareFactor   = 3
+	otherZoneFactor = 2
+	spareFactor     = 3
 	// saturated is the utilisation from which a host may be asked for any amount of work more than it
 	// does. Its callers are assumed to need saturatedDemand times its cores. In a simulated fleet whose
 	// large hosts are asked for 1.25 and 1.9 times their cores, saturation ends after 3.5 and 6.5 s,
@@ -66,7 +66,7 @@
 		out = append(out, named{h, h.Cores})
 		excess -= h.Cores
 	}
-	return append(out, lend(others, excess, target)...)
+	return append(out, spareHosts(others, excess, target)...)
 }
 
 // missingCores returns how many more cores the hosts need to be used at the target; it is negative if
@@ -116,9 +116,9 @@
 	return inZone, others
 }
 
-// lend returns the hosts of other zones that are below the target, each by its spare cores. All of them
+// spareHosts returns the hosts of other zones that are below the target, each by its spare cores. All of them
 // are named, so that the load of each changes little with what one zone lacks.
-func lend(others []Host, excess, target float64) []named {
+func spareHosts(others []Host, excess, target float64) []named {
 	if excess <= minExcess {
 		return nil
 	}
@@ -130,7 +130,7 @@
 			spare += s
 		}
 	}
-	part := min(1, lendingFactor*excess/spare)
+	part := min(1, otherZoneFactor*excess/spare)
 	for i := range out {
 		out[i].cores *= part
 	}
--- a/internal/directory/further_test.go
+++ b/internal/directory/further_test.go
@@ -59,9 +59,9 @@
 	return out
 }
 
-// TestSaturatedHostsAreRelieved guards against directories that send all callers to two saturated hosts
+// TestSaturatedHostsGetHelp guards against directories that send all callers to two saturated hosts
 // while standby hosts of the zone are idle.
-func TestSaturatedHostsAreRelieved(t *testing.T) {
+func TestSaturatedHostsGetHelp(t *testing.T) {
 	// 1.44 cores in use need 2.4 at the target: five hosts of 0.192 cores more. A saturated host counts as
 	// one and a half: 1.6 cores in use need 4, so 13 hosts more.
 	for utilisation, want := range map[int32]int{900: 5, 1000: 13} {
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -14,7 +14,7 @@
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
-// limitMemory sets a budget, which it relieves until the test ends.
+// limitMemory sets a budget, whose memory it reclaims until the test ends.
 func (f *fixture) limitMemory(t *testing.T, limit int64) *membudget.Budget {
 	t.Helper()
 	b := membudget.New(limit)
@@ -29,7 +29,7 @@
 			case <-stop:
 				return
 			case now := <-ticker.C:
-				b.Relieve(now)
+				b.Reclaim(now)
 			}
 		}
 	}()
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -32,12 +32,12 @@
 	if changed := describeConfigChange(r, lines); changed != "" {
 		text += "; " + changed
 	}
-	return text + describeRelief(lines)
+	return text + describeHostLoad(lines)
 }
 
-// describeRelief says that hosts were short of CPU time around the time of the request, so that
+// describeHostLoad says that hosts were short of CPU time around the time of the request, so that
 // directories named others.
-func describeRelief(lines []logline.Line) string {
+func describeHostLoad(lines []logline.Line) string {
 	for i := range lines {
 		if l := &lines[i]; l.Message == directoryByLoad && l.Number("further") > 0 {
 			return fmt.Sprintf("; the hosts of zone %s were short of CPU time: from %s on, directories named %.0f others",
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -26,7 +26,7 @@
 	// headroom is how far beyond the measured capacity requests are admitted. Without it, the measured
 	// capacity could never grow: it falls until servers reject no more than what is admitted beyond it.
 	// With 1.1, servers that reject what they cannot begin at once were used to 0.83 in a simulation,
-	// with 1.25 to 0.88, and 0.98 of the requests of others than the storming organisation were served.
+	// with 1.25 to 0.88, and 0.98 of the requests of others than the one with the excess were served.
 	headroom = 1.25
 	// growthDelay is the time after the last sign of a shortage from which more than headroom is
 	// admitted, and maxGrowth what is added to it when the shortage is about to be over. With headroom
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -66,7 +66,7 @@
 	total int64
 	holds map[*Hold]bool
 	// waiters wait for room in order of arrival; lacking is the largest shortage of what was refused
-	// since the last Relieve.
+	// since the last Reclaim.
 	waiters []*waiter
 	lacking int64
 	counts  Counts
@@ -208,9 +208,9 @@
 	return excess
 }
 
-// Relieve ends the slowest callers if the budget is under pressure. It must be called a few times
+// Reclaim ends the slowest callers if the budget is under pressure. It must be called a few times
 // a second.
-func (b *Budget) Relieve(now time.Time) {
+func (b *Budget) Reclaim(now time.Time) {
 	if b == nil {
 		return
 	}
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -108,12 +108,12 @@
 	withheld.Reserve(Body, limit/4)
 	withheld.Start(Body, now)
 	withheld.Moved(limit/4 - 1)
-	relieve := func(duration time.Duration) {
+	reclaim := func(duration time.Duration) {
 		for end := now.Add(duration); now.Before(end); now = now.Add(250 * time.Millisecond) {
-			b.Relieve(now)
+			b.Reclaim(now)
 		}
 	}
-	relieve(time.Minute)
+	reclaim(time.Minute)
 	if len(slow.kinds) > 0 {
 		t.Fatal("a slow caller was ended on an idle host")
 	}
@@ -124,7 +124,7 @@
 			t.Error("more than the budget was granted")
 		}
 		active.Moved(64 << 10)
-		relieve(250 * time.Millisecond)
+		reclaim(250 * time.Millisecond)
 	}
 	if len(slow.kinds) != 1 || !withheld.Ended() || len(sound.kinds) > 0 {
 		t.Errorf("ended %v and the sound %v", slow.kinds, sound.kinds)
@@ -232,7 +232,7 @@
 // TestBudgetOff guards against limits where the budget is off.
 func TestBudgetOff(t *testing.T) {
 	b := New(0)
-	b.Relieve(time.Unix(0, 0))
+	b.Reclaim(time.Unix(0, 0))
 	h := b.Open(func(Kind) { t.Error("ended") })
 	h.Start(Body, time.Unix(0, 0))
 	h.Moved(1)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -52,7 +52,7 @@
 	plan := n.directoryPlan(zone, now)
 	names := plan.Addresses(newRandom())
 	n.metrics.DirectoryHosts.Update(float64(len(names)))
-	n.relief.record(n.log, zone, plan, now)
+	n.directoryLog.record(n.log, zone, plan, now)
 	return names
 }
 
@@ -103,19 +103,19 @@
 	return out
 }
 
-// maxReliefZones limits the number of zones that a reliefLog tracks, as callers state the zone.
-const maxReliefZones = 64
+// maxLoggedZones limits the number of zones that a directoryLog tracks, as callers state the zone.
+const maxLoggedZones = 64
 
-// reliefLog logs when directory answers of this host start and stop naming further hosts because of
+// directoryLog logs when directory answers of this host start and stop naming further hosts because of
 // load. Its zero value is ready to use; it is safe for concurrent use.
-type reliefLog struct {
+type directoryLog struct {
 	mu sync.Mutex
 	// further holds the zones for which further hosts are named.
 	further map[string]bool
 	limiter obs.Limiter
 }
 
-func (r *reliefLog) record(log *logrus.Logger, zone string, p *directory.Plan, now time.Time) {
+func (r *directoryLog) record(log *logrus.Logger, zone string, p *directory.Plan, now time.Time) {
 	if !r.changes(zone, p.Further > 0) {
 		return
 	}
@@ -127,10 +127,10 @@
 }
 
 // changes reports whether further hosts are named for a zone from now on, or no longer.
-func (r *reliefLog) changes(zone string, further bool) bool {
+func (r *directoryLog) changes(zone string, further bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.further[zone] == further || further && len(r.further) >= maxReliefZones {
+	if r.further[zone] == further || further && len(r.further) >= maxLoggedZones {
 		return false
 	}
 	if r.further == nil {
@@ -149,9 +149,9 @@
 func (n *Node) sendToStandby(b *pb.Heartbeat, to []string, now time.Time) {
 	var working, rest []string
 	if n.directoryByLoad() && b.Routing {
-		atWork := n.members.PeerAddresses(n.replicas.HostsWithRequests())
+		withRequests := n.members.PeerAddresses(n.replicas.HostsWithRequests())
 		for _, address := range to {
-			if slices.Contains(atWork, address) {
+			if slices.Contains(withRequests, address) {
 				working = append(working, address)
 			}
 		}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -154,7 +154,7 @@
 		n.crashes.Expire(now)
 		n.replicas.ConfirmAnswers(now)
 		n.markReady()
-		n.relieveMemory(now)
+		n.reclaimMemory(now)
 		n.updateGauges(now)
 		n.logShortages(now)
 	})
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -154,12 +154,12 @@
 	return c.TCPConn.SetWriteDeadline(t)
 }
 
-// relieveMemory ends slow callers under memory pressure, and reports what is held, refused and ended.
-func (n *Node) relieveMemory(now time.Time) {
+// reclaimMemory ends slow callers under memory pressure, and reports what is held, refused and ended.
+func (n *Node) reclaimMemory(now time.Time) {
 	if n.memory == nil {
 		return
 	}
-	n.memory.Relieve(now)
+	n.memory.Reclaim(now)
 	held, counts := n.memory.Held(), n.memory.Counts()
 	fields := logrus.Fields{"budget": n.memory.Limit()}
 	changed := false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,10 +141,10 @@
 	loader       *rollout.Loader
 	metrics      *obs.Metrics
 	entry        *entry.Server
-	// load measures this host's utilisation, and relief logs which zones' directories name further
+	// load measures this host's utilisation, and directoryLog logs which zones' directories name further
 	// hosts because of it.
-	load   *hostload.Meter
-	relief reliefLog
+	load         *hostload.Meter
+	directoryLog directoryLog
 	// workedAt is when this host last had requests in flight. Only the heartbeat loop uses it.
 	workedAt time.Time
 	// directoryPlans caches the plans of directories for the last view.
