--- a/test/soak/overload.go
+++ b/test/soak/overload.go
@@ -148,7 +148,7 @@
 	case p.kind == "":
 		return 0, ""
 	case p.holdsMemory():
-		return hostMemoryMB, on + `, "memory_share": 0.25`
+		return hostMemoryMB, on + `, "memory_share": 0.4`
 	}
 	return 0, on
 }
