Comments of the new constants: reasons without the trials' figures

Cause: how a value was chosen belongs in commits and DESIGN.md, which have it. Change: comments only. Result: tests of fairshare, quota, dispatch, platform and settings pass.

--- a/internal/directory/further.go
+++ b/internal/directory/further.go
@@ -12,16 +12,13 @@
 	minUsualShare = 0.5
 	// otherZoneFactor is how many cores of other zones are named for each core that a zone lacks: the work
 	// that goes there no longer shows in the zone's own utilisation. spareFactor is how many times its
-	// spare cores a host is named with: the spare cores already exclude what other zones use of it. In a
-	// simulated fleet, a zone that needs 2.4 of its 1.6 cores is used at 1.0 with a spareFactor of 1,
-	// and at 0.86 to 0.90 with 3. Higher factors bring it nearer to the target, but react more to the
-	// noise of reports.
+	// spare cores a host is named with: the spare cores already exclude what other zones use of it. Higher
+	// factors bring a zone nearer to the target, but react more to the noise of reports.
 	otherZoneFactor = 2
 	spareFactor     = 3
 	// saturated is the utilisation from which a host may be asked for any amount of work more than it
-	// does. Its callers are assumed to need saturatedDemand times its cores. In a simulated fleet whose
-	// large hosts are asked for 1.25 and 1.9 times their cores, saturation ends after 3.5 and 6.5 s,
-	// without it after 4.5 and 9.5 s.
+	// does. Its callers are assumed to need saturatedDemand times its cores. Without that,
+	// further hosts are named more slowly the more is asked.
 	saturated       = 950
 	saturatedDemand = 1.5
 	// minExcess is the number of cores that counts as none, because of rounding.
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -23,8 +23,7 @@
 
 // shares returns the table that divides the capacity of the request's service, or nil. Model engines are
 // left out: they answer short requests within their target long after they are short of capacity for
-// prompts of many thousand tokens, which shares by cost refuse alike. In measurements fewer requests of
-// both kinds were served in time with shares than without.
+// prompts of many thousand tokens, which shares by cost refuse alike.
 func (r *run) shares() *fairshare.Table {
 	if r.req.Service.Engine != nil {
 		return nil
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -25,13 +25,11 @@
 const (
 	// headroom is how far beyond the measured capacity requests are admitted. Without it, the measured
 	// capacity could never grow: it falls until servers reject no more than what is admitted beyond it.
-	// With 1.1, servers that reject what they cannot begin at once were used to 0.83 in a simulation,
-	// with 1.25 to 0.88, and 0.98 of the requests of others than the one with the excess were served.
+	// Servers without queues reject requests long before they are busy.
 	headroom = 1.25
 	// growthDelay is the time after the last sign of a shortage from which more than headroom is
 	// admitted, and maxGrowth what is added to it when the shortage is about to be over. With headroom
-	// alone, servers of long requests stood idle for most of a second after each time that they
-	// rejected some: they were used to 0.86 in a simulation, and to 0.95 with this.
+	// alone, servers of long requests stand idle for a while after each time that they rejected some.
 	growthDelay = 100 * time.Millisecond
 	maxGrowth   = 1.0
 )
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -14,8 +14,8 @@
 	maxReported = 40
 	// maxFullest limits the buckets that are reported to a standby host. The fullest come first.
 	maxFullest = 12
-	// maxFullestByLoad is the same where callers may be sent to standby hosts at any time. With 12 of 30
-	// organisations, 40 such hosts admitted 1.32 times what a limit allows (simulated).
+	// maxFullestByLoad is the same where callers may be sent to standby hosts at any time: what they
+	// do not hear of they admit beyond the limits.
 	maxFullestByLoad = 64
 	// reportThreshold is how full a bucket must be, as a fraction, to be reported to standby hosts,
 	// and to routing hosts before the next heartbeat.
