--- a/internal/member/byload_test.go
+++ b/internal/member/byload_test.go
@@ -57,6 +57,44 @@
 	}
 }
 
+// TestLostStandbyHostsAreNotNamed guards against directories that send callers to standby hosts which have been
+// off for long, as these are declared dead late.
+func TestLostStandbyHostsAreNotNamed(t *testing.T) {
+	s := newFleetByLoad(t, 23)
+	s.run(15 * time.Second)
+	lost := map[string]bool{}
+	for i, h := range s.hosts {
+		if h.self.Cores < 0.5 && i%4 == 0 {
+			h.down = true
+			lost[h.self.Host] = true
+		}
+	}
+	s.run(4 * time.Second)
+	named, sound := 0, 0
+	for _, h := range s.hosts {
+		if h.down {
+			continue
+		}
+		for _, b := range h.table.View(s.now).Standby {
+			if lost[b.Host] {
+				t.Errorf("%s lists %s, which has been off for 4 s", h.self.Host, b.Host)
+			}
+			if b.AvailabilityZone == h.self.AvailabilityZone {
+				named++
+			}
+		}
+		for _, other := range s.hosts {
+			if !other.down && other.self.Cores < 0.5 && other.self.AvailabilityZone == h.self.AvailabilityZone {
+				sound++
+			}
+		}
+	}
+	t.Logf("%.2f of the standby hosts of their own zone are listed", float64(named)/float64(sound))
+	if named < sound*3/4 {
+		t.Error("less than three quarters")
+	}
+}
+
 // TestWorkingStandbyHostsKeepTheirRelays guards against standby hosts that lose sight of rate limits, configurations
 // and other hosts as soon as callers are sent to them: with requests in flight they sent heartbeats to all
 // routing hosts, but asked none for heartbeats.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -26,8 +26,8 @@
 	Routing     []*pb.Heartbeat
 	Serving     []*pb.Heartbeat
 	SelfRouting bool
-	// Standby are the other ready hosts that are not cut off, in a pseudo-random order that all hosts
-	// share; filled in with Table.ByLoad. Callers may be sent to them while the serving hosts have too
+	// Standby are the other ready hosts that are not cut off and were seen recently, in a pseudo-random order
+	// that all hosts share; filled in with Table.ByLoad. Callers may be sent to them while the serving hosts have too
 	// little CPU time.
 	Standby []*pb.Heartbeat
 	// Rank is this host's position in an order of all live hosts, routing hosts first. Hosts
@@ -87,7 +87,7 @@
 	v.assignRoles(live, chosen, t.self)
 	t.replaceDetached(v, live, cores)
 	if t.ByLoad {
-		v.collectStandby(live)
+		v.Standby = t.freshStandby(v, live, now)
 	}
 	if !v.SelfRouting {
 		v.Relays = t.selectRelays(v.Routing)
@@ -164,8 +164,13 @@
 	}
 }
 
-// collectStandby fills in Standby.
-func (v *View) collectStandby(live []*host) {
+// namedTimeoutFactor, times deadAfter, is how recently a standby host must have been seen for callers to be
+// sent to it. Standby hosts of one zone learn each other's states from their relays within about that time.
+const namedTimeoutFactor = 3.5
+
+// freshStandby returns the standby hosts that callers may be sent to. A standby host is declared dead late,
+// as nothing else depends on it, so only those that were seen recently count.
+func (t *Table) freshStandby(v *View, live []*host, now time.Time) []*pb.Heartbeat {
 	taken := make(map[string]bool, len(v.Routing)+len(v.Serving))
 	for _, b := range v.Routing {
 		taken[b.Host] = true
@@ -173,11 +178,15 @@
 	for _, b := range v.Serving {
 		taken[b.Host] = true
 	}
+	var out []*pb.Heartbeat
 	for _, h := range live {
-		if b := h.heartbeat; b.Ready && !b.Detached && !taken[b.Host] {
-			v.Standby = append(v.Standby, b)
+		b := h.heartbeat
+		fresh := b == t.self || now.Sub(h.lastSeen) < time.Duration(namedTimeoutFactor*float64(t.deadAfter))
+		if fresh && b.Ready && !b.Detached && !taken[b.Host] {
+			out = append(out, b)
 		}
 	}
+	return out
 }
 
 func coresOf(hosts []*pb.Heartbeat) float64 {
