--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -3,7 +3,7 @@
 // Each host decides alone, from its own requests and from what other hosts last reported of theirs.
 // The capacity is what servers answered to all hosts in a second, so neither it nor the shares depend
 // on the number of hosts: a host that knows only some of the others sees a smaller capacity, and the
-// same proportions. Costs are in prompt tokens for model engines and in requests for plain services.
+// same proportions. What a request costs is up to the caller of this package.
 package fairshare
 
 import (
