Fix a data race in the test fixture of internal/entry

Cause: requests run concurrently at the fixture's engine, and its callback stored the last headers in a plain field.

Change: the headers are stored atomically. No check is changed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,14 +44,14 @@
 	engine *engine.Engine
 	view   View
 	deps   Deps
-	// engineHeader holds the headers of the last request that the engine ran.
-	engineHeader http.Header
+	// lastHeader holds the headers of the last request that the engine ran. Requests run concurrently.
+	lastHeader atomic.Pointer[http.Header]
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{}
-	f.engine = engine.New(engine.Options{ID: "i-1", Service: "s", Slots: 4, Model: "m", Events: 6, OnRun: func(_ string, h http.Header) { f.engineHeader = h.Clone() }})
+	f.engine = engine.New(engine.Options{ID: "i-1", Service: "s", Slots: 4, Model: "m", Events: 6, OnRun: func(_ string, h http.Header) { h = h.Clone(); f.lastHeader.Store(&h) }})
 	backend := httptest.NewServer(f.engine.Handler())
 	t.Cleanup(backend.Close)
 	log := logrus.New()
@@ -100,6 +101,14 @@
 	return c.Build()
 }
 
+// engineHeader returns the headers of the last request that the engine ran.
+func (f *fixture) engineHeader() http.Header {
+	if h := f.lastHeader.Load(); h != nil {
+		return *h
+	}
+	return nil
+}
+
 // post sends a request and returns the answer. complete is false if the answer was cut off.
 func (f *fixture) post(t *testing.T, path, key, body string) (resp *http.Response, text string, complete bool) {
 	t.Helper()
@@ -126,8 +135,8 @@
 	if resp == nil || resp.StatusCode != http.StatusOK || !complete || strings.Count(text, "data:") != 6 || resp.Header.Get(wire.Attempt) != "r-1" {
 		t.Errorf("answer %v, %q, complete %t", resp, text, complete)
 	}
-	if f.engineHeader.Get(wire.Organisation) != "museum-a" || f.engineHeader.Get(wire.Key) != "" || f.engineHeader.Get(wire.Salt) != "m/w1" {
-		t.Errorf("the engine got organisation %q, key %q, salt %q", f.engineHeader.Get(wire.Organisation), f.engineHeader.Get(wire.Key), f.engineHeader.Get(wire.Salt))
+	if f.engineHeader().Get(wire.Organisation) != "museum-a" || f.engineHeader().Get(wire.Key) != "" || f.engineHeader().Get(wire.Salt) != "m/w1" {
+		t.Errorf("the engine got organisation %q, key %q, salt %q", f.engineHeader().Get(wire.Organisation), f.engineHeader().Get(wire.Key), f.engineHeader().Get(wire.Salt))
 	}
 }
 
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -43,10 +43,10 @@
 	if here.engine.Ran("r-1") != 0 || there.engine.Ran("r-1") != 1 {
 		t.Errorf("ran %d times here and %d there", here.engine.Ran("r-1"), there.engine.Ran("r-1"))
 	}
-	if got := there.engineHeader.Get(wire.Organisation); got != "museum-a" {
+	if got := there.engineHeader().Get(wire.Organisation); got != "museum-a" {
 		t.Errorf("organisation %q", got)
 	}
-	for name := range there.engineHeader {
+	for name := range there.engineHeader() {
 		if strings.Contains(name, "Forwarded") || name == wire.Key {
 			t.Errorf("the replica received the header %s", name)
 		}
