Keep heartbeats of the host that loads weights within its link

Cause: the holder of the lease requested a heartbeat to all routing hosts for each renewed mark of each loading replica, and each repeated all weights loaded within 3 s.

Change: a heartbeat is requested as a replica begins to drain and once it has loaded. Requested heartbeats hold only the weights that no heartbeat at an interval has reported, and take a quarter of the link at most.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -13,8 +13,27 @@
 	"github.com/briarlink/briarlink/internal/topic"
 )
 
-// minHeartbeatGap is the minimum pause before a requested heartbeat.
-const minHeartbeatGap = 5 * time.Millisecond
+const (
+	// minHeartbeatGap is the minimum pause before a requested heartbeat.
+	minHeartbeatGap = 5 * time.Millisecond
+	// requestedLinkShare is the share of a host's link for requested heartbeats. Without a limit, a host of
+	// 25 Mbit/s that many servers kept busy queued its heartbeats for seconds, and counted as lost.
+	requestedLinkShare = 0.25
+	// maxGapIntervals limits the pause, in heartbeat intervals: news then goes out at an interval.
+	maxGapIntervals = 0.5
+)
+
+// heartbeatGap returns the pause between a requested heartbeat of that many bytes to all receivers and the
+// next one.
+func heartbeatGap(sentBytes int, linkMbps float64, interval time.Duration) time.Duration {
+	if linkMbps <= 0 {
+		return minHeartbeatGap
+	}
+	const bitsPerByte, bitsPerMegabit = 8, 1e6
+	seconds := float64(sentBytes) * bitsPerByte / (linkMbps * bitsPerMegabit * requestedLinkShare)
+	longest := time.Duration(maxGapIntervals * float64(interval))
+	return max(minHeartbeatGap, min(longest, time.Duration(seconds*float64(time.Second))))
+}
 
 // requestHeartbeatToAll requests an immediate heartbeat to all peers that this host sends to.
 func (n *Node) requestHeartbeatToAll() {
@@ -35,6 +54,7 @@
 	ticker := time.NewTicker(n.settings.Member.HeartbeatInterval.AsDuration())
 	defer ticker.Stop()
 	n.addSeeds(n.settings.Member.Seeds)
+	gap := minHeartbeatGap
 	for tick := 0; ; {
 		now := clock.Now()
 		n.updateLimitShares(now)
@@ -47,18 +67,20 @@
 			case <-ticker.C:
 				untilTick = false
 			case <-n.heartbeatRequested:
-				time.Sleep(minHeartbeatGap)
-				n.sendRequestedHeartbeat()
+				time.Sleep(gap)
+				gap = heartbeatGap(n.sendRequestedHeartbeat(), n.settings.Host.LinkMbps, n.settings.Member.HeartbeatInterval.AsDuration())
 			}
 		}
 	}
 }
 
-// sendRequestedHeartbeat sends a heartbeat between two intervals.
-func (n *Node) sendRequestedHeartbeat() {
+// sendRequestedHeartbeat sends a heartbeat between two intervals, and returns the bytes sent.
+func (n *Node) sendRequestedHeartbeat() int {
 	now := clock.Now()
 	all := n.heartbeatToAll.Swap(false)
+	before := n.heartbeatBytes.Load()
 	n.sendHeartbeat(n.members.ImmediateAudience(all, now), false, now)
+	return int(n.heartbeatBytes.Load() - before)
 }
 
 // setState reports this host's state to the membership table after each change, so that the
@@ -191,13 +213,18 @@
 	if atInterval && n.canaries.HasUnreported() {
 		b.MoveAnswers = n.canaries.Answers()
 	}
-	n.loader.EachRecentLoad(now, func(id, model string, version int64) {
+	n.loader.EachRecentLoad(now, func(id, model string, version int64, age time.Duration) {
+		if !atInterval && age > n.settings.Member.HeartbeatInterval.AsDuration() {
+			// A heartbeat at an interval has reported it.
+			return
+		}
 		b.Weights = append(b.Weights, &pb.ReplicaWeights{Replica: id, Model: model, Version: version})
 	})
 }
 
 // countSent counts the bytes of a datagram by whether it stays in the availability zone.
 func (n *Node) countSent(to string, bytes int) {
+	n.heartbeatBytes.Add(int64(bytes))
 	n.metrics.Moved(obs.Heartbeats, n.members.ZoneOf(to) == n.settings.Host.AvailabilityZone, bytes)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,8 @@
 	// heartbeatToAll is set if the next requested heartbeat goes to every peer, not only to
 	// routing hosts.
 	heartbeatToAll atomic.Bool
+	// heartbeatBytes counts the bytes of all heartbeats sent.
+	heartbeatBytes atomic.Int64
 	// loadReports tracks what has been reported of this host's requests. Only the heartbeat loop
 	// uses it.
 	loadReports replica.LoadReporter
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -291,15 +291,16 @@
 	return out
 }
 
-// EachRecentLoad calls f for each replica that reported loaded weights within recentRetention.
-func (l *Loader) EachRecentLoad(now time.Time, f func(id, model string, version int64)) {
+// EachRecentLoad calls f for each replica that reported loaded weights within recentRetention, with the
+// time since then.
+func (l *Loader) EachRecentLoad(now time.Time, f func(id, model string, version int64, age time.Duration)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	recent := l.recentLoads[:0]
 	for _, r := range l.recentLoads {
 		if now.Sub(r.at) < recentRetention {
 			recent = append(recent, r)
-			f(r.id, r.model, r.version)
+			f(r.id, r.model, r.version, now.Sub(r.at))
 		}
 	}
 	l.recentLoads = recent
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,10 +189,13 @@
 }
 
 // runLoader runs a loader for the fleet until f returns.
-func runLoader(fleet *fakeFleet, f func()) {
+func runLoader(fleet *fakeFleet, f func()) { runLoaderWith(fleet, func(*Loader) {}, f) }
+
+func runLoaderWith(fleet *fakeFleet, prepare func(*Loader), f func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lease := NewLease(&logClient{log: newFakeLog()}, quietLog(), "a", 1, testTTL)
 	loader := NewLoader(lease, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
+	prepare(loader)
 	var wg sync.WaitGroup
 	wg.Go(func() { lease.Follow(ctx) })
 	wg.Go(func() { loader.Run(ctx) })
@@ -299,6 +303,28 @@
 	})
 }
 
+// TestLoadsDoNotFloodOtherHosts guards against a heartbeat to all hosts for each mark of each replica while it
+// drains and loads: with 17 loads at a time they filled the link of the host that gave the orders.
+func TestLoadsDoNotFloodOtherHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const replicas = 6
+		fleet := newFakeFleet(replicas)
+		for id := range fleet.actual {
+			fleet.prefilling[id] = 1
+		}
+		var requested atomic.Int64
+		runLoaderWith(fleet, func(l *Loader) { l.OnChange = func() { requested.Add(1) } }, func() {
+			fleet.set(func() { fleet.wanted = 2 })
+			time.Sleep(10 * time.Second)
+		})
+		// One as a replica begins to drain, and one once it has loaded. A second attempt may begin before the end of
+		// the first one is known.
+		if n := requested.Load(); fleet.outdatedCount() > 0 || n > 2*2*replicas {
+			t.Errorf("%d replicas outdated, %d heartbeats requested", fleet.outdatedCount(), n)
+		}
+	})
+}
+
 // TestSomeServeWhileOthersLoad checks that of two replicas one loads at a time.
 func TestSomeServeWhileOthersLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -397,7 +423,7 @@
 			t.Errorf("assumed: %v", fleet.assumed)
 		}
 		reported := map[string]int64{}
-		loader.EachRecentLoad(time.Now(), func(id, _ string, version int64) { reported[id] = version })
+		loader.EachRecentLoad(time.Now(), func(id, _ string, version int64, _ time.Duration) { reported[id] = version })
 		if reported["i-0"] != 2 {
 			t.Errorf("reported to other hosts: %v", reported)
 		}
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -86,7 +86,9 @@
 // was sent, for at least minDrain and at most maxDrain.
 func (l *Loader) drain(ctx context.Context, t loadTarget) {
 	began := clock.Now()
-	marked := time.Time{}
+	l.markLoading(t)
+	l.OnChange()
+	marked := began
 	for ctx.Err() == nil {
 		if clock.Since(marked) > loadingMarkTTL/3 {
 			l.markLoading(t)
@@ -101,10 +103,11 @@
 	}
 }
 
-// markLoading keeps new requests of all hosts away from a replica for loadingMarkTTL.
+// markLoading keeps new requests of this host away from a replica for loadingMarkTTL. Heartbeats tell
+// the other hosts as long as the attempt lasts: a heartbeat at once for each mark of each replica filled the
+// host's own link, so that the others neither heard of the replicas nor of the host itself.
 func (l *Loader) markLoading(t loadTarget) {
 	l.replicas.MarkLoading(t.server.ID, clock.Now().Add(loadingMarkTTL))
-	l.OnChange()
 }
 
 func (l *Loader) orderSequence(id string) (int64, bool) {
