soak: list requests and first tries of cuts, keep the logs of all seeds

Cause: a seed with cuts that failed said only how many first tries were served in a cut; which requests failed, at which host and with what answer could not be seen, nor the figures of seeds that passed. No check is changed.

--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -65,10 +65,12 @@
 	incarnation int
 	// poison marks a request that crashes each server that runs it.
 	poison bool
-	from   time.Time
-	to     time.Time
-	answer caller.Answer
-	err    error
+	// cutCount says with which hosts the check of cuts from all servers counts the request, "" if it does not.
+	cutCount string
+	from     time.Time
+	to       time.Time
+	answer   caller.Answer
+	err      error
 }
 
 // generateLoad sends requests as caller n until ctx ends. Every other caller always uses
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -29,6 +29,7 @@
 	Length time.Duration `default:"8s" help:"Time during which faults of a seed start."`
 	Jobs   int           `default:"4" help:"Number of seeds to run in parallel."`
 	Keep   string        `default:"" help:"Directory for the logs of failed seeds; the system's temporary directory if empty."`
+	All    bool          `help:"Keep the logs of all seeds."`
 
 	mu       sync.Mutex
 	fixtures []*fixture
@@ -48,7 +49,7 @@
 	served   int
 	// canary describes how the canary release of the seed ended; "" if it has none.
 	canary string
-	// figures are those behind the checks of an overload seed, "" for other seeds.
+	// figures are those behind the checks of an overload seed or of cuts from all servers, "" for other seeds.
 	figures    string
 	violations []string
 	err        error
@@ -118,7 +119,7 @@
 	return nil
 }
 
-// runSeed runs one seed and keeps its logs only if it fails.
+// runSeed runs one seed and keeps its logs if it fails or all are to be kept.
 func (c *cli) runSeed(seed uint64) result {
 	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("seed-%d-", seed))
 	if err != nil {
@@ -141,9 +142,12 @@
 		run = fx.runOverload
 	}
 	r := run(seed, c.Length)
-	if len(r.violations) == 0 && r.err == nil {
+	switch {
+	case c.All:
+		r.figures += "; logs are in " + dir
+	case len(r.violations) == 0 && r.err == nil:
 		r.err = os.RemoveAll(dir)
-	} else {
+	default:
 		r.violations = append(r.violations, "logs are in "+dir)
 	}
 	return r
@@ -181,7 +185,9 @@
 	stopLoad()
 	callerGroup.Wait()
 	fx.checkAll()
-	return fx.result(seed)
+	r := fx.result(seed)
+	r.err = fx.writeRequests()
+	return r
 }
 
 // waitReady waits until every host is ready.
@@ -242,7 +248,7 @@
 func (fx *fixture) result(seed uint64) result {
 	fx.observed.mu.Lock()
 	defer fx.observed.mu.Unlock()
-	r := result{seed: seed, requests: len(fx.observed.requests), violations: fx.observed.violations}
+	r := result{seed: seed, requests: len(fx.observed.requests), violations: fx.observed.violations, figures: fx.cuts.figures}
 	if c := fx.canary; c != nil {
 		r.canary = fmt.Sprintf("; move, bad %v: %q after %v", c.bad, c.state, c.ended.Sub(c.ordered).Round(settlePollInterval))
 	}
--- a/test/soak/servercuts.go
+++ b/test/soak/servercuts.go
@@ -83,6 +83,7 @@
 // serverCut is the time during which hosts were cut off.
 type serverCut struct {
 	hosts    map[*host]bool
+	mode     cutMode
 	from, to time.Time
 }
 
@@ -91,6 +92,8 @@
 	mu    sync.Mutex
 	modes map[*host]cutMode
 	spans []serverCut
+	// figures says how many first tries were served in each cut, once they are counted.
+	figures string
 }
 
 // cutHosts returns the hosts that are cut off now.
@@ -119,7 +122,7 @@
 }
 
 func (fx *fixture) cutFromServers(chosen func(i int) bool, mode cutMode, d time.Duration) {
-	cut := serverCut{hosts: map[*host]bool{}, from: time.Now()}
+	cut := serverCut{hosts: map[*host]bool{}, mode: mode, from: time.Now()}
 	for i, h := range fx.hosts {
 		if chosen(i) {
 			cut.hosts[h] = true
@@ -205,14 +208,16 @@
 				continue
 			}
 			i := 1
+			s.cutCount = "counted at others"
 			if cut.hosts[h] {
-				i = 0
+				i, s.cutCount = 0, "counted at cut hosts"
 			}
 			sent[i]++
 			if s.err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
 				served[i]++
 			}
 		}
+		fx.cuts.figures += fmt.Sprintf("; first tries served at cut hosts %d of %d, others %d of %d", served[0], sent[0], served[1], sent[1])
 		if sent[0] == 0 || sent[1] == 0 {
 			continue
 		}
