A stream that stalls has contact with its service checked

Change: if nothing of a stream arrives for 1 s, nor anything else of its service, up to four of the service's servers are sent a health check, once in each pause.

--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -24,6 +24,9 @@
 	doubtProbeInterval = 500 * time.Millisecond
 	lostProbeInterval  = 250 * time.Millisecond
 	lostProbes         = 2
+	// stallTime is the pause of a stream after which contact is checked if nothing else of the service
+	// arrived meanwhile. A sound server may pause for a second.
+	stallTime = time.Second
 )
 
 // contact is this host's evidence of whether it reaches the servers of one service at all. Without
@@ -31,6 +34,8 @@
 type contact struct {
 	// seenAt is when this host last reached any of the servers.
 	seenAt time.Time
+	// heardAt is when data of any of the servers last arrived.
+	heardAt time.Time
 	// failed holds the servers to which a connection failed since seenAt, and were not failing before.
 	failed map[string]bool
 	// failedProbes is the part of failed that was chosen at random.
@@ -64,6 +69,7 @@
 func (t *Table) recordAnswered(e *entry, began, now time.Time) {
 	if c := t.contactOf(e.reg.Service); !c.lost() || !began.Before(c.evidenceFrom) {
 		c.silence.End()
+		c.heardAt = now
 		t.recordReached(e, now)
 	}
 }
@@ -175,6 +181,22 @@
 	c.silence.Begin(now)
 }
 
+// checkStalls has servers of an entry's service asked for a health check if a stream from that server stalls and
+// nothing else of the service arrives: the next request may be seconds away. It does so once for each pause, as the
+// stream's caller may just read slowly.
+func (t *Table) checkStalls(e *entry, now time.Time) {
+	c := t.contactOf(e.reg.Service)
+	if c.lost() || now.Sub(c.heardAt) < stallTime {
+		return
+	}
+	for f := range e.flights {
+		if f.answerStarted && !f.stallChecked && now.Sub(f.progressAt) >= stallTime {
+			f.stallChecked = true
+			c.silence.Begin(now)
+		}
+	}
+}
+
 // doubt records that the contact has been doubtful since the given time.
 func (c *contact) doubt(since time.Time) {
 	if c.doubtedAt.IsZero() || since.Before(c.doubtedAt) {
--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -290,6 +290,67 @@
 	}
 }
 
+// TestContactIsCheckedWhileAStreamStalls guards against a host that finds out that it is cut off only with
+// its next request: until then, a stream without events had kept its only caller waiting for 3 s.
+func TestContactIsCheckedWhileAStreamStalls(t *testing.T) {
+	for name, l := range map[string]*link{
+		"new connections fail": {cut: true},
+		"nothing comes back":   {swallows: true, othersReach: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			table := manyServers(4)
+			f := table.Begin("i-00000", Work{}, time.Now())
+			for range 5 {
+				(&link{}).play(table, nil)
+				f.AnswerStarted(time.Now())
+			}
+			for range 27 {
+				l.play(table, nil)
+			}
+			if !table.LostContact("writer") {
+				t.Errorf("%s: contact not lost 2.7 s after the last event of a stream", name)
+			}
+		})
+	}
+}
+
+// TestStalledStreamsCauseFewHealthChecks guards against health checks without end, as a stream also stalls
+// when its caller reads slowly, and against any while the service answers.
+func TestStalledStreamsCauseFewHealthChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, asked := manyServers(4), 0
+		play := func(ticks int, each func()) {
+			for range ticks {
+				each()
+				table.DownServers(time.Now())
+				for _, p := range table.TakeContactProbes(time.Now()) {
+					asked++
+					table.RecordContactAsked(p.ID, time.Now())
+					table.RecordContactAnswer(p.ID, time.Now(), time.Now())
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		f := table.Begin("i-00000", Work{}, time.Now())
+		f.AnswerStarted(time.Now())
+		play(100, func() {
+			other := table.Begin("i-00001", Work{}, time.Now())
+			other.AnswerStarted(time.Now())
+			other.End(Answered, time.Now())
+		})
+		if asked > 0 {
+			t.Errorf("%d health checks while the service answers, want none", asked)
+		}
+		play(100, func() {})
+		if asked == 0 || asked > 4 {
+			t.Errorf("%d health checks in a stall of 10 s, want one to each of four servers at the most", asked)
+		}
+		if table.LostContact("writer") {
+			t.Error("contact lost though servers answer health checks")
+		}
+	})
+}
+
 // TestSlowServersAreNoLoss guards against a host that passes its callers' requests on because servers are
 // slow, or because some hang, while others answer; and because all hang, at all hosts.
 func TestSlowServersAreNoLoss(t *testing.T) {
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -34,7 +34,11 @@
 	start         time.Time
 	work          Work
 	answerStarted bool
-	ended         bool
+	// progressAt is when the last part of the answer arrived, as AnswerStarted records it. stallChecked is set once
+	// contact was checked because of the pause since.
+	progressAt   time.Time
+	stallChecked bool
+	ended        bool
 	// broken is set if the connection broke before the complete answer.
 	broken bool
 	// ratio is the measured time to the start of the answer divided by the expected one, or
@@ -67,10 +71,12 @@
 	return f
 }
 
-// AnswerStarted records the head of the answer or the first event of a stream: the prefill is done.
+// AnswerStarted records the head of the answer or an event of a stream. With the first, the prefill is done.
 func (f *Flight) AnswerStarted(now time.Time) {
 	f.table.mu.Lock()
 	defer f.table.unlockAndNotify()
+	f.progressAt, f.stallChecked = now, false
+	f.table.contactOf(f.entry.reg.Service).heardAt = now
 	if f.answerStarted {
 		return
 	}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -264,7 +264,8 @@
 	}
 }
 
-// updateLiveness updates whether a server is unresponsive, and logs when it becomes so.
+// updateLiveness updates whether a server is unresponsive, and logs when it becomes so. It has the contact
+// with its service checked if a stream stalls.
 func (t *Table) updateLiveness(e *entry, now time.Time) {
 	unresponsiveFor := e.unresponsiveFor(now)
 	unresponsive := unresponsiveFor > unresponsiveThreshold
@@ -273,6 +274,7 @@
 		t.recordHang(e.reg.Service, now)
 	}
 	e.unresponsive = unresponsive
+	t.checkStalls(e, now)
 }
 
 // Suspect records another host's report that servers are down. A recent liveness signal that
