Requests are passed on first to hosts that reached the service just now

Change: hosts that reached the service within the last second are picked first, then those within 5 s as before. Result: TestHostsThatReachedTheServiceJustNowAreTriedFirst fails before (30 of 100 picks went to the idle host) and passes, with -race; the other tests of reach pass.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -16,6 +16,9 @@
 	// MaxAge is how long after a host reached a service it counts as reaching it, unless it reports that
 	// it is cut off.
 	MaxAge = 5 * time.Second
+	// freshAge is the age below which a host's contact with a service is preferred to an older one: the host may
+	// be cut off as well and not know, if it has had no requests since. It is several heartbeats.
+	freshAge = time.Second
 	// reportTTL is how long a report counts. It is repeated with each heartbeat.
 	reportTTL = 3 * time.Second
 	// trialInterval is the minimum time between requests for a service that are passed on to a host
@@ -123,22 +126,28 @@
 func (r report) cutOff(now time.Time) bool { return r.lost && now.Sub(r.receivedAt) < reportTTL }
 
 // Pick picks one of the given hosts to pass a request for a service on to, or returns nil: one that
-// has recently reached the service, at random by size and preferably in the own availability zone. If
-// there is none, one of which it is not known is picked now and then.
+// has recently reached the service, at random by size and preferably in the own availability zone. Those
+// that reached it within freshAge are preferred. If there is none, one of which it is not known is picked
+// now and then.
 func (t *Table) Pick(service string, hosts []*pb.Heartbeat, now time.Time) *pb.Heartbeat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	hash := ServiceHash(service)
-	var reaching, unknown []*pb.Heartbeat
+	var fresh, reaching, unknown []*pb.Heartbeat
 	for _, b := range hosts {
 		services, reports := t.hosts[b.Host]
 		switch r := services[hash]; {
+		case r.reaches(now) && now.Sub(r.reachedAt) < freshAge:
+			fresh = append(fresh, b)
 		case r.reaches(now):
 			reaching = append(reaching, b)
 		case reports && !r.cutOff(now):
 			unknown = append(unknown, b)
 		}
 	}
+	if len(fresh) > 0 {
+		return t.random(fresh)
+	}
 	if len(reaching) > 0 {
 		return t.random(reaching)
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -77,3 +77,24 @@
 		t.Error("a dropped host's report counts")
 	}
 }
+
+// TestHostsThatReachedTheServiceJustNowAreTriedFirst guards against requests that one cut-off host passes on
+// to another one that does not know of the cut yet, because it has had no requests since.
+func TestHostsThatReachedTheServiceJustNowAreTriedFirst(t *testing.T) {
+	table, now := NewTable("z"), time.Unix(1000, 0)
+	var hosts []*pb.Heartbeat
+	for host, age := range map[string]int64{"idle": 3000, "busy": 200, "busy too": 300} {
+		hosts = append(hosts, &pb.Heartbeat{Host: host, Cores: 1})
+		table.Apply(host, []*pb.ServiceContact{{Service: ServiceHash("s"), AgeMs: age}}, now)
+	}
+	picked := map[string]int{}
+	for range 100 {
+		picked[table.Pick("s", hosts, now).Host]++
+	}
+	if picked["idle"] > 0 || picked["busy"] == 0 || picked["busy too"] == 0 {
+		t.Errorf("picked %v, want the two hosts that reached the service just now", picked)
+	}
+	if b := table.Pick("s", hosts, now.Add(time.Second)); b == nil {
+		t.Error("no host picked though all reached the service in the last seconds")
+	}
+}
