Requests below their share wait for room at servers

Cause: hosts admit a quarter more than servers answer, so that servers without queues stay busy. Change: the decision on a request states whether its organisation is above its share. If it is not, and no server has room, the request waits within what is left of its latency target and looks for room again at an interval with jitter. The decision (fairshare.AwaitRoom) has no network and no clock. A host leaves out a server that rejected a request for the time in which it answers one to any host. While requests wait, those above their share get no second server; and for each request below its share that is refused after all, one above is refused that would have been admitted. Scripted replicas of the tests now say that they close their connection when they refuse, as the host may send to them again. Without waits, with waits that do not end or without refusals in exchange the new tests fail.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -23,7 +23,7 @@
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswer))
 	resp.Finish(err == nil)
 	if resp.Status == http.StatusServiceUnavailable {
-		x.recordRejection(clock.Now())
+		x.recordRejection(x.choice.ID, clock.Now())
 	}
 	if resp.Status == http.StatusServiceUnavailable && x.choice.Flight.Rejected(clock.Now()) {
 		x.d.scheduler.NotifyPeers()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -167,7 +167,9 @@
 	// Returned is set if a host refused it for that before, and its caller came back.
 	Shortage string
 	Returned bool
-	Attempts []Attempt
+	// WaitedForRoom is how long the request waited after servers had no room for it.
+	WaitedForRoom time.Duration
+	Attempts      []Attempt
 }
 
 // Attempt is the outcome of one attempt.
@@ -225,9 +227,14 @@
 	// roomWait is how long the request has waited for room at brittle replicas.
 	roomWait time.Duration
 	// shareChecked is set once the organisation's share was asked for, and refusedLate once the request
-	// was refused because of its expected time. rejections counts the servers that rejected it.
-	shareChecked, refusedLate bool
-	rejections                int
+	// was refused because of its expected time. aboveShare is set if its organisation is above its share.
+	shareChecked, refusedLate, aboveShare bool
+	// rejecting has the IDs of the servers that rejected it, and servers is how many could take it at
+	// first.
+	rejecting map[string]bool
+	servers   int
+	// noneFree is set if the last choice failed as servers were left out that rejected other requests.
+	noneFree bool
 	// arrived counts the attempts that may have reached a replica.
 	arrived int
 	// lastEvent is the number of the last forwarded event, 0 before the first.
@@ -252,7 +259,7 @@
 // written, and the kind of the error states whether the request may have run. Run returns as
 // soon as ctx ends.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
-	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}}
+	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}, rejecting: map[string]bool{}}
 	r.report.Digest = req.digest()
 	r.fingerprint = quarantine.Fingerprint{Request: r.report.Digest, Blocks: req.blockDigests(d.scheduler.SharingScope(req.Organisation))}
 	r.report.Prompt = req.Caller.PromptTokens
@@ -300,6 +307,9 @@
 		if err != nil && r.allowConnectRetry(err) {
 			choice, err = r.pick(ctx)
 		}
+		if err != nil && r.awaitShare(ctx, err) {
+			continue
+		}
 		if err != nil {
 			return r.finish(ctx, err)
 		}
@@ -311,10 +321,10 @@
 		if err == nil {
 			return nil
 		}
-		if !r.allowRetry(ctx, err) {
+		r.exclude[choice.ID] = true
+		if !r.allowRetry(ctx, err) && !r.awaitShare(ctx, err) {
 			return r.finish(ctx, err)
 		}
-		r.exclude[choice.ID] = true
 		r.fire(eventRetry)
 	}
 }
@@ -336,6 +346,7 @@
 func (r *run) pick(ctx context.Context) (*schedule.Choice, error) {
 	req := r.req
 	now := clock.Now()
+	exclude := r.withoutRoom(now)
 	choice, err := r.d.scheduler.Pick(&schedule.Request{
 		Service:       req.Service,
 		Store:         req.Store,
@@ -348,10 +359,11 @@
 		Repeatable:    req.Route.Repeatable(),
 		MaxHold:       r.maxHold(),
 		TimeLeft:      r.timeLeft(now),
-		Exclude:       r.exclude,
+		Exclude:       exclude,
 		Fingerprint:   r.fingerprint,
 		AcquirePermit: func(id string) bool { return r.d.AcquirePermit(ctx, id) },
 	}, now)
+	r.noneFree = err != nil && len(exclude) > len(r.exclude)
 	if err != nil {
 		return nil, err
 	}
@@ -364,6 +376,7 @@
 	}
 	r.report.Replica = choice.ID
 	r.report.Expected = choice.Expected
+	r.servers = max(r.servers, choice.Considered+len(exclude))
 	r.report.Cached = choice.Cached
 	r.report.Fetched = choice.Fetched
 	r.report.Shared = choice.Shared
@@ -383,7 +396,7 @@
 	case errkind.BackendUnreachable:
 		return r.arrived == 0 || r.takeRetryBudget()
 	case errkind.BackendRefused:
-		return r.takeRetryBudget()
+		return r.mayRetryRejected() && r.takeRetryBudget()
 	case errkind.BackendLost, errkind.BackendError:
 		return r.req.Route.Repeatable() && r.report.Ran < r.req.Route.Attempts && r.takeRetryBudget()
 	default:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -132,7 +132,7 @@
 	write := func(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
 	switch b {
 	case refuses:
-		write(head(503) + wire.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n")
+		write(head(503) + wire.NotRun + ": 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		return
 	case misdirects:
 		write(head(421) + wire.Instance + ": another\r\nContent-Length: 0\r\n\r\n")
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/briarlink/briarlink/internal/clock"
@@ -41,6 +42,8 @@
 	out := fairshare.Request{
 		Service: r.req.Service.Name, Cost: 1, Urgent: r.req.urgent(),
 		Digest: uint64(r.report.Digest), Deadline: r.req.Deadline,
+		Above: r.aboveShare, LatencyTarget: r.req.Route.LatencyTarget, Target: r.began.Add(r.req.Route.LatencyTarget),
+		Expected: r.report.Expected,
 	}
 	if r.req.Organisation != nil {
 		out.Organisation = r.req.Organisation.Name
@@ -58,11 +61,11 @@
 	r.shareChecked = true
 	now := clock.Now()
 	if r.req.Forwarded {
-		r.shares().Arrived(r.shareRequest(), now)
+		r.aboveShare = r.shares().Arrived(r.shareRequest(), now)
 		return nil
 	}
 	d := r.shares().Admit(r.shareRequest(), now)
-	r.report.Returned = d.Returned
+	r.report.Returned, r.aboveShare = d.Returned, d.Above
 	if d.Admitted {
 		return nil
 	}
@@ -79,10 +82,10 @@
 }
 
 // recordRejection counts a server's rejection of the request for want of room.
-func (r *run) recordRejection(now time.Time) {
-	r.rejections++
+func (r *run) recordRejection(server string, now time.Time) {
+	r.rejecting[server] = true
 	if r.shares() != nil {
-		r.shares().Rejected(r.req.Service.Name, r.rejections, now)
+		r.shares().Rejected(r.shareRequest(), server, len(r.rejecting), r.servers, now)
 	}
 }
 
@@ -102,22 +105,84 @@
 	if r.shares() == nil || r.report.Ran > 0 || r.report.Shortage != "" || ctx.Err() != nil {
 		return e
 	}
-	now := clock.Now()
-	noRoom := e.Kind == errkind.Overloaded && !r.refusedLate
-	noServerLeft := e.Kind == errkind.NoBackend && r.rejections > 0 && !r.report.CutOff
 	switch {
 	case r.refusedLate && e.Kind == errkind.Overloaded:
 		r.report.Shortage = ShortageExpected
-	case e.Kind == errkind.BackendRefused && r.rejections > 0, noRoom, noServerLeft:
+	case r.noRoom(e):
 		r.report.Shortage = ShortageServers
 	default:
 		return e
 	}
-	if noRoom || noServerLeft {
-		r.shares().MarkShort(r.req.Service.Name, now)
-	}
 	if e.Kind != errkind.Overloaded {
 		e = errkind.Wrap(errkind.Overloaded, e, "no server has room for the request")
 	}
-	return e.After(r.shares().Refuse(r.shareRequest(), now))
+	return e.After(r.shares().Refuse(r.shareRequest(), clock.Now()))
+}
+
+// noRoom reports whether an error means that no server has room for the request. If none is left for it,
+// the service is short of capacity.
+func (r *run) noRoom(e *errkind.Error) bool {
+	full := e.Kind == errkind.Overloaded && !r.refusedLate
+	noneLeft := e.Kind == errkind.NoBackend && (len(r.rejecting) > 0 || r.noneFree) && !r.report.CutOff
+	if full || noneLeft {
+		r.shares().MarkShort(r.req.Service.Name, clock.Now())
+	}
+	return full || noneLeft || e.Kind == errkind.BackendRefused && len(r.rejecting) > 0
+}
+
+// mayRetryRejected reports whether a request that a server rejected may be sent to another one at once.
+func (r *run) mayRetryRejected() bool {
+	return r.shares() == nil || r.shares().MayRetry(r.shareRequest(), clock.Now())
+}
+
+// awaitShare lets a request of an organisation below its share wait for room after no server had any, and
+// reports whether it may be sent again. Each time that it is sent counts as a retry.
+func (r *run) awaitShare(ctx context.Context, err error) bool {
+	if r.shares() == nil || r.report.Ran > 0 || r.report.Sends >= maxSends || ctx.Err() != nil || !r.noRoom(errkind.From(err)) {
+		return false
+	}
+	for charged := r.report.Sends == 0; ; {
+		began := clock.Now()
+		pause, wait := r.shares().AwaitRoom(r.shareRequest(), r.report.WaitedForRoom > 0, began)
+		if !wait {
+			return false
+		}
+		// The retry is charged before the wait: a request would otherwise wait in vain.
+		if !charged && !r.takeRetryBudget() {
+			r.shares().EndWait(r.req.Service.Name)
+			return false
+		}
+		charged = true
+		clock.Sleep(ctx, pause)
+		r.shares().EndWait(r.req.Service.Name)
+		r.report.WaitedForRoom += clock.Since(began)
+		if ctx.Err() != nil || r.d.IsCutOff(r.req.Service.Name) || r.expectsRoom(clock.Now()) {
+			return true
+		}
+	}
+}
+
+// withoutRoom returns the IDs of the servers that are not to be tried: beside those that were, the ones at
+// which this host expects no room, as they rejected another request a moment ago.
+func (r *run) withoutRoom(now time.Time) map[string]bool {
+	if r.shares() == nil {
+		return r.exclude
+	}
+	full := r.shares().Full(r.req.Service.Name, now)
+	if len(full) == 0 {
+		return r.exclude
+	}
+	maps.Copy(full, r.exclude)
+	return full
+}
+
+// expectsRoom reports whether some server is expected to have room for the request, and makes those that
+// rejected it and are expected to have room eligible again.
+func (r *run) expectsRoom(now time.Time) bool {
+	for server := range r.rejecting {
+		if r.shares().ExpectsRoom(r.req.Service.Name, server, now) {
+			delete(r.exclude, server)
+		}
+	}
+	return r.servers == 0 || len(r.withoutRoom(now)) < r.servers
 }
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -132,3 +132,59 @@
 		}
 	}
 }
+
+// TestRequestBelowItsShareWaitsForRoom guards against requests that are refused although a server has room
+// a moment later, also if they must not be repeated, and against waits without the setting.
+func TestRequestBelowItsShareWaitsForRoom(t *testing.T) {
+	for _, kind := range []config.Kind{config.Idempotent, config.NonIdempotent} {
+		for _, on := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{plan: []behaviour{refuses, refuses, refuses, refuses}, ranAt: map[string]bool{}}
+				d, _ := newDispatcher(f)
+				if on {
+					d.Shares = fairshare.NewTable(1)
+				}
+				req := testRequest(kind, false, 1)
+				report, err := d.Run(t.Context(), req, &recorder{})
+				waited := report.WaitedForRoom
+				if on != (err == nil && f.runs == 1 && waited > 0 && waited <= req.Route.LatencyTarget) || !on && waited+time.Since(req.Deadline.Add(-5*time.Second)) > 0 {
+					t.Errorf("%v, on %v: %v, waited %v, %d runs", kind, on, err, waited, f.runs)
+				}
+			})
+		}
+	}
+}
+
+// TestWaitForRoomEnds guards against requests that wait after their caller has left, after a server may
+// have run them, or after this host was cut off, and that keep the places of others.
+func TestWaitForRoomEnds(t *testing.T) {
+	full := []behaviour{refuses, refuses, refuses, refuses, refuses, refuses, refuses, refuses}
+	for what, plan := range map[string][]behaviour{"left": full, "cut off": full, "ran": append([]behaviour{cutsBefore}, full...)} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{plan: plan, ranAt: map[string]bool{}}
+			d, _ := newDispatcher(f)
+			d.Shares = fairshare.NewTable(1)
+			began := time.Now()
+			const leaves = time.Millisecond
+			d.IsCutOff = func(string) bool { return what == "cut off" && time.Since(began) > leaves }
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if what == "left" {
+				time.AfterFunc(leaves, cancel)
+			}
+			report, err := d.Run(ctx, idempotent(), &recorder{})
+			want := map[string]errkind.Kind{"left": errkind.CallerGone, "cut off": errkind.NoBackend, "ran": errkind.BackendLost}[what]
+			longest := map[string]time.Duration{"left": leaves, "cut off": 100 * time.Millisecond}[what]
+			if !errkind.Is(err, want) || report.WaitedForRoom > longest || (longest > 0) != (report.WaitedForRoom > 0) {
+				t.Errorf("%s: %v, waited %v", what, err, report.WaitedForRoom)
+			}
+			d.IsCutOff = func(string) bool { return false }
+			// No server counts as full any more.
+			time.Sleep(time.Second)
+			f.plan = full[:4]
+			if report, err := d.Run(t.Context(), idempotent(), &recorder{}); err != nil || report.WaitedForRoom == 0 {
+				t.Errorf("%s: the next request: %v, waited %v", what, err, report.WaitedForRoom)
+			}
+		})
+	}
+}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -44,6 +44,12 @@
 	// Digest is equal for all attempts of the caller.
 	Digest   uint64
 	Deadline time.Time
+	// The rest is needed by AwaitRoom only. Above is that of the decision on the request. Target is the
+	// time at which its latency target passes, and Expected how long its answer takes once it is sent.
+	Above         bool
+	LatencyTarget time.Duration
+	Target        time.Time
+	Expected      time.Duration
 }
 
 // Decision is the outcome of an admission check.
@@ -51,6 +57,8 @@
 	Admitted bool
 	// Returned is set if some host refused the request for want of capacity, and its caller came back.
 	Returned bool
+	// Above is set if the organisation is above its share. Its request is then not to wait for room.
+	Above bool
 	// RetryAfter is how long the caller of a refused request should wait. Share is the cost per second
 	// that the organisation gets of all hosts together, Offered what it sends, and Capacity what all
 	// organisations get.
@@ -84,6 +92,15 @@
 	// lastShort is when the service was last short at this host, or zero.
 	lastShort time.Time
 	plan      plan
+	// waiting is the number of requests that wait for room at this host, and lastWait when one last began
+	// to. fullUntil is until when no room is expected at a server that rejected a request, by its ID.
+	waiting   int
+	lastWait  time.Time
+	fullUntil map[string]time.Time
+	// owed is the cost of requests below their share that this host admitted, but for which no server had
+	// room. As much of what is above its share is refused instead: the part that is admitted beyond the
+	// capacity would otherwise displace requests of all organisations alike.
+	owed float64
 	// nextReturn is when the last refused caller was asked to come back.
 	nextReturn time.Time
 	// inEpisode is set while the service counts as short for the log. The rest counts requests since
@@ -117,17 +134,23 @@
 	key := serviceKey(name)
 	s := t.services[key]
 	if s == nil {
-		s = &service{name: name, accounts: map[uint64]*account{}}
+		s = &service{name: name, accounts: map[uint64]*account{}, fullUntil: map[string]time.Time{}}
 		t.services[key] = s
 	}
 	return s
 }
 
-// Arrived counts a request without deciding on it, such as one that another host passed on.
-func (t *Table) Arrived(r Request, now time.Time) {
+// Arrived counts a request without deciding on its admission, such as one that another host passed on,
+// and reports whether its organisation is above its share.
+func (t *Table) Arrived(r Request, now time.Time) (above bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.count(r, now)
+	s, a := t.count(r, now)
+	if !t.short(s, now) {
+		return false
+	}
+	p := t.currentPlan(s, now)
+	return a.offered.perSecond(now)+p.others[organisationKey(r.Organisation)] > p.level
 }
 
 func (t *Table) count(r Request, now time.Time) (*service, *account) {
@@ -169,6 +192,7 @@
 func (t *Table) hasRoom(s *service, a *account, r Request, d *Decision, now time.Time) bool {
 	if !t.short(s, now) {
 		a.limited = false
+		s.owed = 0
 		return true
 	}
 	p := t.currentPlan(s, now)
@@ -180,11 +204,20 @@
 		a.limited = false
 		return true
 	}
+	d.Above = true
 	rate := p.level * own / total
 	if kept, isKept := p.kept[key]; isKept {
 		rate = min(rate, kept)
 	}
-	return a.take(r, rate, d.Returned, now)
+	if !a.take(r, rate, d.Returned, now) {
+		return false
+	}
+	if s.owed >= r.Cost {
+		// The bucket stays charged: the next request would otherwise be admitted instead.
+		s.owed -= r.Cost
+		return false
+	}
+	return true
 }
 
 // take charges a request to the bucket, unless it has no room. However large a request is, it is
@@ -238,13 +271,17 @@
 // server that rejects everything would otherwise make organisations share a capacity that is not short.
 const minRejections = 2
 
-// Rejected records that as many servers as count rejected a request, and reports whether the service
-// is short of capacity therefore.
-func (t *Table) Rejected(service string, count int, now time.Time) bool {
+// Rejected records that a server, one of several, rejected a request as the count-th server that did, and
+// reports whether the service is short of capacity therefore.
+func (t *Table) Rejected(r Request, server string, count, servers int, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(r.Service)
+	t.markFull(s, r, server, servers, now)
 	if count < minRejections {
 		return false
 	}
-	t.MarkShort(service, now)
+	s.lastShort = now
 	return true
 }
 
@@ -253,7 +290,11 @@
 func (t *Table) Refuse(r Request, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.refuse(t.service(r.Service), r, now)
+	s := t.service(r.Service)
+	if !r.Above && t.short(s, now) {
+		s.owed = min(max(r.Cost, burstSeconds*s.served.perSecond(now)), s.owed+r.Cost)
+	}
+	return t.refuse(s, r, now)
 }
 
 // sinceShort returns the time since the service was last short at any host, as far as is known.
--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -35,7 +35,8 @@
 		sent, inTime, twice = sent+tr.sent, inTime+tr.inTime, twice+tr.refusedTwice
 	}
 	served := float64(inTime) / float64(sent)
-	s.t.Logf("%s: %.3f of %d in time, %d refused twice, servers used to %.3f", what, served, sent, twice, s.used/capacity)
+	s.t.Logf("%s: %.3f of %d in time, %d refused twice, servers used to %.3f, %d of %d sends rejected, %d waited, %d in vain",
+		what, served, sent, twice, s.used/capacity, s.rejected, s.sends, s.waited, s.inVain)
 	if served < minServed || s.used < minUsed*capacity {
 		s.t.Error("too little")
 	}
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -13,6 +13,8 @@
 	// capacity is the cost per second that all hosts together admit, and level is how much of it each
 	// organisation may have: those that ask for less get all that they ask for.
 	capacity, level float64
+	// served is the cost per second that servers answered to all hosts.
+	served float64
 	// others is what is offered to other hosts, by organisation.
 	others map[uint64]float64
 	// rates are the rates of this host's buckets, while other hosts reported.
@@ -72,7 +74,7 @@
 	for key, a := range s.accounts {
 		totals[key] += a.offered.perSecond(now)
 	}
-	next := plan{at: now, capacity: served * headroomAfter(t.sinceShort(s, now)), others: others}
+	next := plan{at: now, served: served, capacity: served * headroomAfter(t.sinceShort(s, now)), others: others}
 	next.level = fairLevel(next.capacity, totals)
 	if served == 0 {
 		// The capacity is not known, as after a start, or while no server is up. Servers that come
--- a/internal/fairshare/report.go
+++ b/internal/fairshare/report.go
@@ -120,5 +120,10 @@
 				delete(s.accounts, key)
 			}
 		}
+		for server, until := range s.fullUntil {
+			if !now.Before(until) {
+				delete(s.fullUntil, server)
+			}
+		}
 	}
 }
--- a/internal/fairshare/sim_test.go
+++ b/internal/fairshare/sim_test.go
@@ -14,6 +14,10 @@
 	simDeadline       = 1500 * time.Millisecond
 	// simRetryRatio limits the attempts at a second server, as hosts do.
 	simRetryRatio = 0.2
+	// simTarget is the latency target: an answer of a server with a full queue takes 0.3 s.
+	simTarget = 450 * time.Millisecond
+	// simMaxSends limits the attempts at one request, as hosts do.
+	simMaxSends = 5
 	// simCallerRetries is how often a caller comes back.
 	simCallerRetries = 2
 )
@@ -79,8 +83,15 @@
 	used float64
 	// firstHost is the share of the callers that use the first host.
 	firstHost float64
-	// refusals counts what hosts refused for an organisation's share.
-	refusals int
+	// callerRetries is how often a caller comes back.
+	callerRetries int
+	// refusals counts what hosts refused for an organisation's share, waited the requests that waited for
+	// room, and inVain those of them that were refused then.
+	refusals, waited, inVain int
+	// sends counts the attempts, and rejected those that servers rejected.
+	sends, rejected int
+	// longestWait is the longest time that a request waited.
+	longestWait time.Duration
 }
 
 type simEvent struct {
@@ -105,7 +116,7 @@
 
 func newSim(t *testing.T, hosts int) *sim {
 	start := time.Unix(1_800_000_000, 0)
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(7, uint64(hosts))), now: start, start: start}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(7, uint64(hosts))), now: start, start: start, callerRetries: simCallerRetries}
 	for range hosts {
 		s.addHost()
 	}
@@ -185,7 +196,8 @@
 	s.now = s.start.Add(from)
 	s.window++
 	s.counting = s.window
-	s.refusals = 0
+	s.refusals, s.waited, s.inVain = 0, 0, 0
+	s.sends, s.rejected = 0, 0
 	for _, tr := range s.traffics {
 		tr.sent, tr.inTime, tr.refusedTwice = 0, 0, 0
 	}
@@ -219,50 +231,110 @@
 func (s *sim) try(r *simRequest) {
 	h := s.pickHost()
 	request := Request{Service: "s", Organisation: r.organisation, Cost: r.cost, Urgent: r.urgent, Digest: r.digest, Deadline: r.until}
-	wait := time.Duration(0)
 	h.requests++
 	decision := Decision{Admitted: true}
 	if !h.silent {
 		decision = h.table.Admit(request, s.now)
 	}
 	if decision.Admitted {
-		if s.serve(h, r) {
-			return
-		}
-		wait = h.table.Refuse(request, s.now)
-	} else {
-		s.refusals++
-		wait = decision.RetryAfter
+		request.Above = decision.Above
+		request.LatencyTarget, request.Target = simTarget, s.now.Add(simTarget)
+		s.serve(&simAttempts{r: r, h: h, began: s.now, request: request, rejecting: map[int]bool{}})
+		return
 	}
+	s.refusals++
+	s.refuse(r, decision.RetryAfter)
+}
+
+// refuse lets the caller of a refused request come back after a time.
+func (s *sim) refuse(r *simRequest, wait time.Duration) {
 	if wait > r.until.Sub(s.now)/3 {
 		s.t.Fatalf("Retry-After %v with %v left", wait, r.until.Sub(s.now))
 	}
 	if r.refused++; r.window == s.counting && r.refused == 2 {
 		r.refusedTwice++
 	}
-	if r.refused <= simCallerRetries {
+	if r.refused <= s.callerRetries {
 		s.after(wait, func() { s.try(r) })
 	}
 }
 
-// serve sends a request to the servers that look least loaded from a host, and reports whether one
-// took it.
-func (s *sim) serve(h *simHost, r *simRequest) bool {
-	tried := map[int]bool{}
-	for attempt := 0; ; attempt++ {
-		best := s.pickServer(tried)
-		if best < 0 || attempt > 0 && h.retries >= simRetryRatio*h.requests {
-			return false
+// simAttempts are the attempts of a host at a request.
+type simAttempts struct {
+	r       *simRequest
+	h       *simHost
+	began   time.Time
+	request Request
+	// rejecting has the servers that rejected it. waited is set once it has waited for room.
+	rejecting map[int]bool
+	sends     int
+	waited    bool
+	// reserved is set if its next attempt is charged to the retry budget already.
+	reserved bool
+}
+
+// serve sends a request to the servers that look least loaded from a host until one takes it, lets it wait
+// for room, or refuses it.
+func (s *sim) serve(a *simAttempts) {
+	excluded := map[int]bool{}
+	for i := range s.servers {
+		excluded[i] = a.rejecting[i] && !a.waited || !a.h.table.ExpectsRoom("s", fmt.Sprint(i), s.now)
+	}
+	for {
+		best := s.pickServer(excluded)
+		if best < 0 || a.sends > 0 && !a.reserved && !s.mayRetry(a) {
+			break
 		}
-		if attempt > 0 {
-			h.retries++
+		a.reserved = false
+		a.sends++
+		s.sends++
+		if s.enqueue(a.h, best, a.r) {
+			return
 		}
-		if s.enqueue(h, best, r) {
-			return true
+		s.rejected++
+		excluded[best], a.rejecting[best] = true, true
+		a.h.table.Rejected(a.request, fmt.Sprint(best), len(a.rejecting), len(s.servers), s.now)
+	}
+	a.request.Expected = s.expected(a.r)
+	pause, wait := a.h.table.AwaitRoom(a.request, a.waited, s.now)
+	if wait && (a.h.silent || a.sends > 0 && !a.reserved && !s.mayRetry(a)) {
+		a.h.table.EndWait("s")
+		wait = false
+	}
+	if !wait {
+		if a.waited {
+			s.inVain++
 		}
-		tried[best] = true
-		h.table.Rejected("s", len(tried), s.now)
+		s.refuse(a.r, a.h.table.Refuse(a.request, s.now))
+		return
+	}
+	if !a.waited {
+		s.waited++
 	}
+	a.waited, a.reserved = true, a.sends > 0
+	s.longestWait = max(s.longestWait, s.now.Add(pause).Sub(a.began))
+	s.after(pause, func() {
+		a.h.table.EndWait("s")
+		if !a.h.down {
+			s.serve(a)
+		}
+	})
+}
+
+// mayRetry charges a further attempt to the host's budget, if it allows for it.
+func (s *sim) mayRetry(a *simAttempts) bool {
+	if !a.h.table.MayRetry(a.request, s.now) || a.sends >= simMaxSends || a.h.retries >= simRetryRatio*a.h.requests {
+		return false
+	}
+	a.h.retries++
+	return true
+}
+
+// expected returns how long an answer of a server with a full queue takes.
+func (s *sim) expected(r *simRequest) time.Duration {
+	server := s.servers[0]
+	rounds := 1 + float64(server.queue)/float64(server.slots)
+	return time.Duration(rounds * r.cost / server.speed * float64(time.Second))
 }
 
 // pickServer returns the less loaded of two random servers that are up and were not tried, or -1. Hosts
