--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -151,6 +151,9 @@
 	if ex.report.Returned {
 		fields["returned"] = true
 	}
+	if ex.report.WaitedForRoom > 0 {
+		fields["room_wait_ms"] = ex.report.WaitedForRoom.Milliseconds()
+	}
 	line := ex.s.Log.WithFields(fields)
 	if err != nil {
 		if retryAfter := errkind.From(err).Retry(); retryAfter > 0 {
@@ -175,6 +178,9 @@
 	if r.Awaited > 0 {
 		m.AwaitedPrefills.Inc(1)
 	}
+	if r.WaitedForRoom > 0 {
+		m.RoomWait.RecordDuration(r.WaitedForRoom)
+	}
 	m.Repeats.Inc(int64(max(0, r.Sends-1)))
 	m.Resumed.Inc(int64(r.Resumed))
 }
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -26,6 +26,9 @@
 	if r.AwaitedMs > 0 {
 		text += fmt.Sprintf("; it waited %.0f ms for prefix blocks that another replica was prefilling", r.AwaitedMs)
 	}
+	if r.RoomWaitMs > 0 {
+		text += fmt.Sprintf("; it waited %.0f ms for room at the servers, as its organisation was below its share of a service that is short of capacity", r.RoomWaitMs)
+	}
 	if old := describeOldWeights(r, end, newer); old != "" {
 		text += "; " + old
 	}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -68,6 +68,7 @@
 	RefusedBlock string   `json:"refused_block"`
 	Shortage     string   `json:"shortage"`
 	Returned     bool     `json:"returned"`
+	RoomWaitMs   float64  `json:"room_wait_ms"`
 	// EndedForMemory is set if the host ended the request because its caller was slow while memory was short.
 	EndedForMemory bool      `json:"ended_for_memory"`
 	Tries          []Attempt `json:"tries"`
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -32,6 +32,8 @@
 	FetchedTokens tally.Counter
 	// AwaitedPrefills counts requests that waited for a prefill at another replica than their own.
 	AwaitedPrefills tally.Counter
+	// RoomWait is how long requests waited after servers had no room for them.
+	RoomWait tally.Histogram
 	// Repeats counts retries: sends of a request after its first. Resumed counts streams
 	// continued by another replica.
 	Repeats tally.Counter
@@ -102,6 +104,7 @@
 		CachedTokens:      scope.Counter("cached_tokens"),
 		FetchedTokens:     scope.Counter("fetched_tokens"),
 		AwaitedPrefills:   scope.Counter("awaited_prefills"),
+		RoomWait:          scope.Histogram("room_wait_seconds", buckets),
 		Repeats:           scope.Counter("repeats"),
 		Resumed:           scope.Counter("resumed_streams"),
 		Open:              scope.Gauge("open_requests"),
