Hosts without a slot at brittle servers use those of others in turn

Cause: Hosts divide the slots of brittle servers among themselves. With 24 hosts and 16 slots, eight hosts have none. Where a server bears fewer than four rejections, these were never allowed to send anything; where it bears more, one rejection during the first second made them send nothing for five seconds. And the owner of a slot filled it although another host was known to use it, so that servers had to reject requests.

Heartbeats are unchanged.

--- a/internal/replica/brittle.go
+++ b/internal/replica/brittle.go
@@ -14,21 +14,6 @@
 const (
 	// rejectionWindow is the time within which a brittle server counts its rejections.
 	rejectionWindow = time.Second
-	// rejectionShare is the share of the rejections that a brittle server bears in a window after which
-	// no host sends it more: requests that are on their way may be rejected too.
-	rejectionShare = 0.5
-	// extraShare is the share of the rejections that a brittle server bears which some hosts may risk, with
-	// one request each beyond their own slots.
-	extraShare = 0.5
-	// sharedSlots is the share of a brittle server's slots up to which any host may use slots of other
-	// hosts, with one further request each borrowInterval: what others have just sent is not known yet.
-	// A server must bear minBorrowRejections for that.
-	sharedSlots         = 0.5
-	borrowInterval      = 50 * time.Millisecond
-	minBorrowRejections = 4
-	// ownSlotsTime is how long after a rejection at any brittle server of a service each host keeps to its
-	// own slots there.
-	ownSlotsTime = 5 * time.Second
 	// brittlePerHeartbeat is the number of brittle servers that one heartbeat reports; the next heartbeat
 	// continues with the next servers.
 	brittlePerHeartbeat = 8
@@ -51,6 +36,9 @@
 	// the other hosts.
 	recent   []time.Time
 	reported map[string]int64
+	// busyAt is when the server was last known to be filled beyond sharedSlots, calmEndedAt when it became so
+	// after it had not been for calmTime.
+	busyAt, calmEndedAt time.Time
 }
 
 // SlotShare says which slots of brittle servers this host may use: the hosts in order share them out.
@@ -152,6 +140,10 @@
 func (t *Table) addRejections(e *entry, n int64, at time.Time) {
 	b := &e.brittle
 	t.rejectedAt[e.reg.Service] = at
+	// Once the server is used again, the hosts that own its slots come first.
+	if reopens := at.Add(rejectionWindow); reopens.After(b.busyAt) {
+		b.busyAt = reopens
+	}
 	for range min(n, int64(b.maxRejections)+1) {
 		b.recent = append(b.recent, at)
 	}
@@ -167,26 +159,82 @@
 // hasRoom reports whether this host may send the server another request. A server that is not brittle
 // always has room, as it rejects what it cannot take, and so has one that states no slots.
 func (t *Table) hasRoom(e *entry, now time.Time) bool {
-	b := &e.brittle
-	if !b.brittle || e.reg.Slots <= 0 {
+	if !e.brittle.brittle || e.reg.Slots <= 0 {
 		return true
 	}
-	if rejected := b.recentRejections(now); rejected > 0 && float64(rejected) >= rejectionShare*float64(b.maxRejections) {
-		return false
+	s := t.slotState(e, now)
+	return s.hasRoom()
+}
+
+// slotState returns what this host knows of a brittle server.
+func (t *Table) slotState(e *entry, now time.Time) slotState {
+	b := &e.brittle
+	s := slotState{
+		slots: e.reg.Slots, maxRejections: b.maxRejections, own: t.ownSlots(e), sent: len(e.flights), total: t.requestsAt(e), rejected: b.recentRejections(now),
+		sinceRejection: now.Sub(t.rejectedAt[e.reg.Service]), sinceBorrowed: now.Sub(t.borrowedAt[e.reg.Service]), sinceBusy: now.Sub(b.busyAt),
+		isExtra: t.slotShare.isExtra(e.reg.ID, int(extraShare*float64(b.maxRejections))),
 	}
-	excess := len(e.flights) - t.ownSlots(e)
-	if excess < 0 {
-		return true
+	if t.slotShare.Index < 0 {
+		return s
 	}
-	if now.Sub(t.rejectedAt[e.reg.Service]) < ownSlotsTime {
-		return false
+	if s.sent < s.own {
+		s.isYielding = now.Sub(b.calmEndedAt) < fillTime && t.yields(e, s.total, now)
+		return s
 	}
-	total := len(e.flights) + int(t.otherLoads.sums[e.reg.ID].GetRequests())
-	shared := float64(total+1) <= sharedSlots*float64(e.reg.Slots)
-	if excess == 0 && total < e.reg.Slots && t.slotShare.isExtra(e.reg.ID, int(extraShare*float64(b.maxRejections))) {
-		return true
+	own, all := t.usableSlots(e.reg.Service, now)
+	ids := t.services[e.reg.Service]
+	s.withoutSlots = own == 0
+	s.isTurn = isTurn(t.slotShare.Hosts-all, borrowersTogether(s.slots, s.maxRejections), t.slotShare.Index, len(ids), slices.Index(ids, e.reg.ID), now)
+	return s
+}
+
+// usableSlots returns how many slots belong to this host and how many there are, at the servers of a service
+// that this host may use.
+func (t *Table) usableSlots(service string, now time.Time) (own, all int) {
+	before := 0
+	for _, id := range t.services[service] {
+		e := t.entries[id]
+		here := t.slotShare.ownSlots(before, e.reg.Slots)
+		before += e.reg.Slots
+		s := slotState{maxRejections: e.brittle.maxRejections, rejected: e.brittle.recentRejections(now)}
+		down, _ := e.health.state(now)
+		if (e.is(StateServing) || e.is(StateLapsed)) && !e.health.unreachable && !down && !s.tooManyRejections() {
+			own += here
+			all += e.reg.Slots
+		}
+	}
+	return own, all
+}
+
+// yields reports whether this host leaves its slot at a server unused at this moment. No host does where each
+// has a slot.
+func (t *Table) yields(e *entry, total int, now time.Time) bool {
+	before, all := 0, 0
+	for _, id := range t.services[e.reg.Service] {
+		if id == e.reg.ID {
+			before = all
+		}
+		all += t.entries[id].reg.Slots
+	}
+	n := t.slotShare.Hosts
+	return all < n && yields((t.slotShare.Index-before+n)%n, e.reg.Slots, total, now)
+}
+
+// requestsAt returns the number of requests of all hosts at a server, as far as it is known.
+func (t *Table) requestsAt(e *entry) int {
+	return len(e.flights) + int(t.otherLoads.sums[e.reg.ID].GetRequests())
+}
+
+// recordBusy records whether a brittle server is filled beyond the slots that hosts without slots may use.
+func (t *Table) recordBusy(e *entry, now time.Time) {
+	b := &e.brittle
+	if !b.brittle || float64(t.requestsAt(e)) <= sharedSlots*float64(e.reg.Slots) || now.Before(b.busyAt) {
+		return
+	}
+	if now.Sub(b.busyAt) >= calmTime {
+		b.calmEndedAt = now
 	}
-	return shared && b.maxRejections >= minBorrowRejections && now.Sub(t.borrowedAt[e.reg.Service]) >= borrowInterval
+	b.busyAt = now
 }
 
 // recordBorrowed records that a request uses a slot of a brittle server beyond this host's own.
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -64,6 +64,7 @@
 	t.track(t.active, e)
 	e.countCall(platform.CallRequest)
 	t.recordBorrowed(e, now)
+	t.recordBusy(e, now)
 	return f
 }
 
--- a/internal/replica/loads.go
+++ b/internal/replica/loads.go
@@ -112,6 +112,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.otherLoads.set(host, reports, now)
+	for _, report := range reports {
+		if e := t.brittle[report.Replica]; e != nil {
+			t.recordBusy(e, now)
+		}
+	}
 }
 
 // DropLoads removes the loads of a host that is lost or has restarted.
