--- a/internal/fairshare/wait.go
+++ b/internal/fairshare/wait.go
@@ -19,12 +19,12 @@
 	maxNoRoom = 100 * time.Millisecond
 )
 
-// AwaitRoom decides whether a request that no server has room for waits, and for how long until it is
-// looks for room again. The answer is false, and the request is to be refused, if its organisation is above its share, if the service is not
-// short of capacity, if it could not be answered within its latency target and its deadline any more,
-// or if as many requests wait as servers answer to this host within a latency target. The wait
-// must be ended with EndWait. again is set if the request has waited before: its place is still counted
-// as its own.
+// AwaitRoom decides whether a request that no server has room for waits, and for how long until it
+// looks for room again. It must be refused instead if its organisation is above its share, if the
+// service is not short of capacity, if it could not be answered within its latency target and its
+// deadline any more, or if as many requests wait as servers answer to this host within a latency
+// target. The wait must be ended with EndWait. again is set if the request has waited before: it then
+// keeps its place.
 func (t *Table) AwaitRoom(r Request, again bool, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
