--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -28,7 +28,7 @@
 type host struct {
 	id, ip, zone string
 	cores        int
-	// memoryMB is the setting host.memory_mb, and overload what the section of that name holds.
+	// memoryMB is the setting host.memory_mb, and overload what the section of that name holds, "" without it.
 	memoryMB int
 	overload string
 	binary   string
@@ -61,8 +61,15 @@
   "stop": {"grace": "%[6]s"},
   "move": {"share": %[11]g, "slack": %[12]d, "roll_back": "%[13]s"},
   "quota": {"window": "%[8]s", "over": %[9]g, "slack": %[10]d},
-  "overload": {%[15]s},
-}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime, h.memoryMB, h.overload)
+%[15]s}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime, h.memoryMB, h.overloadSection())
+}
+
+// overloadSection returns the section of the settings, which earlier builds do not know.
+func (h *host) overloadSection() string {
+	if h.overload == "" {
+		return ""
+	}
+	return "  \"overload\": {" + h.overload + "},\n"
 }
 
 // pid returns the ID of the running process, or 0.
