Count the pause between requested heartbeats from the last one

Cause: the pause that follows a large requested heartbeat came before the next one however long ago that was, up to 75 ms.

Change: the next requested heartbeat waits until the pause since the last one is over.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -54,7 +54,7 @@
 	ticker := time.NewTicker(n.settings.Member.HeartbeatInterval.AsDuration())
 	defer ticker.Stop()
 	n.addSeeds(n.settings.Member.Seeds)
-	gap := minHeartbeatGap
+	var nextRequested time.Time
 	for tick := 0; ; {
 		now := clock.Now()
 		n.updateLimitShares(now)
@@ -67,8 +67,9 @@
 			case <-ticker.C:
 				untilTick = false
 			case <-n.heartbeatRequested:
-				time.Sleep(gap)
-				gap = heartbeatGap(n.sendRequestedHeartbeat(), n.settings.Host.LinkMbps, n.settings.Member.HeartbeatInterval.AsDuration())
+				time.Sleep(max(minHeartbeatGap, time.Until(nextRequested)))
+				sent := n.sendRequestedHeartbeat()
+				nextRequested = time.Now().Add(heartbeatGap(sent, n.settings.Host.LinkMbps, n.settings.Member.HeartbeatInterval.AsDuration()))
 			}
 		}
 	}
