--- a/internal/member/split.go
+++ b/internal/member/split.go
@@ -28,8 +28,6 @@
 	appendAll(s, whole.Sent, func(b *pb.Heartbeat, m *pb.PrefixSent) { b.Sent = append(b.Sent, m) })
 	appendAll(s, whole.Loads, func(b *pb.Heartbeat, m *pb.ReplicaLoad) { b.Loads = append(b.Loads, m) })
 	appendAll(s, whole.TotalLoads, func(b *pb.Heartbeat, m *pb.ReplicaLoad) { b.TotalLoads = append(b.TotalLoads, m) })
-	appendAll(s, whole.RelayedReports, func(b *pb.Heartbeat, m *pb.RelayedReport) { b.RelayedReports = append(b.RelayedReports, m) })
-	appendAll(s, whole.RelayedPrefixes, func(b *pb.Heartbeat, m *pb.RelayedPrefix) { b.RelayedPrefixes = append(b.RelayedPrefixes, m) })
 	appendAll(s, whole.Weights, func(b *pb.Heartbeat, m *pb.ReplicaWeights) { b.Weights = append(b.Weights, m) })
 	appendAll(s, whole.Paces, func(b *pb.Heartbeat, m *pb.ReplicaPace) { b.Paces = append(b.Paces, m) })
 	appendAll(s, whole.Named, func(b *pb.Heartbeat, m *pb.NamedWeights) { b.Named = append(b.Named, m) })
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -169,23 +169,6 @@
 	return out
 }
 
-// RelayedAddresses returns the peer addresses of those of the given standby hosts that have this host as a
-// relay. In a small fleet every routing host sends heartbeats to all hosts, and each standby host's relays are
-// selected here as it selects them itself; in a larger fleet standby hosts receive heartbeats of their relays only.
-func (t *Table) RelayedAddresses(hosts []string, now time.Time) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v := t.viewAt(now)
-	var out []string
-	for _, id := range hosts {
-		h := t.hosts[id]
-		if h != nil && (!v.FullMesh || slices.Contains(selectRelays(v.Routing, h.heartbeat), t.self)) {
-			out = append(out, h.heartbeat.PeerAddress)
-		}
-	}
-	return out
-}
-
 func withinAskTTL(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < askTTL }
 
 // probeTargets returns the addresses to be probed now, the least recently probed first.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -90,7 +90,7 @@
 		v.Standby = t.freshStandby(v, live, now)
 	}
 	if !v.SelfRouting {
-		v.Relays = selectRelays(v.Routing, t.self)
+		v.Relays = t.selectRelays(v.Routing)
 	}
 	t.updateDirectSenders(v, live)
 	return v
@@ -228,17 +228,17 @@
 	}
 }
 
-// selectRelays selects the relays of a standby host. They are in its own zone if that has routing
+// selectRelays selects the relays of this host. They are in its own zone if that has routing
 // hosts, to save cross-zone traffic, and spread by hash so that the hosts of a zone do not
 // all use the same ones.
-func selectRelays(routing []*pb.Heartbeat, standby *pb.Heartbeat) []*pb.Heartbeat {
+func (t *Table) selectRelays(routing []*pb.Heartbeat) []*pb.Heartbeat {
 	candidates := slices.DeleteFunc(slices.Clone(routing), func(b *pb.Heartbeat) bool {
-		return b.AvailabilityZone != standby.AvailabilityZone
+		return b.AvailabilityZone != t.self.AvailabilityZone
 	})
 	if len(candidates) == 0 {
 		candidates = slices.Clone(routing)
 	}
-	seed := xxh3.HashString(standby.Host)
+	seed := xxh3.HashString(t.self.Host)
 	slices.SortFunc(candidates, func(a, b *pb.Heartbeat) int {
 		return cmp.Compare(xxh3.HashStringSeed(a.Host, seed), xxh3.HashStringSeed(b.Host, seed))
 	})
--- a/internal/node/beliefs_test.go
+++ b/internal/node/beliefs_test.go
@@ -38,15 +38,12 @@
 
 // newIdleNode returns a host that runs no loops. Tests pass heartbeats and records to it
 // directly.
-func newIdleNode(t *testing.T, id string, change ...func(*pb.Settings)) *Node {
+func newIdleNode(t *testing.T, id string) *Node {
 	t.Helper()
 	set := settings.Defaults()
 	set.Host.Id, set.Host.AvailabilityZone = id, "z1"
 	set.Listen = &pb.ListenSettings{Caller: id + ":1", Ready: id + ":2", Directory: id + ":3", Operator: id + ":4", Peer: id + ":5"}
 	set.Platform.Address = "store:1"
-	for _, f := range change {
-		f(set)
-	}
 	log, lines := obs.NewLogger(set.Log, io.Discard)
 	t.Cleanup(func() { _ = lines.Close() })
 	n := New(set, nil, log, lines)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,3 +143,41 @@
 	}
 	return true
 }
+
+// sendToStandby sends a heartbeat to standby hosts. Those with requests in flight also get the loads of
+// all hosts at servers, as they receive the reports of no other host.
+func (n *Node) sendToStandby(b *pb.Heartbeat, to []string, now time.Time) {
+	var working, rest []string
+	if n.directoryByLoad() && b.Routing {
+		withRequests := n.members.PeerAddresses(n.replicas.HostsWithRequests())
+		for _, address := range to {
+			if slices.Contains(withRequests, address) {
+				working = append(working, address)
+			}
+		}
+	}
+	for _, address := range to {
+		if !slices.Contains(working, address) {
+			rest = append(rest, address)
+		}
+	}
+	if len(rest) > 0 {
+		n.send(b, rest)
+	}
+	if len(working) > 0 {
+		b.TotalLoads = n.replicas.TotalLoads(now)
+		n.send(b, working)
+	}
+}
+
+// applyTotalLoads applies the loads of all hosts that a relay reports to this host. A routing host receives
+// the loads of each host instead.
+func (n *Node) applyTotalLoads(b *pb.Heartbeat, now time.Time) {
+	switch {
+	case !n.directoryByLoad():
+	case n.members.View(now).SelfRouting:
+		n.replicas.DropTotalLoads()
+	case len(b.TotalLoads) > 0:
+		n.replicas.SetTotalLoads(b.TotalLoads, now)
+	}
+}
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -95,8 +95,7 @@
 }
 
 // TestStandbyHostServesAndKnowsAllLoads guards against standby hosts that refuse the callers that directories send
-// to them, and against ones that send requests to servers that other hosts keep busy, or receive no reports from their
-// relays.
+// to them, and against ones that send requests to servers that other hosts keep busy.
 func TestStandbyHostServesAndKnowsAllLoads(t *testing.T) {
 	s := newSite(t)
 	for _, e := range s.engines {
@@ -129,7 +128,6 @@
 		request.Header.Set(wire.Key, "key-of-museum-a")
 		request.Header.Set(wire.Attempt, id)
 		request.Header.Set(wire.Model, "m")
-		request.Header.Set(wire.Prefix, id+":80,b:20")
 		go func() {
 			resp, err := client.Do(request)
 			if err == nil {
@@ -172,9 +170,4 @@
 	if most != 4 {
 		t.Errorf("the standby host counted up to %d requests of all hosts, want 4", most)
 	}
-	standby.node.relayLog.mu.Lock()
-	defer standby.node.relayLog.mu.Unlock()
-	if standby.node.relayLog.last.IsZero() {
-		t.Error("no relay told the standby host of the prompts that the other hosts sent")
-	}
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -119,14 +119,15 @@
 		n.addDemand(state, now)
 	}
 	if len(to.Routing) > 0 {
-		n.gossip.Send(n.forRouting(state, atInterval, now), to.Routing)
+		full := proto.CloneOf(state)
+		if atInterval {
+			full.Members = n.members.MemberStates(false, now)
+		}
+		n.addRoutingState(full, atInterval, now)
+		n.send(full, to.Routing)
 	}
 	if len(to.Standby) > 0 {
-		for _, a := range n.forStandby(n.standbyHeartbeat(state, now), to.Standby, now) {
-			if len(a.to) > 0 {
-				n.send(a.heartbeat, a.to)
-			}
-		}
+		n.sendToStandby(n.standbyHeartbeat(state, now), to.Standby, now)
 	}
 	if len(to.Ask) > 0 {
 		state.Asks = true
@@ -134,19 +135,6 @@
 	}
 }
 
-// forRouting returns the heartbeats for routing hosts. What they report of this host is passed on to standby hosts
-// too.
-func (n *Node) forRouting(state *pb.Heartbeat, atInterval bool, now time.Time) []*pb.Heartbeat {
-	full := proto.CloneOf(state)
-	if atInterval {
-		full.Members = n.members.MemberStates(false, now)
-	}
-	n.addRoutingState(full, atInterval, now)
-	parts := member.Split(full, n.nextSequence)
-	n.observeReports(parts, now)
-	return parts
-}
-
 func (n *Node) send(b *pb.Heartbeat, to []string) {
 	n.gossip.Send(member.Split(b, n.nextSequence), to)
 }
--- a/internal/node/heard.go
+++ b/internal/node/heard.go
@@ -57,8 +57,6 @@
 		}
 	}
 	n.applySent(b)
-	n.observeReports([]*pb.Heartbeat{b}, now)
-	n.applyRelayed(b, now)
 	n.applyFreshness(b, now)
 	n.catchUp(b)
 }
@@ -74,20 +72,13 @@
 }
 
 func (n *Node) applySent(b *pb.Heartbeat) {
-	if len(b.Sent) > 0 {
-		n.applySentAt(b.Sent, clock.Now())
-	}
-}
-
-// applySentAt applies prompts that other hosts sent at the given time.
-func (n *Node) applySentAt(sent []*pb.PrefixSent, at time.Time) {
 	c := n.config.Load()
-	if c == nil {
+	if c == nil || len(b.Sent) == 0 {
 		return
 	}
 	for _, s := range c.Services {
 		if s.Engine != nil {
-			n.scheduler.ApplySent(sent, s.Engine.CacheTokens, at)
+			n.scheduler.ApplySent(b.Sent, s.Engine.CacheTokens, clock.Now())
 			return
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,6 @@
 	"github.com/briarlink/briarlink/internal/quarantine"
 	"github.com/briarlink/briarlink/internal/quota"
 	"github.com/briarlink/briarlink/internal/reach"
-	"github.com/briarlink/briarlink/internal/relay"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 	"github.com/briarlink/briarlink/internal/rollout"
@@ -155,11 +154,6 @@
 	memory           *membudget.Budget
 	memoryCounts     membudget.Counts
 	memoryLogLimiter obs.Limiter
-	// relayReports is what this host passes on to standby hosts while it routes, relayReceived what it accepts of
-	// that on standby; nil unless directories consider load. relayLog logs when it receives such reports.
-	relayReports  *relay.Reports
-	relayReceived *relay.Received
-	relayLog      relayLog
 
 	// stateMu serialises reports of this host's state to the membership table, and is held over
 	// no other call.
@@ -283,13 +277,7 @@
 		n.index.Clear(id)
 		n.pool.Forget(address)
 		n.loader.Forget(id)
-		if n.relayReports != nil {
-			n.relayReports.Forget(id)
-		}
 	})
-	if n.directoryByLoad() {
-		n.relayReports, n.relayReceived = relay.NewReports(n.replicas.Started), relay.NewReceived(s.Host.Id, n.replicas.Started)
-	}
 	n.crashes = quarantine.NewTable(log, clock.Now())
 	if s.Overload.GetFairShare() {
 		n.shares = fairshare.NewTable(n.incarnation)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -18,8 +18,6 @@
 type Metrics struct {
 	scope   tally.Scope
 	traffic map[trafficKey]trafficCounters
-	// relayed maps kinds of relayed reports to their counters.
-	relayed map[string]tally.Counter
 	// named holds the organisations whose rate-limit rejections are counted by name.
 	namedMu sync.Mutex
 	named   map[string]bool
@@ -99,7 +97,6 @@
 	return &Metrics{
 		scope:             scope,
 		traffic:           newTrafficCounters(scope),
-		relayed:           newRelayedCounters(scope),
 		named:             map[string]bool{},
 		First:             scope.Histogram("first_event_seconds", buckets),
 		Whole:             scope.Histogram("answer_seconds", buckets),
--- a/internal/obs/traffic.go
+++ b/internal/obs/traffic.go
@@ -40,22 +40,3 @@
 	c.messages.Inc(1)
 	c.bytes.Inc(int64(bytes))
 }
-
-// Kinds of reports of other hosts that relays pass on to this host.
-const (
-	RelayedWeights = "weights"
-	RelayedLoading = "loading"
-	RelayedDown    = "down"
-	RelayedPrefix  = "prefix"
-)
-
-func newRelayedCounters(scope tally.Scope) map[string]tally.Counter {
-	out := map[string]tally.Counter{}
-	for _, kind := range []string{RelayedWeights, RelayedLoading, RelayedDown, RelayedPrefix} {
-		out[kind] = scope.Tagged(map[string]string{"kind": kind}).Counter("relayed_reports")
-	}
-	return out
-}
-
-// Relayed counts applied reports of other hosts that a relay passed on.
-func (m *Metrics) Relayed(kind string, reports int) { m.relayed[kind].Inc(int64(reports)) }
--- a/internal/schedule/sent.go
+++ b/internal/schedule/sent.go
@@ -84,7 +84,7 @@
 	return sent
 }
 
-// ApplySent applies prompts that another host sent now, or at the given time in the past. capacity is the size of the replicas'
+// ApplySent applies sent prompts reported by another host. capacity is the size of the replicas'
 // KV cache in tokens.
 func (s *Scheduler) ApplySent(sent []*pb.PrefixSent, capacity int, now time.Time) {
 	for _, item := range sent {
