fairshare: measure long urgent requests over 12 s again; a known failure

Cause: lengthened TestLongUrgentRequestsAreNotStarvedByShortOnes from 12 to 30 s. Change: the test is as it was; the longer one stays beside it.

--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -76,19 +76,26 @@
 // TestLongUrgentRequestsAreNotStarvedByShortOnes guards against shares by requests instead of cost,
 // and against buckets that are smaller than the largest requests.
 func TestLongUrgentRequestsAreNotStarvedByShortOnes(t *testing.T) {
-	const (
-		capacity = 200_000
-		// Within 12 s, one long request is 0.02 of those sent.
-		longEnd = 33 * time.Second
-	)
+	checkLongRequests(t, 15*time.Second)
+}
+
+// TestLongUrgentRequestsAreServedInTheLongRun guards against the same over a time in which one long request
+// is under 0.01 of those sent.
+func TestLongUrgentRequestsAreServedInTheLongRun(t *testing.T) {
+	checkLongRequests(t, 33*time.Second)
+}
+
+// checkLongRequests checks long urgent requests beside short ones, from 3 s on.
+func checkLongRequests(t *testing.T, until time.Duration) {
+	const capacity = 200_000
 	for _, hosts := range []int{3, 9} {
 		for _, organisation := range []string{"long", "short"} {
 			s := newSim(t, hosts)
 			s.addServers(4, capacity)
-			long := &traffic{organisation: organisation, rate: 4, cost: 17_000, urgent: true, deadline: 8 * time.Second, to: longEnd}
+			long := &traffic{organisation: organisation, rate: 4, cost: 17_000, urgent: true, deadline: 8 * time.Second, to: until}
 			s.send(long)
-			s.send(&traffic{organisation: "short", rate: 1000, cost: 400, deadline: 4 * time.Second, to: longEnd})
-			s.measure(3*time.Second, longEnd)
+			s.send(&traffic{organisation: "short", rate: 1000, cost: 400, deadline: 4 * time.Second, to: until})
+			s.measure(3*time.Second, until)
 			s.check(fmt.Sprint(hosts, " hosts, long requests of ", organisation), capacity, long)
 		}
 	}
