Quarantine: answers without prompts do not prove a prefix block

Cause: a host takes a block that crashed four servers for a cause if it was never answered, once the host has received 48 answers or run for 10 s. It counted the answers of plain services too. Change: only answers to requests with prefix blocks count.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -73,7 +73,8 @@
 	records map[Digest]*record
 	// changes counts the changes of records.
 	changes uint64
-	// answered remembers the blocks of answered requests, and answers counts these requests.
+	// answered remembers the blocks of answered requests, and answers counts the answered requests with
+	// blocks: answers of servers that get no prompts do not show that those with prompts are sound.
 	answered answeredBlocks
 	answers  int
 	// updates holds the digests with updates to report, and cursor the refused one that was resent
@@ -122,7 +123,9 @@
 func (t *Table) Answered(f Fingerprint, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.answers++
+	if len(f.Blocks) > 0 {
+		t.answers++
+	}
 	t.recordAnswer(f.Request, at, now)
 	for _, d := range f.Blocks {
 		t.answered.add(d, at)
