Quarantine: a refused request is not let in for a block that is not refused

Cause: a prefix block with more crashes than a refused request counted as the likelier cause of the crashes that both were running in. Change: a block takes crashes over from a refused request only once the block is refused itself; a change of a refusal has the verdicts of others calculated again.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -79,6 +79,9 @@
 	case !r.block && other.block:
 		// The whole request is the narrower cause.
 		return n >= m
+	case r.block && other.refusing:
+		// A block of many requests collects further crashes while the request is kept from all servers.
+		return n > m && r.refusing
 	default:
 		return n > m
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -237,6 +237,7 @@
 		return
 	}
 	r.refusing = refusing
+	t.changes++
 	line := t.log.WithField("digest", d.String())
 	switch {
 	case refusing && r.block:
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -310,3 +310,21 @@
 		}
 	}
 }
+
+// TestRefusedRequestIsNotLetInForABlock guards against a poison request that is sent again, as a block of
+// others, beside which it ran, has more crashes by now: two more servers crashed in soak seed 8001.
+func TestRefusedRequestIsNotLetInForABlock(t *testing.T) {
+	const block = Digest(7)
+	table := newTable()
+	table.Answered(Fingerprint{Request: innocent, Blocks: []Digest{block}}, at(0), at(0))
+	for i := range minBlockEpisodes {
+		crashed := []Fingerprint{{Request: Digest(100 + i), Blocks: []Digest{block}}}
+		if i < maxCrashes {
+			crashed = append(crashed, Fingerprint{Request: poison})
+		}
+		table.Crashed(Server(10+i), crashed, at(float64(1+i)), at(float64(1+i)))
+	}
+	if table.Refused(poison, at(6)) == 0 || refusesBlock(table, block, at(6)) {
+		t.Error("the poison request is let in, or the block is refused")
+	}
+}
