rollout: start attempts only at replicas that are still outdated

Cause: plan() worked on the list of outdated replicas that was read before the call to the store. An attempt that ended during that call had recorded the new weights and was no longer among the attempts, so the stale list led to a second attempt at the replica: a needless drain, and two needless heartbeats. Change: after the new attempts are recorded, the weights are read again; attempts at replicas that are no longer outdated are removed before they begin, and the others load the version that is wanted by then. Loader and replica table are still locked one at a time.

--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -198,7 +199,7 @@
 		return nil
 	}
 	l.resetForNewTerm(now)
-	return l.startAttempts(outdated, l.maxConcurrent(outdated), now)
+	return l.confirmAttempts(l.startAttempts(outdated, l.maxConcurrent(outdated), now))
 }
 
 // maxConcurrent returns how many replicas may load concurrently: as many as configured, more
@@ -279,6 +280,29 @@
 	return out
 }
 
+// confirmAttempts returns the started attempts with the replicas and versions as they are now, and removes the
+// attempts at replicas that are no longer outdated: the list behind the plan is older than the call to the
+// store, and attempts that ended since have loaded some of its replicas. It reads the weights after the new
+// attempts are recorded, so that no other attempt at these replicas can end in between.
+func (l *Loader) confirmAttempts(started []loadTarget) []loadTarget {
+	if len(started) == 0 {
+		return nil
+	}
+	outdated := l.outdated()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []loadTarget
+	for _, t := range started {
+		i := slices.IndexFunc(outdated, func(o loadTarget) bool { return o.server.ID == t.server.ID && o.model == t.model })
+		if i < 0 {
+			delete(l.attempts, t.server.ID)
+			continue
+		}
+		out = append(out, outdated[i])
+	}
+	return out
+}
+
 // LoadingReplicas returns the IDs of the replicas with an attempt in progress, sorted.
 func (l *Loader) LoadingReplicas() []string {
 	l.mu.Lock()
--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -325,6 +325,89 @@
 	})
 }
 
+// slowStore is a store that answers an append once a replica has loaded, or after maxDelay.
+type slowStore struct {
+	*logClient
+	loaded   <-chan struct{}
+	maxDelay time.Duration
+}
+
+func (s slowStore) Append(ctx context.Context, topic string, rec platform.Record, at int64) (int64, error) {
+	offset, err := s.logClient.Append(ctx, topic, rec, at)
+	select {
+	case <-s.loaded:
+		// The attempt ends after the weights are recorded.
+		time.Sleep(time.Millisecond)
+	case <-time.After(s.maxDelay):
+	}
+	return offset, err
+}
+
+// drainCounter is a fleet that signals each replica that has loaded, and counts the marks of replicas as loading
+// for which the host has already recorded the wanted weights.
+type drainCounter struct {
+	*fakeFleet
+	loaded   chan struct{}
+	needless *atomic.Int64
+}
+
+func (c drainCounter) RecordWeights(id, model string, version int64) bool {
+	select {
+	case c.loaded <- struct{}{}:
+	default:
+	}
+	return c.fakeFleet.RecordWeights(id, model, version)
+}
+
+func (c drainCounter) MarkLoading(id string, until time.Time) {
+	c.set(func() {
+		if c.assumed[id] >= c.wanted {
+			c.needless.Add(1)
+		}
+	})
+	c.fakeFleet.MarkLoading(id, until)
+}
+
+// TestLoadedReplicasAreNotDrainedAgain guards against a second attempt at a replica that has just loaded. The
+// list of outdated replicas is read before the lease is renewed, and attempts may end before the store answers.
+func TestLoadedReplicasAreNotDrainedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := drainCounter{newFakeFleet(6), make(chan struct{}), &atomic.Int64{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		lease := NewLease(slowStore{&logClient{log: newFakeLog()}, fleet.loaded, 700 * time.Millisecond}, quietLog(), "a", 1, testTTL)
+		loader := NewLoader(lease, fleet, fleet, quietLog(), "a", platform.LoadQueue, 2)
+		var wg sync.WaitGroup
+		wg.Go(func() { lease.Follow(ctx) })
+		wg.Go(func() { loader.Run(ctx) })
+		fleet.set(func() { fleet.wanted = 2 })
+		time.Sleep(10 * time.Second)
+		if outdated, needless := fleet.outdatedCount(), fleet.needless.Load(); outdated > 0 || needless > 0 {
+			t.Errorf("%d replicas outdated, %d marks of replicas as loading after they had loaded", outdated, needless)
+		}
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestAttemptLoadsTheNewestVersion guards against an order for a version that was replaced by a newer one while
+// the lease was renewed: the replica would load twice.
+func TestAttemptLoadsTheNewestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFakeFleet(2)
+		fleet.wanted = 2
+		host := newRolloutHost(t, "a", 1, newFakeLog(), fleet)
+		synctest.Wait()
+		outdated := host.loader.outdated()
+		fleet.wanted = 3
+		started := host.loader.plan(t.Context(), outdated, time.Now())
+		if len(started) != 1 || started[0].version != 3 {
+			t.Errorf("attempts started: %v, want one that loads version 3", started)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestSomeServeWhileOthersLoad checks that of two replicas one loads at a time.
 func TestSomeServeWhileOthersLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
