rollout: restore the strict bound on heartbeats requested by loads

Cause: TestLoadsDoNotFloodOtherHosts allowed two attempts for each replica, because of second attempts at replicas that had just loaded. These no longer occur. Change: the bound is two requested heartbeats for each replica again, 12 for six replicas.

--- a/internal/rollout/loader_test.go
+++ b/internal/rollout/loader_test.go
@@ -317,9 +317,8 @@
 			fleet.set(func() { fleet.wanted = 2 })
 			time.Sleep(10 * time.Second)
 		})
-		// One as a replica begins to drain, and one once it has loaded. A second attempt may begin before the end of
-		// the first one is known.
-		if n := requested.Load(); fleet.outdatedCount() > 0 || n > 2*2*replicas {
+		// One as a replica begins to drain, and one once it has loaded.
+		if n := requested.Load(); fleet.outdatedCount() > 0 || n > 2*replicas {
 			t.Errorf("%d replicas outdated, %d heartbeats requested", fleet.outdatedCount(), n)
 		}
 	})
