fairshare: urgent requests go before the less urgent ones of their organisation

Cause: an organisation above its share was above it for all its requests, also for urgent ones that are a small part of them. Traces of the requests that TestLongUrgentRequestsAreNotStarvedByShortOnes misses: each found all four servers full, two or three times, as the short requests of its own organisation fill each place that becomes free, or was refused by a bucket that long ones before it had overdrawn. What it was refused nobody made up for, unlike that of an organisation below its share. Change: the urgent requests of an organisation are above its share only if they alone are. Within it they are admitted, and what servers refuse of them is made up for by requests above their share. The less urgent requests of the organisation make up for their cost over 2 s. No field is added to reports: the urgent part of a host's own demand stands for that of all hosts'. A new test checks it for 1 to 24 hosts, and that other organisations do not pay for it.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -7,6 +7,7 @@
 package fairshare
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,6 +27,13 @@
 	// reservedShare is the share of a bucket that requests of less urgent routes leave, or half of it
 	// if they come back.
 	reservedShare = 0.5
+	// repayTime is the time over which an organisation's less urgent requests make up for its urgent ones: if
+	// they gave way all at once, servers would stand idle after each large urgent request. It also bounds, in
+	// time at the bucket's rate, what an organisation gets whose requests all become urgent at once.
+	repayTime = 2 * time.Second
+	// urgencyTime is the time over which the urgent part of an organisation's demand is averaged. One host of
+	// many gets a large urgent request once in some seconds only.
+	urgencyTime = 10 * time.Second
 	// planAge is the age at which the shares of a service are calculated again. It is much shorter
 	// than the interval of reports, and limits the cost for a busy host.
 	planAge = 25 * time.Millisecond
@@ -57,7 +65,8 @@
 	Admitted bool
 	// Returned is set if some host refused the request for want of capacity, and its caller came back.
 	Returned bool
-	// Above is set if the organisation is above its share. Its request is then not to wait for room.
+	// Above is set if the organisation is above its share; for an urgent request, if its urgent ones alone
+	// are. The request is then not to wait for room.
 	Above bool
 	// RetryAfter is how long the caller of a refused request should wait. Share is the cost per second
 	// that the organisation gets of all hosts together, Offered what it sends, and Capacity what all
@@ -113,12 +122,17 @@
 // account is the demand of one organisation for a service at this host, and its token bucket.
 type account struct {
 	offered, requests window
-	lastSeen          time.Time
+	// recent is the cost of the requests of about urgencyTime, and recentUrgent that of the urgent ones among
+	// them: each request counts for less, exponentially, the longer ago it arrived.
+	recent, recentUrgent float64
+	lastSeen             time.Time
 	// limited is set while the organisation is above its share. level is how much the bucket holds;
 	// it is negative after a large request.
 	limited bool
 	level   float64
-	updated time.Time
+	// urgentDebt is the cost of urgent requests within the share that is not yet taken off the bucket.
+	urgentDebt float64
+	updated    time.Time
 }
 
 func serviceKey(name string) uint32 { return uint32(xxh3.HashString(name)) }
@@ -141,7 +155,7 @@
 }
 
 // Arrived counts a request without deciding on its admission, such as one that another host passed on,
-// and reports whether its organisation is above its share.
+// and reports whether its organisation is above its share, or its urgent requests alone for an urgent one.
 func (t *Table) Arrived(r Request, now time.Time) (above bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -150,7 +164,8 @@
 		return false
 	}
 	p := t.currentPlan(s, now)
-	return a.offered.perSecond(now)+p.others[organisationKey(r.Organisation)] > p.level
+	total := a.offered.perSecond(now) + p.others[organisationKey(r.Organisation)]
+	return total > p.level && !a.urgentWithin(r, total, p)
 }
 
 func (t *Table) count(r Request, now time.Time) (*service, *account) {
@@ -163,6 +178,12 @@
 	}
 	a.offered.add(r.Cost, now)
 	a.requests.add(1, now)
+	decay := math.Exp(-max(0, now.Sub(a.lastSeen).Seconds()) / urgencyTime.Seconds())
+	a.recent = a.recent*decay + r.Cost
+	a.recentUrgent *= decay
+	if r.Urgent {
+		a.recentUrgent += r.Cost
+	}
 	a.lastSeen = now
 	return s, a
 }
@@ -204,12 +225,17 @@
 		a.limited = false
 		return true
 	}
-	d.Above = true
 	rate := p.level * own / total
 	if kept, isKept := p.kept[key]; isKept {
 		rate = min(rate, kept)
 	}
-	if !a.take(r, rate, d.Returned, now) {
+	a.refill(rate, now)
+	if a.urgentWithin(r, total, p) && a.urgentDebt < rate*repayTime.Seconds() {
+		a.urgentDebt += r.Cost
+		return true
+	}
+	d.Above = true
+	if !a.take(r, rate, d.Returned) {
 		return false
 	}
 	if s.owed >= r.Cost {
@@ -220,16 +246,37 @@
 	return true
 }
 
-// take charges a request to the bucket, unless it has no room. However large a request is, it is
-// admitted above the threshold: what it takes beyond that is missing afterwards.
-func (a *account) take(r Request, rate float64, returned bool, now time.Time) bool {
-	size := max(rate*burstSeconds, a.offered.total()/max(1, a.requests.total()))
+// urgentWithin reports whether a request is urgent, and the urgent ones of its organisation alone are within
+// its share. Hosts report demand without its urgency, so that the urgent part of this host's demand stands
+// for that of all hosts'.
+func (a *account) urgentWithin(r Request, total float64, p *plan) bool {
+	return r.Urgent && total*a.recentUrgent <= p.urgentLevel*a.recent
+}
+
+// refill adds to the bucket what the rate gives since the last request, less what is taken off for urgent
+// requests.
+func (a *account) refill(rate float64, now time.Time) {
+	size := a.bucketSize(rate)
 	if !a.limited {
-		a.limited, a.level, a.updated = true, size, now
+		a.limited, a.level, a.urgentDebt, a.updated = true, size, 0, now
 	}
-	a.level = min(size, a.level+rate*now.Sub(a.updated).Seconds())
+	elapsed := now.Sub(a.updated)
+	added := rate * elapsed.Seconds()
+	repaid := min(added, a.urgentDebt*(1-math.Exp(-elapsed.Seconds()/repayTime.Seconds())))
+	a.urgentDebt -= repaid
+	a.level = min(size, a.level+added-repaid)
 	a.updated = now
-	if a.level <= threshold(r, size, returned) {
+}
+
+// bucketSize returns how much the bucket holds: burstSeconds of its rate, or a request of the mean size.
+func (a *account) bucketSize(rate float64) float64 {
+	return max(rate*burstSeconds, a.offered.total()/max(1, a.requests.total()))
+}
+
+// take charges a request to the bucket, unless it has no room. However large a request is, it is
+// admitted above the threshold: what it takes beyond that is missing afterwards.
+func (a *account) take(r Request, rate float64, returned bool) bool {
+	if a.level <= threshold(r, a.bucketSize(rate), returned) {
 		return false
 	}
 	a.level -= r.Cost
--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// TestUrgentRequestsAreNotServedAtOthersCost guards against an organisation above its share that gets more
+// of the others' part by calling some of its requests urgent, or all of them at once, and against urgent
+// requests within its share that are refused for its less urgent ones.
+func TestUrgentRequestsAreNotServedAtOthersCost(t *testing.T) {
+	for _, hosts := range []int{1, 3, 9, 24} {
+		for _, urgentRate := range []float64{30, 70, 90} {
+			s, others, storming := newStorm(t, hosts)
+			storming.urgent, storming.rate = false, 90-urgentRate
+			urgent := &traffic{organisation: "storm", rate: urgentRate, cost: 1, urgent: true, from: 3 * time.Second}
+			if urgentRate == 90 {
+				storming.rate, storming.to, urgent.from = 90, 6*time.Second, 6*time.Second
+			}
+			s.send(urgent)
+			s.measure(max(3*time.Second, urgent.from), 15*time.Second)
+			what := fmt.Sprintf("%d hosts, %.0f of 90 urgent", hosts, urgentRate)
+			s.check(what+", others", simCapacity, others...)
+			if urgentRate < simCapacity-105 {
+				s.check(what+", those", simCapacity, urgent)
+			}
+		}
+	}
+}
+
 // TestNothingIsRefusedWithoutShortage guards against fairness where there is enough for all, and
 // against one server that rejects everything and so makes the service look short.
 func TestNothingIsRefusedWithoutShortage(t *testing.T) {
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -13,8 +13,9 @@
 	// capacity is the cost per second that all hosts together admit, and level is how much of it each
 	// organisation may have: those that ask for less get all that they ask for.
 	capacity, level float64
-	// served is the cost per second that servers answered to all hosts.
-	served float64
+	// served is the cost per second that servers answered to all hosts. urgentLevel is level for a capacity
+	// half way from that: what is admitted beyond what servers answered may find no room.
+	served, urgentLevel float64
 	// others is what is offered to other hosts, by organisation.
 	others map[uint64]float64
 	// rates are the rates of this host's buckets, while other hosts reported.
@@ -76,6 +77,7 @@
 	}
 	next := plan{at: now, served: served, capacity: served * headroomAfter(t.sinceShort(s, now)), others: others}
 	next.level = fairLevel(next.capacity, totals)
+	next.urgentLevel = fairLevel((served+next.capacity)/2, totals)
 	if served == 0 {
 		// The capacity is not known, as after a start, or while no server is up. Servers that come
 		// back would otherwise stand idle.
