replica: avoid a server that breaks each connection

The server was never marked down: suspicion needs a request that stays unanswered, and a probe only opens a connection, which such a server accepts. A brittle server that fell over has no requests in flight, so it seemed to have room while no other server had, and got all requests for 2 s.

Change: after three connections that broke one after the other, without any answer in between, a host avoids the server and sends it single trial requests after 0.3 and then every 0.5 s, until one is answered. Connections that were open at the same time count once, and an answer to a request sent before the break does not end the state. Other hosts are not notified, as they may reach the server. If all servers are in that state, they are tried as before.

--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -84,7 +84,7 @@
 	f.answerStarted = true
 	f.ratio = float64(now.Sub(f.start)) / float64(max(f.work.Expected, minTimedExpectation))
 	f.table.clearBroken(f.entry, f.start)
-	f.table.updateHealth(f.entry, "an answer began", now, func(h *health) { h.markUp() })
+	f.table.updateHealth(f.entry, "an answer began", now, func(h *health) { h.recordAnswer(f.start) })
 	if f.entry.recordSlowdown(f, now.Sub(f.start)) {
 		f.table.track(f.table.withSlowdown, f.entry)
 	}
@@ -144,6 +144,9 @@
 	}
 	f.table.updateHealth(f.entry, r.String(), now, func(h *health) {
 		h.recordResult(r, f.start, now)
+		if f.broken && !f.answerStarted && !byCut {
+			h.recordBroken(f.start, now)
+		}
 		// Each request that had been waiting when the server was marked down would double the time.
 		if unresponsive && (h.downTime == 0 || !f.start.Before(h.downSince)) {
 			h.markDown(now)
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -65,6 +65,12 @@
 	// report does not last until a request succeeds there: among many servers, this host may
 	// send it none for a long time, and all other hosts would leave it idle meanwhile.
 	reportAfterReached = time.Second
+	// brokenInRow is how many connections must break one after the other, without any answer of the server in
+	// between, before it is avoided: sound servers close single connections.
+	brokenInRow = 3
+	// maxBrokenTime limits how long such a server gets no trial request. Each trial costs a caller its
+	// request, while a server that recovered stays unused until a trial is answered.
+	maxBrokenTime = 500 * time.Millisecond
 	// maxSlow limits how slow a single answer can make a server look.
 	maxSlow = 12.0
 )
@@ -81,7 +87,7 @@
 	downTime  time.Duration
 	downUntil time.Time
 	// downSince is when the server was marked down. unreported is set if that was while this host was
-	// cut off from the service, until the server fails again.
+	// cut off from the service, until the server fails again, or because connections broke.
 	downSince  time.Time
 	unreported bool
 	// unreachable is set while connections to the server fail.
@@ -96,6 +102,10 @@
 	trialRunning bool
 	// suspectedUntil is when the last report of another host that the server is down expires.
 	suspectedUntil time.Time
+	// broken counts the connections that broke one after the other since the last answer, the last at
+	// brokenAt.
+	broken   int
+	brokenAt time.Time
 }
 
 // state returns whether the server is down, and whether a trial request may be sent to it.
@@ -172,12 +182,8 @@
 func (h *health) recordResult(r Result, began, now time.Time) {
 	h.trialRunning = false
 	switch r {
-	case Answered:
-		h.markUp()
-	case Refused:
-		h.markUp()
-	case Failed:
-		h.markUp()
+	case Answered, Refused, Failed:
+		h.recordAnswer(began)
 	case Unreachable:
 		h.unreachable = true
 		h.markDown(now)
@@ -187,9 +193,35 @@
 	}
 }
 
+// recordBroken records that the connection of a request sent at the given time broke before any answer. It
+// counts only if the request was sent after the last such break, as all open connections may break at once.
+// From brokenInRow on the server gets single trial requests at growing intervals. A connection that can be
+// opened proves nothing then. Other hosts are not notified, as they may reach the server.
+func (h *health) recordBroken(began, now time.Time) {
+	if began.Before(h.brokenAt) {
+		return
+	}
+	h.broken, h.brokenAt = h.broken+1, now
+	if h.broken < brokenInRow {
+		return
+	}
+	h.markDown(now)
+	h.downTime = min(h.downTime, maxBrokenTime)
+	h.downUntil = now.Add(h.downTime)
+	h.reachableSince, h.unreported = h.downUntil, true
+}
+
+// recordAnswer records an answer to a request sent at the given time. While connections break, a server may
+// still answer requests that were sent before.
+func (h *health) recordAnswer(began time.Time) {
+	if h.broken < brokenInRow || !began.Before(h.brokenAt) {
+		h.markUp()
+	}
+}
+
 // markUp resets the state of a server that has answered.
 func (h *health) markUp() {
-	h.downTime = 0
+	h.downTime, h.broken = 0, 0
 	h.unreachable = false
 	h.connectTimeoutAt = time.Time{}
 	h.suspectedUntil = time.Time{}
