replica: check the room at a brittle server again when a request is sent

Requests of one host that were scheduled at the same moment all found the same slot free and were all sent.

Change: room is checked again, under the lock of the table, when the request is recorded as sent. A request that finds none is scheduled again, and the server is not excluded for it.

--- a/internal/replica/brittle.go
+++ b/internal/replica/brittle.go
@@ -166,6 +166,14 @@
 	return s.hasRoom()
 }
 
+// HasRoom reports whether this host may send a server another request as far as its room is concerned.
+func (t *Table) HasRoom(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	return e == nil || t.hasRoom(e, now)
+}
+
 // slotState returns what this host knows of a brittle server.
 func (t *Table) slotState(e *entry, now time.Time) slotState {
 	b := &e.brittle
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -53,6 +53,21 @@
 func (t *Table) Begin(id string, work Work, now time.Time) *Flight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.begin(id, work, now)
+}
+
+// BeginIfRoom is like Begin, but also returns nil if a brittle server has no room: other requests may have
+// been sent to it since it was chosen.
+func (t *Table) BeginIfRoom(id string, work Work, now time.Time) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil && !t.hasRoom(e, now) {
+		return nil
+	}
+	return t.begin(id, work, now)
+}
+
+func (t *Table) begin(id string, work Work, now time.Time) *Flight {
 	e := t.entries[id]
 	if e == nil || e.is(StateDraining) {
 		return nil
--- a/internal/replica/slots_test.go
+++ b/internal/replica/slots_test.go
@@ -192,3 +192,32 @@
 		})
 	}
 }
+
+// TestRequestsOfOneMomentShareTheRoom guards against a brittle server that is sent several requests for one free
+// slot: they were scheduled at the same moment, when each of them found it free.
+func TestRequestsOfOneMomentShareTheRoom(t *testing.T) {
+	const own = 2
+	w := newBrittleWorld(3, 1, 3*own, 5, 0)
+	table, id := w.hosts[0].table, w.servers[0].id
+	f := table.Begin(id, Work{}, w.now)
+	f.RecordNotice(platform.ReplicaAnswer{Brittle: true, MaxRejections: 5, Sealed: true}, w.now)
+	f.Rejected(w.now)
+	f.End(Refused, w.now)
+	w.now = w.now.Add(rejectionWindow)
+	if !table.HasRoom(id, w.now) {
+		t.Fatal("no room at an idle server")
+	}
+	var sent []*Flight
+	for range 3 * own {
+		if f := table.BeginIfRoom(id, Work{}, w.now); f != nil {
+			sent = append(sent, f)
+		}
+	}
+	if len(sent) != own || table.HasRoom(id, w.now) {
+		t.Fatalf("%d requests sent at one moment, %d slots belong to this host", len(sent), own)
+	}
+	sent[0].End(Answered, w.now)
+	if table.BeginIfRoom(id, Work{}, w.now) == nil {
+		t.Error("no room after a request was answered")
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -165,7 +165,10 @@
 			s.Canaries.Withdraw(req.Service.Name)
 		}
 		if c == nil {
-			req.Exclude[decision.ID] = true
+			// A brittle replica that was just filled may have room again while the request waits.
+			if s.replicas.HasRoom(decision.ID, now) {
+				req.Exclude[decision.ID] = true
+			}
 			continue
 		}
 		if c.Hold == 0 {
@@ -317,7 +320,7 @@
 		Expected: d.Expected, PrefillTime: time.Duration(d.Slowdown * float64(s.policy.PrefillTime(prefill))),
 		ServiceTime: d.ServiceTime, Slowdown: d.Slowdown, Engine: capacity > 0, Fingerprint: req.Fingerprint,
 	}
-	c.Flight = s.replicas.Begin(d.ID, work, now)
+	c.Flight = s.replicas.BeginIfRoom(d.ID, work, now)
 	if c.Flight == nil {
 		return nil
 	}
