fairshare: urgent requests are made up for by their own organisation, in full

Cause (a review, and a simulation): an organisation above its share that called a third of its requests urgent got 66 a second, and another one above its share 50, where each has 57. Urgent requests within the share wait for room and are served; what is admitted beyond what servers answer is taken from all others that are above their share alike. The debt was also forgotten whenever the shortage paused, and what servers refused of urgent requests was made up for by all organisations above their share. Change: an urgent request within the share is charged for as much more as is admitted beyond what servers answered; the debt outlasts pauses; refused ones of an organisation above its share are not owed by others.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -231,7 +231,7 @@
 	}
 	a.refill(rate, now)
 	if a.urgentWithin(r, total, p) && a.urgentDebt < rate*repayTime.Seconds() {
-		a.urgentDebt += r.Cost
+		a.urgentDebt += r.Cost * p.overcommit
 		return true
 	}
 	d.Above = true
@@ -257,14 +257,16 @@
 // requests.
 func (a *account) refill(rate float64, now time.Time) {
 	size := a.bucketSize(rate)
-	if !a.limited {
-		a.limited, a.level, a.urgentDebt, a.updated = true, size, 0, now
-	}
 	elapsed := now.Sub(a.updated)
 	added := rate * elapsed.Seconds()
+	// The debt outlasts the moments in which the organisation is not above its share, as shortages come and go.
 	repaid := min(added, a.urgentDebt*(1-math.Exp(-elapsed.Seconds()/repayTime.Seconds())))
 	a.urgentDebt -= repaid
-	a.level = min(size, a.level+added-repaid)
+	if a.limited {
+		a.level = min(size, a.level+added-repaid)
+	} else {
+		a.limited, a.level = true, size
+	}
 	a.updated = now
 }
 
@@ -338,7 +340,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(r.Service)
-	if !r.Above && t.short(s, now) {
+	// The urgent requests of an organisation above its share are made up for by its own ones, not by others'.
+	if a := s.accounts[organisationKey(r.Organisation)]; !r.Above && (a == nil || !a.limited) && t.short(s, now) {
 		s.owed = min(max(r.Cost, burstSeconds*s.served.perSecond(now)), s.owed+r.Cost)
 	}
 	return t.refuse(s, r, now)
--- a/internal/fairshare/load_test.go
+++ b/internal/fairshare/load_test.go
@@ -124,6 +124,30 @@
 	}
 }
 
+// TestUrgencyBringsNoMoreThanTheShare guards against an organisation above its share that gets more than
+// another one above it by calling a third of its requests urgent.
+func TestUrgencyBringsNoMoreThanTheShare(t *testing.T) {
+	const share = (simCapacity - 45) / 2.0
+	for _, hosts := range []int{1, 3, 9} {
+		s := newSim(t, hosts)
+		s.addServers(4, simCapacity)
+		for i := range 3 {
+			s.send(&traffic{organisation: fmt.Sprint("o", i), rate: 15, cost: 1, urgent: true})
+		}
+		urgent := &traffic{organisation: "some urgent", rate: 40, cost: 1, urgent: true}
+		short := &traffic{organisation: "some urgent", rate: 80, cost: 1}
+		other := &traffic{organisation: "none urgent", rate: 120, cost: 1}
+		for _, tr := range []*traffic{urgent, short, other} {
+			s.send(tr)
+		}
+		s.measure(3*time.Second, 23*time.Second)
+		t.Logf("%d hosts: %d and %d of the one, %d of the other in 20 s, share %.0f", hosts, urgent.inTime, short.inTime, other.inTime, 20*share)
+		if float64(other.inTime) < minUsed*share*20 {
+			t.Error("too little")
+		}
+	}
+}
+
 // TestNothingIsRefusedWithoutShortage guards against fairness where there is enough for all, and
 // against one server that rejects everything and so makes the service look short.
 func TestNothingIsRefusedWithoutShortage(t *testing.T) {
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -16,6 +16,10 @@
 	// served is the cost per second that servers answered to all hosts. urgentLevel is level for a capacity
 	// half way from that: what is admitted beyond what servers answered may find no room.
 	served, urgentLevel float64
+	// overcommit is how much more than its part of what servers answer an organisation above its share may
+	// have admitted. Urgent requests within the share lose nothing of that at servers, so that they count
+	// for that much more.
+	overcommit float64
 	// others is what is offered to other hosts, by organisation.
 	others map[uint64]float64
 	// rates are the rates of this host's buckets, while other hosts reported.
@@ -78,6 +82,7 @@
 	next := plan{at: now, served: served, capacity: served * headroomAfter(t.sinceShort(s, now)), others: others}
 	next.level = fairLevel(next.capacity, totals)
 	next.urgentLevel = fairLevel((served+next.capacity)/2, totals)
+	next.overcommit = next.level / fairLevel(served, totals)
 	if served == 0 {
 		// The capacity is not known, as after a start, or while no server is up. Servers that come
 		// back would otherwise stand idle.
