Room at brittle servers: reported with the attempt to use it; broken connections apart from hangs

Cause (a review): a waiting request excluded a server if a slot became free between the check in BeginIfRoom and that in HasRoom, and was refused with a slot free. Permits and links were reserved before the room was checked. A hang whose connection broke counted twice, and reported the server to other hosts. The mirror for connections that break at once looked only when any server is due for a trial, and passed without the rule that it guards. Change: BeginIfRoom tells why it returns nothing; room is checked before anything is reserved too; a broken connection of an unresponsive request counts as the latter only; the mirror looks after each break.

--- a/internal/replica/breaking_test.go
+++ b/internal/replica/breaking_test.go
@@ -136,12 +136,12 @@
 		open = append(open, table.Begin("a", Work{}, now))
 	}
 	for i, f := range open {
-		at := now.Add(time.Duration(i) * time.Millisecond)
+		at := now.Add(time.Duration(1+i) * time.Millisecond)
 		f.ConnectionBroken(at)
 		f.End(Lost, at)
-	}
-	if got := usable(table, now.Add(time.Second)); got != "ab" {
-		t.Errorf("all open connections broke at once: usable %q, want both", got)
+		if got := usable(table, at); got != "ab" {
+			t.Fatalf("%d of the open connections broke at once: usable %q, want both", 1+i, got)
+		}
 	}
 }
 
--- a/internal/replica/brittle.go
+++ b/internal/replica/brittle.go
@@ -166,7 +166,8 @@
 	return s.hasRoom()
 }
 
-// HasRoom reports whether this host may send a server another request as far as its room is concerned.
+// HasRoom reports whether a server is not brittle, or has room for another request of this host. It checks
+// neither its health nor whether it drains.
 func (t *Table) HasRoom(id string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -56,15 +56,15 @@
 	return t.begin(id, work, now)
 }
 
-// BeginIfRoom is like Begin, but also returns nil if a brittle server has no room: other requests may have
-// been sent to it since it was chosen.
-func (t *Table) BeginIfRoom(id string, work Work, now time.Time) *Flight {
+// BeginIfRoom is like Begin, but also returns nil, and full, if a brittle server has no room: other requests may
+// have been sent to it since it was chosen.
+func (t *Table) BeginIfRoom(id string, work Work, now time.Time) (f *Flight, full bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil && !t.hasRoom(e, now) {
-		return nil
+		return nil, true
 	}
-	return t.begin(id, work, now)
+	return t.begin(id, work, now), false
 }
 
 func (t *Table) begin(id string, work Work, now time.Time) *Flight {
@@ -159,7 +159,7 @@
 	}
 	f.table.updateHealth(f.entry, r.String(), now, func(h *health) {
 		h.recordResult(r, f.start, now)
-		if f.broken && !f.answerStarted && !byCut {
+		if f.broken && !f.answerStarted && !byCut && !unresponsive {
 			h.recordBroken(f.start, now)
 		}
 		// Each request that had been waiting when the server was marked down would double the time.
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -65,12 +65,12 @@
 	// report does not last until a request succeeds there: among many servers, this host may
 	// send it none for a long time, and all other hosts would leave it idle meanwhile.
 	reportAfterReached = time.Second
-	// brokenInRow is how many connections must break one after the other, without any answer of the server in
+	// consecutiveBreaks is how many connections must break one after the other, without any answer of the server in
 	// between, before it is avoided: sound servers close single connections.
-	brokenInRow = 3
-	// maxBrokenTime limits how long such a server gets no trial request. Each trial costs a caller its
+	consecutiveBreaks = 3
+	// maxTrialInterval limits the time between two trial requests to such a server. Each trial costs a caller its
 	// request, while a server that recovered stays unused until a trial is answered.
-	maxBrokenTime = 500 * time.Millisecond
+	maxTrialInterval = 500 * time.Millisecond
 	// maxSlow limits how slow a single answer can make a server look.
 	maxSlow = 12.0
 )
@@ -86,8 +86,8 @@
 	// downUntil.
 	downTime  time.Duration
 	downUntil time.Time
-	// downSince is when the server was marked down. unreported is set if that was while this host was
-	// cut off from the service, until the server fails again, or because connections broke.
+	// downSince is when the server was marked down. While unreported is set, other hosts are not told: this host
+	// was cut off from the service, which holds until the server fails again, or connections broke.
 	downSince  time.Time
 	unreported bool
 	// unreachable is set while connections to the server fail.
@@ -195,26 +195,27 @@
 
 // recordBroken records that the connection of a request sent at the given time broke before any answer. It
 // counts only if the request was sent after the last such break, as all open connections may break at once.
-// From brokenInRow on the server gets single trial requests at growing intervals. A connection that can be
-// opened proves nothing then. Other hosts are not notified, as they may reach the server.
+// From consecutiveBreaks on the server gets single trial requests. A connection that can be opened proves
+// nothing then. Other hosts are not notified, as they may reach the server.
 func (h *health) recordBroken(began, now time.Time) {
 	if began.Before(h.brokenAt) {
 		return
 	}
 	h.broken, h.brokenAt = h.broken+1, now
-	if h.broken < brokenInRow {
+	if h.broken < consecutiveBreaks {
 		return
 	}
+	unreported := h.unreported || h.downTime == 0
 	h.markDown(now)
-	h.downTime = min(h.downTime, maxBrokenTime)
+	h.downTime = min(h.downTime, maxTrialInterval)
 	h.downUntil = now.Add(h.downTime)
-	h.reachableSince, h.unreported = h.downUntil, true
+	h.reachableSince, h.unreported = h.downUntil, unreported
 }
 
 // recordAnswer records an answer to a request sent at the given time. While connections break, a server may
 // still answer requests that were sent before.
 func (h *health) recordAnswer(began time.Time) {
-	if h.broken < brokenInRow || !began.Before(h.brokenAt) {
+	if h.broken < consecutiveBreaks || !began.Before(h.brokenAt) {
 		h.markUp()
 	}
 }
--- a/internal/replica/slots_test.go
+++ b/internal/replica/slots_test.go
@@ -209,7 +209,7 @@
 	}
 	var sent []*Flight
 	for range 3 * own {
-		if f := table.BeginIfRoom(id, Work{}, w.now); f != nil {
+		if f, _ := table.BeginIfRoom(id, Work{}, w.now); f != nil {
 			sent = append(sent, f)
 		}
 	}
@@ -217,7 +217,7 @@
 		t.Fatalf("%d requests sent at one moment, %d slots belong to this host", len(sent), own)
 	}
 	sent[0].End(Answered, w.now)
-	if table.BeginIfRoom(id, Work{}, w.now) == nil {
+	if f, full := table.BeginIfRoom(id, Work{}, w.now); f == nil || full {
 		t.Error("no room after a request was answered")
 	}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -160,13 +160,13 @@
 		if err != nil {
 			return nil, s.spaceRetries(req.Service.Name, err, now)
 		}
-		c := s.commit(req, decision, prompts, capacity, now)
+		c, full := s.commit(req, decision, prompts, capacity, now)
 		if filter.Target && (c == nil || c.Hold > 0) {
 			s.Canaries.Withdraw(req.Service.Name)
 		}
 		if c == nil {
-			// A brittle replica that was just filled may have room again while the request waits.
-			if s.replicas.HasRoom(decision.ID, now) {
+			// A brittle replica that is full now may have room again while the request waits.
+			if !full {
 				req.Exclude[decision.ID] = true
 			}
 			continue
@@ -290,23 +290,27 @@
 }
 
 // commit turns a decision into a choice that is counted as sent, or into one with Hold set.
-// It returns nil if the replica accepts no more requests, or none of this host for now.
-func (s *Scheduler) commit(req *Request, d route.Decision, prompts map[int64]prefix.Prompt, capacity int, now time.Time) *Choice {
+// It returns nil if the replica accepts no more requests, or, with full set, if it is brittle and has no room.
+func (s *Scheduler) commit(req *Request, d route.Decision, prompts map[int64]prefix.Prompt, capacity int, now time.Time) (c *Choice, full bool) {
 	p := s.prompt(prompts, req, d.Weights)
-	c := &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
+	c = &Choice{Decision: d, Shared: p.Total(), prompt: p, capacity: int(float64(capacity) * cacheShare)}
 	if d.AwaitsSource {
 		c.Hold = d.AwaitTime
 		s.recordHold(req, c, now)
-		return c
+		return c, false
 	}
 	if hold := s.holdTime(c, now); !s.Off[mechanism.Holds] && !d.Limited && hold > 0 && hold <= req.MaxHold {
 		c.Hold = hold
 		s.recordHold(req, c, now)
-		return c
+		return c, false
+	}
+	// Checked before anything is reserved for the request, and again as it is recorded.
+	if !s.replicas.HasRoom(d.ID, now) {
+		return nil, true
 	}
 	if d.Limited {
 		if !req.AcquirePermit(d.ID) {
-			return nil
+			return nil, false
 		}
 		s.rejections.recordPermit(req.Service.Name, now)
 	}
@@ -320,15 +324,15 @@
 		Expected: d.Expected, PrefillTime: time.Duration(d.Slowdown * float64(s.policy.PrefillTime(prefill))),
 		ServiceTime: d.ServiceTime, Slowdown: d.Slowdown, Engine: capacity > 0, Fingerprint: req.Fingerprint,
 	}
-	c.Flight = s.replicas.BeginIfRoom(d.ID, work, now)
+	c.Flight, full = s.replicas.BeginIfRoom(d.ID, work, now)
 	if c.Flight == nil {
-		return nil
+		return nil, full
 	}
 	s.recordSent(c, now)
 	if prefill >= notifyTokens && !s.Off[mechanism.TellAtOnce] || s.replicas.IsBrittle(d.ID) {
 		s.NotifyPeers()
 	}
-	return c
+	return c, false
 }
 
 // instruct sets the instructions for a model's replica: the salt under which it looks up
