--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -261,7 +261,9 @@
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
 	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}, rejecting: map[string]bool{}}
 	r.report.Digest = req.digest()
-	r.fingerprint = quarantine.Fingerprint{Request: r.report.Digest, Blocks: req.blockDigests(d.scheduler.SharingScope(req.Organisation))}
+	r.fingerprint = quarantine.Fingerprint{
+		Request: r.report.Digest, Blocks: req.blockDigests(d.scheduler.SharingScope(req.Organisation)), Prompt: req.Service.Engine != nil,
+	}
 	r.report.Prompt = req.Caller.PromptTokens
 	if n := len(req.Caller.Blocks); n > 1 {
 		r.report.Prefix = req.Caller.Blocks[n-2].ID
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -22,6 +22,8 @@
 	Request Digest
 	// Blocks are the digests of the prefix blocks that other requests may share.
 	Blocks []Digest
+	// Prompt is set for a request to an engine, which may have no such block.
+	Prompt bool
 }
 
 // DigestOf returns the digest of a request.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -73,8 +73,8 @@
 	records map[Digest]*record
 	// changes counts the changes of records.
 	changes uint64
-	// answered remembers the blocks of answered requests, and answers counts the answered requests with
-	// blocks: answers of servers that get no prompts do not show that those with prompts are sound.
+	// answered remembers the blocks of answered requests, and answers counts the answered prompts: answers of
+	// plain servers do not show that engines are sound.
 	answered answeredBlocks
 	answers  int
 	// updates holds the digests with updates to report, and cursor the refused one that was resent
@@ -123,7 +123,7 @@
 func (t *Table) Answered(f Fingerprint, at, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(f.Blocks) > 0 {
+	if f.Prompt {
 		t.answers++
 	}
 	t.recordAnswer(f.Request, at, now)
