--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -27,9 +27,9 @@
 	// reservedShare is the share of a bucket that requests of less urgent routes leave, or half of it
 	// if they come back.
 	reservedShare = 0.5
-	// repayTime is the time over which an organisation's less urgent requests make up for its urgent ones: if
-	// they gave way all at once, servers would stand idle after each large urgent request. It also bounds, in
-	// time at the bucket's rate, what an organisation gets whose requests all become urgent at once.
+	// repayTime is the time constant with which urgent requests are charged to the bucket of the less urgent
+	// ones. Charged at once, a large urgent request would leave servers idle. The debt is limited to the bucket's
+	// rate over the same time.
 	repayTime = 2 * time.Second
 	// urgencyTime is the time over which the urgent part of an organisation's demand is averaged. One host of
 	// many gets a large urgent request once in some seconds only.
@@ -130,7 +130,7 @@
 	// it is negative after a large request.
 	limited bool
 	level   float64
-	// urgentDebt is the cost of urgent requests within the share that is not yet taken off the bucket.
+	// urgentDebt is the cost of urgent requests within the share that is not yet charged to the bucket.
 	urgentDebt float64
 	updated    time.Time
 }
@@ -253,13 +253,13 @@
 	return r.Urgent && total*a.recentUrgent <= p.urgentLevel*a.recent
 }
 
-// refill adds to the bucket what the rate gives since the last request, less what is taken off for urgent
+// refill adds to the bucket what the rate gives since the last request, less what is charged for urgent
 // requests.
 func (a *account) refill(rate float64, now time.Time) {
 	size := a.bucketSize(rate)
 	elapsed := now.Sub(a.updated)
 	added := rate * elapsed.Seconds()
-	// The debt outlasts the moments in which the organisation is not above its share, as shortages come and go.
+	// The debt is kept while the organisation is not above its share: a shortage may pause for moments.
 	repaid := min(added, a.urgentDebt*(1-math.Exp(-elapsed.Seconds()/repayTime.Seconds())))
 	a.urgentDebt -= repaid
 	if a.limited {
@@ -340,7 +340,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(r.Service)
-	// The urgent requests of an organisation above its share are made up for by its own ones, not by others'.
+	// Urgent requests of an organisation above its share are charged to its own bucket, not to other organisations.
 	if a := s.accounts[organisationKey(r.Organisation)]; !r.Above && (a == nil || !a.limited) && t.short(s, now) {
 		s.owed = min(max(r.Cost, burstSeconds*s.served.perSecond(now)), s.owed+r.Cost)
 	}
--- a/internal/fairshare/plan.go
+++ b/internal/fairshare/plan.go
@@ -16,9 +16,9 @@
 	// served is the cost per second that servers answered to all hosts. urgentLevel is level for a capacity
 	// half way from that: what is admitted beyond what servers answered may find no room.
 	served, urgentLevel float64
-	// overcommit is how much more than its part of what servers answer an organisation above its share may
-	// have admitted. Urgent requests within the share lose nothing of that at servers, so that they count
-	// for that much more.
+	// overcommit is the ratio of what is admitted of an organisation above its share to its part of what servers
+	// answer. Servers reject the excess, but hardly any urgent request within the share, so that each of these is
+	// charged at that ratio.
 	overcommit float64
 	// others is what is offered to other hosts, by organisation.
 	others map[uint64]float64
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -80,7 +80,7 @@
 		// The whole request is the narrower cause.
 		return n >= m
 	case r.block && other.refusing:
-		// A block of many requests collects further crashes while the request is kept from all servers.
+		// The refused request runs nowhere, while a block of many requests goes on to be in crashes of other causes.
 		return n > m && r.refusing
 	default:
 		return n > m
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -74,7 +74,7 @@
 	// changes counts the changes of records.
 	changes uint64
 	// answered remembers the blocks of answered requests, and answers counts the answered prompts: answers of
-	// plain servers do not show that engines are sound.
+	// plain servers do not show that engines answer.
 	answered answeredBlocks
 	answers  int
 	// updates holds the digests with updates to report, and cursor the refused one that was resent
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -292,8 +292,8 @@
 	}
 }
 
-// TestPlainAnswersDoNotProveBlocks guards against the refusal of a sound block while the servers for
-// prompts end one after the other, and others of another service answer: 10 requests in soak seed 8001.
+// TestPlainAnswersDoNotProveBlocks guards against the refusal of a harmless block while engines crash one after
+// the other and plain servers answer: 10 requests in soak seed 8001.
 func TestPlainAnswersDoNotProveBlocks(t *testing.T) {
 	const block = Digest(7)
 	for _, prompts := range []bool{false, true} {
@@ -311,8 +311,8 @@
 	}
 }
 
-// TestRefusedRequestIsNotLetInForABlock guards against a poison request that is sent again, as a block of
-// others, beside which it ran, has more crashes by now: two more servers crashed in soak seed 8001.
+// TestRefusedRequestIsNotLetInForABlock guards against a poison request that is admitted again because a block of
+// requests that ran beside it has more crashes: two more servers crashed in soak seed 8001.
 func TestRefusedRequestIsNotLetInForABlock(t *testing.T) {
 	const block = Digest(7)
 	table := newTable()
--- a/internal/replica/breaking_test.go
+++ b/internal/replica/breaking_test.go
@@ -25,7 +25,7 @@
 
 const breakingServers = 4
 
-// newBreakingWorld returns a world whose servers have slots for 400 requests per second. It gets 1,000.
+// newBreakingWorld returns a world whose servers can run 400 requests per second, and are sent 1,000.
 func newBreakingWorld(brittle bool) *breakingWorld {
 	w := &breakingWorld{
 		table: NewTable(quietLog(), func(string, string) {}), now: time.Unix(1000, 0),
@@ -47,7 +47,7 @@
 	w.pending[w.now.Add(d)] = append(w.pending[w.now.Add(d)], f)
 }
 
-// run plays requests for a while, and counts them anew.
+// run sends requests for a while, and restarts the counts.
 func (w *breakingWorld) run(d time.Duration) {
 	w.sent, w.answered, w.refused, w.suspected = map[string]int{}, map[string]int{}, 0, 0
 	for begin := w.now; w.now.Sub(begin) < d; w.now = w.now.Add(time.Millisecond) {
@@ -91,7 +91,7 @@
 }
 
 // TestServerThatBreaksEachConnectionGetsHardlyAnyRequests guards against a server that accepts connections and breaks
-// each of them, and gets all requests for which other servers have no room. Once it answers again it gets its load.
+// each of them, and is sent all requests for which other servers have no room. Once it answers again it is used again.
 func TestServerThatBreaksEachConnectionGetsHardlyAnyRequests(t *testing.T) {
 	const breakTime, returnTime, maxSent = 2 * time.Second, 500 * time.Millisecond, 20
 	for name, brittle := range map[string]bool{"brittle": true, "plain": false} {
@@ -118,9 +118,9 @@
 	}
 }
 
-// TestSingleBrokenConnectionsAreNoSign guards against servers that are avoided because some of their connections
+// TestSingleBrokenConnectionsAreTolerated guards against servers that are avoided because some of their connections
 // break, one by one or all that are open at once.
-func TestSingleBrokenConnectionsAreNoSign(t *testing.T) {
+func TestSingleBrokenConnectionsAreTolerated(t *testing.T) {
 	for name, brittle := range map[string]bool{"brittle": true, "plain": false} {
 		w := newBreakingWorld(brittle)
 		w.breaks = func(id string, n int) bool { return id == "i-0" && n%10 == 0 }
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -66,7 +66,7 @@
 	// send it none for a long time, and all other hosts would leave it idle meanwhile.
 	reportAfterReached = time.Second
 	// consecutiveBreaks is how many connections must break one after the other, without any answer of the server in
-	// between, before it is avoided: sound servers close single connections.
+	// between, before it is avoided: healthy servers close single connections.
 	consecutiveBreaks = 3
 	// maxTrialInterval limits the time between two trial requests to such a server. Each trial costs a caller its
 	// request, while a server that recovered stays unused until a trial is answered.
--- a/internal/replica/slots_test.go
+++ b/internal/replica/slots_test.go
@@ -193,9 +193,9 @@
 	}
 }
 
-// TestRequestsOfOneMomentShareTheRoom guards against a brittle server that is sent several requests for one free
-// slot: they were scheduled at the same moment, when each of them found it free.
-func TestRequestsOfOneMomentShareTheRoom(t *testing.T) {
+// TestConcurrentRequestsShareTheRoom guards against a brittle server that is sent several requests for one free
+// slot: each of them found it free when it was scheduled.
+func TestConcurrentRequestsShareTheRoom(t *testing.T) {
 	const own = 2
 	w := newBrittleWorld(3, 1, 3*own, 5, 0)
 	table, id := w.hosts[0].table, w.servers[0].id
