--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,10 +46,8 @@
 
 	// full is the number of requests in progress from which the server rejects others, twice the slots if 0.
 	full int
-	// A stream that starts while fits others run is preempted once, for the time of preempt: the memory does not hold
-	// all of them to their ends.
-	preempt time.Duration
-	fits    int
+	// memory holds the running requests of an engine; nil sets no limit.
+	memory *memory
 
 	cluster *cluster
 	http    *http.Server
@@ -62,7 +61,6 @@
 	// working counts the requests in progress by path.
 	working     map[string]int
 	cacheEvents [][]any
-	streams     int
 	leaving     bool
 }
 
@@ -249,46 +247,42 @@
 	return hits
 }
 
-// preemptedAfter is the number of events after which a stream is preempted.
-const preemptedAfter = 8
-
-// serveStream writes the events of a stream and returns how it ended.
+// serveStream writes the events of a stream, one for each token, and returns how it ended.
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request) string {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(wire.Weights, "1")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w)
-	preempted := s.beginStream() > s.fits && s.preempt > 0
-	defer s.endStream()
+	next := func(context.Context) bool { return true }
+	if s.memory != nil {
+		prompt, _, _ := strings.Cut(r.Header.Get(wire.Tokens), ",")
+		tokens, _ := strconv.Atoi(prompt)
+		seq, ok := s.memory.admit(r.Context(), tokens+last)
+		defer seq.end()
+		if !ok {
+			return "its channel was closed before its first event"
+		}
+		next = seq.next
+	}
+	longest, before := time.Duration(0), time.Now()
 	for n := last + 1; n <= s.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil || flush.Flush() != nil {
-			return fmt.Sprintf("its channel was closed after event %d", n)
+		if !next(r.Context()) {
+			return fmt.Sprintf("its channel was closed after event %d, %d ms ago", n-1, time.Since(before).Milliseconds())
 		}
-		pause := s.pace
-		if preempted && n == preemptedAfter {
-			pause = s.preempt
+		if n > last+1 {
+			longest = max(longest, time.Since(before))
+		}
+		before = time.Now()
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil || flush.Flush() != nil {
+			return fmt.Sprintf("its channel was closed after event %d", n-1)
 		}
 		select {
 		case <-r.Context().Done():
 			return fmt.Sprintf("its channel was closed after event %d", n)
-		case <-time.After(pause):
+		case <-time.After(s.pace):
 		}
 	}
-	return "complete"
-}
-
-// beginStream counts a running stream, and returns how many run.
-func (s *server) beginStream() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams++
-	return s.streams
-}
-
-func (s *server) endStream() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams--
+	return fmt.Sprintf("complete, the longest pause was %d ms", longest.Milliseconds())
 }
 
 // serveEvents answers a call for cache events, which waits until there are some.
--- a/review/harness/stall.go
+++ b/review/harness/stall.go
@@ -13,15 +13,15 @@
 const (
 	stallEngines = 3
 	stallSlots   = 6
+	// stallConsumers are a third more than the engines have slots for.
+	stallConsumers = 24
 	// stallEvents are sent at stallPace, so that a stream lasts three seconds without a pause.
 	stallEvents = 30
 	stallPace   = 100 * time.Millisecond
-	// preemption is how long a preempted stream pauses. Consumers wait for 3.2 s: four times the route's SloMs.
-	preemption = 1600 * time.Millisecond
-	// stallPrompt is the size of a prompt in tokens: an engine's memory holds four, and a fifth in part.
-	stallPrompt = 33200
-	stallFits   = 4
-	stallRounds = 6
+	// stallPrompt is the size of a prompt in tokens: the memory of an engine holds six, but not what they make.
+	stallPrompt   = 27590
+	stallCapacity = 165614
+	stallRounds   = 14
 	// allowedCuts is the bound of the rule.
 	allowedCuts = 3
 	retryDelay  = 300 * time.Millisecond
@@ -45,7 +45,7 @@
 	runs := map[string]int{}
 	for i := range stallEngines {
 		s := &server{
-			id: fmt.Sprintf("i-%d", i+1), service: "writer", zone: zones[i%2], model: modelName, slots: stallSlots, full: stallSlots, fits: stallFits,
+			id: fmt.Sprintf("i-%d", i+1), service: "writer", zone: zones[i%2], model: modelName, slots: stallSlots, full: stallSlots, memory: &memory{capacity: stallCapacity},
 			pace: stallPace, events: stallEvents, cluster: c,
 			onRun: func(r run) {
 				mu.Lock()
@@ -55,8 +55,8 @@
 			},
 			onEnd: func(server, id, how string) { rec.note("server %s ends %s: %s", server, id, how) },
 		}
-		if trouble {
-			s.preempt = preemption
+		if !trouble {
+			s.memory.capacity *= 2
 		}
 		if err := s.start(fmt.Sprintf("%s.%d", c.network, 100+i)); err != nil {
 			return outcome{}, err
@@ -70,7 +70,7 @@
 	time.Sleep(budgetWindow + 4*time.Second)
 	var wg sync.WaitGroup
 	counts := map[string]int{}
-	for i := range stallEngines * stallSlots {
+	for i := range stallConsumers {
 		wg.Go(func() {
 			client := newClient()
 			h := c.hosts[i%len(c.hosts)]
