Organisations that become isolated leave their cached prompts behind

What callers saw: nothing. Cause: the salt depended on whether the present request's organisation is isolated. What another organisation had left in the shared scope before it became isolated stayed there for all others. Evidence: the salt in the log lines, m/w1 before and after; the configuration was in force on both hosts within 0.1 s, and all requests were sent after it, which rules out late configurations and requests planned under an earlier one. Change: the shared salt carries a digest of the set of isolated organisations. What is found under it was made by organisations outside of the set, and is used by such alone, so that no history is needed. The scope comes from the configuration in force, once for each choice of a replica: requests that were admitted, held or resumed under an earlier one used that one's scope. Names are escaped. Weighed: a salt by the version at which an organisation left the sharing ones costs less, but hosts that start need a record of it. The property of the schedule package fails without the digest, and with the scope of admission. Shared prompts are prefilled again once by a change of the set, by no other configuration (TestIsolationPrefillsSharedPromptsOnce).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,7 +3,11 @@
 package config
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -136,6 +140,9 @@
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
 	stores []*CacheStore
+	// isolated holds the names of the isolated organisations, and sharedScope identifies this set.
+	isolated    map[string]bool
+	sharedScope string
 }
 
 // Build fills the lookup tables and returns c. It must be called once, before the
@@ -151,6 +158,7 @@
 	}
 	c.findUrgent()
 	c.findStores()
+	c.findIsolated()
 	c.byKey = map[string]*Organisation{}
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
@@ -196,6 +204,32 @@
 // Organisation returns the organisation that an API key belongs to, or nil.
 func (c *Config) Organisation(key string) *Organisation { return c.byKey[key] }
 
+// IsIsolated reports whether an organisation of that name is isolated.
+func (c *Config) IsIsolated(name string) bool { return c.isolated[name] }
+
+// SharedScope identifies the set of isolated organisations; it is "" if none is. Organisations
+// outside of the set share cached prompts with each other under this scope. What an organisation
+// left in the scope of another set is therefore not found once the organisation is isolated, and
+// hosts agree on the scope without knowing earlier configurations.
+func (c *Config) SharedScope() string { return c.sharedScope }
+
+func (c *Config) findIsolated() {
+	c.isolated = map[string]bool{}
+	for _, o := range c.Organisations {
+		if o.Isolated {
+			c.isolated[o.Name] = true
+		}
+	}
+	if len(c.isolated) == 0 {
+		return
+	}
+	var names strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(c.isolated)) {
+		names.WriteString(strconv.Quote(name))
+	}
+	c.sharedScope = fmt.Sprintf("%x", xxh3.HashString128(names.String()).Bytes())
+}
+
 // Keys returns the number of API keys of all organisations.
 func (c *Config) Keys() int { return len(c.byKey) }
 
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -28,7 +28,7 @@
 		n.applyLimits(c)
 		n.log.WithFields(logrus.Fields{
 			"version": c.Version, "offset": rec.Offset,
-			"routes": len(c.Routes), "organisations": len(c.Organisations), "keys": c.Keys(),
+			"routes": len(c.Routes), "organisations": len(c.Organisations), "keys": c.Keys(), "shared_scope": c.SharedScope(),
 		}).Info("configuration in force")
 		n.markReady()
 		n.requestHeartbeatToAll()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -300,6 +300,7 @@
 	policy.WeightsDeadline = s.Weights.Deadline.AsDuration()
 	n.scheduler = schedule.New(n.replicas, n.index, policy, s.Host.AvailabilityZone, s.Request.ShareCache)
 	n.scheduler.NotifyPeers = n.requestHeartbeat
+	n.scheduler.Config = n.config.Load
 	n.scheduler.Off = off
 	n.scheduler.AwaitPrefill = s.GetOverload().GetAwaitPrefill()
 	n.scheduler.Canaries = n.canaries
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -48,6 +47,9 @@
 	// AcquirePermit acquires a permit to send the request to a server that limits its requests,
 	// and reports whether it did. It may wait for another host's answer.
 	AcquirePermit func(id string) bool
+
+	// scope is set by Pick.
+	scope scope
 }
 
 // Choice is the replica that a request is sent to and the instructions for the replica.
@@ -108,6 +110,8 @@
 	Canaries *canary.Table
 	// Off holds the mechanisms that are disabled. It is set before use.
 	Off mechanism.Off
+	// Config returns the configuration in force, nil without one. It is set before use.
+	Config func() *config.Config
 	// AwaitPrefill makes a replica a source of the prefix blocks that it is prefilling: requests
 	// may be held until they are ready and be sent to a replica that fetches them. It is set
 	// before use.
@@ -124,35 +128,18 @@
 func New(replicas *replica.Table, index *prefix.Index, policy route.Policy, zone string, shareCache bool) *Scheduler {
 	return &Scheduler{
 		replicas: replicas, index: index, policy: policy, zone: zone, shareCache: shareCache,
-		links: links{busyUntil: map[string]time.Time{}}, reuse: newReuseTracker(), rejections: newRejectionQueue(), NotifyPeers: func() {},
+		links: links{busyUntil: map[string]time.Time{}}, reuse: newReuseTracker(), rejections: newRejectionQueue(), NotifyPeers: func() {}, Config: func() *config.Config { return nil },
 		reachableStores: map[string]bool{}, Canaries: canary.NewTable(canary.Terms{}, logrus.StandardLogger()),
 	}
 }
 
-// Salt returns the text that separates cached prompts by model, by weights version, and, for
-// isolated organisations, by organisation.
-func (s *Scheduler) Salt(model string, version int64, o *config.Organisation) string {
-	salt := model + "/w" + strconv.FormatInt(version, 10)
-	if scope := s.SharingScope(o); scope != "" {
-		salt += "/" + scope
-	}
-	return salt
-}
-
-// SharingScope returns the name of an organisation that shares no prompts with others, or "".
-func (s *Scheduler) SharingScope(o *config.Organisation) string {
-	if o != nil && (o.Isolated || !s.shareCache) {
-		return o.Name
-	}
-	return ""
-}
-
 // Pick chooses a replica and counts the request as sent to it, unless it is to be held.
 func (s *Scheduler) Pick(req *Request, now time.Time) (*Choice, error) {
 	capacity := 0
 	if req.Service.Engine != nil {
 		capacity = req.Service.Engine.CacheTokens
 	}
+	req.scope = s.scopeOf(req.Organisation)
 	for {
 		filter := s.Canaries.Choose(req.Service.Name, now)
 		prompts := map[int64]prefix.Prompt{}
@@ -261,7 +248,7 @@
 func (s *Scheduler) prompt(prompts map[int64]prefix.Prompt, req *Request, version int64) prefix.Prompt {
 	p, ok := prompts[version]
 	if !ok {
-		p = prefix.NewPrompt(s.Salt(req.Model, version, req.Organisation), req.Blocks)
+		p = prefix.NewPrompt(req.scope.salt(req.Model, version), req.Blocks)
 		prompts[version] = p
 	}
 	return p
@@ -339,8 +326,8 @@
 // cached prefix blocks, where it fetches from, and where it saves what it prefills. shared
 // are the prompt's shared prefix blocks independent of the weights.
 func (s *Scheduler) instruct(req *Request, c *Choice, shared []prefix.Hash, prefill int, now time.Time) {
-	c.Salt = s.Salt(req.Model, c.Weights, req.Organisation)
-	c.sharingScope = xxh3.HashString(s.Salt(req.Model, anyWeights, req.Organisation))
+	c.Salt = req.scope.salt(req.Model, c.Weights)
+	c.sharingScope = xxh3.HashString(req.scope.salt(req.Model, anyWeights))
 	if len(shared) > 0 {
 		c.stablePrefix = shared[len(shared)-1]
 	}
