Removals are not skipped beside hosts that start from a listing

Cause: a topic's position was taken for "knows all changes up to here". A host that starts lists the newest record of each key, and so has no removals from before; it answered "all records from p on" all the same, and the asker took over its position. Late answers, removals dropped above 4,096, and whole topics left the same gap. Evidence: the asker logs "records taken from another host" of the host that has just started, and never the change of the server's state. A removal that is read late, or held back after an outage, would be logged. Change: tables track since which positions they have all changes (topic/coverage.go), and answers say so. An asker that is not covered applies the records and keeps its position, so that it reads the store, or fetches the whole topic after 0.6 s; what is missing there was removed. Records before a table's position are ignored. MergeFetched takes a struct now: the tests that call it are otherwise unchanged.

--- a/internal/node/moves_test.go
+++ b/internal/node/moves_test.go
@@ -77,7 +77,7 @@
 func (m *canarySite) state() string {
 	var status struct{ State, Target string }
 	for _, h := range m.hosts {
-		records, _ := h.node.releaseStatuses.RecordsFrom(topic.Position{})
+		records, _, _ := h.node.releaseStatuses.RecordsFrom(topic.Position{})
 		for _, r := range records {
 			if err := json.Unmarshal(r.Value, &status); err != nil {
 				m.t.Error(err)
--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -75,7 +75,7 @@
 // later record names the server, it was used until its address stopped answering.
 func TestRemovedServerDoesNotComeBack(t *testing.T) {
 	n := nodeWithHook(t, malformedEntryMessage, func(n *Node) {
-		n.servers.MergeFetched([]platform.Record{{Key: "b", Offset: 3, Removed: true}}, topic.Position{Offset: 4}, false, true)
+		n.servers.MergeFetched(topic.Fetched{Records: []platform.Record{{Key: "b", Offset: 3, Removed: true}}, At: topic.Position{Offset: 4}, Extent: topic.Changes, Since: n.servers.Position(), Trusted: true})
 	})
 	malformed := platform.Record{Key: "a", Value: []byte("{}")}
 	n.servers.Snapshot(platform.Page{Records: []platform.Record{malformed, registered("b", 1), registered("c", 2)}, End: 3}, true)
@@ -89,7 +89,7 @@
 // record while its entry is unchanged.
 func TestReRegisteredServerStays(t *testing.T) {
 	n := nodeWithHook(t, malformedEntryMessage, func(n *Node) {
-		n.servers.MergeFetched([]platform.Record{registered("b", 3)}, topic.Position{Offset: 4}, false, true)
+		n.servers.MergeFetched(topic.Fetched{Records: []platform.Record{registered("b", 3)}, At: topic.Position{Offset: 4}, Extent: topic.Changes, Since: n.servers.Position(), Trusted: true})
 	})
 	n.servers.Snapshot(platform.Page{Records: []platform.Record{registered("b", 0)}, End: 1}, true)
 	malformed := platform.Record{Key: "a", Offset: 1, Value: []byte("{}")}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -28,6 +28,9 @@
 	secondFetchDelay = 250 * time.Millisecond
 	// refusedBackoff is the mean delay before a host that did not serve a fetch is asked again.
 	refusedBackoff = 400 * time.Millisecond
+	// wholeTopicDelay is how long a host that received partial answers waits for the missing changes before it
+	// fetches the whole topic. Hosts that read the store have them sooner.
+	wholeTopicDelay = 600 * time.Millisecond
 	// maxServedFetches is the maximum number of fetches that a host serves at once. Otherwise
 	// all hosts of a starting fleet would fetch from the first one that has the records;
 	// rejected ones ask the next host that offers them.
@@ -51,6 +54,26 @@
 	retryAfter map[string]time.Time
 	// retainedFrom maps hosts to the era in which they were asked for records of earlier eras.
 	retainedFrom map[string]int64
+	// partialAt is the position at which this host first received a partial answer, at partialSince.
+	partialAt    topic.Position
+	partialSince time.Time
+}
+
+// notePartial records a partial answer to a host that had applied a position.
+func (f *fetches) notePartial(applied topic.Position, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.partialSince.IsZero() || f.partialAt != applied {
+		f.partialAt, f.partialSince = applied, now
+	}
+}
+
+// needsWhole reports whether the host is still at a position from which it has received partial answers for
+// wholeTopicDelay: it neither reads the store nor finds a host with all changes.
+func (f *fetches) needsWhole(applied topic.Position, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.partialSince.IsZero() && f.partialAt == applied && now.Sub(f.partialSince) >= wholeTopicDelay
 }
 
 // begin reports whether to fetch from a host now, and counts the fetch if so. A whole topic is
@@ -107,7 +130,7 @@
 		}
 		// The operators' records are few and urgent. In a later era they are fetched like missing ones,
 		// and the other host sends all of them, as this host's position is in another era.
-		wholeTopic := starting || retains || at.Era > applied.Era && t != n.operators
+		wholeTopic := starting || retains || at.Era > applied.Era && t != n.operators || f.needsWhole(applied, now)
 		if !f.begin(b.Host, wholeTopic, now) {
 			continue
 		}
@@ -156,11 +179,24 @@
 		return err
 	}
 	at := topic.Position{Era: resp.Era, Offset: resp.End}
+	extent, trusted := topic.Partial, resp.Trusted
+	switch {
+	case from == 0 || at.Era != applied.Era:
+		// The other host may not have seen an outage that ended before it started.
+		extent, trusted = topic.Whole, resp.Trusted && n.access.Stable(clock.Now())
+	case resp.Covered:
+		extent = topic.Changes
+	}
 	records := make([]platform.Record, 0, len(sent))
 	for _, r := range sent {
 		records = append(records, platform.Record{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed, Era: r.Era})
 	}
-	newer := t.MergeFetched(records, at, from == 0 || at.Era != applied.Era, resp.Trusted)
+	newer := t.MergeFetched(topic.Fetched{Records: records, At: at, Extent: extent, Since: applied, Trusted: trusted})
+	if extent == topic.Partial {
+		n.logPartial(t, host, at)
+		n.fetches[t.Name()].notePartial(applied, clock.Now())
+		return errPartial
+	}
 	n.markReady()
 	if newer > 0 {
 		n.logFetched(t, host, newer, at)
@@ -170,7 +206,7 @@
 
 // fetchLogLimiters rate-limit the log lines about fetches of a topic. While the store is
 // unreachable, every heartbeat of a host with more records leads to a fetch.
-type fetchLogLimiters struct{ applied, failed obs.Limiter }
+type fetchLogLimiters struct{ applied, failed, partial obs.Limiter }
 
 // logFetched logs that records of another host were applied.
 func (n *Node) logFetched(t *topic.Table, host string, applied int, at topic.Position) {
@@ -190,6 +226,14 @@
 	}
 }
 
+// logPartial logs that another host sent records without all changes since this host's position.
+func (n *Node) logPartial(t *topic.Table, host string, at topic.Position) {
+	if others, ok := n.fetches[t.Name()].logLimiters.partial.Allow(clock.Now()); ok {
+		n.log.WithFields(logrus.Fields{"host": host, "topic": t.Name(), "applied": t.End(), "end": at.Offset, "others": others}).
+			Info("another host lacks changes that are missing here")
+	}
+}
+
 // peerService answers calls of other hosts.
 type peerService struct {
 	n *Node
@@ -198,6 +242,7 @@
 var (
 	errNoTopic = errors.New("this host does not have the topic")
 	errBusy    = errors.New("this host serves as many others as it can")
+	errPartial = errors.New("the other host lacks changes since the requested position")
 )
 
 // FetchRecords implements the PeerService RPC.
@@ -241,6 +286,7 @@
 	from     topic.Position
 	end      topic.Position
 	retained int
+	covered  bool
 }
 
 // responseCache keeps the last compressed answers, as many hosts that start or miss a
@@ -257,12 +303,12 @@
 	if from.Offset == 0 || from.Era != at.Era {
 		from = topic.Position{}
 	}
-	wanted := recordRange{t.Name(), from, at, t.Retained()}
+	wanted := recordRange{t.Name(), from, at, t.Retained(), t.Covers(from)}
 	if data := c.get(wanted); data != nil {
-		return &pb.FetchRecordsResponse{End: wanted.end.Offset, Era: wanted.end.Era, Packed: data}, nil
+		return &pb.FetchRecordsResponse{End: wanted.end.Offset, Era: wanted.end.Era, Packed: data, Covered: wanted.covered}, nil
 	}
-	found, end := t.RecordsFrom(from)
-	out := &pb.FetchRecordsResponse{End: end.Offset, Era: end.Era}
+	found, end, covered := t.RecordsFrom(from)
+	out := &pb.FetchRecordsResponse{End: end.Offset, Era: end.Era, Covered: covered}
 	records := make([]*pb.TopicRecord, len(found))
 	for i, r := range found {
 		records[i] = &pb.TopicRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Removed: r.Removed, Era: r.Era}
@@ -270,7 +316,7 @@
 	if err := peer.Pack(records, out); err != nil {
 		return nil, err
 	}
-	if end == wanted.end {
+	if end == wanted.end && covered == wanted.covered {
 		c.put(wanted, out.Packed)
 	}
 	return out, nil
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -75,7 +75,7 @@
 		for _, r := range records {
 			plain += len(r.Key) + len(r.Value)
 		}
-		table.MergeFetched(records, topic.Position{Offset: int64(n)}, false, true)
+		table.MergeFetched(topic.Fetched{Records: records, At: topic.Position{Offset: int64(n)}, Extent: topic.Changes, Since: table.Position(), Trusted: true})
 		p := responseCache{deflated: map[recordRange][]byte{}}
 		answer, err := p.response(table, topic.Position{})
 		if err != nil {
@@ -114,7 +114,7 @@
 	metrics, _, closer := obs.NewMetrics()
 	defer closer.Close()
 	n.metrics = metrics
-	n.servers.MergeFetched(entries(10_000), topic.Position{Offset: 10_000}, false, true)
+	n.servers.MergeFetched(topic.Fetched{Records: entries(10_000), At: topic.Position{Offset: 10_000}, Extent: topic.Changes, Since: n.servers.Position(), Trusted: true})
 	p := &peerService{n: n}
 	sent, served := 0, 0
 	for range 40 {
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -337,7 +337,7 @@
 // waited 3 s for a frozen host while others offered them.
 func TestFrozenHostDoesNotDelayConfigurationsAfterRestoration(t *testing.T) {
 	n := newIdleNode(t, "without-store")
-	n.operators.MergeFetched(namedWeightsPage().Records, topic.Position{Offset: namedWeightsPage().End}, true, true)
+	n.operators.MergeFetched(topic.Fetched{Records: namedWeightsPage().Records, At: topic.Position{Offset: namedWeightsPage().End}, Extent: topic.Whole, Trusted: true})
 	// The sockets accept connections in the kernel, as those of a frozen process do.
 	frozen, other := listenOnly(t), listenOnly(t)
 	asked := make(chan time.Time, 1)
@@ -389,7 +389,7 @@
 	for i := range page.Records {
 		page.Records[i].Era = 1
 	}
-	n.operators.MergeFetched(page.Records, topic.Position{Era: 1, Offset: page.End}, true, true)
+	n.operators.MergeFetched(topic.Fetched{Records: page.Records, At: topic.Position{Era: 1, Offset: page.End}, Extent: topic.Whole, Trusted: true})
 	n.bulkSends.Spend(10 << 20)
 	p := &peerService{n: n}
 	out, err := p.FetchRecords(t.Context(), &pb.FetchRecordsRequest{Topic: n.operators.Name(), From: page.End + 5})
--- a/internal/topic/era.go
+++ b/internal/topic/era.go
@@ -57,29 +57,75 @@
 	return len(t.eras.retained)
 }
 
-// MergeFetched applies the records that another host sent, which has applied the topic up to a
-// position. whole is set if these are all its records, otherwise they are those from this host's
-// position on. Records of an earlier era than this host's are ignored, and a later era begins only
-// with the whole topic.
-func (t *Table) MergeFetched(records []platform.Record, at Position, whole, trusted bool) int {
+// Extent says which records of a topic another host sent.
+type Extent int
+
+// Extents of what another host sent.
+const (
+	// Partial means that records may be missing, removals in particular.
+	Partial Extent = iota
+	// Changes means all changes since a position that this host had applied.
+	Changes
+	// Whole means all of the host's records. What is missing was removed.
+	Whole
+)
+
+// Fetched is what another host sent of a topic.
+type Fetched struct {
+	Records []platform.Record
+	// At is the position up to which the other host has applied the topic.
+	At     Position
+	Extent Extent
+	// Since is the position that the changes begin at.
+	Since Position
+	// Trusted has the same meaning as in Origin.
+	Trusted bool
+}
+
+// MergeFetched applies the records that another host sent, and returns how many were newer. Partial ones
+// don't move this host's position, so that it reads or fetches what is missing. Records of an earlier era
+// than this host's are ignored, and a later era begins only with the whole topic.
+func (t *Table) MergeFetched(f Fetched) int {
 	t.mu.Lock()
-	if at.Era < t.era || at.Era > t.era && !whole {
+	whole := f.Extent == Whole
+	if f.At.Era < t.era || f.At.Era > t.era && !whole {
 		t.mu.Unlock()
 		return 0
 	}
-	began := t.beginEra(records, at)
-	if whole {
-		t.dropCovered(records, at)
+	began := t.beginEra(f.Records, f.At)
+	records := f.Records
+	switch f.Extent {
+	case Whole:
+		t.dropCovered(records, f.At)
+		records = t.listed(records, f.At, began)
+	case Changes:
+		// Records after that position may have come from elsewhere, and been removed since.
+		records = slices.Concat(records, t.missing(records, f.Since, f.At))
+	}
+	newer := t.merge(t.notSuperseded(slices.Clone(records)), f.Trusted && !began)
+	if f.Extent != Partial {
+		t.end = max(t.end, f.At.Offset)
+		t.complete = true
 	}
-	newer := t.merge(records, trusted && !began)
-	t.end = max(t.end, at.Offset)
-	t.complete = true
 	t.mu.Unlock()
-	t.notifyRestored(began, at.Era)
+	t.notifyRestored(began, f.At.Era)
 	t.notify()
 	return newer
 }
 
+// listed returns all records of another host with the removals that follow from them, unless they are older than
+// what this host has applied. It must be called before the table's position is moved.
+func (t *Table) listed(records []platform.Record, at Position, began bool) []platform.Record {
+	if at.Offset < t.end {
+		return records
+	}
+	if !began {
+		records = slices.Concat(records, t.missing(records, Position{}, at))
+	}
+	t.coverage.list(t.complete, t.end, at.Offset)
+	return records
+}
+
 // beginEra begins the era of a position, if it is later, with all records that the store or another
 // host has at that position. What is missing there is retained or removed. It reports whether an era
 // known before has ended.
@@ -89,6 +135,7 @@
 	}
 	rose := t.complete || len(t.records) > 0
 	t.era, t.end = at.Era, 0
+	t.coverage = coverage{from: at.Offset}
 	if !rose {
 		return false
 	}
--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -87,12 +87,15 @@
 	}
 	mine, its := table.Position(), other.Position()
 	whole := !table.Synced() || mine.Era != its.Era || other.Retained() > table.Retained()
-	from := mine
+	from, extent := mine, Changes
 	if whole {
-		from = Position{}
+		from, extent = Position{}, Whole
 	}
-	records, at := other.RecordsFrom(from)
-	table.MergeFetched(records, at, whole, true)
+	records, at, covered := other.RecordsFrom(from)
+	if !whole && !covered {
+		extent = Partial
+	}
+	table.MergeFetched(Fetched{Records: records, At: at, Extent: extent, Since: mine, Trusted: true})
 }
 
 func versionOf(rec platform.Record) int {
@@ -301,7 +304,7 @@
 		})
 		first := put("a", 0)
 		first.Era = 1
-		table.MergeFetched([]platform.Record{first}, Position{1, 1}, true, true)
+		table.MergeFetched(Fetched{Records: []platform.Record{first}, At: Position{1, 1}, Extent: Whole, Trusted: true})
 		close(reader.release)
 		time.Sleep(time.Second)
 		for _, key := range []string{"a", "x", "y", "z"} {
@@ -326,7 +329,7 @@
 		<-reader.waiting
 		first := put("a", 0)
 		first.Era = 1
-		table.MergeFetched([]platform.Record{first}, Position{1, 1}, true, true)
+		table.MergeFetched(Fetched{Records: []platform.Record{first}, At: Position{1, 1}, Extent: Whole, Trusted: true})
 		time.Sleep(5 * time.Second)
 		before, age := reads, table.Age(time.Now())
 		close(reader.release)
--- a/internal/topic/order_test.go
+++ b/internal/topic/order_test.go
@@ -25,7 +25,7 @@
 		"listed": func(table *Table) {
 			table.Snapshot(platform.Page{Records: append(first[:1:1], newer...), End: 3}, false)
 		},
-		"by another host": func(table *Table) { table.MergeFetched(newer, Position{Offset: 3}, false, false) },
+		"by another host": func(table *Table) { table.MergeFetched(Fetched{Records: newer, At: Position{Offset: 3}, Extent: Changes, Since: table.Position(), Trusted: false}) },
 	} {
 		notifying, resume := make(chan struct{}), make(chan struct{})
 		var mu sync.Mutex
@@ -81,7 +81,7 @@
 			case 1:
 				table.Snapshot(platform.Page{Records: written.newest(end, false), End: int64(end)}, true)
 			default:
-				table.MergeFetched(written.newest(end, true), Position{Offset: int64(end)}, false, true)
+				table.MergeFetched(Fetched{Records: written.newest(end, true), At: Position{Offset: int64(end)}, Extent: Changes, Since: table.Position(), Trusted: true})
 			}
 		}
 		table = NewTable("keyed.x", func(rec platform.Record, _ Origin) {
@@ -99,7 +99,7 @@
 			}
 		})
 		merge()
-		table.MergeFetched(written.newest(len(written), true), Position{Offset: int64(len(written))}, false, true)
+		table.MergeFetched(Fetched{Records: written.newest(len(written), true), At: Position{Offset: int64(len(written))}, Extent: Changes, Since: table.Position(), Trusted: true})
 		if !table.Synced() {
 			t.Fatal("not synced after all calls of onRecord")
 		}
--- a/internal/topic/table.go
+++ b/internal/topic/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -52,6 +53,9 @@
 	// called for its records. It is set before use.
 	OnRestored func(era int64)
 
+	// maxRemoved limits the removals that are kept. Above it, only the newer half is kept.
+	maxRemoved int
+
 	mu      sync.Mutex
 	records map[string]platform.Record
 	// end is the first offset of the era that is not applied yet.
@@ -60,6 +64,8 @@
 	era int64
 	// eras tracks what the change from one era to the next leaves open.
 	eras eraChange
+	// coverage tracks since which positions of the era the table has all changes.
+	coverage coverage
 	// complete is set once the whole topic has been merged, synced once onRecord has also been
 	// called for its records.
 	complete, synced bool
@@ -79,15 +85,15 @@
 	rewritten bool
 }
 
-// maxRemoved limits the removals that are kept for other hosts.
-const maxRemoved = 4096
+// defaultMaxRemoved limits the removals that are kept for other hosts.
+const defaultMaxRemoved = 4096
 
 // NewTable returns an empty table. onRecord is called for each newer record, never concurrently, in
 // the order of offsets within one merge and merge by merge. It is therefore never called with an
 // older record of a key after a newer one, even if several sources are merged at once. Otherwise
 // the older record would replace a newer one that the callback had already applied, and would stay.
 func NewTable(name string, onRecord func(rec platform.Record, origin Origin)) *Table {
-	return &Table{name: name, onRecord: onRecord, records: map[string]platform.Record{}, eras: newEraChange()}
+	return &Table{name: name, onRecord: onRecord, records: map[string]platform.Record{}, eras: newEraChange(), maxRemoved: defaultMaxRemoved}
 }
 
 // Name returns the topic's name.
@@ -123,13 +129,27 @@
 		t.mu.Unlock()
 		return 0
 	}
-	newer := t.merge(inEra(records, end.Era), trusted)
+	newer := t.merge(t.notSuperseded(inEra(records, end.Era)), trusted)
 	t.end = max(t.end, end.Offset)
 	t.mu.Unlock()
 	t.notify()
 	return newer
 }
 
+// notSuperseded leaves out the records before the position that is applied, which come from answers that arrive late: their keys
+// may have been removed since by records that were never seen, only listed as missing. Where the key's record is of an
+// earlier era, it is not known what the store has. The slice is reused.
+func (t *Table) notSuperseded(records []platform.Record) []platform.Record {
+	if !t.complete {
+		return records
+	}
+	return slices.DeleteFunc(records, func(rec platform.Record) bool {
+		old, known := t.records[rec.Key]
+		retained := known && old.Era < t.era
+		return !retained && rec.Era == t.era && rec.Offset < t.end
+	})
+}
+
 // inEra returns the records as read in an era.
 func inEra(records []platform.Record, era int64) []platform.Record {
 	out := make([]platform.Record, len(records))
@@ -153,8 +173,9 @@
 	records := inEra(page.Records, page.Era)
 	began := t.beginEra(records, at)
 	if !began {
-		records = append(records, t.missing(records, at)...)
+		records = append(records, t.missing(records, Position{}, at)...)
 	}
+	t.coverage.list(t.complete, t.end, page.End)
 	t.merge(records, trusted && !began)
 	t.end = page.End
 	t.complete = true
@@ -164,28 +185,27 @@
 	return true
 }
 
-// missing returns removals for the keys that are missing from a snapshot. With RetainLost, records
-// of earlier eras are not removed.
-func (t *Table) missing(records []platform.Record, at Position) []platform.Record {
-	present := keysOf(records)
+// missing returns removals for the keys that are missing from a listing, or from the changes since a position. A removal in the listing that is older than this
+// host's record does not explain it: a later removal is not listed. With RetainLost, records of earlier eras are not
+// removed.
+func (t *Table) missing(records []platform.Record, since, at Position) []platform.Record {
+	listed := make(map[string]platform.Record, len(records))
+	for _, rec := range records {
+		listed[rec.Key] = rec
+	}
 	var out []platform.Record
 	for key, rec := range t.records {
+		other, known := listed[key]
+		explained := known && (!other.Removed || positionOf(other).Compare(positionOf(rec)) >= 0)
 		retained := t.RetainLost && rec.Era < at.Era
-		if !present[key] && !rec.Removed && !retained && positionOf(rec).Compare(at) < 0 {
+		inRange := positionOf(rec).Compare(since) >= 0 && positionOf(rec).Compare(at) < 0
+		if inRange && !explained && !rec.Removed && !retained {
 			out = append(out, platform.Record{Key: key, Era: at.Era, Offset: at.Offset - 1, Removed: true})
 		}
 	}
 	return out
 }
 
-func keysOf(records []platform.Record) map[string]bool {
-	present := make(map[string]bool, len(records))
-	for _, rec := range records {
-		present[rec.Key] = true
-	}
-	return present
-}
-
 // merge stores those of the records that are newer, appends them to pending, and returns their
 // number.
 func (t *Table) merge(records []platform.Record, trusted bool) int {
@@ -216,24 +236,28 @@
 }
 
 // trimRemovals drops the oldest removals once there are more than maxRemoved, and keeps
-// maxRemoved/2 of them.
+// maxRemoved/2 of them. Those after the position that is applied are always kept.
 func (t *Table) trimRemovals() {
 	var removed []platform.Record
-	if len(t.records) <= maxRemoved {
+	if len(t.records) <= t.maxRemoved {
 		return
 	}
+	applied := Position{t.era, t.end}
 	for _, rec := range t.records {
-		if rec.Removed {
+		if rec.Removed && positionOf(rec).Compare(applied) < 0 {
 			removed = append(removed, rec)
 		}
 	}
-	if len(removed) <= maxRemoved {
+	if len(removed) <= t.maxRemoved {
 		return
 	}
 	sort.Slice(removed, func(i, j int) bool { return positionOf(removed[i]).Compare(positionOf(removed[j])) < 0 })
-	for _, rec := range removed[:len(removed)-maxRemoved/2] {
+	for _, rec := range removed[:len(removed)-t.maxRemoved/2] {
 		delete(t.records, rec.Key)
 		delete(t.eras.superseded, rec.Key)
+		if rec.Era == t.era {
+			t.coverage.forgetUpTo(rec.Offset)
+		}
 	}
 }
 
@@ -275,17 +299,28 @@
 }
 
 // RecordsFrom returns the newest records from a position on, or all from offset 0 or a position in
-// another era than the table's, and the table's position.
-func (t *Table) RecordsFrom(from Position) ([]platform.Record, Position) {
+// another era than the table's, and the table's position. covered reports whether these are all
+// changes since that position; otherwise, removals may be missing.
+func (t *Table) RecordsFrom(from Position) (records []platform.Record, at Position, covered bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := from.Offset == 0 || from.Era != t.era
-	var out []platform.Record
 	for _, rec := range t.records {
 		if all || rec.Era == t.era && rec.Offset >= from.Offset {
-			out = append(out, rec)
+			records = append(records, rec)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return positionOf(out[i]).Compare(positionOf(out[j])) < 0 })
-	return out, Position{t.era, t.end}
+	sort.Slice(records, func(i, j int) bool { return positionOf(records[i]).Compare(positionOf(records[j])) < 0 })
+	return records, Position{t.era, t.end}, t.covers(from)
+}
+
+// Covers reports whether the table has all changes since a position.
+func (t *Table) Covers(from Position) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.covers(from)
+}
+
+func (t *Table) covers(from Position) bool {
+	return from.Era == t.era && t.coverage.has(from.Offset)
 }
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -83,8 +83,8 @@
 				end := rapid.IntRange(0, len(written)).Draw(t, "its end")
 				other := NewTable("keyed.x", func(platform.Record, Origin) {})
 				other.Merge(written[:end], Position{Offset: int64(end)}, true)
-				records, otherEnd := other.RecordsFrom(table.Position())
-				table.MergeFetched(records, Position{Offset: otherEnd.Offset}, false, true)
+				records, otherEnd, _ := other.RecordsFrom(table.Position())
+				table.MergeFetched(Fetched{Records: records, At: Position{Offset: otherEnd.Offset}, Extent: Changes, Since: table.Position(), Trusted: true})
 			},
 		})
 		table.Merge(written[table.End():], Position{Offset: int64(len(written))}, true)
@@ -106,7 +106,7 @@
 	records := []platform.Record{put("a", 0), put("b", 1)}
 	for name, apply := range map[string]func(*Table){
 		"read":            func(table *Table) { table.Snapshot(platform.Page{Records: records, End: 2}, true) },
-		"by another host": func(table *Table) { table.MergeFetched(records, Position{Offset: 2}, false, true) },
+		"by another host": func(table *Table) { table.MergeFetched(Fetched{Records: records, At: Position{Offset: 2}, Extent: Changes, Since: table.Position(), Trusted: true}) },
 	} {
 		notifying, resume := make(chan struct{}), make(chan struct{})
 		table := NewTable("keyed.x", func(platform.Record, Origin) {
@@ -117,7 +117,7 @@
 		wg.Go(func() { apply(table) })
 		for range records {
 			<-notifying
-			table.MergeFetched(records, Position{Offset: 2}, false, true)
+			table.MergeFetched(Fetched{Records: records, At: Position{Offset: 2}, Extent: Changes, Since: table.Position(), Trusted: true})
 			table.Merge(nil, Position{Offset: 2}, true)
 			if table.Synced() {
 				t.Errorf("%s: synced while onRecord is called", name)
@@ -307,17 +307,17 @@
 func TestOriginMarksInitialRecords(t *testing.T) {
 	for name, apply := range map[string]func(*Table, history){
 		"store":        func(table *Table, h history) { table.Snapshot(platform.Page{Records: h, End: 1}, true) },
-		"another host": func(table *Table, h history) { table.MergeFetched(h, Position{Offset: 1}, false, true) },
+		"another host": func(table *Table, h history) { table.MergeFetched(Fetched{Records: h, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true}) },
 		"another host, from the start": func(table *Table, h history) {
 			table.Merge(h, Position{Offset: 1}, true)
-			table.MergeFetched(nil, Position{Offset: 1}, false, true)
+			table.MergeFetched(Fetched{Records: nil, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true})
 		},
 	} {
 		first := map[string]bool{}
 		table := NewTable("keyed.x", func(rec platform.Record, origin Origin) { first[rec.Key] = origin.First })
 		apply(table, history{put("found", 0)})
 		table.Merge(history{put("read", 1)}, Position{Offset: 2}, true)
-		table.MergeFetched(history{put("fetched", 2)}, Position{Offset: 3}, false, true)
+		table.MergeFetched(Fetched{Records: history{put("fetched", 2)}, At: Position{Offset: 3}, Extent: Changes, Since: table.Position(), Trusted: true})
 		// A topic that was trimmed is listed again.
 		table.Snapshot(platform.Page{Records: history{put("found", 0), put("read", 1), put("fetched", 2), put("listed", 3)}, End: 4}, true)
 		for key, want := range map[string]bool{"found": true, "read": false, "fetched": false, "listed": false} {
@@ -441,7 +441,7 @@
 			defer start(f)()
 			time.Sleep(500 * time.Millisecond)
 			if reported {
-				table.MergeFetched(reader.written, Position{Offset: 1}, false, true)
+				table.MergeFetched(Fetched{Records: reader.written, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true})
 			}
 			if reader.calls() != 0 {
 				t.Errorf("%s: called the store while waiting", name)
