An outage of several servers does not deny a request that was answered before

Cause: three crashes of one moment counted as three pieces of evidence, and hosts remembered no answers of whole requests. The verdict ended its attempts elsewhere and let none through, so that no answer could correct it. Ruled out: a request that crashes servers (17 others ran it before and after), and crashes that count twice (each incarnation counts once). Change: hosts remember which requests were answered, report that with their crashes and save it in the store. Such a request is denied after crashes in three separate episodes. One that was never answered is denied at the third crash, as before.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// minAnsweredEpisodes is the number of crash episodes from which a request is refused that was answered
+	// before: an outage ends many servers at once, and a popular request runs on several of them.
+	minAnsweredEpisodes = maxCrashes
 	// minBlockEpisodes is the number of crash episodes from which requests with a prefix block are
 	// refused. It is higher than maxCrashes, as a block is refused to all requests that share it.
 	minBlockEpisodes = 4
@@ -34,8 +37,8 @@
 	// answered.
 	warmUp        = 10 * time.Second
 	warmUpAnswers = 48
-	// episodeLength is the time within which crashes count as one episode for prefix blocks: an
-	// outage ends many servers at once, with requests that share blocks on all of them.
+	// episodeLength is the time within which crashes count as one episode: an outage ends many servers
+	// at once, with equal requests, or requests that share blocks, on all of them.
 	episodeLength = 250 * time.Millisecond
 )
 
@@ -121,7 +124,7 @@
 		r.judgedAt, r.verdict = t.changes, t.judge(d, r)
 	}
 	v := r.verdict
-	if v.attributed < maxCrashes || now.Sub(v.newest) >= refusalDuration || r.block && !t.proven(r, now) {
+	if v.attributed < maxCrashes || now.Sub(v.newest) >= refusalDuration || !t.proven(r, now) {
 		return 0
 	}
 	return v.attributed
@@ -139,8 +142,16 @@
 	return v
 }
 
-// proven reports whether the crashes are enough to refuse a prefix block to all requests.
+// proven reports whether the crashes of a request or block cannot be the consequence of an outage.
 func (t *Table) proven(r *record, now time.Time) bool {
+	if r.block {
+		return t.blockProven(r, now)
+	}
+	return !r.everAnswered() || r.verdict.episodes >= minAnsweredEpisodes
+}
+
+// blockProven reports whether the crashes are enough to refuse a prefix block to all requests.
+func (t *Table) blockProven(r *record, now time.Time) bool {
 	v := r.verdict
 	if r.refusedBefore && v.attributed >= minBlockEpisodes {
 		return true
--- a/internal/quarantine/save.go
+++ b/internal/quarantine/save.go
@@ -38,7 +38,7 @@
 	if r == nil || len(r.crashes) < minSavedCrashes {
 		return q
 	}
-	q.Block, q.Refused = r.block, r.block && r.refusing
+	q.Block, q.Refused, q.Answered = r.block, r.block && r.refusing, !r.block && r.everAnswered()
 	for server, at := range r.crashes {
 		q.Crashes = append(q.Crashes, platform.CrashRecord{Server: uint64(server), AtMs: at.UnixMilli()})
 	}
@@ -70,12 +70,26 @@
 			expired = false
 		}
 	}
+	if r := t.records[Digest(q.Digest)]; r != nil && q.Answered && !r.everAnswered() {
+		t.clear(Digest(q.Digest), r, answeredBefore(q, now), now)
+	}
 	if q.Refused {
 		t.adoptRefusal(Digest(q.Digest), now)
 	}
 	return expired
 }
 
+// answeredBefore returns a time before the crashes of a record: at some such time, the request was answered.
+func answeredBefore(q platform.QuarantineRecord, now time.Time) time.Time {
+	oldest := now
+	for _, c := range q.Crashes {
+		if at := time.UnixMilli(c.AtMs); at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest.Add(-time.Millisecond)
+}
+
 // adoptRefusal refuses a block that another host refuses, or that was refused when its record was
 // saved: this host may have started since, and not remember which blocks were answered.
 func (t *Table) adoptRefusal(d Digest, now time.Time) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -73,10 +73,11 @@
 	records map[Digest]*record
 	// changes counts the changes of records.
 	changes uint64
-	// answered remembers the blocks of answered requests, and answers counts the answered prompts: answers of
-	// plain servers do not show that engines answer.
-	answered answeredBlocks
-	answers  int
+	// answeredRequests and answeredBlocks remember what was answered, apart from each other as most requests
+	// are answered once. answers counts the answered prompts: answers of plain servers do not show that
+	// engines answer.
+	answeredRequests, answeredBlocks answerTimes
+	answers                          int
 	// updates holds the digests with updates to report, and cursor the refused one that was resent
 	// last.
 	updates map[Digest]*update
@@ -117,6 +118,10 @@
 func (t *Table) observeCrash(d Digest, block bool, server Server, at, now time.Time) {
 	t.updates[d] = &update{observedAt: now}
 	t.add(d, block, server, at, now)
+	if r := t.records[d]; !r.block {
+		// Reported with the crash: another host may never have received an answer to the request.
+		t.clear(d, r, t.answeredRequests.last(d), now)
+	}
 }
 
 // Answered records that a server answered a request completely at the given time, and lived on.
@@ -126,9 +131,10 @@
 	if f.Prompt {
 		t.answers++
 	}
+	t.answeredRequests.add(f.Request, at)
 	t.recordAnswer(f.Request, at, now)
 	for _, d := range f.Blocks {
-		t.answered.add(d, at)
+		t.answeredBlocks.add(d, at)
 		t.recordAnswer(d, at, now)
 	}
 }
@@ -291,12 +297,15 @@
 	return true
 }
 
-// recallAnswer applies the last answer to a request with a block when a crash of the block is
+// recallAnswer applies the last answer to a request, or to one with a block, when a crash is
 // recorded, and has it reported: hosts learn of the crashes of others later than of their own
-// answers. An answer before the crash is reported only once the block has crashes already, as most
-// blocks of a single crash are answered again within moments.
+// answers. An answer before the crash is reported only once there are crashes already, as most
+// of what is in a single crash are answered again within moments.
 func (t *Table) recallAnswer(d Digest, r *record, crashed, now time.Time) {
-	at := t.answered.last(d)
+	at := t.answeredRequests.last(d)
+	if r.block {
+		at = t.answeredBlocks.last(d)
+	}
 	if !at.After(r.answered) || at.Before(crashed) && len(r.crashes) == 0 {
 		return
 	}
