A stalled stream is kept until another replica has begun to resume it

Cause: after four pause targets the attempt was ended, and only then were the retry budget asked and a replica looked for; the check for a hang asked for "another server that seems able". Evidence: the engines' records end with "its channel was closed, 1200 ms ago" 12 times, callers wait for 3.2 s, and the attempts in the log end with the host's own "the replica does not answer". If the stream goes on before, the other attempt ends. Rejections, a used-up budget and unreachable replicas lose nothing. A replica that is silent before its answer is given up once another one and a retry are reserved. A pause is counted from when the caller has taken the event. Weighed: to reserve a place and then end the stream; the replica may reject all the same, as a host's view of room is late.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -52,18 +52,15 @@
 
 // forwardBuffered reads the answer to its end before any of it is forwarded, so that the
 // request can be retried if the answer breaks off.
-func (x *exchange) forwardBuffered(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
-	body, err := x.readAnswer(ctx, resp)
+func (x *exchange) forwardBuffered(resp *upstream.Response) (replica.Result, error) {
+	body, err := x.readAnswer(x.ctx, resp)
 	resp.Finish(err == nil)
 	now := clock.Now()
 	if errors.Is(err, membudget.ErrNoRoom) {
 		return replica.Cancelled, errkind.Wrap(errkind.Internal, err, "the answer is larger than this host's memory budget")
 	}
 	if err != nil {
-		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive) {
-			return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
-		}
-		return replica.Lost, errkind.Wrap(errkind.BackendLost, err, "the answer was cut")
+		return x.lost(err, "the answer was cut")
 	}
 	x.choice.Flight.AnswerStarted(now)
 	x.report.First = now.Sub(x.run.began)
@@ -81,18 +78,23 @@
 }
 
 // forwardStream forwards events to the caller as they arrive.
-func (x *exchange) forwardStream(ctx context.Context, resp *upstream.Response) (replica.Result, error) {
+func (x *exchange) forwardStream(resp *upstream.Response) (replica.Result, error) {
 	x.fire(eventStream)
-	events := newEventReader(resp.Body)
-	room := x.streamRoom(ctx)
+	room := x.streamRoom(x.ctx)
 	defer room.release()
 	if err := room.open(); err != nil {
 		resp.Finish(false)
-		return x.streamLost(ctx, err)
+		return x.streamLost(err)
 	}
-	events.room = room.grow
 	stall := x.watchStall()
-	defer stall.stop()
+	result, err := x.forwardEvents(resp, room, stall)
+	stall.finish(result == replica.Lost)
+	return result, err
+}
+
+func (x *exchange) forwardEvents(resp *upstream.Response, room *streamRoom, stall *takeover) (replica.Result, error) {
+	events := newEventReader(resp.Body)
+	events.room = room.grow
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -104,14 +106,18 @@
 		}
 		if err != nil {
 			resp.Finish(false)
-			return x.streamLost(ctx, err)
+			return x.streamLost(err)
+		}
+		if !stall.received(ev.number) {
+			resp.Finish(false)
+			return x.streamLost(errUnresponsive)
 		}
-		stall.reset()
 		if err := x.forwardEvent(resp, ev); err != nil {
 			resp.Finish(false)
 			return replica.Cancelled, errkind.Wrap(errkind.CallerGone, err, "the caller left")
 		}
 		room.forwarded()
+		stall.await()
 	}
 }
 
@@ -172,12 +178,18 @@
 	return replica.Answered, nil
 }
 
-func (x *exchange) streamLost(ctx context.Context, err error) (replica.Result, error) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive) {
-		return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
-	}
-	if x.lastEvent > 0 {
+func (x *exchange) streamLost(err error) (replica.Result, error) {
+	result, err := x.lost(err, "the stream was cut")
+	if result == replica.Lost && x.lastEvent > 0 {
 		x.report.Resumed++
 	}
-	return replica.Lost, errkind.Wrap(errkind.BackendLost, err, "the stream was cut")
+	return result, err
+}
+
+// lost returns the result of an attempt whose answer has not arrived completely.
+func (x *exchange) lost(err error, how string) (replica.Result, error) {
+	if x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errUnresponsive) {
+		return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
+	}
+	return replica.Lost, errkind.Wrap(errkind.BackendLost, err, how)
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,23 @@
 	*run
 	choice *schedule.Choice
 	began  time.Time
-	cancel context.CancelCauseFunc
+	// parent is the context of the request, ctx that of the attempt, which cancel ends.
+	parent, ctx context.Context
+	cancel      context.CancelCauseFunc
+	// resumeAfter is the number of the event after which a stream is continued, 0 for one that begins.
+	resumeAfter int64
+	// ranBefore counts the attempts before this one in which a replica may have run the request.
+	ranBefore int
+	// successor is the attempt that goes on with the stream; nil without one.
+	successor *successor
+
+	// mu protects what the check for a hang shares with the attempt; ended is set when it has ended.
+	mu    sync.Mutex
+	ended bool
+	// stall is the takeover of a stream that has begun; nil before.
+	stall *takeover
+	// reserved is the replica for which an unresponsive one was given up; nil without one.
+	reserved *schedule.Choice
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
 	// untilClose is set if the answer ends with its connection.
@@ -48,39 +65,60 @@
 	stopQuarantineWatch func()
 }
 
-// attempt sends the request to the chosen replica and forwards its answer.
-func (r *run) attempt(ctx context.Context, choice *schedule.Choice) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+// attempt sends the request to the chosen replica and forwards its answer. It returns the attempt that goes
+// on with the stream in its place, if there is one.
+func (r *run) attempt(parent context.Context, choice *schedule.Choice) (*successor, error) {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	x := &exchange{run: r, choice: choice, began: clock.Now(), cancel: cancel}
+	x := &exchange{run: r, choice: choice, parent: parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: r.lastEvent, ranBefore: r.report.Ran}
 	x.watchHang()
 	x.watchQuarantine()
 	defer x.unwatchQuarantine()
-	ran := r.report.Ran
-	result, err := x.send(ctx)
-	if x.hangWatch != nil {
-		x.hangWatch.stop()
+	resp, result, err := x.open()
+	if err == nil {
+		result, err = x.forward(resp)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errUnresponsive) {
+	return x.successor, x.end(result, err)
+}
+
+// end records the result of the attempt, and returns its error.
+func (x *exchange) end(result replica.Result, err error) error {
+	r := x.run
+	x.keepReserved(err)
+	if err != nil && errors.Is(context.Cause(x.ctx), errUnresponsive) {
 		result = replica.Lost
 		err = errkind.Wrap(errkind.BackendLost, errUnresponsive, "the replica does not answer")
 	}
-	x.recordCrashEvidence(result, err, r.report.Ran > ran)
-	choice.Flight.End(result, clock.Now())
+	x.recordCrashEvidence(result, err, r.report.Ran > x.ranBefore)
+	x.choice.Flight.End(result, clock.Now())
 	x.recordVersionOutcome(result)
 	if result == replica.ConnectTimeout || result == replica.Unreachable {
 		r.report.Unreachable = true
 	}
 	if result == replica.ConnectTimeout {
-		r.connectTimedOut = choice.ID
+		r.connectTimedOut = x.choice.ID
 	}
 	if err != nil && r.report.First == 0 {
-		r.d.scheduler.PrefillFailed(choice)
+		r.d.scheduler.PrefillFailed(x.choice)
 	}
-	r.recordAttempt(choice, x.began, result, err)
+	r.recordAttempt(x.choice, x.began, result, err)
 	return err
 }
 
+// keepReserved keeps the replica that was reserved for the next attempt, unless none is needed.
+func (x *exchange) keepReserved(err error) {
+	reserved := x.takeReserved()
+	switch {
+	case reserved == nil:
+	case err == nil || x.parent.Err() != nil:
+		x.d.scheduler.Cancel(reserved, clock.Now())
+		x.countCharge()
+	default:
+		x.run.reserved = reserved
+		x.countCharge()
+	}
+}
+
 // recordVersionOutcome counts the result for the canary release of the server's software
 // version. Results that say nothing about the version, such as a refusal, a caller that left
 // or a lost server, are not counted.
@@ -122,36 +160,46 @@
 	r.report.Attempts = append(r.report.Attempts, Attempt{choice.ID, result.String(), reason, clock.Since(began).Milliseconds()})
 }
 
-func (x *exchange) send(ctx context.Context) (replica.Result, error) {
+// open sends the request and returns the answer, of which the head was read, unless the replica did not run the
+// request or the answer is not one to it.
+func (x *exchange) open() (*upstream.Response, replica.Result, error) {
 	x.report.Sends++
-	resp, err := x.d.pool.Send(ctx, x.choice.Address, x.upstreamRequest())
+	resp, err := x.d.pool.Send(x.ctx, x.choice.Address, x.upstreamRequest())
 	if err != nil {
-		return x.sendFailed(ctx, err)
+		result, err := x.sendFailed(err)
+		return nil, result, err
 	}
 	x.arrived++
 	x.choice.Flight.RecordNotice(resp.Answer, clock.Now())
 	if resp.Answer.NotRun {
-		return x.handleNotRun(resp)
+		result, err := x.handleNotRun(resp)
+		return nil, result, err
 	}
 	x.report.Ran++
 	x.untilClose = resp.UntilClose()
 	if !resp.Answer.Sealed || resp.Answer.ID != x.req.ID {
 		resp.Finish(false)
-		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
+		return nil, replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
 	}
-	isStream := resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
-	switch {
-	case isStream:
-		return x.forwardStream(ctx, resp)
-	case x.started:
+	if x.resumeAfter > 0 && !isEventStream(resp) {
 		resp.Finish(false)
-		return replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d in place of the rest of the stream", resp.Status))
-	default:
-		return x.forwardBuffered(ctx, resp)
+		return nil, replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d in place of the rest of the stream", resp.Status))
 	}
+	return resp, 0, nil
+}
+
+func (x *exchange) forward(resp *upstream.Response) (replica.Result, error) {
+	if isEventStream(resp) {
+		return x.forwardStream(resp)
+	}
+	return x.forwardBuffered(resp)
+}
+
+func isEventStream(resp *upstream.Response) bool {
+	return resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
 }
 
-func (x *exchange) sendFailed(ctx context.Context, err error) (replica.Result, error) {
+func (x *exchange) sendFailed(err error) (replica.Result, error) {
 	var failed *upstream.Error
 	sent := errors.As(err, &failed) && failed.Sent
 	if sent {
@@ -159,7 +207,7 @@
 		x.report.Ran++
 	}
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUnresponsive):
+	case x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errUnresponsive):
 		return replica.Cancelled, errkind.Wrap(errkind.BackendLost, err, "the attempt was ended")
 	case !sent && failed != nil && failed.Timeout():
 		return replica.ConnectTimeout, errkind.Wrap(errkind.BackendUnreachable, err, "no connection to the replica in time")
@@ -188,8 +236,8 @@
 		out.HasPriority = true
 		out.Priority = enginePriority(req)
 	}
-	if x.lastEvent > 0 {
-		out.LastEvent = strconv.FormatInt(x.lastEvent, 10)
+	if x.resumeAfter > 0 {
+		out.LastEvent = strconv.FormatInt(x.resumeAfter, 10)
 	}
 	maxIdle := time.Duration(0)
 	if !req.Route.Repeatable() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -253,6 +253,8 @@
 	// replica answers.
 	errorAnswer *bufferedAnswer
 	report      Report
+	// reserved is the replica that takes the place of one that did not answer; nil without one.
+	reserved *schedule.Choice
 }
 
 // bufferedAnswer is an answer that was read to its end before it is forwarded.
@@ -283,6 +285,9 @@
 		d.budget.RecordRequest(req.Service.Name, r.began)
 	}
 	err := r.loop(ctx)
+	if unused := r.takeReserved(); unused != nil {
+		d.scheduler.Cancel(unused, clock.Now())
+	}
 	if err == nil {
 		r.fire(eventFinish)
 	} else {
@@ -309,7 +314,12 @@
 		if err := r.checkShare(); err != nil {
 			return r.finish(ctx, err)
 		}
-		choice, err := r.pick(ctx)
+		choice, err := r.takeReserved(), error(nil)
+		if choice != nil {
+			r.reportChoice(choice, len(r.exclude))
+		} else {
+			choice, err = r.pick(ctx)
+		}
 		if errors.Is(err, route.ErrNoRoom) && r.waitForRoom(ctx) {
 			continue
 		}
@@ -325,12 +335,13 @@
 		if r.hold(ctx, choice) {
 			continue
 		}
-		r.fire(eventSend)
-		err = r.attempt(ctx, choice)
-		if err == nil {
+		if err = r.attemptAndResume(ctx, choice); err == nil {
 			return nil
 		}
-		r.exclude[choice.ID] = true
+		if r.reserved != nil {
+			r.fire(eventRetry)
+			continue
+		}
 		if !r.allowRetry(ctx, err) && !r.awaitShare(ctx, err) {
 			return r.finish(ctx, err)
 		}
@@ -338,6 +349,31 @@
 	}
 }
 
+// takeReserved returns the replica that was reserved for the next attempt, or nil.
+func (r *run) takeReserved() *schedule.Choice {
+	choice := r.reserved
+	r.reserved = nil
+	return choice
+}
+
+// attemptAndResume sends the request to the chosen replica. A stream that stalls goes on at others that have
+// begun to resume it.
+func (r *run) attemptAndResume(ctx context.Context, choice *schedule.Choice) error {
+	r.fire(eventSend)
+	next, err := r.attempt(ctx, choice)
+	r.exclude[choice.ID] = true
+	for next != nil {
+		r.fire(eventRetry)
+		r.fire(eventSend)
+		x := next.x
+		err = next.forward()
+		r.exclude[x.choice.ID] = true
+		x.cancel(nil)
+		next = x.successor
+	}
+	return err
+}
+
 // allowConnectRetry makes the replica to which a connection timed out eligible again if no
 // other replica can take the request, and reports whether it did so. It does so at most once per
 // request. Nothing was sent, so a second attempt is safe for any request. With it, one slow
@@ -353,10 +389,28 @@
 }
 
 func (r *run) pick(ctx context.Context) (*schedule.Choice, error) {
-	req := r.req
 	now := clock.Now()
 	exclude := r.withoutRoom(now)
-	choice, err := r.d.scheduler.Pick(&schedule.Request{
+	choice, err := r.d.scheduler.Pick(r.scheduleRequest(ctx, exclude, now), now)
+	r.noneFree = err != nil && len(exclude) > len(r.exclude)
+	if err != nil {
+		return nil, err
+	}
+	if choice.Hold > 0 {
+		return choice, nil
+	}
+	if err := r.admit(choice, now); err != nil {
+		r.d.scheduler.Cancel(choice, now)
+		return nil, err
+	}
+	r.reportChoice(choice, len(exclude))
+	return choice, nil
+}
+
+// scheduleRequest returns the request as it is scheduled at replicas other than the excluded ones.
+func (r *run) scheduleRequest(ctx context.Context, exclude map[string]bool, now time.Time) *schedule.Request {
+	req := r.req
+	return &schedule.Request{
 		Service:       req.Service,
 		Store:         req.Store,
 		Organisation:  req.Organisation,
@@ -371,27 +425,19 @@
 		Exclude:       exclude,
 		Fingerprint:   r.fingerprint,
 		AcquirePermit: func(id string) bool { return r.d.AcquirePermit(ctx, id) },
-	}, now)
-	r.noneFree = err != nil && len(exclude) > len(r.exclude)
-	if err != nil {
-		return nil, err
-	}
-	if choice.Hold > 0 {
-		return choice, nil
-	}
-	if err := r.admit(choice, now); err != nil {
-		r.d.scheduler.Cancel(choice, now)
-		return nil, err
 	}
+}
+
+// reportChoice records the replica that the request is sent to.
+func (r *run) reportChoice(choice *schedule.Choice, excluded int) {
+	r.servers = max(r.servers, choice.Considered+excluded)
 	r.report.Replica = choice.ID
 	r.report.Expected = choice.Expected
-	r.servers = max(r.servers, choice.Considered+len(exclude))
 	r.report.Cached = choice.Cached
 	r.report.Fetched = choice.Fetched
 	r.report.Shared = choice.Shared
 	r.report.Salt, r.report.Source, r.report.Sink = choice.Salt, choice.Source, choice.Sink
 	r.report.Weights = choice.Weights
-	return choice, nil
 }
 
 // allowRetry reports whether the request may be sent to another replica after err, and
@@ -422,14 +468,18 @@
 	}
 	allowed := r.d.budget.Allow(r.req.Service.Name, clock.Now())
 	if allowed {
-		r.charged++
-		r.report.RetriesCharged++
+		r.countCharge()
 	} else {
 		r.report.RetryRefused = true
 	}
 	return allowed
 }
 
+func (r *run) countCharge() {
+	r.charged++
+	r.report.RetriesCharged++
+}
+
 // finish ends a request whose attempts have all failed. It forwards a replica's error answer
 // if there is one, and otherwise returns an error whose kind is correct for all attempts
 // together: if any of them may have run the request, the error must not say "not run".
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -55,6 +55,15 @@
 	streamsSlowly behaviour = "streams slowly"
 	// endsWithinEvent streams without length or chunks, and ends within an event.
 	endsWithinEvent behaviour = "ends within an event"
+	// stalls streams with stallPause before one event, stallsForGood sends none after it, and stallsAndCuts
+	// breaks its connection after the pause.
+	stalls        behaviour = "stalls"
+	stallsForGood behaviour = "stalls for good"
+	stallsAndCuts behaviour = "stalls and cuts"
+	// streamsLate streams after stallPause.
+	streamsLate behaviour = "streams late"
+	// answersLate answers after stallPause.
+	answersLate behaviour = "answers late"
 	// answersAtCheck answers at the moment of the first check for a hang.
 	answersAtCheck behaviour = "answers at a check"
 )
@@ -66,6 +75,7 @@
 const (
 	testEvents   = 6
 	slowPause    = 700 * time.Millisecond
+	stallPause   = 1600 * time.Millisecond
 	testService  = "s"
 	testReplicas = 4
 	wholeBody    = "the whole answer"
@@ -148,6 +158,9 @@
 		write(head(200) + seal + length + wholeBody)
 	case answers:
 		write(head(200) + seal + length + wholeBody)
+	case answersLate:
+		time.Sleep(stallPause)
+		write(head(200) + seal + length + wholeBody)
 	case fails:
 		write(head(500) + seal + "Content-Length: 0\r\n\r\n")
 	case unsealed:
@@ -160,10 +173,16 @@
 		_, _ = io.Copy(io.Discard, r)
 	case endsWithinEvent:
 		write(head(200) + seal + "Content-Type: text/event-stream\r\n\r\n" + eventText(1) + eventText(2)[:5])
-	case streams, cutsStream, skips, streamsSlowly:
+	case streams, cutsStream, skips, streamsSlowly, stalls, stallsForGood, stallsAndCuts, streamsLate:
+		if b == streamsLate {
+			time.Sleep(stallPause)
+		}
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		write(head(200) + seal + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		f.events(c, b, last)
+		if b == stallsForGood {
+			_, _ = io.Copy(io.Discard, r)
+		}
 	}
 }
 
@@ -173,6 +192,12 @@
 		if b == streamsSlowly && n > 1 {
 			time.Sleep(slowPause)
 		}
+		if n == testEvents/2+1 && (b == stalls || b == stallsAndCuts) {
+			time.Sleep(stallPause)
+		}
+		if n > testEvents/2 && (b == stallsAndCuts || b == stallsForGood) {
+			return
+		}
 		if b == cutsStream && n > testEvents/2 {
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text)/2, text[:len(text)/2])
 			return
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -1,13 +1,13 @@
 package dispatch
 
 import (
-	"maps"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/schedule"
 )
 
 const (
@@ -20,7 +20,7 @@
 	// longer of the two applies.
 	hangTimeoutTargets = 1.0
 	// stallPauseTargets is the pause between two events, in multiples of the route's pause
-	// target, after which a stream is resumed at another replica. watchStall applies a
+	// target, after which another replica is looked for that resumes the stream. watchStall applies a
 	// minimum of 2*minHangTimeout. Callers give up after a pause of eight targets.
 	stallPauseTargets = 4
 )
@@ -29,28 +29,62 @@
 // stalled stream, are cancelled.
 var errUnresponsive = errors.New("no liveness signal from the replica")
 
-// watchHang cancels the attempt if the replica is unresponsive, or its answer is assumed
-// lost, and another replica may be tried.
+// watchHang looks for another replica if the replica is unresponsive, or its answer is assumed lost. The attempt
+// is only given up for one that may be used: a sound replica may be silent for a second, too.
 func (x *exchange) watchHang() {
 	route := x.req.Route
-	if !route.Repeatable() || x.report.Ran+1 >= route.Attempts {
+	if !route.Repeatable() || x.report.Ran+1 >= route.Attempts || x.report.Sends+1 >= maxSends {
 		return
 	}
 	limit := max(minHangTimeout, time.Duration(hangTimeoutTargets*float64(route.LatencyTarget)))
-	tried := maps.Clone(x.exclude)
-	tried[x.choice.ID] = true
 	x.hangWatch = startHangWatch(func() bool {
 		now := clock.Now()
 		hangs := x.choice.Flight.UnresponsiveFor(now) > limit || x.choice.Flight.PresumedLost()
-		// Without another replica the answer may still come: a sound one may be silent for a second.
-		hangs = hangs && x.d.replicas.HasOther(x.req.Service.Name, tried, now)
-		if hangs {
-			x.cancel(errUnresponsive)
-		}
-		return hangs
+		return hangs && x.giveUp()
 	})
 }
 
+// giveUp ends the attempt if another replica may be used, and reserves that one. A stream that has begun is
+// kept until another replica resumes it. It reports whether the check for a hang has ended.
+func (x *exchange) giveUp() bool {
+	x.mu.Lock()
+	stall := x.stall
+	x.mu.Unlock()
+	if stall != nil {
+		stall.attempt()
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended || x.stall != nil {
+		return x.ended
+	}
+	x.reserved = x.reserve(x.parent)
+	if x.reserved == nil {
+		return false
+	}
+	x.cancel(errUnresponsive)
+	return true
+}
+
+// setStall hands the attempt over to the takeover of its stream.
+func (x *exchange) setStall(t *takeover) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stall = t
+}
+
+// takeReserved ends the check for a hang, and returns the replica that was reserved, or nil.
+func (x *exchange) takeReserved() *schedule.Choice {
+	if x.hangWatch != nil {
+		x.hangWatch.stop()
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended = true
+	return x.reserved
+}
+
 // hangWatch checks for a hang at each watchInterval until it finds one or is stopped.
 type hangWatch struct {
 	mu      sync.Mutex
@@ -86,33 +120,3 @@
 	w.stopped = true
 	w.timer.Stop()
 }
-
-// stallWatch cancels an attempt whose stream stalls. Its timer is nil if the stream cannot be
-// resumed at another replica.
-type stallWatch struct {
-	timer *time.Timer
-	limit time.Duration
-}
-
-func (x *exchange) watchStall() *stallWatch {
-	route := x.req.Route
-	if !route.Resumable || x.report.Ran >= route.Attempts || route.PauseTarget <= 0 {
-		return &stallWatch{}
-	}
-	limit := max(2*minHangTimeout, stallPauseTargets*route.PauseTarget)
-	// The timer is armed by the first event; until then watchHang covers the attempt.
-	timer := time.AfterFunc(time.Hour, func() { x.cancel(errUnresponsive) })
-	return &stallWatch{timer, limit}
-}
-
-func (w *stallWatch) reset() {
-	if w.timer != nil {
-		w.timer.Reset(w.limit)
-	}
-}
-
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
