Answers are whole at any size, and whatever a server sends is limited

Cause: limits were io.LimitReaders, whose end looks like the end of a body; heads had no limit at all, and bodies that were read only to be able to reuse a connection had none of time. Change: an answer of over 16 MiB is forwarded as it arrives, and aborted if it breaks off.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,7 @@
 
 // handleNotRun handles an answer stating that the replica did not run the request.
 func (x *exchange) handleNotRun(resp *upstream.Response) (replica.Result, error) {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswer))
-	resp.Finish(err == nil)
+	resp.Discard()
 	if resp.Status == http.StatusServiceUnavailable {
 		x.recordRejection(x.choice.ID, clock.Now())
 	}
@@ -51,9 +51,12 @@
 }
 
 // forwardBuffered reads the answer to its end before any of it is forwarded, so that the
-// request can be retried if the answer breaks off.
+// request can be retried if the answer breaks off. Large answers are forwarded as they arrive.
 func (x *exchange) forwardBuffered(resp *upstream.Response) (replica.Result, error) {
-	body, err := x.readAnswer(x.ctx, resp)
+	body, whole, err := x.readAnswer(x.ctx, resp)
+	if err == nil && !whole {
+		return x.forwardLarge(resp, body)
+	}
 	resp.Finish(err == nil)
 	now := clock.Now()
 	if errors.Is(err, membudget.ErrNoRoom) {
@@ -77,6 +80,72 @@
 	return replica.Answered, nil
 }
 
+// forwardLarge forwards an answer of which the beginning was read, and the rest as it arrives. One that breaks
+// off is aborted, and cannot be retried.
+func (x *exchange) forwardLarge(resp *upstream.Response, beginning []byte) (replica.Result, error) {
+	if !x.commit() {
+		resp.Finish(false)
+		return x.lost(errUnresponsive, "the answer was given up")
+	}
+	room := x.streamRoom(x.ctx)
+	defer room.release()
+	if err := room.open(); err != nil {
+		resp.Finish(false)
+		return x.lost(err, "there was no memory for the answer")
+	}
+	now := clock.Now()
+	x.choice.Flight.AnswerStarted(now)
+	x.report.First, x.report.Status = now.Sub(x.run.began), resp.Status
+	x.started = true
+	written, err := CopyLarge(x.out, resp, beginning)
+	resp.Finish(err == nil && written)
+	switch {
+	case !written:
+		return replica.Cancelled, errkind.Wrap(errkind.CallerGone, err, "the caller left")
+	case err != nil:
+		return x.lost(err, "the answer was cut")
+	case resp.Status >= http.StatusInternalServerError:
+		return replica.Failed, nil
+	}
+	x.recordServed(now)
+	return replica.Answered, nil
+}
+
+// largeBuffer is the size in bytes of the pieces in which a large answer is forwarded.
+const largeBuffer = 8 << 10
+
+// CopyLarge writes an answer of which the beginning was read, and the rest as it arrives. written is false if err is
+// that of out.
+func CopyLarge(out Answer, resp *upstream.Response, beginning []byte) (written bool, err error) {
+	header := platform.AnswerHeaders(resp.Header)
+	if resp.Length() >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(resp.Length(), 10))
+	}
+	if err := out.Start(resp.Status, header); err != nil {
+		return false, err
+	}
+	if len(beginning) > 0 {
+		if err := out.Event(beginning); err != nil {
+			return false, err
+		}
+	}
+	buffer := make([]byte, largeBuffer)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if err := out.Event(buffer[:n]); err != nil {
+				return false, err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return true, err
+		}
+	}
+}
+
 // forwardStream forwards events to the caller as they arrive.
 func (x *exchange) forwardStream(resp *upstream.Response) (replica.Result, error) {
 	x.fire(eventStream)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxBufferedAnswer limits the size in bytes of an answer that is not streamed.
+	// maxBufferedAnswer is the size in bytes up to which an answer is read before it is forwarded.
 	maxBufferedAnswer = 16 << 20
 	// maxIdleNonRepeatable is the longest idle time of a connection that is reused for a
 	// request that must not be retried. The request would be lost if the replica closed the
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -246,8 +246,10 @@
 	charged int
 	// lastEvent is the number of the last forwarded event, 0 before the first.
 	lastEvent int64
-	// started is set once the headers of a stream are written to the caller.
-	started     bool
+	// started is set once the headers of a stream or a large answer are written to the caller. committed is set
+	// for a large answer, which cannot be continued by another replica.
+	started, committed bool
+
 	fingerprint quarantine.Fingerprint
 	// errorAnswer is the last answer with a server error; it is forwarded if no other
 	// replica answers.
@@ -444,7 +446,7 @@
 // charges the retry to the budget. A request that never reached a replica is retried without
 // charge.
 func (r *run) allowRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || r.report.Sends >= maxSends {
+	if ctx.Err() != nil || r.report.Sends >= maxSends || r.committed {
 		return false
 	}
 	switch errkind.From(err).Kind {
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -16,15 +16,20 @@
 // usualEvent is the size in bytes of an event that streamBytes includes.
 const usualEvent = 4 << 10
 
-// readAnswer reads a whole answer into memory that is reserved first. If there is no room, the answer
-// stays at the server until there is, or ctx ends.
-func (x *exchange) readAnswer(ctx context.Context, resp *upstream.Response) ([]byte, error) {
+// readAnswer reads an answer into memory that is reserved first. If there is no room, the answer
+// stays at the server until there is, or ctx ends. whole is false if it is longer than
+// maxBufferedAnswer: the rest remains to be read.
+func (x *exchange) readAnswer(ctx context.Context, resp *upstream.Response) (body []byte, whole bool, err error) {
+	if resp.Length() > maxBufferedAnswer {
+		return nil, false, nil
+	}
 	if x.req.Memory != nil && resp.Length() > membudget.Step {
 		// How long it takes to read a large answer depends on this host's memory.
 		x.choice.Flight.AnswerStarted(clock.Now())
 	}
 	reserved := int64(0)
-	body, err := membudget.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer), min(resp.Length(), maxBufferedAnswer), func(bytes int64) error {
+	beginning := &io.LimitedReader{R: resp.Body, N: maxBufferedAnswer}
+	body, err = membudget.ReadAll(beginning, resp.Length(), func(bytes int64) error {
 		err := x.awaitMemory(ctx, bytes)
 		if err == nil {
 			reserved += bytes
@@ -34,7 +39,7 @@
 	if err != nil {
 		x.req.Memory.Return(membudget.Answer, reserved)
 	}
-	return body, err
+	return body, resp.Length() >= 0 || beginning.N > 0, err
 }
 
 // awaitMemory reserves memory for the answer as soon as there is room.
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -74,6 +74,15 @@
 	x.stall = t
 }
 
+// commit ends the check for a hang, as the answer is forwarded from now on. It returns false if the attempt was given
+// up already.
+func (x *exchange) commit() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended, x.committed = true, x.reserved == nil
+	return x.committed
+}
+
 // takeReserved ends the check for a hang, and returns the replica that was reserved, or nil.
 func (x *exchange) takeReserved() *schedule.Choice {
 	if x.hangWatch != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -98,7 +98,7 @@
 			return report, lost(ctx, err, "the host that the request was passed on to was lost")
 		}
 		if platform.Unreached(resp.Header) {
-			discard(resp)
+			resp.Discard()
 			continue
 		}
 		report.Status, report.Rejected = resp.Status, !resp.Answer.Sealed
@@ -124,12 +124,6 @@
 	}
 }
 
-// discard reads the rest of an answer, so that its connection can be reused.
-func discard(resp *upstream.Response) {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedAnswer))
-	resp.Finish(err == nil)
-}
-
 // copyAnswer writes the other host's answer to out, a stream as its parts arrive.
 func copyAnswer(ctx context.Context, resp *upstream.Response, out dispatch.Answer, memory *membudget.Hold) error {
 	header := platform.AnswerHeaders(resp.Header)
@@ -141,7 +135,14 @@
 	if succeeded && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
 		return copyStream(ctx, resp, header, out)
 	}
-	body, err := membudget.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer), min(resp.Length(), maxBufferedAnswer), roomIn(ctx, memory))
+	if resp.Length() > maxBufferedAnswer {
+		return copyLarge(ctx, resp, out, nil)
+	}
+	beginning := &io.LimitedReader{R: resp.Body, N: maxBufferedAnswer}
+	body, err := membudget.ReadAll(beginning, resp.Length(), roomIn(ctx, memory))
+	if err == nil && resp.Length() < 0 && beginning.N == 0 {
+		return copyLarge(ctx, resp, out, body)
+	}
 	resp.Finish(err == nil)
 	if err != nil {
 		return lost(ctx, err, "the answer of the host that the request was passed on to was cut")
@@ -152,6 +153,19 @@
 	return nil
 }
 
+// copyLarge writes an answer of which the beginning was read, and the rest as it arrives.
+func copyLarge(ctx context.Context, resp *upstream.Response, out dispatch.Answer, beginning []byte) error {
+	written, err := dispatch.CopyLarge(out, resp, beginning)
+	resp.Finish(err == nil && written)
+	switch {
+	case !written:
+		return errkind.Wrap(errkind.CallerGone, err, "the caller left")
+	case err != nil:
+		return lost(ctx, err, "the answer of the host that the request was passed on to was cut")
+	}
+	return nil
+}
+
 // roomIn returns what reserves the memory of an answer.
 func roomIn(ctx context.Context, memory *membudget.Hold) membudget.Room {
 	return func(bytes int64) error {
--- a/internal/topic/order_test.go
+++ b/internal/topic/order_test.go
@@ -25,7 +25,9 @@
 		"listed": func(table *Table) {
 			table.Snapshot(platform.Page{Records: append(first[:1:1], newer...), End: 3}, false)
 		},
-		"by another host": func(table *Table) { table.MergeFetched(Fetched{Records: newer, At: Position{Offset: 3}, Extent: Changes, Since: table.Position(), Trusted: false}) },
+		"by another host": func(table *Table) {
+			table.MergeFetched(Fetched{Records: newer, At: Position{Offset: 3}, Extent: Changes, Since: table.Position(), Trusted: false})
+		},
 	} {
 		notifying, resume := make(chan struct{}), make(chan struct{})
 		var mu sync.Mutex
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -105,8 +105,10 @@
 func TestSyncedAfterAllNotifications(t *testing.T) {
 	records := []platform.Record{put("a", 0), put("b", 1)}
 	for name, apply := range map[string]func(*Table){
-		"read":            func(table *Table) { table.Snapshot(platform.Page{Records: records, End: 2}, true) },
-		"by another host": func(table *Table) { table.MergeFetched(Fetched{Records: records, At: Position{Offset: 2}, Extent: Changes, Since: table.Position(), Trusted: true}) },
+		"read": func(table *Table) { table.Snapshot(platform.Page{Records: records, End: 2}, true) },
+		"by another host": func(table *Table) {
+			table.MergeFetched(Fetched{Records: records, At: Position{Offset: 2}, Extent: Changes, Since: table.Position(), Trusted: true})
+		},
 	} {
 		notifying, resume := make(chan struct{}), make(chan struct{})
 		table := NewTable("keyed.x", func(platform.Record, Origin) {
@@ -306,8 +308,10 @@
 // whatever source.
 func TestOriginMarksInitialRecords(t *testing.T) {
 	for name, apply := range map[string]func(*Table, history){
-		"store":        func(table *Table, h history) { table.Snapshot(platform.Page{Records: h, End: 1}, true) },
-		"another host": func(table *Table, h history) { table.MergeFetched(Fetched{Records: h, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true}) },
+		"store": func(table *Table, h history) { table.Snapshot(platform.Page{Records: h, End: 1}, true) },
+		"another host": func(table *Table, h history) {
+			table.MergeFetched(Fetched{Records: h, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true})
+		},
 		"another host, from the start": func(table *Table, h history) {
 			table.Merge(h, Position{Offset: 1}, true)
 			table.MergeFetched(Fetched{Records: nil, At: Position{Offset: 1}, Extent: Changes, Since: table.Position(), Trusted: true})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,8 +27,12 @@
 	readBufferSize = 4 << 10
 	// maxStrayAnswers limits the late answers to earlier requests that are skipped.
 	maxStrayAnswers = 2
-	// maxStrayBodyBytes limits the body of such an answer.
-	maxStrayBodyBytes = 1 << 20
+	// maxDiscardedBytes and discardTime limit what is read of a body that nobody needs so that its connection
+	// can be reused. A server may send one without end.
+	maxDiscardedBytes = 1 << 20
+	discardTime       = 250 * time.Millisecond
+	// maxHeadBytes limits the heads that are read for one request, informational and late ones included.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is what is sent to a backend server.
@@ -101,6 +105,7 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	heads   headLimit
 	// writeDone receives the result of writing the current request once it has ended.
 	writeDone chan error
 	idleSince time.Time
@@ -213,6 +218,8 @@
 // late answers to earlier requests, which carry another request ID.
 func (c *conn) readAnswer(req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
+	c.heads.begin(maxHeadBytes)
+	defer c.heads.end()
 	for range maxStrayAnswers + 1 {
 		raw, err := http.ReadResponse(c.reader, httpReq)
 		if err != nil {
@@ -225,13 +232,27 @@
 		if id == "" || id == req.ID {
 			return raw, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxStrayBodyBytes)); err != nil || raw.Close {
+		if !c.discard(raw.Body) || raw.Close {
 			return nil, errors.New("the connection carried an answer to another request")
 		}
 	}
 	return nil, errors.New("the connection carried answers to other requests")
 }
 
+// discard reads a body to its end, and reports whether that came in time.
+func (c *conn) discard(body io.Reader) bool {
+	c.heads.end()
+	defer c.heads.begin(maxHeadBytes)
+	if err := c.SetReadDeadline(time.Now().Add(discardTime)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
+	return err == nil && n < maxDiscardedBytes && c.SetReadDeadline(time.Time{}) == nil
+}
+
+// Discard ends an exchange whose body nobody needs.
+func (r *Response) Discard() { r.Finish(r.conn.discard(r.Body)) }
+
 // UntilClose reports whether the answer has neither a length nor chunks: it ends with its connection,
 // and looks complete if the server crashed while writing it.
 func (r *Response) UntilClose() bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"maps"
 	"net"
 	"slices"
@@ -184,9 +183,6 @@
 	return nil
 }
 
-// maxAskBytes limits the body of an answer to Ask.
-const maxAskBytes = 64 << 10
-
 // Ask sends a request over a new connection, reads the whole answer, whatever its status, and keeps the
 // connection for a request. Errors are of type *Error.
 func (p *Pool) Ask(ctx context.Context, address string, req *Request) error {
@@ -199,8 +195,7 @@
 		return err
 	}
 	resp.pool = p
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAskBytes))
-	resp.Finish(err == nil && n < maxAskBytes)
+	resp.Discard()
 	return nil
 }
 
@@ -216,7 +211,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c := &conn{Conn: raw, address: address, heads: headLimit{Reader: raw}}
+	c.reader = bufio.NewReaderSize(&c.heads, readBufferSize)
+	return c, nil
 }
 
 // take returns the most recently used idle connection that may be reused, or nil. It closes
