--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -114,11 +114,13 @@
 	// serverFaults holds the requests that a server itself answered wrongly or cut off.
 	serverFaults map[string]bool
 	arrivals     arrivals
+	cached       cachedBlocks
+	sharedUses   []sharedUse
 	violations   []string
 }
 
 func newObservations() *observations {
-	return &observations{runs: map[string][]run{}, leavingSince: map[string]time.Time{}, holders: map[int64]string{}, denied: map[string]time.Time{}, serverFaults: map[string]bool{}, arrivals: arrivals{}}
+	return &observations{runs: map[string][]run{}, leavingSince: map[string]time.Time{}, holders: map[int64]string{}, denied: map[string]time.Time{}, serverFaults: map[string]bool{}, arrivals: arrivals{}, cached: cachedBlocks{}}
 }
 
 // fail records a violation of a guarantee.
@@ -132,6 +134,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id] = append(r.runs[id], run{server, h.Get(wire.Organisation), h.Get(wire.Key), time.Now()})
+	r.sharedUses = append(r.sharedUses, r.cached.use(server, id, h, time.Now())...)
 }
 
 func (r *observations) recordArrival(service, id string) {
@@ -336,6 +339,7 @@
 	fx.checkServerCuts(requests)
 	fx.checkRetries(requests)
 	fx.checkCanary()
+	fx.checkIsolation(requests)
 	for _, s := range requests {
 		runs := fx.observed.runsOf(s.id)
 		if s.kind.atMostOnce() && len(runs) > 1 {
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -22,6 +22,8 @@
 	granted  map[string]time.Time
 	revoked  map[string]time.Time
 	keyCount int
+	// isolation has the isolated organisations of each configuration.
+	isolation []isolationChange
 }
 
 // mainKeys maps the API keys that are always in force to their organisations.
@@ -103,8 +105,10 @@
 		spare = append(spare, key)
 	}
 	organisations := []object{{"Name": spareOrganisation, "ApiKeys": spare}}
+	change := isolationChange{at: time.Now(), isolated: map[string]bool{}}
 	for key, name := range mainKeys {
-		organisation := object{"Name": name, "ApiKeys": []string{key}, "Isolated": name == "museum-b"}
+		organisation := object{"Name": name, "ApiKeys": []string{key}, "Isolated": isolatedIn(o.version, name)}
+		change.isolated[name] = isolatedIn(o.version, name)
 		if name == limitedOrganisation {
 			organisation["RatePerS"], organisation["Burst"] = limitPerSecond, limitBurst
 		}
@@ -126,4 +130,5 @@
 		panic(err)
 	}
 	o.store.Put(platform.OperatorTopic, "config", data)
+	o.isolation = append(o.isolation, change)
 }
