Stalled streams end at a host that is cut off, and look for a replica more often

Reading the takeover of streams for what it could spoil. A host that reaches no replica of the service kept a stalled stream until TCP gave up after 3 s, while the caller may resume it at another host: it ends after the pause, as before the takeover. Where no replica could be used, the next look came a whole pause later: now after 0.25 s. A request that another one's prefill would hold is sent without that wait, as what follows a hold may find no replica.

--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -13,6 +13,9 @@
 	"github.com/briarlink/briarlink/internal/upstream"
 )
 
+// lookAgainInterval is the pause after which another replica is looked for if none could be used.
+const lookAgainInterval = 250 * time.Millisecond
+
 // successor is an attempt whose replica has begun to resume a stream.
 type successor struct {
 	x    *exchange
@@ -100,6 +103,13 @@
 		t.mu.Unlock()
 		return
 	}
+	if t.x.d.IsCutOff(t.x.req.Service.Name) {
+		// No replica can be reached from here; the caller may resume the stream at another host.
+		t.stopped = true
+		t.mu.Unlock()
+		t.x.cancel(errUnresponsive)
+		return
+	}
 	t.trying = true
 	ctx, cancel := context.WithCancelCause(t.x.parent)
 	t.cancel = cancel
@@ -107,7 +117,7 @@
 	t.done.Add(1)
 	t.mu.Unlock()
 	defer t.done.Done()
-	next := t.resume(ctx, cancel, from)
+	next, sent := t.resume(ctx, cancel, from)
 	t.mu.Lock()
 	t.trying = false
 	t.taken = next != nil && t.lastEvent == from
@@ -117,8 +127,11 @@
 	}
 	if !t.taken && !t.stopped {
 		pause := t.limit
-		if t.x.run.reserved != nil {
+		switch {
+		case t.x.run.reserved != nil:
 			pause = 0
+		case !sent:
+			pause = lookAgainInterval
 		}
 		t.nextTry = clock.Now().Add(pause)
 		t.timer.Reset(pause)
@@ -141,14 +154,14 @@
 }
 
 // resume sends the request to another replica, and returns the attempt once that replica has begun to send
-// events. It returns nil if none may or does take the request.
-func (t *takeover) resume(ctx context.Context, cancel context.CancelCauseFunc, from int64) *successor {
+// events. It returns nil if none may or does take the request; sent is false if it was sent to none.
+func (t *takeover) resume(ctx context.Context, cancel context.CancelCauseFunc, from int64) (next *successor, sent bool) {
 	r := t.x.run
 	choice := r.takeReserved()
 	if choice == nil {
 		choice = t.x.reserve(ctx)
 		if choice == nil {
-			return nil
+			return nil, false
 		}
 		r.countCharge()
 	}
@@ -160,7 +173,7 @@
 		body := bufio.NewReader(resp.Body)
 		resp.Body = body
 		if _, err = body.Peek(1); err == nil {
-			return &successor{x, resp}
+			return &successor{x, resp}, true
 		}
 		resp.Finish(false)
 		result, err = x.lost(err, "the stream was cut")
@@ -169,7 +182,7 @@
 	if result != replica.Refused && result != replica.Cancelled {
 		r.exclude[choice.ID] = true
 	}
-	return nil
+	return nil, true
 }
 
 // reserve picks another replica and charges the retry budget, or returns nil if either is not to be had.
@@ -181,7 +194,10 @@
 	}
 	exclude := maps.Clone(r.withoutRoom(now))
 	exclude[x.choice.ID] = true
-	choice, err := r.d.scheduler.Pick(r.scheduleRequest(ctx, exclude, now), now)
+	req := r.scheduleRequest(ctx, exclude, now)
+	// Held requests are scheduled again, which may find no replica.
+	req.MaxHold = 0
+	choice, err := r.d.scheduler.Pick(req, now)
 	if err != nil || choice.Hold > 0 {
 		return nil
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// TestStalledStreamEndsAtHostThatIsCutOff guards against callers that wait at a host which reaches no replica: another
+// host may resume the stream.
+func TestStalledStreamEndsAtHostThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{stallsForGood}, ranAt: map[string]bool{}}
+		d, _ := newDispatcher(f)
+		began := time.Now()
+		d.IsCutOff = func(string) bool { return time.Since(began) > minHangTimeout }
+		if _, err := d.Run(t.Context(), testRequest(config.Streaming, true, 2), &recorder{}); err == nil || time.Since(began) > 2*minHangTimeout+watchInterval {
+			t.Errorf("ended with %v after %v", err, time.Since(began))
+		}
+		time.Sleep(stallPause)
+		checkReleased(t, d)
+	})
+}
+
 // TestSilentReplicaIsKeptIfNoOtherMayBeTried guards against requests that are given up for a replica that is silent
 // for a moment although the retry budget allows no other attempt.
 func TestSilentReplicaIsKeptIfNoOtherMayBeTried(t *testing.T) {
