--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,8 +50,8 @@
 	ended bool
 	// stall is the takeover of a stream that has begun; nil before.
 	stall *takeover
-	// reserved is the replica for which an unresponsive one was given up; nil without one.
-	reserved *schedule.Choice
+	// replacement is the replica for which an unresponsive one was given up; nil without one.
+	replacement *schedule.Choice
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
 	// untilClose is set if the answer ends with its connection.
@@ -84,7 +84,7 @@
 // end records the result of the attempt, and returns its error.
 func (x *exchange) end(result replica.Result, err error) error {
 	r := x.run
-	x.keepReserved(err)
+	x.keepReplacement(err)
 	if err != nil && errors.Is(context.Cause(x.ctx), errUnresponsive) {
 		result = replica.Lost
 		err = errkind.Wrap(errkind.BackendLost, errUnresponsive, "the replica does not answer")
@@ -105,18 +105,18 @@
 	return err
 }
 
-// keepReserved keeps the replica that was reserved for the next attempt, unless none is needed.
-func (x *exchange) keepReserved(err error) {
-	reserved := x.takeReserved()
-	switch {
-	case reserved == nil:
-	case err == nil || x.parent.Err() != nil:
-		x.d.scheduler.Cancel(reserved, clock.Now())
-		x.countCharge()
-	default:
-		x.run.reserved = reserved
-		x.countCharge()
+// keepReplacement reserves the replacement for the next attempt, unless none is needed.
+func (x *exchange) keepReplacement(err error) {
+	replacement := x.endHangCheck()
+	if replacement == nil {
+		return
+	}
+	x.countCharge()
+	if err == nil || x.parent.Err() != nil {
+		x.d.scheduler.Cancel(replacement, clock.Now())
+		return
 	}
+	x.reserved = replacement
 }
 
 // recordVersionOutcome counts the result for the canary release of the server's software
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -59,8 +59,8 @@
 	if x.ended || x.stall != nil {
 		return x.ended
 	}
-	x.reserved = x.reserve(x.parent)
-	if x.reserved == nil {
+	x.replacement = x.reserve(x.parent)
+	if x.replacement == nil {
 		return false
 	}
 	x.cancel(errUnresponsive)
@@ -79,19 +79,19 @@
 func (x *exchange) commit() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ended, x.committed = true, x.reserved == nil
+	x.ended, x.committed = true, x.replacement == nil
 	return x.committed
 }
 
-// takeReserved ends the check for a hang, and returns the replica that was reserved, or nil.
-func (x *exchange) takeReserved() *schedule.Choice {
+// endHangCheck ends the check for a hang, and returns the replica that it reserved, or nil.
+func (x *exchange) endHangCheck() *schedule.Choice {
 	if x.hangWatch != nil {
 		x.hangWatch.stop()
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.ended = true
-	return x.reserved
+	return x.replacement
 }
 
 // hangWatch checks for a hang at each watchInterval until it finds one or is stopped.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -118,32 +118,42 @@
 	t.mu.Unlock()
 	defer t.done.Done()
 	next, sent := t.resume(ctx, cancel, from)
+	if next == nil {
+		cancel(nil)
+	}
+	if !t.handOver(next, from, sent) && next != nil {
+		next.abandon()
+	}
+}
+
+// handOver ends the stalled stream for its successor, unless there is none or the stream has gone on since
+// the event that the successor continues from. It reports whether it did.
+func (t *takeover) handOver(next *successor, from int64, sent bool) bool {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.trying = false
 	t.taken = next != nil && t.lastEvent == from
-	if t.taken {
+	switch {
+	case t.taken:
 		t.x.successor = next
 		t.x.cancel(errUnresponsive)
-	}
-	if !t.taken && !t.stopped {
-		pause := t.limit
-		switch {
-		case t.x.run.reserved != nil:
-			pause = 0
-		case !sent:
-			pause = lookAgainInterval
-		}
+	case !t.stopped:
+		pause := t.pause(sent)
 		t.nextTry = clock.Now().Add(pause)
 		t.timer.Reset(pause)
 	}
-	taken := t.taken
-	t.mu.Unlock()
+	return t.taken
+}
+
+// pause returns the time until the next attempt.
+func (t *takeover) pause(sent bool) time.Duration {
 	switch {
-	case taken:
-	case next != nil:
-		next.abandon()
+	case t.x.reserved != nil:
+		return 0
+	case !sent:
+		return lookAgainInterval
 	default:
-		cancel(nil)
+		return t.limit
 	}
 }
 
