Request lines say who ended an answer, and after how long a silence

A host that closes its callers' connections at the end of its time to stop logged `caller_gone`, "the caller left"; a stream that was given up for silence and one that its server broke off look alike; nothing says how long the server had sent nothing, or what was tried in its place. Change: `ended_by` on the line of a request whose caller's connection was closed without a whole answer (caller, deadline, stop, memory, silence, replica); each attempt in `tries` has `EndedBy` and `SilentMs`, one that was tried beside a silent replica `Beside` and `AfterMs`. No decision changes. The cost is a few bytes on lines of requests that failed or were tried twice. Tests: explain "host-stopped" and "tried-beside-a-silent-replica", TestResultsAndCauses.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -177,6 +177,7 @@
 			resp.Finish(false)
 			return x.streamLost(err)
 		}
+		x.heardAt = clock.Now()
 		if !stall.received(ev.number) {
 			resp.Finish(false)
 			return x.streamLost(errUnresponsive)
@@ -199,7 +200,7 @@
 }
 
 func (x *exchange) forwardEvent(resp *upstream.Response, ev event) error {
-	now := clock.Now()
+	now := x.heardAt
 	x.choice.Flight.AnswerStarted(now)
 	x.recordSurvival(now)
 	if !x.started {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -54,6 +54,12 @@
 	replacement *schedule.Choice
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
+	// heardAt is when the replica last sent something.
+	heardAt time.Time
+	// beside is the silent replica beside which this one is tried, and after how long it had been silent; "" if
+	// the attempt is no takeover.
+	beside string
+	after  time.Duration
 	// untilClose is set if the answer ends with its connection.
 	untilClose bool
 	// firstEventAt is when this attempt's first event arrived, and survived is set once the stream has
@@ -101,7 +107,7 @@
 	if err != nil && r.report.First == 0 {
 		r.d.scheduler.PrefillFailed(x.choice)
 	}
-	r.recordAttempt(x.choice, x.began, result, err)
+	x.recordAttempt(result, err)
 	return err
 }
 
@@ -152,12 +158,37 @@
 }
 
 // recordAttempt adds the attempt to the report, which becomes the request's log line.
-func (r *run) recordAttempt(choice *schedule.Choice, began time.Time, result replica.Result, err error) {
-	reason := ""
+func (x *exchange) recordAttempt(result replica.Result, err error) {
+	a := Attempt{Replica: x.choice.ID, Result: result.String(), Ms: clock.Since(x.began).Milliseconds(), Beside: x.beside, AfterMs: x.after.Milliseconds()}
 	if err != nil {
-		reason = err.Error()
+		a.Reason = err.Error()
+		a.EndedBy, a.SilentMs = x.endedBy(), x.silence(clock.Now()).Milliseconds()
+	}
+	x.report.Attempts = append(x.report.Attempts, a)
+}
+
+// silence returns for how long the replica has sent nothing.
+func (x *exchange) silence(now time.Time) time.Duration {
+	if x.heardAt.IsZero() {
+		return now.Sub(x.began)
+	}
+	return now.Sub(x.heardAt)
+}
+
+// endedBy returns who ended an attempt without a complete answer.
+func (x *exchange) endedBy() EndedBy {
+	switch {
+	case x.ctx.Err() == nil:
+		return EndedByReplica
+	case errors.Is(context.Cause(x.ctx), errUnresponsive):
+		return EndedBySilence
+	case x.parent.Err() == nil:
+		return EndedByHost
+	case deadlinePassed(x.parent):
+		return EndedByDeadline
+	default:
+		return EndedByCaller
 	}
-	r.report.Attempts = append(r.report.Attempts, Attempt{choice.ID, result.String(), reason, clock.Since(began).Milliseconds()})
 }
 
 // open sends the request and returns the answer, of which the head was read, unless the replica did not run the
@@ -170,7 +201,8 @@
 		return nil, result, err
 	}
 	x.arrived++
-	x.choice.Flight.RecordNotice(resp.Answer, clock.Now())
+	x.heardAt = clock.Now()
+	x.choice.Flight.RecordNotice(resp.Answer, x.heardAt)
 	if resp.Answer.NotRun {
 		result, err := x.handleNotRun(resp)
 		return nil, result, err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,8 +182,35 @@
 	Result  string
 	Reason  string
 	Ms      int64
+	// EndedBy says who ended it before a complete answer, and SilentMs for how long its replica had sent nothing then.
+	EndedBy  EndedBy `json:",omitempty"`
+	SilentMs int64   `json:",omitempty"`
+	// Beside is the silent replica beside which this one was tried, and AfterMs for how long that one had sent nothing.
+	Beside  string `json:",omitempty"`
+	AfterMs int64  `json:",omitempty"`
 }
 
+// EndedBy says who ended an attempt, or the connection of a caller, before a complete answer.
+type EndedBy string
+
+const (
+	// EndedByReplica means that the replica, or the connection to it, ended it.
+	EndedByReplica EndedBy = "replica"
+	// EndedByCaller means that the caller closed its connection.
+	EndedByCaller EndedBy = "caller"
+	// EndedByDeadline means that the deadline passed.
+	EndedByDeadline EndedBy = "deadline"
+	// EndedBySilence means that this host gave up a silent replica.
+	EndedBySilence EndedBy = "silence"
+	// EndedByHost means that this host ended it for another reason: the stream that it would have resumed went on,
+	// or the request was quarantined.
+	EndedByHost EndedBy = "host"
+	// EndedByStop means that this host reached the end of its time to stop.
+	EndedByStop EndedBy = "stop"
+	// EndedByMemory means that the caller was slow while this host was short of memory.
+	EndedByMemory EndedBy = "memory"
+)
+
 // Dispatcher dispatches requests. It is safe for concurrent use.
 type Dispatcher struct {
 	scheduler *schedule.Scheduler
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -36,6 +36,8 @@
 	nextTry time.Time
 	// lastEvent is the number of the last event, from which another replica continues.
 	lastEvent int64
+	// waitingSince is when the wait for the next event began.
+	waitingSince time.Time
 	// trying is set while an attempt at another replica is under way; cancel ends it.
 	trying bool
 	cancel context.CancelCauseFunc
@@ -48,7 +50,7 @@
 // watchStall returns the takeover of a stream. Its timer is armed by the first event; until then watchHang
 // starts it.
 func (x *exchange) watchStall() *takeover {
-	t := &takeover{x: x, limit: max(2*minHangTimeout, stallPauseTargets*x.req.Route.PauseTarget), lastEvent: x.resumeAfter}
+	t := &takeover{x: x, limit: max(2*minHangTimeout, stallPauseTargets*x.req.Route.PauseTarget), lastEvent: x.resumeAfter, waitingSince: clock.Now()}
 	t.stopped = !x.req.Route.Resumable
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -77,6 +79,7 @@
 func (t *takeover) await() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.waitingSince = clock.Now()
 	if !t.stopped && t.x.req.Route.PauseTarget > 0 {
 		t.timer.Reset(t.limit)
 	}
@@ -113,11 +116,11 @@
 	t.trying = true
 	ctx, cancel := context.WithCancelCause(t.x.parent)
 	t.cancel = cancel
-	from := t.lastEvent
+	from, silence := t.lastEvent, clock.Since(t.waitingSince)
 	t.done.Add(1)
 	t.mu.Unlock()
 	defer t.done.Done()
-	next, sent := t.resume(ctx, cancel, from)
+	next, sent := t.resume(ctx, cancel, from, silence)
 	if next == nil {
 		cancel(nil)
 	}
@@ -165,7 +168,7 @@
 
 // resume sends the request to another replica, and returns the attempt once that replica has begun to send
 // events. It returns nil if none may or does take the request; sent is false if it was sent to none.
-func (t *takeover) resume(ctx context.Context, cancel context.CancelCauseFunc, from int64) (next *successor, sent bool) {
+func (t *takeover) resume(ctx context.Context, cancel context.CancelCauseFunc, from int64, silence time.Duration) (next *successor, sent bool) {
 	r := t.x.run
 	choice := r.takeReserved()
 	if choice == nil {
@@ -175,7 +178,7 @@
 		}
 		r.countCharge()
 	}
-	x := &exchange{run: r, choice: choice, parent: t.x.parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: from, ranBefore: r.report.Ran}
+	x := &exchange{run: r, choice: choice, parent: t.x.parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: from, ranBefore: r.report.Ran, beside: t.x.choice.ID, after: silence}
 	x.watchHang()
 	resp, result, err := x.open()
 	if err == nil {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/obs"
 )
@@ -120,6 +121,9 @@
 	if ex.memory.Ended() {
 		fields["ended_for_memory"] = true
 	}
+	if endedBy := ex.endedBy(err); endedBy != "" {
+		fields["ended_by"] = endedBy
+	}
 	if ex.isForwarded {
 		fields["forwarded_by"] = ex.mark.Host
 	}
@@ -171,6 +175,30 @@
 	line.Info("request")
 }
 
+// endedBy returns who ended the caller's connection before a complete answer, or "" if nobody did.
+func (ex *exchange) endedBy(err error) dispatch.EndedBy {
+	if err == nil {
+		return ""
+	}
+	kind := errkind.From(err).Kind
+	switch {
+	case !ex.answered && kind != errkind.CallerGone:
+		return ""
+	case ex.memory.Ended():
+		return dispatch.EndedByMemory
+	case kind == errkind.CallerGone && ex.s.aborting.Load():
+		return dispatch.EndedByStop
+	case kind == errkind.CallerGone:
+		return dispatch.EndedByCaller
+	case kind == errkind.DeadlineExceeded:
+		return dispatch.EndedByDeadline
+	}
+	if n := len(ex.report.Attempts); n > 0 && ex.report.Attempts[n-1].EndedBy == dispatch.EndedBySilence {
+		return dispatch.EndedBySilence
+	}
+	return dispatch.EndedByReplica
+}
+
 // measure records the request's latency, token and repeat metrics.
 func (ex *exchange) measure(elapsed time.Duration) {
 	m, r := ex.s.Metrics, &ex.report
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -71,6 +71,8 @@
 	Deps
 	// open counts the requests in progress.
 	open atomic.Int64
+	// aborting is set once the connections of open requests are closed, as this host's time to stop is over.
+	aborting atomic.Bool
 }
 
 // New returns a server.
@@ -79,6 +81,9 @@
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.open.Load() }
 
+// Abort records that this host closes the connections of open requests from now on.
+func (s *Server) Abort() { s.aborting.Store(true) }
+
 // Handler returns the handler for callers' requests. It is not a mux, which would redirect
 // paths that are not clean: every path is used as received.
 func (s *Server) Handler() http.Handler {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -32,6 +32,10 @@
 	"body-too-slow": `
 10.0 edge-1 {"level":"warning","msg":"memory budget: requests refused or slow callers ended","body":62000000,"budget":96468992,"ended_body":1,"time":"2026-06-01T10:00:10Z"}
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"body_too_slow","error":"body_too_slow: the body arrived too slowly while this host was short of memory","ended_for_memory":true,"ms":2250,"sends":0,"ran":0,"config":7,"retry_after_ms":500,"state":"","time":"2026-06-01T10:00:10.1Z"}`,
+	"host-stopped": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the caller left: backend_lost: the attempt was ended","ended_by":"stop","ms":4100,"first_ms":40,"sends":1,"ran":1,"replica":"i-1","status":200,"config":7,"state":"failed","time":"2026-06-01T10:00:10.1Z"}`,
+	"tried-beside-a-silent-replica": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"ok","ms":4100,"first_ms":40,"sends":2,"ran":2,"replica":"i-1","status":200,"config":7,"state":"complete","tries":[{"Replica":"i-2","Result":"cancelled","Ms":20,"EndedBy":"host","SilentMs":20,"Beside":"i-1","AfterMs":1200},{"Replica":"i-1","Result":"answered","Ms":4100}],"time":"2026-06-01T10:00:10.1Z"}`,
 	"answer-read-too-slowly": `
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"caller_gone","error":"caller_gone: the answer was aborted: its caller read it too slowly while this host was short of memory","ended_for_memory":true,"ms":4100,"first_ms":40,"sends":1,"ran":1,"replica":"i-1","status":200,"config":7,"state":"failed","time":"2026-06-01T10:00:10.1Z"}`,
 	"over-limit": `
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/briarlink/briarlink/internal/dispatch"
@@ -20,6 +21,9 @@
 // shows it.
 func verdict(r *logline.Request, end *logline.Line, lines []logline.Line, newer *logline.Line) string {
 	text := describeOutcome(r, end, lines)
+	if silences := describeSilences(r); silences != "" {
+		text += "; " + silences
+	}
 	if evidence := lossEvidence(r, lines); evidence != "" {
 		text += "; " + evidence
 	}
@@ -41,6 +45,20 @@
 	return text + describeHostLoad(lines)
 }
 
+// describeSilences says which replicas others were tried beside, as they sent nothing.
+func describeSilences(r *logline.Request) string {
+	var tried []string
+	for _, a := range r.Tries {
+		if a.Beside != "" {
+			tried = append(tried, fmt.Sprintf("%s after %s had sent nothing for %d ms (%s)", a.Replica, a.Beside, a.AfterMs, a.Result))
+		}
+	}
+	if len(tried) == 0 {
+		return ""
+	}
+	return "tried beside a silent replica: " + strings.Join(tried, ", ")
+}
+
 // describeHostLoad says that hosts were short of CPU time around the time of the request, so that
 // directories named others.
 func describeHostLoad(lines []logline.Line) string {
@@ -152,6 +170,9 @@
 	if r.Outcome == errkind.DeadlineExceeded.String() {
 		who = "the deadline passed"
 	}
+	if r.EndedBy == string(dispatch.EndedByStop) {
+		who = "the host's time to stop was over"
+	}
 	switch {
 	case r.AnswerStarted():
 		return fmt.Sprintf("%s after %.0f ms, in the middle of the answer", who, r.Ms)
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -38,6 +38,11 @@
 	Result  string
 	Reason  string
 	Ms      int64
+	// EndedBy, SilentMs, Beside and AfterMs are those of dispatch.Attempt.
+	EndedBy  string
+	SilentMs int64
+	Beside   string
+	AfterMs  int64
 }
 
 // Request is the decoded line that ends a request.
@@ -73,8 +78,10 @@
 	RetriesCharged int  `json:"retries_charged"`
 	RetryRefused   bool `json:"retry_refused"`
 	// EndedForMemory is set if the host ended the request because its caller was slow while memory was short.
-	EndedForMemory bool      `json:"ended_for_memory"`
-	Tries          []Attempt `json:"tries"`
+	EndedForMemory bool `json:"ended_for_memory"`
+	// EndedBy says who ended the caller's connection before a complete answer; "" if nobody did.
+	EndedBy string    `json:"ended_by"`
+	Tries   []Attempt `json:"tries"`
 }
 
 // Arrival returns when the request arrived, given the time of the line that ends it.
--- a/internal/logreport/logreport.go
+++ b/internal/logreport/logreport.go
@@ -53,6 +53,8 @@
 	Counts [results]int
 	// Causes counts, by error kind, the requests that were neither served nor late.
 	Causes map[string]int
+	// Ended counts, by who ended them, the requests whose callers' connections were closed without a whole answer.
+	Ended map[string]int
 	// Shared is the number of prompt tokens in shared prefixes; Held of them were expected
 	// to be in the replica's cache or to be fetched.
 	Shared int
@@ -119,7 +121,7 @@
 	k := key{from.UnixNano(), group}
 	i := r.intervals[k]
 	if i == nil {
-		i = &Interval{From: from, Group: group, Causes: map[string]int{}}
+		i = &Interval{From: from, Group: group, Causes: map[string]int{}, Ended: map[string]int{}}
 		r.intervals[k] = i
 	}
 	return i
@@ -144,6 +146,9 @@
 	if r.RetryRefused {
 		i.RetriesRefused++
 	}
+	if r.EndedBy != "" {
+		i.Ended[r.EndedBy]++
+	}
 	if r.Shared > 0 && r.Sends > 0 {
 		i.Shared += r.Shared
 		i.Held += min(r.Shared, r.Cached+r.Fetched)
@@ -206,11 +211,11 @@
 		fmt.Fprintf(w, "%d\t", c)
 	}
 	fmt.Fprintf(w, "%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%s\n", i.Retries, i.RetriesRefused, i.HitRate(),
-		i.firsts.percentile(50), i.firsts.percentile(90), i.expected.percentile(50), i.expected.percentile(90), formatCauses(i.Causes))
+		i.firsts.percentile(50), i.firsts.percentile(90), i.expected.percentile(50), i.expected.percentile(90), formatCauses("", i.Causes)+formatCauses("ended by ", i.Ended))
 }
 
-// formatCauses lists error kinds with their counts, the most frequent first.
-func formatCauses(counts map[string]int) string {
+// formatCauses lists causes with their counts, the most frequent first.
+func formatCauses(prefix string, counts map[string]int) string {
 	var names []string
 	for name := range counts {
 		names = append(names, name)
@@ -226,7 +231,7 @@
 	})
 	text := ""
 	for _, name := range names {
-		text += fmt.Sprintf("%s %d  ", name, counts[name])
+		text += fmt.Sprintf("%s%s %d  ", prefix, name, counts[name])
 	}
 	return text
 }
--- a/internal/logreport/logreport_test.go
+++ b/internal/logreport/logreport_test.go
@@ -19,7 +19,7 @@
 1.0 edge-2 {"level":"warning","msg":"request","request":"r-3","outcome":"overloaded","ms":1,"sends":0,"ran":0,"shared":0,"time":"2026-06-01T10:00:02.5Z"}
 1.0 edge-2 {"level":"warning","msg":"request","request":"r-4","outcome":"not_found","ms":1,"sends":0,"ran":0,"time":"2026-06-01T10:00:02.6Z"}
 1.0 edge-2 {"level":"info","msg":"request","request":"r-5","outcome":"backend_error","status":500,"ms":30,"first_ms":29,"expected_ms":30,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.7Z"}
-1.0 edge-2 {"level":"warning","msg":"request","request":"r-6","outcome":"caller_gone","ms":3200,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.8Z"}
+1.0 edge-2 {"level":"warning","msg":"request","request":"r-6","outcome":"caller_gone","ended_by":"caller","ms":3200,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.8Z"}
 1.0 edge-2 {"level":"warning","msg":"request","request":"r-7","outcome":"backend_lost","ms":50,"sends":1,"ran":1,"time":"2026-06-01T10:00:02.9Z"}
 `
 
@@ -49,6 +49,9 @@
 	if got := intervals[0].HitRate(); got != 0.5 {
 		t.Errorf("hit rate %.2f", got)
 	}
+	if got := intervals[1].Ended["caller"]; got != 1 {
+		t.Errorf("ended by the caller: %v", intervals[1].Ended)
+	}
 	if got := intervals[1].Causes["backend_lost"]; got != 1 {
 		t.Errorf("causes %v", intervals[1].Causes)
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -81,12 +81,14 @@
 	log  *logrus.Logger
 }
 
-// close waits for connections to become idle, and closes those that are still open after wait.
-func (s *server) close(wait time.Duration) {
+// close waits for connections to become idle, and closes those that are still open after wait. It calls abort before
+// it does so.
+func (s *server) close(wait time.Duration, abort func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.WithError(err).Debug("connections were still open at the end")
+		abort()
 		// An error is ignored: the connections are abandoned anyway.
 		_ = s.http.Close()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -427,7 +427,7 @@
 	}
 	// The end of an answer may still be in transit after its request is no longer open.
 	for _, s := range servers {
-		s.close(max(fraction(grace, drainShare)-clock.Since(began), fraction(grace, shutdownShare)))
+		s.close(max(fraction(grace, drainShare)-clock.Since(began), fraction(grace, shutdownShare)), n.entry.Abort)
 	}
 	n.log.WithFields(logrus.Fields{"open": n.entry.Open(), "ms": clock.Since(began).Milliseconds()}).Info("stopped")
 }
