A stopping host rejects requests from 2.8 s after SIGTERM on

What callers saw: streams that end without a whole answer around the SIGTERM of the host that took them, some servers having been silent for a second. Cause: the host accepts requests for 0.42 of its grace time, 3.36 s of 8, and cuts what is open at 0.9, 7.2 s. A stream sent at 3.2 s, which mostly takes 3 s, gets 4.0; a pause of its server makes it last longer. Class: a bound that was set as a share of another one, and not by what must still fit behind it. Change: min(0.42 of the grace time, 2.8 s): 0.2 s for the signal's and the request's way. Callers' directory answers live 1 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -412,7 +412,7 @@
 
 // stop shuts down without aborting requests that end before drainShare of the grace time has
 // passed. Directories of other hosts drop this host at once. Callers with an older directory
-// answer are served until closeShare of the grace time has passed; then open requests finish.
+// answer are served for acceptTime; then open requests finish.
 func (n *Node) stop(servers []*server) {
 	began := clock.Now()
 	grace := n.settings.Stop.Grace.AsDuration()
@@ -420,7 +420,7 @@
 	n.setState()
 	n.requestHeartbeatToAll()
 	n.log.WithField("open", n.entry.Open()).Info("stopping: callers are sent elsewhere")
-	time.Sleep(fraction(grace, closeShare))
+	time.Sleep(acceptTime(grace))
 	statemachine.Fire(n.machine, eventClose)
 	for n.entry.Open() > 0 && clock.Since(began) < fraction(grace, drainShare) {
 		time.Sleep(stopPollInterval)
@@ -433,9 +433,10 @@
 }
 
 const (
-	// closeShare is the share of the grace time after which new requests are rejected. By then
-	// callers have had three times a directory answer's lifetime to switch hosts.
-	closeShare = 0.42
+	// closeShare is the share of the grace time after which new requests are rejected, and maxAcceptTime limits that
+	// time. By then callers have had twice a directory answer's lifetime to switch hosts.
+	closeShare    = 0.42
+	maxAcceptTime = 2800 * time.Millisecond // Requests sent 3 s after SIGTERM must not be cut at the end of the grace time.
 	// drainShare is the share of the grace time after which open requests and answers in transit
 	// are abandoned.
 	drainShare = 0.9
@@ -444,6 +445,11 @@
 	stopPollInterval = 20 * time.Millisecond
 )
 
+// acceptTime returns how long a stopping host accepts requests.
+func acceptTime(grace time.Duration) time.Duration {
+	return min(fraction(grace, closeShare), maxAcceptTime)
+}
+
 func fraction(d time.Duration, share float64) time.Duration {
 	return time.Duration(float64(d) * share)
 }
