A silent replica is kept until another one has begun to answer

What callers saw: 502 after 0.7 to 0.9 s with 9 s of their deadline left, though their engine, silent for 1.2 s, would have answered: it was given up once another replica and a retry were reserved; that one, and then another, rejected the request with 503. Class: silence is taken for loss. Change: one way for answers that have not begun and for streams that stall. `takeover` tries another replica beside the silent one, which is ended when the other sends: a stream's first byte, or the head of another answer that is no failure. A rejection, a hang, a break or a 5xx beside it ends nothing; the next is tried 0.25 s later. If the first is lost meanwhile, the one under way is waited for. Attempts under way count against Attempts, as either may run it; retries are charged as before, one for each arrival beyond the first. Price: a request stays at a silent replica while another has it: at most the retry budget's share of requests, until the other one begins. A replica that is dead and whose substitute rejects is replaced 0.25 s later than before, in exchange for retries that are not spent at once. Ruled out: reserving a place first (the host's view of room is late), waiting for longer (no time is right for both a pause and a dead replica).

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -53,7 +53,12 @@
 // forwardBuffered reads the answer to its end before any of it is forwarded, so that the
 // request can be retried if the answer breaks off. Large answers are forwarded as they arrive.
 func (x *exchange) forwardBuffered(resp *upstream.Response) (replica.Result, error) {
+	x.takeover.await()
 	body, whole, err := x.readAnswer(x.ctx, resp)
+	if goesOn := x.takeover.received(err != nil); !goesOn {
+		resp.Finish(false)
+		return x.lost(errUnresponsive, "another replica answers")
+	}
 	if err == nil && !whole {
 		return x.forwardLarge(resp, body)
 	}
@@ -83,10 +88,7 @@
 // forwardLarge forwards an answer of which the beginning was read, and the rest as it arrives. One that breaks
 // off is aborted, and cannot be retried.
 func (x *exchange) forwardLarge(resp *upstream.Response, beginning []byte) (replica.Result, error) {
-	if !x.commit() {
-		resp.Finish(false)
-		return x.lost(errUnresponsive, "the answer was given up")
-	}
+	x.committed = true
 	room := x.streamRoom(x.ctx)
 	defer room.release()
 	if err := room.open(); err != nil {
@@ -155,39 +157,37 @@
 		resp.Finish(false)
 		return x.streamLost(err)
 	}
-	stall := x.watchStall()
-	result, err := x.forwardEvents(resp, room, stall)
-	stall.finish(result == replica.Lost)
-	return result, err
+	return x.forwardEvents(resp, room)
 }
 
-func (x *exchange) forwardEvents(resp *upstream.Response, room *streamRoom, stall *takeover) (replica.Result, error) {
+func (x *exchange) forwardEvents(resp *upstream.Response, room *streamRoom) (replica.Result, error) {
 	events := newEventReader(resp.Body)
 	events.room = room.grow
+	x.takeover.await()
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			resp.Finish(true)
-			return x.streamEnded(resp)
-		}
 		if err == nil {
+			x.heardAt = clock.Now()
 			err = x.checkEventOrder(ev)
 		}
+		ended := errors.Is(err, io.EOF)
+		if goesOn := x.takeover.received(err != nil && !ended); !goesOn && (err == nil || ended) {
+			err, ended = errUnresponsive, false
+		}
+		if ended {
+			resp.Finish(true)
+			return x.streamEnded(resp)
+		}
 		if err != nil {
 			resp.Finish(false)
 			return x.streamLost(err)
 		}
-		x.heardAt = clock.Now()
-		if !stall.received(ev.number) {
-			resp.Finish(false)
-			return x.streamLost(errUnresponsive)
-		}
 		if err := x.forwardEvent(resp, ev); err != nil {
 			resp.Finish(false)
 			return replica.Cancelled, errkind.Wrap(errkind.CallerGone, err, "the caller left")
 		}
 		room.forwarded()
-		stall.await()
+		x.takeover.awaitEvent()
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,18 +42,11 @@
 	cancel      context.CancelCauseFunc
 	// resumeAfter is the number of the event after which a stream is continued, 0 for one that begins.
 	resumeAfter int64
-	// ranBefore counts the attempts before this one in which a replica may have run the request.
-	ranBefore int
-	// successor is the attempt that goes on with the stream; nil without one.
+	// ran is set if the replica may have run the request.
+	ran bool
+	// takeover has another replica answer if this one is silent; successor is the attempt there, nil without one.
+	takeover  *takeover
 	successor *successor
-
-	// mu protects what the check for a hang shares with the attempt; ended is set when it has ended.
-	mu    sync.Mutex
-	ended bool
-	// stall is the takeover of a stream that has begun; nil before.
-	stall *takeover
-	// replacement is the replica for which an unresponsive one was given up; nil without one.
-	replacement *schedule.Choice
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
 	// heardAt is when the replica last sent something.
@@ -71,31 +66,41 @@
 	stopQuarantineWatch func()
 }
 
+// newExchange returns an attempt that is about to begin.
+func (r *run) newExchange(choice *schedule.Choice, parent, ctx context.Context, cancel context.CancelCauseFunc) *exchange {
+	x := &exchange{run: r, choice: choice, parent: parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: r.lastEvent}
+	x.takeover = x.newTakeover()
+	r.active = append(r.active, choice.ID)
+	x.watchHang()
+	return x
+}
+
 // attempt sends the request to the chosen replica and forwards its answer. It returns the attempt that goes
-// on with the stream in its place, if there is one.
+// on in its place, if there is one.
 func (r *run) attempt(parent context.Context, choice *schedule.Choice) (*successor, error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	x := &exchange{run: r, choice: choice, parent: parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: r.lastEvent, ranBefore: r.report.Ran}
-	x.watchHang()
+	x := r.newExchange(choice, parent, ctx, cancel)
 	x.watchQuarantine()
 	defer x.unwatchQuarantine()
 	resp, result, err := x.open()
 	if err == nil {
 		result, err = x.forward(resp)
 	}
-	return x.successor, x.end(result, err)
+	err = x.end(result, err)
+	return x.successor, err
 }
 
 // end records the result of the attempt, and returns its error.
 func (x *exchange) end(result replica.Result, err error) error {
 	r := x.run
-	x.keepReplacement(err)
+	x.hangWatch.stop()
+	r.active = slices.DeleteFunc(r.active, func(id string) bool { return id == x.choice.ID })
 	if err != nil && errors.Is(context.Cause(x.ctx), errUnresponsive) {
 		result = replica.Lost
 		err = errkind.Wrap(errkind.BackendLost, errUnresponsive, "the replica does not answer")
 	}
-	x.recordCrashEvidence(result, err, r.report.Ran > x.ranBefore)
+	x.recordCrashEvidence(result, err)
 	x.choice.Flight.End(result, clock.Now())
 	x.recordVersionOutcome(result)
 	if result == replica.ConnectTimeout || result == replica.Unreachable {
@@ -111,20 +116,6 @@
 	return err
 }
 
-// keepReplacement reserves the replacement for the next attempt, unless none is needed.
-func (x *exchange) keepReplacement(err error) {
-	replacement := x.endHangCheck()
-	if replacement == nil {
-		return
-	}
-	x.countCharge()
-	if err == nil || x.parent.Err() != nil {
-		x.d.scheduler.Cancel(replacement, clock.Now())
-		return
-	}
-	x.reserved = replacement
-}
-
 // recordVersionOutcome counts the result for the canary release of the server's software
 // version. Results that say nothing about the version, such as a refusal, a caller that left
 // or a lost server, are not counted.
@@ -139,7 +130,7 @@
 
 // recordCrashEvidence reports the result to the detection of crashed servers and of poison
 // requests.
-func (x *exchange) recordCrashEvidence(result replica.Result, err error, mayHaveRun bool) {
+func (x *exchange) recordCrashEvidence(result replica.Result, err error) {
 	now := clock.Now()
 	switch {
 	case result == replica.Answered && x.report.Status >= http.StatusBadRequest:
@@ -150,7 +141,7 @@
 		x.d.crashes.Answered(x.fingerprint, now, now)
 	case result == replica.Lost && upstream.IsConnectionBroken(err):
 		x.choice.Flight.ConnectionBroken(now)
-	case (result == replica.Lost || result == replica.Cancelled) && mayHaveRun:
+	case (result == replica.Lost || result == replica.Cancelled) && x.ran:
 		x.choice.Flight.Abandoned(now)
 	case result == replica.Unreachable && upstream.IsConnectionRefused(err):
 		x.d.replicas.ConnectionRefused(x.choice.ID, x.choice.Address, now)
@@ -191,35 +182,81 @@
 	}
 }
 
-// open sends the request and returns the answer, of which the head was read, unless the replica did not run the
-// request or the answer is not one to it.
+// open sends the request and returns the answer, of which the head was read, and the beginning of a stream, unless the
+// replica did not run the request, the answer is not one to it, or another replica answers in its place.
 func (x *exchange) open() (*upstream.Response, replica.Result, error) {
 	x.report.Sends++
+	x.unsettled++
+	x.takeover.await()
 	resp, err := x.d.pool.Send(x.ctx, x.choice.Address, x.upstreamRequest())
+	var begun error
+	if err == nil {
+		begun = x.awaitBeginning(resp)
+	}
+	goesOn := x.takeover.received(err != nil || begun != nil || resp.Answer.NotRun)
+	x.unsettled--
 	if err != nil {
 		result, err := x.sendFailed(err)
 		return nil, result, err
 	}
 	x.arrived++
-	x.heardAt = clock.Now()
-	x.choice.Flight.RecordNotice(resp.Answer, x.heardAt)
 	if resp.Answer.NotRun {
 		result, err := x.handleNotRun(resp)
 		return nil, result, err
 	}
-	x.report.Ran++
+	x.recordRun()
 	x.untilClose = resp.UntilClose()
-	if !resp.Answer.Sealed || resp.Answer.ID != x.req.ID {
+	if err := x.checkAnswer(resp); err != nil {
 		resp.Finish(false)
-		return nil, replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
+		return nil, replica.Lost, err
 	}
-	if x.resumeAfter > 0 && !isEventStream(resp) {
+	if begun != nil {
+		resp.Finish(false)
+		result, err := x.streamLost(begun)
+		return nil, result, err
+	}
+	if !goesOn {
 		resp.Finish(false)
-		return nil, replica.Lost, errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d in place of the rest of the stream", resp.Status))
+		result, err := x.lost(errUnresponsive, "another replica answers")
+		return nil, result, err
 	}
 	return resp, 0, nil
 }
 
+// awaitBeginning waits for the first bytes of a stream: a replica may send the head while the request still waits for
+// memory. It returns an error if the stream breaks before them; one that ends without any event is complete.
+func (x *exchange) awaitBeginning(resp *upstream.Response) error {
+	x.heardAt = clock.Now()
+	x.choice.Flight.RecordNotice(resp.Answer, x.heardAt)
+	if resp.Answer.NotRun || !isEventStream(resp) {
+		return nil
+	}
+	body := bufio.NewReader(resp.Body)
+	resp.Body = body
+	if _, err := body.Peek(1); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	x.heardAt = clock.Now()
+	return nil
+}
+
+// checkAnswer returns an error if the answer is not the replica's to this request.
+func (x *exchange) checkAnswer(resp *upstream.Response) error {
+	if !resp.Answer.Sealed || resp.Answer.ID != x.req.ID {
+		return errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d without its seal and the request's ID", resp.Status))
+	}
+	if x.resumeAfter > 0 && !isEventStream(resp) {
+		return errkind.New(errkind.BackendLost, fmt.Sprintf("the replica answered %d in place of the rest of the stream", resp.Status))
+	}
+	return nil
+}
+
+// recordRun records that the replica may have run the request.
+func (x *exchange) recordRun() {
+	x.ran = true
+	x.report.Ran++
+}
+
 func (x *exchange) forward(resp *upstream.Response) (replica.Result, error) {
 	if isEventStream(resp) {
 		return x.forwardStream(resp)
@@ -236,7 +273,7 @@
 	sent := errors.As(err, &failed) && failed.Sent
 	if sent {
 		x.arrived++
-		x.report.Ran++
+		x.recordRun()
 	}
 	switch {
 	case x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errUnresponsive):
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -266,6 +266,10 @@
 	servers   int
 	// noneFree is set if the last choice failed as servers were left out that rejected other requests.
 	noneFree bool
+	// active has the replicas that the request is at. Attempts of which it is not known yet whether they reached a replica
+	// and may have run are counted in unsettled.
+	active    []string
+	unsettled int
 	// arrived counts the attempts that may have reached a replica.
 	arrived int
 	// charged counts the arrivals beyond the first that were charged to the retry budget, here or at the host
@@ -282,8 +286,6 @@
 	// replica answers.
 	errorAnswer *bufferedAnswer
 	report      Report
-	// reserved is the replica that takes the place of one that did not answer; nil without one.
-	reserved *schedule.Choice
 }
 
 // bufferedAnswer is an answer that was read to its end before it is forwarded.
@@ -314,9 +316,6 @@
 		d.budget.RecordRequest(req.Service.Name, r.began)
 	}
 	err := r.loop(ctx)
-	if unused := r.takeReserved(); unused != nil {
-		d.scheduler.Cancel(unused, clock.Now())
-	}
 	if err == nil {
 		r.fire(eventFinish)
 	} else {
@@ -343,12 +342,7 @@
 		if err := r.checkShare(); err != nil {
 			return r.finish(ctx, err)
 		}
-		choice, err := r.takeReserved(), error(nil)
-		if choice != nil {
-			r.reportChoice(choice, len(r.exclude))
-		} else {
-			choice, err = r.pick(ctx)
-		}
+		choice, err := r.pick(ctx)
 		if errors.Is(err, route.ErrNoRoom) && r.waitForRoom(ctx) {
 			continue
 		}
@@ -367,10 +361,6 @@
 		if err = r.attemptAndResume(ctx, choice); err == nil {
 			return nil
 		}
-		if r.reserved != nil {
-			r.fire(eventRetry)
-			continue
-		}
 		if !r.allowRetry(ctx, err) && !r.awaitShare(ctx, err) {
 			return r.finish(ctx, err)
 		}
@@ -378,15 +368,8 @@
 	}
 }
 
-// takeReserved returns the replica that was reserved for the next attempt, or nil.
-func (r *run) takeReserved() *schedule.Choice {
-	choice := r.reserved
-	r.reserved = nil
-	return choice
-}
-
-// attemptAndResume sends the request to the chosen replica. A stream that stalls goes on at others that have
-// begun to resume it.
+// attemptAndResume sends the request to the chosen replica. If that one is silent, the request goes on at others that have
+// begun to answer.
 func (r *run) attemptAndResume(ctx context.Context, choice *schedule.Choice) error {
 	r.fire(eventSend)
 	next, err := r.attempt(ctx, choice)
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -51,9 +51,7 @@
 	return x.req.Memory.Await(ctx, membudget.Answer, bytes, func() {
 		// The server has answered: what follows is this host's delay.
 		x.choice.Flight.AnswerStarted(clock.Now())
-		if x.hangWatch != nil {
-			x.hangWatch.stop()
-		}
+		x.hangWatch.stop()
 	})
 }
 
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"maps"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/schedule"
 	"github.com/briarlink/briarlink/internal/upstream"
@@ -16,99 +19,101 @@
 // lookAgainInterval is the pause after which another replica is looked for if none could be used.
 const lookAgainInterval = 250 * time.Millisecond
 
-// successor is an attempt whose replica has begun to resume a stream.
+// successor is an attempt whose replica has begun to answer in the place of a silent one.
 type successor struct {
 	x    *exchange
 	resp *upstream.Response
 }
 
-// takeover has another replica resume a stream that stalls. The stalled stream is kept until the other
-// replica sends: an engine that is short of memory goes on with it later, while others may be full, and the
-// retry budget may be used up.
+// takeover has another replica answer a request, or resume its stream, if the one that it was sent to is silent. The
+// silent attempt is kept until the other replica sends: a sound replica may be silent for a second or two, while others may
+// be full, and the retry budget may be used up.
+//
+// The goroutine of an attempt owns the run except between await and received. Then it waits for its replica, and an
+// attempt beside it owns the run, under the same rule.
 type takeover struct {
 	x *exchange
 	// limit is the pause between two events from which a replica is looked for, and between two that are tried.
 	limit time.Duration
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// timer looks for a replica during the pause between two events; until the first one watchHang does.
 	timer *time.Timer
 	// nextTry is the earliest time of the next attempt.
 	nextTry time.Time
-	// lastEvent is the number of the last event, from which another replica continues.
-	lastEvent int64
-	// waitingSince is when the wait for the next event began.
-	waitingSince time.Time
+	// waiting is set while the attempt waits for its replica, since waitingSince. lost is set if it has ended without a
+	// complete answer.
+	waiting, lost bool
+	waitingSince  time.Time
+	// streaming is set once an event was forwarded.
+	streaming bool
 	// trying is set while an attempt at another replica is under way; cancel ends it.
 	trying bool
 	cancel context.CancelCauseFunc
-	// taken is set once another replica has taken over, and stopped once the stream has ended.
-	taken, stopped bool
+	// taken is set once another replica has taken over.
+	taken bool
 	// done is signalled when an attempt has ended.
 	done sync.WaitGroup
 }
 
-// watchStall returns the takeover of a stream. Its timer is armed by the first event; until then watchHang
-// starts it.
-func (x *exchange) watchStall() *takeover {
-	t := &takeover{x: x, limit: max(2*minHangTimeout, stallPauseTargets*x.req.Route.PauseTarget), lastEvent: x.resumeAfter, waitingSince: clock.Now()}
-	t.stopped = !x.req.Route.Resumable
+func (x *exchange) newTakeover() *takeover {
+	t := &takeover{x: x, limit: max(2*minHangTimeout, stallPauseTargets*x.req.Route.PauseTarget)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(time.Hour, t.attempt)
-	x.setStall(t)
+	t.timer.Stop()
 	return t
 }
 
-// received records an event: the stream goes on, and needs no other replica. It returns false if another one
-// has taken over already.
-func (t *takeover) received(event int64) bool {
+// await begins to wait for the replica.
+func (t *takeover) await() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.taken {
-		return false
-	}
-	t.lastEvent = event
-	t.timer.Stop()
-	if t.trying {
-		t.cancel(nil)
-	}
-	return true
+	t.waiting, t.waitingSince = true, clock.Now()
 }
 
-// await begins to wait for the next event. The time that the caller takes for an event is no pause of the replica.
-func (t *takeover) await() {
+// awaitEvent begins to wait for the next event of a stream. The time that the caller takes for an event is no pause of
+// the replica.
+func (t *takeover) awaitEvent() {
+	t.await()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.waitingSince = clock.Now()
-	if !t.stopped && t.x.req.Route.PauseTarget > 0 {
+	t.streaming = true
+	if t.mayResume() && t.x.req.Route.PauseTarget > 0 {
 		t.timer.Reset(t.limit)
 	}
 }
 
-// finish ends the watch when the stream has ended. If it was lost, an attempt under way goes on, and finish waits
-// for its replica to begin or to refuse.
-func (t *takeover) finish(lost bool) {
+// received ends the wait. An attempt beside this one ends with it, unless this one is lost: then received waits until the
+// other replica has begun or refused. It returns false if another replica has taken over.
+func (t *takeover) received(lost bool) bool {
 	t.mu.Lock()
+	t.waiting = false
+	t.lost = lost && t.x.ctx.Err() == nil
 	t.timer.Stop()
-	t.stopped = true
-	if t.trying && !lost {
+	if t.trying && !t.lost {
 		t.cancel(nil)
 	}
 	t.mu.Unlock()
 	t.done.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.taken
 }
 
-// attempt looks for another replica and has it resume the stream. While it runs, the goroutine that forwards
-// the stream changes nothing that is used here: it waits for events or forwards one, and finish waits for the end.
+// mayResume reports whether what the caller has got so far can be continued by another replica.
+func (t *takeover) mayResume() bool { return !t.streaming || t.x.req.Route.Resumable }
+
+// attempt tries another replica beside the silent one.
 func (t *takeover) attempt() {
 	t.mu.Lock()
-	if t.stopped || t.trying || t.taken || clock.Now().Before(t.nextTry) || !t.mayTry() {
+	if !t.waiting || t.trying || t.taken || clock.Now().Before(t.nextTry) || !t.mayTry() {
 		t.mu.Unlock()
 		return
 	}
-	if t.x.d.IsCutOff(t.x.req.Service.Name) {
+	if t.streaming && t.x.d.IsCutOff(t.x.req.Service.Name) {
 		// No replica can be reached from here; the caller may resume the stream at another host.
-		t.stopped = true
+		t.taken = true
 		t.mu.Unlock()
 		t.x.cancel(errUnresponsive)
 		return
@@ -116,97 +121,112 @@
 	t.trying = true
 	ctx, cancel := context.WithCancelCause(t.x.parent)
 	t.cancel = cancel
-	from, silence := t.lastEvent, clock.Since(t.waitingSince)
+	silence := clock.Since(t.waitingSince)
 	t.done.Add(1)
 	t.mu.Unlock()
 	defer t.done.Done()
-	next, sent := t.resume(ctx, cancel, from, silence)
+	next, sent := t.try(ctx, cancel, silence)
 	if next == nil {
 		cancel(nil)
 	}
-	if !t.handOver(next, from, sent) && next != nil {
+	if !t.handOver(next, sent) && next != nil {
 		next.abandon()
 	}
 }
 
-// handOver ends the stalled stream for its successor, unless there is none or the stream has gone on since
-// the event that the successor continues from. It reports whether it did.
-func (t *takeover) handOver(next *successor, from int64, sent bool) bool {
+// handOver ends the silent attempt for its successor, unless there is none or the silence has ended. It reports whether
+// it did.
+func (t *takeover) handOver(next *successor, sent bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trying = false
-	t.taken = next != nil && t.lastEvent == from
+	t.taken = next != nil && (t.waiting || t.lost)
+	if t.taken {
+		t.x.successor = next
+	}
 	switch {
+	case !t.waiting:
 	case t.taken:
-		t.x.successor = next
 		t.x.cancel(errUnresponsive)
-	case !t.stopped:
+	default:
 		pause := t.pause(sent)
 		t.nextTry = clock.Now().Add(pause)
-		t.timer.Reset(pause)
+		if t.streaming {
+			t.timer.Reset(pause)
+		}
 	}
 	return t.taken
 }
 
 // pause returns the time until the next attempt.
 func (t *takeover) pause(sent bool) time.Duration {
-	switch {
-	case t.x.reserved != nil:
-		return 0
-	case !sent:
-		return lookAgainInterval
-	default:
+	if sent && t.streaming {
 		return t.limit
 	}
+	return lookAgainInterval
 }
 
 // mayTry reports whether the request may be sent to one more replica.
 func (t *takeover) mayTry() bool {
-	r := t.x.run
-	return r.report.Sends < maxSends && r.report.Ran < r.req.Route.Attempts
+	r, route := t.x.run, t.x.req.Route
+	return route.Repeatable() && t.mayResume() && r.report.Sends < maxSends && r.report.Ran+r.unsettled < route.Attempts
 }
 
-// resume sends the request to another replica, and returns the attempt once that replica has begun to send
-// events. It returns nil if none may or does take the request; sent is false if it was sent to none.
-func (t *takeover) resume(ctx context.Context, cancel context.CancelCauseFunc, from int64, silence time.Duration) (next *successor, sent bool) {
+// try sends the request to another replica, and returns the attempt once that replica has begun to answer. It
+// returns nil if none may or does take the request; sent is false if it was sent to none.
+func (t *takeover) try(ctx context.Context, cancel context.CancelCauseFunc, silence time.Duration) (next *successor, sent bool) {
 	r := t.x.run
-	choice := r.takeReserved()
+	choice := r.reserveAnother(ctx)
 	if choice == nil {
-		choice = t.x.reserve(ctx)
-		if choice == nil {
-			return nil, false
-		}
-		r.countCharge()
+		return nil, false
 	}
-	x := &exchange{run: r, choice: choice, parent: t.x.parent, ctx: ctx, cancel: cancel, began: clock.Now(), resumeAfter: from, ranBefore: r.report.Ran, beside: t.x.choice.ID, after: silence}
-	x.watchHang()
+	x := r.newExchange(choice, t.x.parent, ctx, cancel)
+	x.beside, x.after = t.x.choice.ID, silence
 	resp, result, err := x.open()
 	if err == nil {
-		// An engine may send the head while the request still waits for memory.
-		body := bufio.NewReader(resp.Body)
-		resp.Body = body
-		if _, err = body.Peek(1); err == nil {
-			return &successor{x, resp}, true
-		}
-		resp.Finish(false)
-		result, err = x.lost(err, "the stream was cut")
+		result, err = x.checkBegun(resp)
+	}
+	if err == nil {
+		return &successor{x, resp}, true
 	}
 	_ = x.end(result, err)
 	if result != replica.Refused && result != replica.Cancelled {
 		r.exclude[choice.ID] = true
 	}
-	return nil, true
+	return x.successor, true
 }
 
-// reserve picks another replica and charges the retry budget, or returns nil if either is not to be had.
-func (x *exchange) reserve(ctx context.Context) *schedule.Choice {
-	r := x.run
+// checkBegun returns an error if an answer can't take the place of one that may still come: it is a failure, or a stream
+// without any event.
+func (x *exchange) checkBegun(resp *upstream.Response) (replica.Result, error) {
+	if isEventStream(resp) {
+		if _, err := resp.Body.(*bufio.Reader).Peek(1); err != nil {
+			resp.Finish(false)
+			return x.lost(err, "the stream was cut")
+		}
+		return 0, nil
+	}
+	if resp.Status < http.StatusInternalServerError {
+		return 0, nil
+	}
+	if resp.Length() >= 0 && resp.Length() <= maxBufferedAnswer {
+		return x.forwardBuffered(resp)
+	}
+	resp.Finish(false)
+	return replica.Failed, errkind.New(errkind.BackendError, fmt.Sprintf("the replica answered %d", resp.Status))
+}
+
+// reserveAnother picks a replica other than those that the request is at, and charges the retry budget, or returns nil
+// if either is not to be had.
+func (r *run) reserveAnother(ctx context.Context) *schedule.Choice {
 	now := clock.Now()
 	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused || r.d.IsCutOff(r.req.Service.Name) {
 		return nil
 	}
 	exclude := maps.Clone(r.withoutRoom(now))
-	exclude[x.choice.ID] = true
+	for _, id := range r.active {
+		exclude[id] = true
+	}
 	req := r.scheduleRequest(ctx, exclude, now)
 	// Held requests are scheduled again, which may find no replica.
 	req.MaxHold = 0
@@ -214,22 +234,25 @@
 	if err != nil || choice.Hold > 0 {
 		return nil
 	}
-	if !r.d.budget.Allow(r.req.Service.Name, now) {
-		r.d.scheduler.Cancel(choice, now)
-		return nil
+	if r.charged < r.arrived+r.unsettled {
+		if !r.d.budget.Allow(r.req.Service.Name, now) {
+			r.d.scheduler.Cancel(choice, now)
+			return nil
+		}
+		r.countCharge()
 	}
 	return choice
 }
 
-// abandon ends an attempt that is not needed, as the stream that it would resume goes on.
+// abandon ends an attempt that is not needed, as the replica beside which it was tried goes on.
 func (s *successor) abandon() {
 	s.x.cancel(nil)
 	s.resp.Finish(false)
-	result, err := s.x.lost(context.Canceled, "the stream that was to be resumed goes on")
+	result, err := s.x.lost(context.Canceled, "the silent replica goes on")
 	_ = s.x.end(result, err)
 }
 
-// forward goes on with the stream of a successor.
+// forward goes on with the answer of a successor.
 func (s *successor) forward() error {
 	s.x.reportChoice(s.x.choice, len(s.x.exclude))
 	result, err := s.x.forward(s.resp)
