A passed-on answer survives the host that runs it

What callers saw: a host that does not reach the servers passes its requests on. If the host that runs one of them is killed, or stops and its grace time ends, the caller's connection was closed in the middle of the stream, also within an event, or it got 502, whatever its route allows.

Cause: forward.Send tried another host only while nothing had been sent, and copied streams as bytes, so that nothing knew from where to go on.

Change: a stream that may be resumed is read event by event, and only whole events are forwarded. If the host ends, and attempts and a retry are left, the next host resumes it after the last event; a buffered answer that may be repeated starts again. Whether the host has ended is asked of its address: one that still accepts connections has ended the answer itself. The order check is shared with dispatch.

Ruled out: requests that must not be repeated are sent once, also before their head; large answers that have begun are not repeated; a rejection after a host was lost is not forwarded, as it would state that nothing ran.

Test: TestPassedOnRequestSurvivesTheOtherHost, eleven cases.

Not known to the first host: how many attempts the lost one made. It counts as one, so that a route's attempts may be exceeded by those that the lost host had made beyond its first.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -168,7 +168,7 @@
 		ev, err := events.next()
 		if err == nil {
 			x.heardAt = clock.Now()
-			err = x.checkEventOrder(ev)
+			err = ev.checkOrder(x.lastEvent)
 		}
 		ended := errors.Is(err, io.EOF)
 		if goesOn := x.takeover.received(err != nil && !ended); !goesOn && (err == nil || ended) {
@@ -191,14 +191,6 @@
 	}
 }
 
-// checkEventOrder returns an error unless the event directly follows the previous one.
-func (x *exchange) checkEventOrder(ev event) error {
-	if ev.number == 0 || x.lastEvent > 0 && ev.number != x.lastEvent+1 {
-		return errEventOrder
-	}
-	return nil
-}
-
 func (x *exchange) forwardEvent(resp *upstream.Response, ev event) error {
 	now := x.heardAt
 	x.choice.Flight.AnswerStarted(now)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -28,6 +28,14 @@
 	number int64
 }
 
+// checkOrder returns an error unless the event directly follows the last one, which is 0 before the first.
+func (ev event) checkOrder(last int64) error {
+	if ev.number == 0 || last > 0 && ev.number != last+1 {
+		return errEventOrder
+	}
+	return nil
+}
+
 // eventReader splits a stream into events.
 type eventReader struct {
 	r *bufio.Reader
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -77,8 +77,11 @@
 func (ex *exchange) forward(body []byte) error {
 	report, err := ex.s.Forwarder.Send(ex.r.Context(), &forward.Request{
 		Request: ex.request(body), Config: ex.view.Config.Version, Ran: ex.report.Ran,
+		AllowRetry: func() bool { return ex.s.Dispatcher.AllowRetry(ex.service.Name) },
 	}, ex)
 	ex.passedOn = report
+	ex.report.RetriesCharged += report.Retries
+	ex.report.RetryRefused = ex.report.RetryRefused || report.RetryRefused
 	ex.report.Status = report.Status
 	if ex.report.First == 0 {
 		ex.report.First = report.First
--- /dev/null
+++ b/internal/entry/resume_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/test/standin/engine"
+	"github.com/briarlink/briarlink/test/standin/wire"
+)
+
+// endingHost returns the address of a host that sends the text in answer to its first request, and then breaks the
+// connection. Unless it survives that, it accepts no more connections.
+func endingHost(t *testing.T, text string, survives bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err = http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+		if !survives {
+			listener.Close()
+		}
+		conn.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// TestPassedOnRequestSurvivesTheOtherHost guards against answers that end, whatever their route allows, because the host
+// that the request was passed on to was killed or stopped.
+func TestPassedOnRequestSurvivesTheOtherHost(t *testing.T) {
+	events := func(from, to int) (text string) {
+		for n := from; n <= to; n++ {
+			text += engine.EventText(n)
+		}
+		return text
+	}
+	const head = "HTTP/1.1 200 OK\r\n" + wire.Attempt + ": r-1\r\n" + wire.Seal + ": s\r\n"
+	stream := func(text string) string {
+		return fmt.Sprintf("%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(text), text)
+	}
+	for name, c := range map[string]struct {
+		text                             string
+		survives, unsafe, plain, noRetry bool
+		attempts, ran                    int
+		want                             string
+	}{
+		"between events":        {text: stream(events(1, 2)), attempts: 2, ran: 1, want: events(1, 6)},
+		"within an event":       {text: stream(events(1, 2) + events(3, 3)[:9]), attempts: 2, ran: 1, want: events(1, 6)},
+		"before an event":       {text: stream("")[:len(stream(""))-5], attempts: 2, ran: 1, want: events(1, 6)},
+		"before the head":       {attempts: 2, ran: 1, want: events(1, 6)},
+		"within an answer":      {text: head + "Content-Length: 30\r\n\r\nanswer", plain: true, attempts: 2, ran: 1, want: "answer of i-1 to 0 bytes"},
+		"not to be resumed":     {text: stream(events(1, 2)), unsafe: true, attempts: 2, want: events(1, 2)},
+		"not to be repeated":    {text: head, plain: true, unsafe: true, attempts: 2},
+		"no attempt left":       {text: stream(events(1, 2)), attempts: 1, want: events(1, 2)},
+		"no retry left":         {text: stream(events(1, 2)), noRetry: true, attempts: 2, want: events(1, 2)},
+		"ended by a live host":  {text: stream(events(1, 2)), survives: true, attempts: 2, want: events(1, 2)},
+		"an event out of order": {text: stream(events(1, 1) + events(3, 3)), survives: true, attempts: 2, want: events(1, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			here, there := newFixture(t), newFixture(t)
+			here.cutOff(endingHost(t, c.text, c.survives), there.address())
+			for _, f := range []*fixture{here, there} {
+				route := f.view.Config.Routes[0]
+				route.Attempts, route.Resumable = c.attempts, !c.unsafe
+				if c.plain {
+					route.Kind, f.view.Config.Services["s"].Engine, f.engine.Model = config.Idempotent, nil, ""
+				}
+				if c.plain && c.unsafe {
+					route.Kind = config.NonIdempotent
+				}
+			}
+			if c.noRetry {
+				here.budget.SetHosts(0, 1)
+			}
+			began := time.Now()
+			resp, body, complete := here.post(t, "/notes/", testKey, "")
+			if c.ran > 0 && (resp == nil || resp.StatusCode != http.StatusOK || !complete) || complete && c.ran == 0 && resp.StatusCode == http.StatusOK {
+				t.Errorf("%+v, complete %t", resp, complete)
+			}
+			if got := there.engine.Ran("r-1"); got != c.ran || c.want != "" && strings.TrimSpace(body) != strings.TrimSpace(c.want) {
+				t.Errorf("ran %d times, answer %q, want %d, %q", got, body, c.ran, c.want)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("took %v", took)
+			}
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"io"
-	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,6 +57,8 @@
 	Config int64
 	// Ran counts the attempts in which a replica may already have run it.
 	Ran int
+	// AllowRetry charges the retry budget for one more arrival at a replica, and reports whether it allows that.
+	AllowRetry func() bool
 }
 
 // Report describes the outcome for logs.
@@ -67,56 +69,36 @@
 	Status int
 	// Rejected is set if the answer is the other host's own, not a replica's.
 	Rejected bool
+	// Retries counts the retries that were charged because the host that ran the request had ended. RetryRefused is set
+	// if the retry budget refused one.
+	Retries      int
+	RetryRefused bool
 	// First is the time until the head of the answer was received.
 	First time.Duration
 }
 
 // Send passes a request on and writes the answer to out. The other host applies its own
 // configuration and limits, and counts the request as one of its own. If no host could
-// be reached, or none of them reached a replica, the error is of kind NoBackend.
+// be reached, or none of them reached a replica, the error is of kind NoBackend. A request that may be repeated goes on
+// at another host if the one that runs it has ended.
 func (f *Forwarder) Send(ctx context.Context, req *Request, out dispatch.Answer) (Report, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(answerMargin))
 	defer cancel()
-	began := clock.Now()
-	exclude := map[string]bool{f.Self: true}
-	for range maxHosts {
-		host, ok := f.Pick(req.Service.Name, exclude)
-		if !ok {
-			break
-		}
-		exclude[host.ID] = true
-		resp, err := f.Pool.Send(ctx, host.CallerAddress, f.encode(req))
-		var failed *upstream.Error
-		if errors.As(err, &failed) && !failed.Sent && ctx.Err() == nil {
-			continue
-		}
-		if failed != nil && !failed.Sent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return Report{}, errkind.Wrap(errkind.Overloaded, err, "the deadline passed before the request was passed on to another host")
-		}
-		report := Report{Host: host.ID, First: clock.Since(began)}
-		if err != nil {
-			return report, lost(ctx, err, "the host that the request was passed on to was lost")
-		}
-		if platform.Unreached(resp.Header) {
-			resp.Discard()
-			continue
-		}
-		report.Status, report.Rejected = resp.Status, !resp.Answer.Sealed
-		if resp.Answer.Sealed && f.Served != nil {
-			f.Served(host.ID, req.Service.Name)
-		}
-		return report, copyAnswer(ctx, resp, out, req.Memory)
-	}
-	return Report{}, errkind.New(errkind.NoBackend, "this host reaches no replica of the service, and no other host that does can be reached")
+	t := &transfer{f: f, req: req, out: out, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: req.Ran}
+	err := t.run(ctx)
+	return t.report, err
 }
 
-func (f *Forwarder) encode(req *Request) *upstream.Request {
+func (f *Forwarder) encode(req *Request, ran int, lastEvent int64) *upstream.Request {
 	maxIdle := time.Duration(0)
 	if !req.Route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
 	}
 	mark := platform.Forwarded{
-		Host: f.Self, Config: req.Config, Ran: req.Ran, ID: req.ID, Key: req.Caller.Key, Remaining: clock.Until(req.Deadline),
+		Host: f.Self, Config: req.Config, Ran: ran, ID: req.ID, Key: req.Caller.Key, Remaining: clock.Until(req.Deadline),
+	}
+	if lastEvent > 0 {
+		mark.LastEvent = strconv.FormatInt(lastEvent, 10)
 	}
 	return &upstream.Request{
 		ID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host, Body: req.Body, MaxIdle: maxIdle,
@@ -124,38 +106,53 @@
 	}
 }
 
-// copyAnswer writes the other host's answer to out, a stream as its parts arrive.
-func copyAnswer(ctx context.Context, resp *upstream.Response, out dispatch.Answer, memory *membudget.Hold) error {
-	header := platform.AnswerHeaders(resp.Header)
-	succeeded := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
-	if succeeded && !resp.Answer.Sealed {
+// copyAnswer writes the other host's answer to the caller, a stream as its parts arrive.
+func (t *transfer) copyAnswer(ctx context.Context, resp *upstream.Response) error {
+	if isSuccess(resp) && !resp.Answer.Sealed {
 		resp.Finish(false)
 		return errkind.New(errkind.BackendLost, "the host that the request was passed on to answered without a replica's seal")
 	}
-	if succeeded && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
-		return copyStream(ctx, resp, header, out)
+	if isEventStream(resp) && t.req.Route.Resumable {
+		return t.copyEvents(ctx, resp)
+	}
+	if isEventStream(resp) {
+		return t.copyStream(ctx, resp)
 	}
 	if resp.Length() > maxBufferedAnswer {
-		return copyLarge(ctx, resp, out, nil)
+		return t.copyLarge(ctx, resp, nil)
 	}
 	beginning := &io.LimitedReader{R: resp.Body, N: maxBufferedAnswer}
-	body, err := membudget.ReadAll(beginning, resp.Length(), roomIn(ctx, memory))
+	reserved := int64(0)
+	room := roomIn(ctx, t.req.Memory)
+	body, err := membudget.ReadAll(beginning, resp.Length(), func(bytes int64) error {
+		err := room(bytes)
+		if err == nil {
+			reserved += bytes
+		}
+		return err
+	})
 	if err == nil && resp.Length() < 0 && beginning.N == 0 {
-		return copyLarge(ctx, resp, out, body)
+		return t.copyLarge(ctx, resp, body)
 	}
 	resp.Finish(err == nil)
 	if err != nil {
+		t.req.Memory.Return(membudget.Answer, reserved)
 		return lost(ctx, err, "the answer of the host that the request was passed on to was cut")
 	}
-	if err := out.Buffered(resp.Status, header, body); err != nil {
+	if err := t.out.Buffered(resp.Status, platform.AnswerHeaders(resp.Header), body); err != nil {
 		return errkind.Wrap(errkind.CallerGone, err, "the caller left")
 	}
 	return nil
 }
 
+func isEventStream(resp *upstream.Response) bool {
+	return isSuccess(resp) && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
+}
+
 // copyLarge writes an answer of which the beginning was read, and the rest as it arrives.
-func copyLarge(ctx context.Context, resp *upstream.Response, out dispatch.Answer, beginning []byte) error {
-	written, err := dispatch.CopyLarge(out, resp, beginning)
+func (t *transfer) copyLarge(ctx context.Context, resp *upstream.Response, beginning []byte) error {
+	t.committed = true
+	written, err := dispatch.CopyLarge(t.out, resp, beginning)
 	resp.Finish(err == nil && written)
 	switch {
 	case !written:
@@ -177,16 +174,16 @@
 	}
 }
 
-func copyStream(ctx context.Context, resp *upstream.Response, header http.Header, out dispatch.Answer) error {
-	if err := out.Start(resp.Status, header); err != nil {
-		resp.Finish(false)
-		return errkind.Wrap(errkind.CallerGone, err, "the caller left")
+func (t *transfer) copyStream(ctx context.Context, resp *upstream.Response) error {
+	t.committed = true
+	if err := t.start(resp); err != nil {
+		return err
 	}
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			if err := out.Event(buffer[:n]); err != nil {
+			if err := t.out.Event(buffer[:n]); err != nil {
 				resp.Finish(false)
 				return errkind.Wrap(errkind.CallerGone, err, "the caller left")
 			}
