SIGHUP is received from the initialisation of the process on

Cause: the handler was set up by the serve command, after all packages had been initialised and the command line parsed.

What is left is the time until the runtime runs and has initialised os/signal: no handler can be set up before that.

--- a/cmd/briarlink/main.go
+++ b/cmd/briarlink/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
+	"github.com/briarlink/briarlink/internal/hangup"
 	"github.com/briarlink/briarlink/internal/mechanism"
 	"github.com/briarlink/briarlink/internal/node"
 	"github.com/briarlink/briarlink/internal/obs"
@@ -43,6 +44,9 @@
 	Completion kongcompletion.Completion `cmd:"" help:"Print the shell's completion script: bash, zsh or fish."`
 }
 
+// serveCommand is the name of the command that runs an entry host.
+const serveCommand = "serve"
+
 type serveCmd struct {
 	Settings string   `env:"${settings_variable}" required:"" help:"Settings file: JSON with comments, or the platform's format."`
 	Without  []string `placeholder:"MECHANISM" help:"For measurements: disable these mechanisms. An unknown name is an error that lists the valid ones."`
@@ -50,9 +54,6 @@
 
 // Run implements the serve command.
 func (c *serveCmd) Run() error {
-	// First, as a reload that is requested while the host starts would end the process.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	s, err := load(c.Settings)
 	if err != nil {
 		return usage(err)
@@ -72,7 +73,7 @@
 	}
 	n := node.New(s, off, log, lines)
 	go func() {
-		for range hup {
+		for range hangup.Requests {
 			if err := c.reload(n); err != nil {
 				log.WithError(err).Error("settings not reloaded; those in force stay")
 			}
@@ -150,6 +151,9 @@
 		fmt.Fprintln(os.Stderr, "briarlink:", err)
 		return exitUsage
 	}
+	if parsed.Command() != serveCommand {
+		hangup.Restore()
+	}
 	err = parsed.Run()
 	if err == nil {
 		return exitOK
