A silent replica's request goes on at another host if this one is cut off

What callers saw: a host that counts as cut off from a service, which it concludes from silence, ended each stream that stalled for four pause targets, with nothing in its place; before the first event a request waited for its replica or for TCP, as nothing else was tried from such a host. Cause: the way out of a cut host is another host, and only requests that had not been sent took it. Class: silence is taken for loss, and for which side is at fault. Change: where a silent replica is taken over from, a cut host passes the request on, a stream from its last event, and ends the silent attempt once the other host sends; if none does, the attempt is kept until the deadline. `forward.Begin` returns an answer that has begun. It is charged to the retry budget here and counts as an attempt; the host that receives it does not count it as new. TestStalledStreamEndsAtHostThatIsCutOff asserted the fault: its bound, two hang timeouts and a check, is now that within which the stream goes on elsewhere, in TestStalledStreamOfHostThatIsCutOffIsResumedByAnother, which also asks that nothing ends without another host. TestStreamOfSilentReplicaGoesOnAtAnotherHost plays it with two entry servers. Ruled out: only keeping the stream (the caller would wait for 2.4 s and more before it resumes elsewhere itself). Price: as for another replica; one request more between hosts for each silent one, within the retry budget.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -44,9 +44,9 @@
 	resumeAfter int64
 	// ran is set if the replica may have run the request.
 	ran bool
-	// takeover has another replica answer if this one is silent; successor is the attempt there, nil without one.
+	// takeover has another replica answer if this one is silent; successor is the answer that has begun there, nil without one.
 	takeover  *takeover
-	successor *successor
+	successor successor
 	// hangWatch checks for an unresponsive replica; nil if no other replica may be tried.
 	hangWatch *hangWatch
 	// heardAt is when the replica last sent something.
@@ -77,7 +77,7 @@
 
 // attempt sends the request to the chosen replica and forwards its answer. It returns the attempt that goes
 // on in its place, if there is one.
-func (r *run) attempt(parent context.Context, choice *schedule.Choice) (*successor, error) {
+func (r *run) attempt(parent context.Context, choice *schedule.Choice) (successor, error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	x := r.newExchange(choice, parent, ctx, cancel)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -151,6 +151,8 @@
 	Sink    string
 	Weights int64
 	Resumed int
+	// PassedOnTo is the host that answered in the place of a silent replica; "" if there was none.
+	PassedOnTo string
 	// CutOff is set if the request was not sent, or not sent again, because this host is cut off from
 	// the service's replicas. Unreachable is set if a connection to a replica failed.
 	CutOff      bool
@@ -226,6 +228,10 @@
 	// IsCutOff reports whether this host reaches no replica of a service although other hosts do. It
 	// must be set before the first request.
 	IsCutOff func(service string) bool
+	// PassOn passes a request on to a host that reaches its service, and returns the answer once it has begun, that of a
+	// stream from after an event on. runs counts the attempts in which a replica may have run it. It must be set
+	// before the first request; nil if there are no other hosts.
+	PassOn func(ctx context.Context, req *Request, runs int, lastEvent int64) (*PassedOn, error)
 	// Off holds the disabled mechanisms. It must be set before the first request.
 	Off mechanism.Off
 	// Shares divides the capacity of plain services that are short of it; nil if that is not enabled. It must
@@ -377,11 +383,7 @@
 	for next != nil {
 		r.fire(eventRetry)
 		r.fire(eventSend)
-		x := next.x
-		err = next.forward()
-		r.exclude[x.choice.ID] = true
-		x.cancel(nil)
-		next = x.successor
+		next, err = next.forward()
 	}
 	return err
 }
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -19,10 +19,12 @@
 // lookAgainInterval is the pause after which another replica is looked for if none could be used.
 const lookAgainInterval = 250 * time.Millisecond
 
-// successor is an attempt whose replica has begun to answer in the place of a silent one.
-type successor struct {
-	x    *exchange
-	resp *upstream.Response
+// successor is an answer that has begun in the place of a silent one.
+type successor interface {
+	// forward goes on with the answer. It returns the successor that took over from it, if there is one.
+	forward() (successor, error)
+	// abandon ends it, as the silent replica goes on.
+	abandon()
 }
 
 // takeover has another replica answer a request, or resume its stream, if the one that it was sent to is silent. The
@@ -111,13 +113,6 @@
 		t.mu.Unlock()
 		return
 	}
-	if t.streaming && t.x.d.IsCutOff(t.x.req.Service.Name) {
-		// No replica can be reached from here; the caller may resume the stream at another host.
-		t.taken = true
-		t.mu.Unlock()
-		t.x.cancel(errUnresponsive)
-		return
-	}
 	t.trying = true
 	ctx, cancel := context.WithCancelCause(t.x.parent)
 	t.cancel = cancel
@@ -136,7 +131,7 @@
 
 // handOver ends the silent attempt for its successor, unless there is none or the silence has ended. It reports whether
 // it did.
-func (t *takeover) handOver(next *successor, sent bool) bool {
+func (t *takeover) handOver(next successor, sent bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trying = false
@@ -172,10 +167,13 @@
 	return route.Repeatable() && t.mayResume() && r.report.Sends < maxSends && r.report.Ran+r.unsettled < route.Attempts
 }
 
-// try sends the request to another replica, and returns the attempt once that replica has begun to answer. It
-// returns nil if none may or does take the request; sent is false if it was sent to none.
-func (t *takeover) try(ctx context.Context, cancel context.CancelCauseFunc, silence time.Duration) (next *successor, sent bool) {
+// try sends the request to another replica, or from a host that is cut off to another host, and returns the answer
+// once it has begun. It returns nil if none may or does take the request; sent is false if it was sent to none.
+func (t *takeover) try(ctx context.Context, cancel context.CancelCauseFunc, silence time.Duration) (next successor, sent bool) {
 	r := t.x.run
+	if r.d.IsCutOff(r.req.Service.Name) {
+		return r.tryAnotherHost(ctx, cancel)
+	}
 	choice := r.reserveAnother(ctx)
 	if choice == nil {
 		return nil, false
@@ -187,7 +185,7 @@
 		result, err = x.checkBegun(resp)
 	}
 	if err == nil {
-		return &successor{x, resp}, true
+		return &attemptBeside{x, resp}, true
 	}
 	_ = x.end(result, err)
 	if result != replica.Refused && result != replica.Cancelled {
@@ -220,7 +218,7 @@
 // if either is not to be had.
 func (r *run) reserveAnother(ctx context.Context) *schedule.Choice {
 	now := clock.Now()
-	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused || r.d.IsCutOff(r.req.Service.Name) {
+	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused {
 		return nil
 	}
 	exclude := maps.Clone(r.withoutRoom(now))
@@ -234,27 +232,44 @@
 	if err != nil || choice.Hold > 0 {
 		return nil
 	}
-	if r.charged < r.arrived+r.unsettled {
-		if !r.d.budget.Allow(r.req.Service.Name, now) {
-			r.d.scheduler.Cancel(choice, now)
-			return nil
-		}
-		r.countCharge()
+	if !r.chargeBeside(now) {
+		r.d.scheduler.Cancel(choice, now)
+		return nil
 	}
 	return choice
 }
 
-// abandon ends an attempt that is not needed, as the replica beside which it was tried goes on.
-func (s *successor) abandon() {
-	s.x.cancel(nil)
-	s.resp.Finish(false)
-	result, err := s.x.lost(context.Canceled, "the silent replica goes on")
-	_ = s.x.end(result, err)
+// chargeBeside charges the retry budget for an attempt beside those under way, and reports whether it allows that.
+func (r *run) chargeBeside(now time.Time) bool {
+	if r.charged >= r.arrived+r.unsettled {
+		return true
+	}
+	allowed := r.d.budget.Allow(r.req.Service.Name, now)
+	if allowed {
+		r.countCharge()
+	}
+	return allowed
+}
+
+// attemptBeside is an attempt whose replica has begun to answer.
+type attemptBeside struct {
+	x    *exchange
+	resp *upstream.Response
+}
+
+func (a *attemptBeside) abandon() {
+	a.x.cancel(nil)
+	a.resp.Finish(false)
+	result, err := a.x.lost(context.Canceled, "the silent replica goes on")
+	_ = a.x.end(result, err)
 }
 
-// forward goes on with the answer of a successor.
-func (s *successor) forward() error {
-	s.x.reportChoice(s.x.choice, len(s.x.exclude))
-	result, err := s.x.forward(s.resp)
-	return s.x.end(result, err)
+func (a *attemptBeside) forward() (successor, error) {
+	x := a.x
+	defer x.cancel(nil)
+	x.reportChoice(x.choice, len(x.exclude))
+	result, err := x.forward(a.resp)
+	err = x.end(result, err)
+	x.exclude[x.choice.ID] = true
+	return x.successor, err
 }
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/retry"
 )
 
@@ -74,20 +75,60 @@
 	}
 }
 
-// TestStalledStreamEndsAtHostThatIsCutOff guards against callers that wait at a host which reaches no replica: another
-// host may resume the stream.
-func TestStalledStreamEndsAtHostThatIsCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{plan: []behaviour{stallsForGood}, ranAt: map[string]bool{}}
-		d, _ := newDispatcher(f)
-		began := time.Now()
-		d.IsCutOff = func(string) bool { return time.Since(began) > minHangTimeout }
-		if _, err := d.Run(t.Context(), testRequest(config.Streaming, true, 2), &recorder{}); err == nil || time.Since(began) > 2*minHangTimeout+watchInterval {
-			t.Errorf("ended with %v after %v", err, time.Since(began))
-		}
-		time.Sleep(stallPause)
-		checkReleased(t, d)
-	})
+// TestStalledStreamOfHostThatIsCutOffIsResumedByAnother guards against streams that end at a host which thinks that it
+// reaches no replica, with nothing in their place, and against callers that wait there although another host could go on.
+func TestStalledStreamOfHostThatIsCutOffIsResumedByAnother(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent  behaviour
+		reached bool
+		within  time.Duration
+	}{
+		"another host resumes it":       {stallsForGood, true, 2 * minHangTimeout},
+		"no other host can be reached":  {stalls, false, stallPause},
+		"another host answers it whole": {hangs, true, minHangTimeout},
+		"no other host has an answer":   {streamsLate, false, stallPause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{plan: []behaviour{c.silent}, ranAt: map[string]bool{}}
+				d, _ := newDispatcher(f)
+				out := &recorder{}
+				began := time.Now()
+				d.IsCutOff = func(string) bool { return time.Since(began) > minHangTimeout/2 }
+				d.PassOn = func(_ context.Context, _ *Request, runs int, lastEvent int64) (*PassedOn, error) {
+					if !c.reached {
+						return nil, errkind.New(errkind.NoBackend, "none")
+					}
+					if runs != 1 {
+						t.Errorf("passed on as run %d times", runs)
+					}
+					return &PassedOn{Host: "h-2", Status: http.StatusOK, Abandon: func() {}, Copy: func(out Answer) error {
+						var err error
+						if lastEvent == 0 {
+							err = out.Start(http.StatusOK, http.Header{})
+						}
+						for n := int(lastEvent) + 1; n <= testEvents && err == nil; n++ {
+							err = out.Event([]byte(eventText(n)))
+						}
+						return err
+					}}, nil
+				}
+				req := testRequest(config.Streaming, true, 2)
+				ctx, cancel := context.WithDeadline(t.Context(), req.Deadline)
+				defer cancel()
+				report, err := d.Run(ctx, req, out)
+				took := time.Since(began)
+				if err != nil || out.body != wholeStream() || out.wrote != 1 {
+					t.Errorf("ended with %v after %v: %q, head written %d times, %+v", err, took, out.body, out.wrote, report)
+				}
+				if took > c.within+2*watchInterval {
+					t.Errorf("complete after %v, want %v", took, c.within)
+				}
+				time.Sleep(2 * stallPause)
+				checkReleased(t, d)
+			})
+		})
+	}
 }
 
 // TestSilentReplicaIsKeptIfNoOtherMayBeTried guards against requests that are given up for a replica that is silent
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -115,8 +116,8 @@
 		fields["target_ms"] = ex.route.LatencyTarget.Milliseconds()
 		fields["deadline_ms"] = ex.deadline().Sub(ex.arrived).Milliseconds()
 	}
-	if ex.passedOn.Host != "" {
-		fields["forwarded_to"] = ex.passedOn.Host
+	if host := cmp.Or(ex.passedOn.Host, ex.report.PassedOnTo); host != "" {
+		fields["forwarded_to"] = host
 	}
 	if ex.memory.Ended() {
 		fields["ended_for_memory"] = true
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/dispatch"
+	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/test/standin/engine"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
@@ -101,3 +104,29 @@
 		})
 	}
 }
+
+// TestStreamOfSilentReplicaGoesOnAtAnotherHost guards against streams that a host ends, or leaves silent, once it counts
+// as cut off from their servers.
+func TestStreamOfSilentReplicaGoesOnAtAnotherHost(t *testing.T) {
+	here, there := newFixture(t), newFixture(t)
+	here.engine.Pace = 4 * time.Second
+	for _, f := range []*fixture{here, there} {
+		route := f.view.Config.Routes[0]
+		route.Resumable, route.Attempts, route.PauseTarget = true, 2, 100*time.Millisecond
+	}
+	here.cutOff(there.address())
+	here.deps.IsCutOff = func(string) bool { return false }
+	began := time.Now()
+	dispatcher := here.deps.Dispatcher
+	dispatcher.IsCutOff = func(string) bool { return time.Since(began) > 500*time.Millisecond }
+	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, runs int, lastEvent int64) (*dispatch.PassedOn, error) {
+		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: runs, AllowRetry: func() bool { return true }}, lastEvent)
+	}
+	resp, body, complete := here.post(t, "/notes/", testKey, "")
+	if resp == nil || resp.StatusCode != http.StatusOK || !complete || strings.Count(body, "id: ") != 6 || time.Since(began) > 3*time.Second {
+		t.Errorf("%+v, %q, complete %v after %v", resp, body, complete, time.Since(began))
+	}
+	if last := there.engineHeader().Get("Last-Event-Id"); last != "1" {
+		t.Errorf("resumed after event %q, want 1", last)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,13 @@
 	return t.report, err
 }
 
+// Begin passes a request on, in the place of a replica that is silent, and returns the answer once it has begun: that
+// of a stream from after lastEvent on, if that is not 0. Its errors say nothing about whether the request ran.
+func (f *Forwarder) Begin(ctx context.Context, req *Request, lastEvent int64) (*dispatch.PassedOn, error) {
+	t := &transfer{f: f, req: req, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: req.Ran, lastEvent: lastEvent, started: lastEvent > 0}
+	return t.begin(ctx)
+}
+
 func (f *Forwarder) encode(req *Request, ran int, lastEvent int64) *upstream.Request {
 	maxIdle := time.Duration(0)
 	if !req.Route.Repeatable() {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -39,7 +41,7 @@
 
 // run tries hosts until one has answered or no other may be tried.
 func (t *transfer) run(ctx context.Context) error {
-	lastErr := errkind.New(errkind.NoBackend, "this host reaches no replica of the service, and no other host that does can be reached")
+	lastErr := errNoHost()
 	for tries := 0; tries < maxHosts; {
 		host, ok := t.f.Pick(t.req.Service.Name, t.exclude)
 		if !ok {
@@ -60,28 +62,92 @@
 	return lastErr
 }
 
+// begin tries hosts until one has begun to answer with success.
+func (t *transfer) begin(ctx context.Context) (*dispatch.PassedOn, error) {
+	for range maxHosts {
+		host, ok := t.f.Pick(t.req.Service.Name, t.exclude)
+		if !ok {
+			break
+		}
+		t.exclude[host.ID] = true
+		resp, err := t.send(ctx, host)
+		if errors.Is(err, errNotRun) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if err := awaitSuccess(resp); err != nil {
+			resp.Finish(false)
+			return nil, err
+		}
+		return &dispatch.PassedOn{
+			Host: host.ID, Status: resp.Status, Abandon: func() { resp.Finish(false) },
+			Copy: func(out dispatch.Answer) error { return t.copyOrGoOn(ctx, host, resp, out) },
+		}, nil
+	}
+	return nil, errNoHost()
+}
+
+// awaitSuccess waits for the first bytes of a stream. It returns an error if the answer is no success of a replica.
+func awaitSuccess(resp *upstream.Response) error {
+	if !isSuccess(resp) || !resp.Answer.Sealed {
+		return errkind.New(errkind.BackendRefused, fmt.Sprintf("the host that the request was passed on to answered %d", resp.Status))
+	}
+	if !isEventStream(resp) {
+		return nil
+	}
+	body := bufio.NewReader(resp.Body)
+	resp.Body = body
+	_, err := body.Peek(1)
+	return errors.Wrap(err, "await the first event")
+}
+
+// copyOrGoOn writes an answer that has begun, and goes on at another host if the one that runs it has ended.
+func (t *transfer) copyOrGoOn(ctx context.Context, host Host, resp *upstream.Response, out dispatch.Answer) error {
+	t.out = out
+	err := t.copyAnswer(ctx, resp)
+	if err != nil && t.mayRepeat(ctx, host, err) {
+		err = t.run(ctx)
+	}
+	return err
+}
+
+func errNoHost() *errkind.Error {
+	return errkind.New(errkind.NoBackend, "this host reaches no replica of the service, and no other host that does can be reached")
+}
+
 // try passes the request on to one host. The error is errNotRun if another one may be tried in any case.
 func (t *transfer) try(ctx context.Context, host Host) error {
+	resp, err := t.send(ctx, host)
+	if err != nil {
+		return err
+	}
+	return t.copyAnswer(ctx, resp)
+}
+
+// send passes the request on to one host and returns the answer, of which the head was read.
+func (t *transfer) send(ctx context.Context, host Host) (*upstream.Response, error) {
 	lostBefore := t.ran > t.req.Ran
 	resp, err := t.f.Pool.Send(ctx, host.CallerAddress, t.f.encode(t.req, t.ran, t.lastEvent))
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
 		switch {
 		case ctx.Err() == nil:
-			return errNotRun
+			return nil, errNotRun
 		case errors.Is(ctx.Err(), context.DeadlineExceeded) && !lostBefore:
-			return errkind.Wrap(errkind.Overloaded, err, "the deadline passed before the request was passed on to another host")
+			return nil, errkind.Wrap(errkind.Overloaded, err, "the deadline passed before the request was passed on to another host")
 		}
 	}
 	if err != nil {
 		t.arrived(host)
 		t.ran++
-		return lost(ctx, err, "the host that the request was passed on to was lost")
+		return nil, lost(ctx, err, "the host that the request was passed on to was lost")
 	}
 	if platform.Unreached(resp.Header) || lostBefore && !resp.Answer.Sealed {
 		// A rejection would state that the request did not run.
 		resp.Discard()
-		return errNotRun
+		return nil, errNotRun
 	}
 	t.arrived(host)
 	if resp.Answer.Sealed {
@@ -92,10 +158,10 @@
 	}
 	if t.started && !isEventStream(resp) {
 		resp.Discard()
-		return errkind.New(errkind.BackendLost, "another host answered in place of the rest of the stream")
+		return nil, errkind.New(errkind.BackendLost, "another host answered in place of the rest of the stream")
 	}
 	t.report.Status, t.report.Rejected = resp.Status, !resp.Answer.Sealed
-	return t.copyAnswer(ctx, resp)
+	return resp, nil
 }
 
 // arrived records that a host answered or was lost with the request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,6 +376,13 @@
 	dispatcher.Shares = n.shares
 	dispatcher.AcquirePermit = n.acquireRequestPermit
 	dispatcher.IsCutOff = n.isCutOff
+	forwarder := &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget, Served: n.recordForwardServed}
+	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, runs int, lastEvent int64) (*dispatch.PassedOn, error) {
+		return forwarder.Begin(ctx, &forward.Request{
+			Request: req, Config: n.config.Load().Version, Ran: runs,
+			AllowRetry: func() bool { return dispatcher.AllowRetry(req.Service.Name) },
+		}, lastEvent)
+	}
 	n.entry = entry.New(entry.Deps{
 		View:            n.entryView,
 		CheckAccepting:  n.refuse,
@@ -387,7 +394,7 @@
 		IsCutOff:        n.isCutOff,
 		LostContact:     n.replicas.LostContact,
 		ReachesFew:      n.reachesFew,
-		Forwarder:       &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget, Served: n.recordForwardServed},
+		Forwarder:       forwarder,
 		Limiter:         n.limiter,
 		ReportUsage:     n.requestHeartbeat,
 		Memory:          n.memory,
