Idle connections of callers follow the configuration

The value was decoded and used nowhere: the settings' idle_timeout (60 s by default) held.

What callers see: where a configuration allows more than the settings, the host closes channels that callers may still use; a request that crosses the close ends with a closed channel, and one that may not be repeated is lost to the caller unless it was not read. Where it allows less, idle channels are kept for longer than anyone uses them.

Change: the callers' and the directory's listener replace the server's idle deadline with the limit of the newest configuration, or the settings' where it sets none. It is looked at again when the deadline passes, so that a longer limit also holds for connections that are idle already; one that became idle under a longer limit keeps that. The header deadline and the deadlines that end a transfer are left as they are.

--- /dev/null
+++ b/internal/node/idle_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/briarlink/briarlink/internal/config"
+	"github.com/briarlink/briarlink/internal/obs"
+	"github.com/briarlink/briarlink/internal/settings"
+)
+
+// TestIdleConnectionsFollowTheConfiguration guards against connections that are closed while callers may
+// still send on them: a configuration allows a longer idle time than the settings, or than the one before.
+func TestIdleConnectionsFollowTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := settings.Defaults()
+		set.Request.IdleTimeout = durationpb.New(2 * time.Second)
+		log, lines := obs.NewLogger(set.Log, io.Discard)
+		defer lines.Close()
+		n := New(set, nil, log, lines)
+		metrics, handler, closer := obs.NewMetrics()
+		defer closer.Close()
+		n.metrics = metrics
+		n.buildEntry()
+		client, server := net.Pipe()
+		callers := &pipeListener{conns: make(chan net.Conn, 1)}
+		callers.conns <- server
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		servers := n.serve(ctx, &wg, &Listeners{callers: callers, peers: &pipeListener{conns: make(chan net.Conn)}}, handler)
+		defer func() {
+			for _, s := range servers {
+				s.close(time.Second, n.entry.Abort)
+			}
+		}()
+		for i, step := range []struct {
+			limit time.Duration
+			// The new limit is in force after the first part of the time.
+			before, after time.Duration
+			closed        bool
+		}{
+			{limit: 10 * time.Second},
+			{10 * time.Second, 0, 8 * time.Second, false},
+			{30 * time.Second, 8 * time.Second, 16 * time.Second, false},
+			{time.Second, 10 * time.Second, 14 * time.Second, false},
+			{time.Second, 0, 800 * time.Millisecond, false},
+			{time.Second, 0, 1100 * time.Millisecond, true},
+		} {
+			time.Sleep(step.before)
+			n.config.Store((&config.Config{Version: int64(i), Limits: config.Limits{IdleTimeout: step.limit}}).Build())
+			time.Sleep(step.after)
+			_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: museum.example\r\n\r\n")
+			if err == nil {
+				_, err = readAnswer(client)
+			}
+			if (err != nil) != step.closed {
+				t.Fatalf("step %d: %v", i, err)
+			}
+		}
+	})
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -106,9 +106,9 @@
 		listener net.Listener
 		handler  http.Handler
 	}{
-		{"callers", limitConnections(l.callers, n.memory), n.entry.Handler()},
+		{"callers", withIdleTimeout(limitConnections(l.callers, n.memory), n.idleTimeout), n.entry.Handler()},
 		{"ready", l.ready, n.entry.ReadyHandler()},
-		{"directory", l.directory, n.entry.DirectoryHandler()},
+		{"directory", withIdleTimeout(l.directory, n.idleTimeout), n.entry.DirectoryHandler()},
 		{"operators", l.operators, operators},
 		{"metrics", l.metrics, mux},
 	} {
@@ -127,6 +127,7 @@
 			MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
+			ConnState:         markIdle,
 			ErrorLog:          nil,
 		},
 		log: n.log,
