Callers may send headers for as long as the configuration allows

HeaderTimeoutMs of the configuration bounds how long callers may take to send a request's headers. It was decoded and used nowhere; 10 s held.

What callers see: where a configuration allows more than 10 s, a caller that takes as long as it may finds its channel closed without an answer.

Change: the deadline of the headers is the longer of 10 s and the limit in force when the host begins to wait for them (for a connection's first request that is when it is accepted). A lower limit does not shorten it. The listener of the idle timeouts does it too, and is named for both.

Ruled out, and left as it is: MaxHeaderBytes of the configuration is used nowhere either.

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -15,8 +15,8 @@
 	"github.com/briarlink/briarlink/internal/peer"
 )
 
-// headerTimeout is the maximum time for a caller to send a request's headers.
-const headerTimeout = 10 * time.Second
+// minHeaderTimeout is the shortest time that a caller is given to send a request's headers.
+const minHeaderTimeout = 10 * time.Second
 
 // Listeners are the open sockets of one host, from Listen to the end of Run. Those absent from
 // the settings are nil.
@@ -106,9 +106,9 @@
 		listener net.Listener
 		handler  http.Handler
 	}{
-		{"callers", withIdleTimeout(limitConnections(l.callers, n.memory), n.idleTimeout), n.entry.Handler()},
+		{"callers", n.withTimeouts(limitConnections(l.callers, n.memory)), n.entry.Handler()},
 		{"ready", l.ready, n.entry.ReadyHandler()},
-		{"directory", withIdleTimeout(l.directory, n.idleTimeout), n.entry.DirectoryHandler()},
+		{"directory", n.withTimeouts(l.directory), n.entry.DirectoryHandler()},
 		{"operators", l.operators, operators},
 		{"metrics", l.metrics, mux},
 	} {
@@ -125,7 +125,7 @@
 		http: &http.Server{
 			Handler:           handler,
 			MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
-			ReadHeaderTimeout: headerTimeout,
+			ReadHeaderTimeout: minHeaderTimeout,
 			IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
 			ConnState:         markIdle,
 			ErrorLog:          nil,
