replica: a server's silence makes no answer overdue

Cause: an answer was presumed lost 0.7 s after it was due as soon as any later request was answered. A server that was silent for longer and goes on in another order than before fulfils that at its first answer. Ruled out: requests that are answered out of order without a silence; these stay within the 0.7 s (TestSlowAnswersAreNotLost).

Change: of a time in which nothing arrives from a server while several of its answers are overdue by over 0.2 s, 0.2 s count. A lost answer is found when it was before, if data arrives each 0.2 s, or if no other answer is overdue by as much; after a silence within 0.7 s of its end. At a server all answers of which are late by over 0.2 s, one at a time, it takes four of them.

Left: with a single answer overdue by over 0.2 s at the end of a silence, the silence can't be told from a loss.

--- a/internal/replica/failures.go
+++ b/internal/replica/failures.go
@@ -89,16 +89,56 @@
 // order, by urgency and size, mostly by less than half a second.
 const overdueThreshold = 700 * time.Millisecond
 
+// maxCountedSilence is how much of a server's silence counts towards overdueThreshold. After a silence a sound
+// server may go on with its requests in any order.
+const maxCountedSilence = 200 * time.Millisecond
+
+// recordData records that data of any answer arrived from the server.
+func (e *entry) recordData(now time.Time) {
+	if now.Sub(e.dataAt) > maxCountedSilence {
+		e.discountSilence(now)
+	}
+	e.dataAt = now
+}
+
+// discountSilence excludes the silence that ends now from the time for which unanswered requests are overdue. Several
+// must be overdue: if a single one is, its answer may be lost.
+func (e *entry) discountSilence(now time.Time) {
+	var overdue []*Flight
+	for f := range e.flights {
+		if !f.answerStarted && !f.presumedLost && e.overdueFor(f, now) > maxCountedSilence {
+			overdue = append(overdue, f)
+		}
+	}
+	if len(overdue) < 2 {
+		return
+	}
+	for _, f := range overdue {
+		f.discounted += e.overdueFor(f, now) - maxCountedSilence
+	}
+}
+
+// overdueFor returns how long a request's answer has been overdue, counted from when data last arrived from the
+// server if that is later.
+func (e *entry) overdueFor(f *Flight, now time.Time) time.Duration {
+	due := f.start.Add(f.work.Expected)
+	if e.dataAt.After(due) {
+		due = e.dataAt
+	}
+	return now.Sub(due)
+}
+
 // detectLostAnswers is called when a request is answered. It presumes lost the answers to
-// earlier requests to the same server that are long overdue. Otherwise such a request would
-// only end when its caller leaves, which says nothing about the server.
+// earlier requests to the same server that are long overdue, silences of the server aside.
+// Otherwise such a request would only end when its caller leaves, which says nothing about the
+// server.
 func (t *Table) detectLostAnswers(answered *Flight, now time.Time) {
 	if t.Off[mechanism.LostAnswers] {
 		return
 	}
 	e := answered.entry
 	for f := range e.flights {
-		if f.answerStarted || f.presumedLost || !f.start.Before(answered.start) || now.Sub(f.start) < f.work.Expected+overdueThreshold {
+		if f.answerStarted || f.presumedLost || !f.start.Before(answered.start) || now.Sub(f.start) < f.work.Expected+overdueThreshold+f.discounted {
 			continue
 		}
 		f.presumedLost = true
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -46,6 +46,8 @@
 	ratio float64
 	// presumedLost is set once a later request was answered while this one was long overdue.
 	presumedLost bool
+	// discounted is the part of the server's silences for which the answer does not count as overdue.
+	discounted time.Duration
 }
 
 // Begin records a request that is about to be sent. It returns nil if the server may no
@@ -91,6 +93,7 @@
 func (f *Flight) AnswerStarted(now time.Time) {
 	f.table.mu.Lock()
 	defer f.table.unlockAndNotify()
+	f.entry.recordData(now)
 	f.progressAt, f.stallChecked = now, false
 	f.table.contactOf(f.entry.reg.Service).heardAt = now
 	if f.answerStarted {
@@ -150,6 +153,9 @@
 		// It says nothing about the server now that the cut is over.
 		r, unresponsive = Cancelled, false
 	}
+	if r == Answered || r == Failed || r == Refused {
+		f.entry.recordData(now)
+	}
 	delete(f.entry.flights, f)
 	switch {
 	case r == Answered:
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -149,6 +149,8 @@
 	unresponsive bool
 	// lastSeen is the time of the last liveness signal in any answer.
 	lastSeen time.Time
+	// dataAt is when data of any answer last arrived.
+	dataAt time.Time
 	// failingSince is since when no connection to the server could be opened, or zero.
 	failingSince time.Time
 	// reachedAt is when this host last reached the server, or zero.
