A retry after the loss of a host is charged where there is budget

What callers saw: three hosts, 16 streams passed on by one that is cut off, one of the two others stopped with a grace time of 1.5 s.

Cause: a passed-on request counts for the retry budget at the host that runs it. When that one ends, the credit is at other hosts, and the host that passed the request on has its part of the slack alone.

Change: if its own budget refuses, the request goes out with a mark, and the host that receives it charges its own or rejects it.

Test: two cases of TestPassedOnRequestSurvivesTheOtherHost.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// chargePassedOnRetry charges a retry of a request that was passed on to this host, if the other host could not.
+func (ex *exchange) chargePassedOnRetry() error {
+	if !ex.isForwarded || !ex.mark.ChargeRetry || ex.service == nil || ex.s.Dispatcher.AllowRetry(ex.service.Name) {
+		return nil
+	}
+	return errkind.New(errkind.Overloaded, "the retry budget is used up")
+}
+
 func (ex *exchange) forward(body []byte) error {
 	report, err := ex.s.Forwarder.Send(ex.r.Context(), &forward.Request{
 		Request: ex.request(body), Config: ex.view.Config.Version, Ran: ex.report.Ran,
@@ -81,7 +89,6 @@
 	}, ex)
 	ex.passedOn = report
 	ex.report.RetriesCharged += report.Retries
-	ex.report.RetryRefused = ex.report.RetryRefused || report.RetryRefused
 	ex.report.Status = report.Status
 	if ex.report.First == 0 {
 		ex.report.First = report.First
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -101,6 +101,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ex.chargePassedOnRetry(); err != nil {
+		return err
+	}
 	err = ex.dispatch(body)
 	if ex.mayForward(err) {
 		return ex.passOnAfter(err, body)
@@ -228,6 +231,9 @@
 	defer cancel()
 	report, err := ex.s.Dispatcher.Run(ctx, ex.request(body), ex)
 	ex.report = report
+	if ex.mark.ChargeRetry {
+		ex.report.RetriesCharged++
+	}
 	return err
 }
 
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -59,6 +59,7 @@
 	for name, c := range map[string]struct {
 		text                             string
 		survives, unsafe, plain, noRetry bool
+		retryThere                       bool
 		attempts, ran                    int
 		want                             string
 	}{
@@ -70,6 +71,7 @@
 		"not to be resumed":     {text: stream(events(1, 2)), unsafe: true, attempts: 2, want: events(1, 2)},
 		"not to be repeated":    {text: head, plain: true, unsafe: true, attempts: 2},
 		"no attempt left":       {text: stream(events(1, 2)), attempts: 1, want: events(1, 2)},
+		"no retry left here":    {text: stream(events(1, 2)), noRetry: true, retryThere: true, attempts: 2, ran: 1, want: events(1, 6)},
 		"no retry left":         {text: stream(events(1, 2)), noRetry: true, attempts: 2, want: events(1, 2)},
 		"ended by a live host":  {text: stream(events(1, 2)), survives: true, attempts: 2, want: events(1, 2)},
 		"an event out of order": {text: stream(events(1, 1) + events(3, 3)), survives: true, attempts: 2, want: events(1, 1)},
@@ -90,6 +92,9 @@
 			if c.noRetry {
 				here.budget.SetHosts(0, 1)
 			}
+			if c.noRetry && !c.retryThere {
+				there.budget.SetHosts(0, 1)
+			}
 			began := time.Now()
 			resp, body, complete := here.post(t, "/notes/", testKey, "")
 			if c.ran > 0 && (resp == nil || resp.StatusCode != http.StatusOK || !complete) || complete && c.ran == 0 && resp.StatusCode == http.StatusOK {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,7 +57,8 @@
 	Config int64
 	// Ran counts the attempts in which a replica may already have run it.
 	Ran int
-	// AllowRetry charges the retry budget for one more arrival at a replica, and reports whether it allows that.
+	// AllowRetry charges the retry budget for one more arrival at a replica, and reports whether it allows that. If it
+	// does not, the other host is asked to charge its own, which may be larger: it counts the requests passed on to it.
 	AllowRetry func() bool
 }
 
@@ -69,10 +70,8 @@
 	Status int
 	// Rejected is set if the answer is the other host's own, not a replica's.
 	Rejected bool
-	// Retries counts the retries that were charged because the host that ran the request had ended. RetryRefused is set
-	// if the retry budget refused one.
-	Retries      int
-	RetryRefused bool
+	// Retries counts the retries that this host charged because the one that ran the request had ended.
+	Retries int
 	// First is the time until the head of the answer was received.
 	First time.Duration
 }
@@ -96,13 +95,14 @@
 	return t.begin(ctx)
 }
 
-func (f *Forwarder) encode(req *Request, ran int, lastEvent int64) *upstream.Request {
+func (f *Forwarder) encode(req *Request, ran int, lastEvent int64, chargeRetry bool) *upstream.Request {
 	maxIdle := time.Duration(0)
 	if !req.Route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
 	}
 	mark := platform.Forwarded{
 		Host: f.Self, Config: req.Config, Ran: ran, ID: req.ID, Key: req.Caller.Key, Remaining: clock.Until(req.Deadline),
+		ChargeRetry: chargeRetry,
 	}
 	if lastEvent > 0 {
 		mark.LastEvent = strconv.FormatInt(lastEvent, 10)
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -36,7 +36,9 @@
 	started, committed bool
 	// lastEvent is the number of the last event that the caller received, 0 before the first.
 	lastEvent int64
-	report    Report
+	// chargeThere is set if the next host has to charge the retry.
+	chargeThere bool
+	report      Report
 }
 
 // run tries hosts until one has answered or no other may be tried.
@@ -129,7 +131,7 @@
 // send passes the request on to one host and returns the answer, of which the head was read.
 func (t *transfer) send(ctx context.Context, host Host) (*upstream.Response, error) {
 	lostBefore := t.ran > t.req.Ran
-	resp, err := t.f.Pool.Send(ctx, host.CallerAddress, t.f.encode(t.req, t.ran, t.lastEvent))
+	resp, err := t.f.Pool.Send(ctx, host.CallerAddress, t.f.encode(t.req, t.ran, t.lastEvent, t.chargeThere))
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
 		switch {
@@ -172,7 +174,8 @@
 	}
 }
 
-// mayRepeat reports whether another host may be sent the request after err, and charges the retry budget. A host that
+// mayRepeat reports whether another host may be sent the request after err, and charges this host's retry budget if
+// that allows it. A host that
 // still accepts connections has ended the answer itself, as its own attempts or retries are used up.
 func (t *transfer) mayRepeat(ctx context.Context, host Host, err error) bool {
 	route := t.req.Route
@@ -185,11 +188,10 @@
 	if ctx.Err() != nil || !clock.Now().Before(t.req.Deadline) {
 		return false
 	}
-	if !t.req.AllowRetry() {
-		t.report.RetryRefused = true
-		return false
+	t.chargeThere = !t.req.AllowRetry()
+	if !t.chargeThere {
+		t.report.Retries++
 	}
-	t.report.Retries++
 	return true
 }
 
