replica: a pause of servers does not make a host reach few

Cause: a server counted as missing once it was unresponsive for 0.6 s, or was marked down for that, and as reached if it answered in the last 3 s. A host that had sent it nothing since the pause began still counted it as reached, so that hosts differed by who had heard last.

Change: a server is missing if connections to it fail, or if it has owed an answer without any sign of life for silence.AnswerTime, across requests that end meanwhile. Below that it counts for neither side. Three such servers have the host connect to them, so that a cut in which connections fail is noticed by these. A silent server that is missed proves itself by an answer to a health check, not by a connection that opens.

--- a/internal/replica/contact.go
+++ b/internal/replica/contact.go
@@ -55,6 +55,8 @@
 	reachedBefore time.Time
 	probedAt      time.Time
 	coverage      Coverage
+	// undecided is the number of servers that are unresponsive, but not for long enough to count as missing.
+	undecided int
 	// reachesFew is set while other hosts reach many more of the servers than this host.
 	reachesFew bool
 	// coverageProbedAt is when servers were last probed because this host misses several.
@@ -390,6 +392,7 @@
 	t.mu.Lock()
 	defer t.unlockAndNotify()
 	if e := t.entries[id]; e != nil {
+		e.silentAt = time.Time{}
 		t.recordAnswered(e, began, now)
 	}
 }
--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -23,7 +23,9 @@
 	swallows   bool
 	answerTime time.Duration
 	// slow servers accept requests and answer none, but answer health checks.
-	slow        map[string]bool
+	slow map[string]bool
+	// paused servers answer nothing until then.
+	paused      map[string]time.Time
 	othersReach bool
 }
 
@@ -32,7 +34,11 @@
 // play sends a request to each of the given servers and runs the probes that are due, as a host does
 // every 100 ms. Connections that fail time out after 400 ms.
 func (l *link) play(t *Table, targets []string) {
-	const connectTimeout, requestTimeout = 400 * time.Millisecond, 2 * time.Second
+	const connectTimeout, requestTimeout, pausedDeadline = 400 * time.Millisecond, 2 * time.Second, time.Second
+	answered := func(f *Flight) {
+		f.AnswerStarted(time.Now())
+		f.End(Answered, time.Now())
+	}
 	for _, id := range targets {
 		f := t.Begin(id, Work{Expected: 30 * time.Millisecond}, time.Now())
 		if f == nil {
@@ -43,8 +49,15 @@
 			continue
 		}
 		if l.reaches(id) {
-			f.AnswerStarted(time.Now())
-			f.End(Answered, time.Now())
+			switch wait := time.Until(l.paused[id]); {
+			case wait > pausedDeadline:
+				time.AfterFunc(pausedDeadline, func() { f.End(Cancelled, time.Now()) })
+				continue
+			case wait > 0:
+				time.AfterFunc(wait, func() { answered(f) })
+				continue
+			}
+			answered(f)
 			continue
 		}
 		time.AfterFunc(connectTimeout, func() { f.End(ConnectTimeout, time.Now()) })
@@ -60,7 +73,7 @@
 		case !p.Ask:
 			t.RecordContactProbe(p.ID, true, began, time.Now())
 		case !l.swallows:
-			time.AfterFunc(l.answerTime, func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
+			time.AfterFunc(max(l.answerTime, time.Until(l.paused[p.ID])), func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
 		}
 	}
 	for service := range t.SilentServices(time.Now()) {
--- a/internal/replica/coverage.go
+++ b/internal/replica/coverage.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/briarlink/briarlink/internal/silence"
 )
 
 const (
@@ -53,10 +55,24 @@
 	return c.Missing >= minMissing && other.Reached >= 2*max(1, c.Reached) && 2*most < least
 }
 
-// missing reports whether this host misses a server.
-func (e *entry) missing() bool {
-	down := e.health.downTime > 0 && e.health.reachableSince.IsZero()
-	return !e.failingSince.IsZero() || down || e.unresponsive
+// missing reports whether this host misses a server: connections to it fail, or it has been silent for longer than a
+// sound server may be.
+func (e *entry) missing(now time.Time) bool {
+	return !e.failingSince.IsZero() || e.health.unreachable || e.silent(now)
+}
+
+// recordUnresponsive records that the server has been unresponsive for a time. Requests may end meanwhile, and
+// others begin: the silence lasts until an answer.
+func (e *entry) recordUnresponsive(d time.Duration, now time.Time) {
+	if e.silentSince.Before(e.lastSeen) || now.Sub(e.silentAt) >= reachedWindow {
+		e.silentSince = now.Add(-d)
+	}
+	e.silentAt = now
+}
+
+// silent reports whether the server was recently found to have answered nothing for silence.AnswerTime.
+func (e *entry) silent(now time.Time) bool {
+	return !e.silentSince.Before(e.lastSeen) && now.Sub(e.silentAt) < reachedWindow && e.silentAt.Sub(e.silentSince) >= silence.AnswerTime
 }
 
 func (e *entry) recentlyReached(now time.Time) bool {
@@ -70,14 +86,16 @@
 		return
 	}
 	t.coverageAt = now
-	updated := map[string]Coverage{}
+	updated, undecided := map[string]Coverage{}, map[string]int{}
 	for id, e := range t.tried {
 		c := updated[e.reg.Service]
 		switch {
 		case !e.is(StateServing) && !e.is(StateLapsed):
 			delete(t.tried, id)
-		case e.missing():
+		case e.missing(now):
 			c.Missing++
+		case e.unresponsive:
+			undecided[e.reg.Service]++
 		case e.recentlyReached(now):
 			c.Reached++
 		default:
@@ -89,6 +107,7 @@
 		c := updated[service]
 		c.Servers = len(ids)
 		t.setCoverage(service, c)
+		t.contactOf(service).undecided = undecided[service]
 	}
 }
 
@@ -106,20 +125,23 @@
 	coverageProbeInterval = 500 * time.Millisecond
 	// coverageSample is the number of servers of a service that it tries at least then.
 	coverageSample = 40
-	// missingProbes is the number of missing servers that it probes at a time while it reaches few.
+	// missingProbes is the number of unresponsive servers that it probes at a time, and while it reaches few of
+	// missing ones.
 	missingProbes = 8
 )
 
-// coverageProbes returns servers, chosen at random, to connect to because this host misses several: some that it
-// has not tried, as the coverage rests on few otherwise, and while it reaches few some of those that it misses, as
-// it sends them no requests.
+// coverageProbes returns servers, chosen at random, to connect to because this host misses several or may miss them:
+// some that are unresponsive, some that it has not tried, as the coverage rests on few otherwise, and while it reaches
+// few some of those that it misses, as it sends them no requests. Silent ones are to answer a health check.
 func (t *Table) coverageProbes(service string, c *contact, now time.Time) []ContactProbe {
-	if c.lost() || c.coverage.Missing < minMissing || now.Sub(c.coverageProbedAt) < coverageProbeInterval {
+	if c.lost() || c.coverage.Missing+c.undecided < minMissing || now.Sub(c.coverageProbedAt) < coverageProbeInterval {
 		return nil
 	}
 	c.coverageProbedAt = now
-	untried := coverageSample - c.coverage.Reached - c.coverage.Missing
-	missing := 0
+	untried, undecided, missing := 0, missingProbes, 0
+	if c.coverage.Missing >= minMissing {
+		untried = coverageSample - c.coverage.Reached - c.coverage.Missing
+	}
 	if c.reachesFew {
 		missing = missingProbes
 	}
@@ -130,14 +152,16 @@
 		switch {
 		case !e.is(StateServing) && !e.is(StateLapsed) || e.limit.limited:
 			continue
-		case e.missing() && missing > 0:
+		case e.missing(now) && missing > 0:
 			missing--
-		case !e.missing() && !e.recentlyReached(now) && untried > 0:
+		case !e.missing(now) && e.unresponsive && undecided > 0:
+			undecided--
+		case !e.missing(now) && !e.unresponsive && !e.recentlyReached(now) && untried > 0:
 			untried--
 		default:
 			continue
 		}
-		out = append(out, ContactProbe{ID: ids[i], Address: e.reg.Address, Service: service})
+		out = append(out, ContactProbe{ID: ids[i], Address: e.reg.Address, Service: service, Ask: e.silent(now)})
 	}
 	return out
 }
--- a/internal/replica/coverage_test.go
+++ b/internal/replica/coverage_test.go
@@ -2,27 +2,29 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
-// comparedHosts plays two hosts that compare how many servers they reach, as hosts do with their heartbeats.
+// comparedHosts plays hosts that compare how many servers they reach, as hosts do with their heartbeats.
 type comparedHosts struct {
-	tables  [2]*Table
-	links   [2]*link
+	tables  []*Table
+	links   []*link
 	servers int
+	// unequal is set if hosts have very different numbers of requests.
+	unequal bool
 	random  *rand.Rand
 }
 
-func newComparedHosts(servers int, down map[string]bool) *comparedHosts {
+func newComparedHosts(hosts, servers int, down map[string]bool) *comparedHosts {
 	h := &comparedHosts{servers: servers, random: rand.New(rand.NewPCG(1, uint64(servers)))}
-	for i := range h.tables {
-		h.tables[i], h.links[i] = manyServers(servers), &link{down: map[string]bool{}}
-		for id := range down {
-			h.links[i].down[id] = true
-		}
+	for range hosts {
+		h.tables = append(h.tables, manyServers(servers))
+		h.links = append(h.links, &link{down: maps.Clone(down)})
 	}
 	return h
 }
@@ -35,7 +37,11 @@
 	var wg sync.WaitGroup
 	for i, t := range h.tables {
 		var targets []string
-		for range requests {
+		n := requests
+		if h.unequal {
+			n = h.random.IntN(2) * h.random.IntN(1+[]int{1, 2, 6, 20}[i%4])
+		}
+		for range n {
 			if !t.ReachesFew("writer") {
 				targets = append(targets, h.id(h.random.IntN(h.servers)))
 			}
@@ -43,10 +49,15 @@
 		wg.Go(func() { h.links[i].play(t, targets) })
 	}
 	wg.Wait()
-	for i, t := range h.tables {
-		other := h.tables[1-i].Contacts()[0].Coverage
+	best := Coverage{}
+	for _, t := range h.tables {
+		if c := t.Contacts()[0].Coverage; c.Reached > best.Reached {
+			best = c
+		}
+	}
+	for _, t := range h.tables {
 		c := t.Contacts()[0]
-		t.SetReachesFew("writer", !c.Lost && c.Coverage.MuchLess(other))
+		t.SetReachesFew("writer", !c.Lost && c.Coverage.MuchLess(best))
 	}
 }
 
@@ -78,7 +89,7 @@
 	for i := range int(downShare * float64(servers)) {
 		down[fmt.Sprintf("i-%05d", i)] = true
 	}
-	h := newComparedHosts(servers, down)
+	h := newComparedHosts(2, servers, down)
 	for n := range 60 {
 		h.tick(requests)
 		for i, t := range h.tables {
@@ -113,3 +124,48 @@
 	}
 	return ""
 }
+
+// playPause has a share of the servers answer nothing for a time, and returns how many hosts counted as reaching few
+// servers, and for how long on average.
+func playPause(hosts, servers int, share float64, pause time.Duration) (few int, each time.Duration) {
+	h := newComparedHosts(hosts, servers, nil)
+	h.unequal = true
+	for range 20 {
+		h.tick(0)
+	}
+	paused := map[string]time.Time{}
+	for i := range int(share * float64(servers)) {
+		paused[h.id(i)] = time.Now().Add(pause)
+	}
+	for _, l := range h.links {
+		l.paused = paused
+	}
+	ticks := map[*Table]int{}
+	for range 40 {
+		h.tick(0)
+		for _, t := range h.tables {
+			if t.ReachesFew("writer") {
+				ticks[t]++
+				each += 100 * time.Millisecond
+			}
+		}
+	}
+	return len(ticks), each / time.Duration(max(1, len(ticks)))
+}
+
+// TestPausesDoNotMakeHostsReachFew guards against hosts whose callers are sent elsewhere because servers answer
+// nothing for a second: hosts that sent them no request just then still count them as reached.
+func TestPausesDoNotMakeHostsReachFew(t *testing.T) {
+	const servers = 12
+	for _, hosts := range []int{3, 9, 100, 400} {
+		for _, share := range []float64{0.6, 1} {
+			for _, pause := range []time.Duration{time.Second, 1300 * time.Millisecond} {
+				few, each := 0, time.Duration(0)
+				synctest.Test(t, func(*testing.T) { few, each = playPause(hosts, servers, share, pause) })
+				if few > 0 {
+					t.Errorf("%d hosts, %.1f of %d servers silent for %v: %d hosts count as reaching few, for %v on average", hosts, share, servers, pause, few, each)
+				}
+			}
+		}
+	}
+}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -311,6 +311,9 @@
 	if unresponsive && !e.unresponsive {
 		t.log.WithFields(logrus.Fields{"replica": e.reg.ID, "silence_ms": unresponsiveFor.Milliseconds(), "requests": len(e.flights)}).Warn("replica gives no sign of life")
 		t.recordHang(e.reg.Service, now)
+	}
+	if unresponsive {
+		e.recordUnresponsive(unresponsiveFor, now)
 		t.track(t.tried, e)
 	}
 	e.unresponsive = unresponsive
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -147,6 +147,8 @@
 	// unresponsive is set if the server had exceeded unresponsiveThreshold at the last
 	// check.
 	unresponsive bool
+	// silentSince is the beginning of the server's last silence, and silentAt when it was last found unresponsive.
+	silentSince, silentAt time.Time
 	// lastSeen is the time of the last liveness signal in any answer.
 	lastSeen time.Time
 	// dataAt is when data of any answer last arrived.
