A host that is cut off has its retries charged where there is budget

A silent replica's request went on at another host only if this one could charge it. Now the receiving host charges it, or rejects it, and then the silent attempt is kept. `dispatch.Progress` says how far the request has come. Tests of the takeover hold.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -228,10 +228,9 @@
 	// IsCutOff reports whether this host reaches no replica of a service although other hosts do. It
 	// must be set before the first request.
 	IsCutOff func(service string) bool
-	// PassOn passes a request on to a host that reaches its service, and returns the answer once it has begun, that of a
-	// stream from after an event on. runs counts the attempts in which a replica may have run it. It must be set
-	// before the first request; nil if there are no other hosts.
-	PassOn func(ctx context.Context, req *Request, runs int, lastEvent int64) (*PassedOn, error)
+	// PassOn passes a request on to a host that reaches its service, and returns the answer once it has begun. It must be
+	// set before the first request; nil if there are no other hosts.
+	PassOn func(ctx context.Context, req *Request, progress Progress) (*PassedOn, error)
 	// Off holds the disabled mechanisms. It must be set before the first request.
 	Off mechanism.Off
 	// Shares divides the capacity of plain services that are short of it; nil if that is not enabled. It must
--- a/internal/dispatch/passon.go
+++ b/internal/dispatch/passon.go
@@ -6,6 +6,16 @@
 	"github.com/briarlink/briarlink/internal/clock"
 )
 
+// Progress is how far a request has come that is passed on.
+type Progress struct {
+	// Ran counts the attempts in which a replica may have run it.
+	Ran int
+	// LastEvent is the last event that the caller received, 0 before the first.
+	LastEvent int64
+	// Charged is set if this host has charged the retry budget. Else the host that receives the request has to.
+	Charged bool
+}
+
 // PassedOn is the answer of another entry host, which has begun.
 type PassedOn struct {
 	Host   string
@@ -29,10 +39,10 @@
 	if r.req.Forwarded || r.d.PassOn == nil {
 		return nil, false
 	}
-	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused || !r.chargeBeside(now) {
+	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused {
 		return nil, false
 	}
-	answer, err := r.d.PassOn(ctx, r.req, r.report.Ran+r.unsettled, r.lastEvent)
+	answer, err := r.d.PassOn(ctx, r.req, Progress{r.report.Ran + r.unsettled, r.lastEvent, r.chargeBeside(now)})
 	if err != nil {
 		return nil, true
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -95,19 +95,19 @@
 				out := &recorder{}
 				began := time.Now()
 				d.IsCutOff = func(string) bool { return time.Since(began) > minHangTimeout/2 }
-				d.PassOn = func(_ context.Context, _ *Request, runs int, lastEvent int64) (*PassedOn, error) {
+				d.PassOn = func(_ context.Context, _ *Request, progress Progress) (*PassedOn, error) {
 					if !c.reached {
 						return nil, errkind.New(errkind.NoBackend, "none")
 					}
-					if runs != 1 {
-						t.Errorf("passed on as run %d times", runs)
+					if progress.Ran != 1 || !progress.Charged {
+						t.Errorf("passed on with %+v", progress)
 					}
 					return &PassedOn{Host: "h-2", Status: http.StatusOK, Abandon: func() {}, Copy: func(out Answer) error {
 						var err error
-						if lastEvent == 0 {
+						if progress.LastEvent == 0 {
 							err = out.Start(http.StatusOK, http.Header{})
 						}
-						for n := int(lastEvent) + 1; n <= testEvents && err == nil; n++ {
+						for n := int(progress.LastEvent) + 1; n <= testEvents && err == nil; n++ {
 							err = out.Event([]byte(eventText(n)))
 						}
 						return err
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -124,8 +124,8 @@
 	began := time.Now()
 	dispatcher := here.deps.Dispatcher
 	dispatcher.IsCutOff = func(string) bool { return time.Since(began) > 500*time.Millisecond }
-	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, runs int, lastEvent int64) (*dispatch.PassedOn, error) {
-		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: runs, AllowRetry: func() bool { return true }}, lastEvent)
+	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
+		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: progress.Ran, AllowRetry: func() bool { return true }}, progress)
 	}
 	resp, body, complete := here.post(t, "/notes/", testKey, "")
 	if resp == nil || resp.StatusCode != http.StatusOK || !complete || strings.Count(body, "id: ") != 6 || time.Since(began) > 3*time.Second {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,9 +89,12 @@
 }
 
 // Begin passes a request on, in the place of a replica that is silent, and returns the answer once it has begun: that
-// of a stream from after lastEvent on, if that is not 0. Its errors say nothing about whether the request ran.
-func (f *Forwarder) Begin(ctx context.Context, req *Request, lastEvent int64) (*dispatch.PassedOn, error) {
-	t := &transfer{f: f, req: req, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: req.Ran, lastEvent: lastEvent, started: lastEvent > 0}
+// of a stream from after its last event on. Its errors say nothing about whether the request ran.
+func (f *Forwarder) Begin(ctx context.Context, req *Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
+	t := &transfer{
+		f: f, req: req, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: progress.Ran,
+		lastEvent: progress.LastEvent, started: progress.LastEvent > 0, chargeThere: !progress.Charged,
+	}
 	return t.begin(ctx)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -377,11 +377,11 @@
 	dispatcher.AcquirePermit = n.acquireRequestPermit
 	dispatcher.IsCutOff = n.isCutOff
 	forwarder := &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget, Served: n.recordForwardServed}
-	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, runs int, lastEvent int64) (*dispatch.PassedOn, error) {
+	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
 		return forwarder.Begin(ctx, &forward.Request{
-			Request: req, Config: n.config.Load().Version, Ran: runs,
+			Request: req, Config: n.config.Load().Version, Ran: progress.Ran,
 			AllowRetry: func() bool { return dispatcher.AllowRetry(req.Service.Name) },
-		}, lastEvent)
+		}, progress)
 	}
 	n.entry = entry.New(entry.Deps{
 		View:            n.entryView,
