Streams go on at another host when this one loses its servers

What callers saw: a host loses its links to the servers, or counts as cut off after a silence, while other hosts reach them. Streams under way that break off then, or that are ended as they stall, closed the caller's connection, although their route lets them be resumed and an attempt was left.

Cause: entry passed a request on only if nothing had been written to the caller; the dispatcher ends a stream at a host that is cut off so that "the caller may resume at another host".

Change: such a stream is passed on with the number of its last event, and a repeatable request that ran and has no answer as it is. The attempt must be allowed by the route, and its retry charged, as the dispatcher does before it finds no replica.

Ruled out: a route with one attempt, a retry budget that is used up.

Test: TestStreamGoesOnAtAnotherHostWhenContactIsLost; two of its four cases fail on (lost contact, unreachable).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -153,6 +153,8 @@
 	Resumed int
 	// PassedOnTo is the host that answered in the place of a silent replica; "" if there was none.
 	PassedOnTo string
+	// LastEvent is the number of the last event of a stream that the caller received, 0 before the first.
+	LastEvent int64
 	// CutOff is set if the request was not sent, or not sent again, because this host is cut off from
 	// the service's replicas. Unreachable is set if a connection to a replica failed.
 	CutOff      bool
@@ -327,6 +329,7 @@
 		r.fire(eventFail)
 	}
 	r.report.State = r.machine.Current()
+	r.report.LastEvent = r.lastEvent
 	return r.report, err
 }
 
--- a/internal/dispatch/passon.go
+++ b/internal/dispatch/passon.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/briarlink/briarlink/internal/clock"
+	"github.com/briarlink/briarlink/internal/errkind"
 )
 
 // Progress is how far a request has come that is passed on.
@@ -44,6 +45,10 @@
 	}
 	answer, err := r.d.PassOn(ctx, r.req, Progress{r.report.Ran + r.unsettled, r.lastEvent, r.chargeBeside(now)})
 	if err != nil {
+		if kind := errkind.From(err).Kind; kind != errkind.NoBackend && kind != errkind.BackendRefused {
+			r.report.Ran++
+			r.arrived++
+		}
 		return nil, true
 	}
 	return &anotherHost{r, answer, cancel}, true
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -45,6 +45,8 @@
 	view   View
 	deps   Deps
 	budget *retry.Budget
+	// replicas has the engine.
+	replicas *replica.Table
 	// lastHeader holds the headers of the last request that the engine ran. Requests run concurrently.
 	lastHeader atomic.Pointer[http.Header]
 }
@@ -68,6 +70,7 @@
 	metrics, _, closer := obs.NewMetrics()
 	t.Cleanup(func() { closer.Close() })
 	scheduler := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
+	f.replicas = table
 	f.view = View{Config: testConfig()}
 	f.budget = retry.NewBudget(0.2, 10*time.Second, 50, 1, time.Now())
 	f.deps = Deps{
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -33,12 +33,28 @@
 }
 
 // mayForward reports whether a request that this host could not serve may be passed on to another one:
-// it was not sent because this host is cut off, or did not run because no replica can be reached.
+// it was not sent because this host is cut off, did not run because no replica can be reached, or may go on elsewhere.
 func (ex *exchange) mayForward(err error) bool {
-	if err == nil || ex.answered || ex.isForwarded {
+	if err == nil || ex.isForwarded {
 		return false
 	}
-	return ex.report.CutOff || ex.unreached(err)
+	if !ex.answered && (ex.report.CutOff || ex.unreached(err)) {
+		return true
+	}
+	return ex.mayGoOnElsewhere(err)
+}
+
+// mayGoOnElsewhere reports whether a request that ran, and lost its replica, may go on at another host, as this one reaches
+// no other replica. Another attempt must be allowed, and its retry be charged already.
+func (ex *exchange) mayGoOnElsewhere(err error) bool {
+	r := &ex.report
+	if !errkind.Is(err, errkind.BackendLost) || !r.CutOff && !r.Unreachable || r.PassedOnTo != "" {
+		return false
+	}
+	if ex.answered && (!ex.route.Resumable || r.LastEvent == 0) || !ex.route.Repeatable() {
+		return false
+	}
+	return r.Ran > 0 && r.Ran < ex.route.Attempts && r.RetriesCharged >= r.Ran
 }
 
 // unreached reports whether a request certainly did not run because no connection to a replica can be
@@ -84,12 +100,14 @@
 
 func (ex *exchange) forward(body []byte) error {
 	report, err := ex.s.Forwarder.Send(ex.r.Context(), &forward.Request{
-		Request: ex.request(body), Config: ex.view.Config.Version, Ran: ex.report.Ran,
+		Request: ex.request(body), Config: ex.view.Config.Version, Ran: ex.report.Ran, LastEvent: ex.report.LastEvent,
 		AllowRetry: func() bool { return ex.s.Dispatcher.AllowRetry(ex.service.Name) },
 	}, ex)
 	ex.passedOn = report
 	ex.report.RetriesCharged += report.Retries
-	ex.report.Status = report.Status
+	if report.Status > 0 {
+		ex.report.Status = report.Status
+	}
 	if ex.report.First == 0 {
 		ex.report.First = report.First
 	}
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -14,6 +14,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/dispatch"
 	"github.com/briarlink/briarlink/internal/forward"
+	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/engine"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
@@ -125,7 +126,7 @@
 	dispatcher := here.deps.Dispatcher
 	dispatcher.IsCutOff = func(string) bool { return time.Since(began) > 500*time.Millisecond }
 	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
-		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: progress.Ran, AllowRetry: func() bool { return true }}, progress)
+		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: progress.Ran, LastEvent: progress.LastEvent, AllowRetry: func() bool { return true }}, progress.Charged)
 	}
 	resp, body, complete := here.post(t, "/notes/", testKey, "")
 	if resp == nil || resp.StatusCode != http.StatusOK || !complete || strings.Count(body, "id: ") != 6 || time.Since(began) > 3*time.Second {
@@ -135,3 +136,38 @@
 		t.Errorf("resumed after event %q, want 1", last)
 	}
 }
+
+// TestStreamGoesOnAtAnotherHostWhenContactIsLost guards against streams that end, whatever their route allows, because
+// this host reaches no replica of the service any more.
+func TestStreamGoesOnAtAnotherHostWhenContactIsLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts, want       int
+		lostContact, noRetry bool
+	}{
+		"lost contact":    {2, 6, true, false},
+		"unreachable":     {2, 6, false, false},
+		"no attempt left": {1, 3, true, false},
+		"no retry left":   {2, 3, true, true},
+	} {
+		here, there := newFixture(t), newFixture(t)
+		here.cutOff(there.address())
+		here.deps.IsCutOff = func(string) bool { return false }
+		here.deps.Dispatcher.IsCutOff = func(string) bool { return c.lostContact && here.engine.Ran("r-1") > 0 }
+		here.replicas.Register(platform.Registration{ID: "i-2", Service: "s", Address: nobody, Slots: 4, Weights: map[string]int64{"m": 1}}, 0)
+		for _, f := range []*fixture{here, there} {
+			f.view.Config.Routes[0].Attempts, f.view.Config.Routes[0].Resumable = c.attempts, true
+		}
+		if c.noRetry {
+			here.budget.SetHosts(0, 1)
+		}
+		here.engine.Next(engine.Cut)
+		_, body, complete := here.post(t, "/notes/", testKey, "")
+		text := ""
+		for n := range c.want {
+			text += engine.EventText(n + 1)
+		}
+		if ran := there.engine.Ran("r-1"); body != text || complete != (c.want == 6) || ran != c.want/6 {
+			t.Errorf("%s: ran %d times there, complete %t, answer %q", name, ran, complete, body)
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,6 +57,8 @@
 	Config int64
 	// Ran counts the attempts in which a replica may already have run it.
 	Ran int
+	// LastEvent is the number of the last event that the caller received of a stream that has begun, or 0.
+	LastEvent int64
 	// AllowRetry charges the retry budget for one more arrival at a replica, and reports whether it allows that. If it
 	// does not, the other host is asked to charge its own, which may be larger: it counts the requests passed on to it.
 	AllowRetry func() bool
@@ -83,21 +85,25 @@
 func (f *Forwarder) Send(ctx context.Context, req *Request, out dispatch.Answer) (Report, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(answerMargin))
 	defer cancel()
-	t := &transfer{f: f, req: req, out: out, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: req.Ran}
+	t := f.newTransfer(req)
+	t.out = out
 	err := t.run(ctx)
 	return t.report, err
 }
 
 // Begin passes a request on, in the place of a replica that is silent, and returns the answer once it has begun: that
-// of a stream from after its last event on. Its errors say nothing about whether the request ran.
-func (f *Forwarder) Begin(ctx context.Context, req *Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
-	t := &transfer{
-		f: f, req: req, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: progress.Ran,
-		lastEvent: progress.LastEvent, started: progress.LastEvent > 0, chargeThere: !progress.Charged,
-	}
+// of a stream from after its last event on. charged is set if this host has charged the retry budget; else the other
+// host has to.
+func (f *Forwarder) Begin(ctx context.Context, req *Request, charged bool) (*dispatch.PassedOn, error) {
+	t := f.newTransfer(req)
+	t.chargeThere = !charged
 	return t.begin(ctx)
 }
 
+func (f *Forwarder) newTransfer(req *Request) *transfer {
+	return &transfer{f: f, req: req, began: clock.Now(), exclude: map[string]bool{f.Self: true}, ran: req.Ran, started: req.LastEvent > 0, lastEvent: req.LastEvent}
+}
+
 func (f *Forwarder) encode(req *Request, ran int, lastEvent int64, chargeRetry bool) *upstream.Request {
 	maxIdle := time.Duration(0)
 	if !req.Route.Repeatable() {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -130,7 +130,7 @@
 
 // send passes the request on to one host and returns the answer, of which the head was read.
 func (t *transfer) send(ctx context.Context, host Host) (*upstream.Response, error) {
-	lostBefore := t.ran > t.req.Ran
+	lostBefore := t.started || t.ran > t.req.Ran
 	resp, err := t.f.Pool.Send(ctx, host.CallerAddress, t.f.encode(t.req, t.ran, t.lastEvent, t.chargeThere))
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -379,9 +379,9 @@
 	forwarder := &forward.Forwarder{Self: s.Host.Id, Pool: n.forwardPool, Pick: n.forwardTarget, Served: n.recordForwardServed}
 	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
 		return forwarder.Begin(ctx, &forward.Request{
-			Request: req, Config: n.config.Load().Version, Ran: progress.Ran,
+			Request: req, Config: n.config.Load().Version, Ran: progress.Ran, LastEvent: progress.LastEvent,
 			AllowRetry: func() bool { return dispatcher.AllowRetry(req.Service.Name) },
-		}, progress)
+		}, progress.Charged)
 	}
 	n.entry = entry.New(entry.Deps{
 		View:            n.entryView,
