While all replicas pause, no other one is tried beside a silent one

Reading the price of attempts beside silent replicas: in a pause of all servers each request that may be repeated was sent to a second one, which was silent too, at the price of a retry, and after the pause both ran it. Cause: suspected replicas are a last resort, which is right for a request that is nowhere, not for one that is at a replica already.

--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -228,6 +228,8 @@
 	req := r.scheduleRequest(ctx, exclude, now)
 	// Held requests are scheduled again, which may find no replica.
 	req.MaxHold = 0
+	// While all servers pause, another silent one is no better, and both would run the request.
+	req.NotSilent = true
 	choice, err := r.d.scheduler.Pick(req, now)
 	if err != nil || choice.Hold > 0 {
 		return nil
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -246,3 +248,34 @@
 		}
 	})
 }
+
+// TestPauseOfAllReplicasChargesNoRetries guards against retries that are spent on replicas which are silent too, and
+// against servers that run requests twice after a pause of all of them.
+func TestPauseOfAllReplicasChargesNoRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 40
+		f := &fleet{ranAt: map[string]bool{}}
+		for range requests {
+			f.plan = append(f.plan, answersLate)
+		}
+		d, _ := newDispatcher(f)
+		var charged atomic.Int64
+		var wg sync.WaitGroup
+		for range requests {
+			wg.Go(func() {
+				out := &recorder{}
+				report, err := d.Run(t.Context(), testRequest(config.Idempotent, false, 2), out)
+				if err != nil || out.body != wholeBody {
+					t.Errorf("ended with %v: %q", err, out.body)
+				}
+				charged.Add(int64(report.RetriesCharged))
+			})
+		}
+		wg.Wait()
+		if n := charged.Load(); n > 0 || f.runs > requests {
+			t.Errorf("%d retries charged, %d requests ran %d times: %v", n, requests, f.runs, f.ranAt)
+		}
+		time.Sleep(stallPause)
+		checkReleased(t, d)
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -101,6 +101,8 @@
 	LatencyTarget time.Duration
 	// Repeatable is set if the request may be retried at another replica.
 	Repeatable bool
+	// NotSilent excludes replicas that are suspected, or have been unresponsive for a moment, also as a last resort.
+	NotSilent bool
 	// Exclude holds the IDs of replicas that were already tried.
 	Exclude map[string]bool
 	// Affinity is equal for requests with the same prefix.
@@ -248,6 +250,8 @@
 		return "loading weights"
 	case req.Exclude[c.ID]:
 		return "tried"
+	case req.NotSilent && (c.Suspected || c.UnresponsiveFor > unresponsivePriceThreshold):
+		return "silent"
 	case !fits(req, c):
 		return "too small"
 	case c.OutdatedFor > 0 && c.OutdatedFor+duration(p.expected(req, c)) >= p.WeightsDeadline-deadlineMargin:
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -35,6 +35,8 @@
 	LatencyTarget time.Duration
 	// Repeatable requests may be run again on another replica.
 	Repeatable bool
+	// NotSilent requests are sent to no replica that may be silent, not even as a last resort.
+	NotSilent bool
 	// MaxHold is the maximum time for which the request may be held.
 	MaxHold time.Duration
 	// TimeLeft is what is left of the request's latency target or, if that is less, of its
@@ -234,6 +236,7 @@
 		SharedTokens:     s.prompt(prompts, req, anyWeights).Total(),
 		LatencyTarget:    req.LatencyTarget,
 		Repeatable:       req.Repeatable,
+		NotSilent:        req.NotSilent,
 		Exclude:          req.Exclude,
 		Affinity:         LeadingBlockKey(req.Blocks),
 	}
