Soak: sound servers that are silent for a second or two

Nothing else is disturbed. 40 callers send streams of 3.4 s and plain answers in parts of up to 1 s, with a deadline of 10 s, to 3 to 8 hosts; servers reject what exceeds their slots. The hosts' grace time is 8 s there.

Check: each request that a server has begun to run is answered with success and completely, unless its deadline had passed, its server broke it off, or a stopping host ended it in the last sixth of its grace time and it was sent 3 s after SIGTERM at the latest. A closed channel and a failure in place of the answer both count; each is reported with what the hosts' logs say.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -117,10 +117,12 @@
 	cached       cachedBlocks
 	sharedUses   []sharedUse
 	violations   []string
+	// streamEvents is the number of events of every stream.
+	streamEvents int
 }
 
 func newObservations() *observations {
-	return &observations{runs: map[string][]run{}, leavingSince: map[string]time.Time{}, holders: map[int64]string{}, denied: map[string]time.Time{}, serverFaults: map[string]bool{}, arrivals: arrivals{}, cached: cachedBlocks{}}
+	return &observations{runs: map[string][]run{}, leavingSince: map[string]time.Time{}, holders: map[int64]string{}, denied: map[string]time.Time{}, serverFaults: map[string]bool{}, arrivals: arrivals{}, cached: cachedBlocks{}, streamEvents: streamEvents}
 }
 
 // fail records a violation of a guarantee.
@@ -197,7 +199,7 @@
 func (fx *fixture) check(s *request) {
 	took := s.to.Sub(s.from)
 	if s.err != nil {
-		if took >= deadline+deadlineSlack && s.host != nil && fx.faults.undisturbed(s.host, s.from, s.to) {
+		if took >= fx.deadline()+deadlineSlack && s.host != nil && fx.faults.undisturbed(s.host, s.from, s.to) {
 			fx.observed.fail("request %s had no answer %v after its deadline", s.id, deadlineSlack)
 		}
 		fx.checkLost(s)
@@ -220,6 +222,10 @@
 // checkLost checks that planned stops and reloads lose no answer: without other
 // disturbances, a request that a host has forwarded is answered completely.
 func (fx *fixture) checkLost(s *request) {
+	if fx.silences {
+		// checkUnderWay checks more than this.
+		return
+	}
 	if s.host == nil || s.to.Sub(s.from) >= deadline {
 		return
 	}
@@ -249,25 +255,26 @@
 		return
 	}
 	if s.kind.stream() {
-		if why := wrongStream(s.answer.Body, s.answer.Whole && !cutByCrash); why != "" {
+		if why := wrongStream(s.answer.Body, s.answer.Whole && !cutByCrash, r.streamEvents); why != "" {
 			r.fail("request %s: %s", s.id, why)
 		}
 		return
 	}
 	want := fmt.Sprintf("answer of %s to %d bytes", id, len(s.body))
+	want += strings.Repeat(".", max(0, s.size-len(want)))
 	if s.answer.Whole && s.answer.Body != want {
-		r.fail("request %s: body %q, want %q", s.id, s.answer.Body, want)
+		r.fail("request %s: body %.80q of %d bytes, want %.80q of %d bytes", s.id, s.answer.Body, len(s.answer.Body), want, len(want))
 	}
 }
 
-// streamEvents is the number of events of every stream.
+// streamEvents is the number of events of a stream, unless a seed has longer ones.
 const streamEvents = 8
 
 // wrongStream describes what is wrong with the events that a caller received, or returns
 // "".
-func wrongStream(body string, whole bool) string {
+func wrongStream(body string, whole bool, events int) string {
 	got := 0
-	for n := 1; n <= streamEvents; n++ {
+	for n := 1; n <= events; n++ {
 		rest, ok := strings.CutPrefix(body, engine.EventText(n))
 		if !ok {
 			break
@@ -277,7 +284,7 @@
 	switch {
 	case body != "":
 		return "after event " + strconv.Itoa(got) + " the stream continues with " + strconv.Quote(body[:min(len(body), 40)])
-	case whole && got < streamEvents:
+	case whole && got < events:
 		return "the stream ends as complete after event " + strconv.Itoa(got)
 	default:
 		return ""
@@ -337,6 +344,7 @@
 	fx.checkBackoffs(requests)
 	fx.checkRequestLimits(requests)
 	fx.checkServerCuts(requests)
+	fx.checkUnderWay(requests)
 	fx.checkRetries(requests)
 	fx.checkCanary()
 	fx.checkIsolation(requests)
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -206,7 +206,7 @@
 		"twice":         {engine.EventText(1) + engine.EventText(1), false, true},
 		"half an event": {engine.EventText(1) + "id: 2\n", false, true},
 	} {
-		if got := wrongStream(c.body, c.whole); (got != "") != c.wrong {
+		if got := wrongStream(c.body, c.whole, streamEvents); (got != "") != c.wrong {
 			t.Errorf("%s: %q", name, got)
 		}
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -34,6 +34,9 @@
 
 // seriesOf returns a seed's faults. A seed always gives the same series.
 func seriesOf(seed uint64, s size, length time.Duration) []fault {
+	if hasSilences(seed) {
+		return silenceSeries(rand.New(rand.NewPCG(seed, silenceSeeds)), s, length)
+	}
 	if hasRejections(seed) {
 		return rejectionSeries(rand.New(rand.NewPCG(seed, rejectionSeeds)), length)
 	}
@@ -197,10 +200,10 @@
 	end := fx.faults.begin("stop", h, true)
 	defer end()
 	began := time.Now()
-	if !h.terminate(grace + exitSlack) {
+	if !h.terminate(h.grace + exitSlack) {
 		other := fx.faults.any(began, time.Now(), func(d *disturbance) bool { return !d.planned })
 		if !other {
-			fx.observed.fail("%s has not exited %v after SIGTERM", h.id, grace+exitSlack)
+			fx.observed.fail("%s has not exited %v after SIGTERM", h.id, h.grace+exitSlack)
 		}
 		h.kill()
 	}
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// grace is the time from SIGTERM to SIGKILL; the hosts' settings have the same value.
+	// grace is the time from SIGTERM to SIGKILL, unless a seed has another one; the hosts' settings have
+	// the same value.
 	grace = 4 * time.Second
 	// exitSlack is how long after the grace period a process may take to exit.
 	exitSlack = 500 * time.Millisecond
@@ -31,6 +32,8 @@
 	// memoryMB is the setting host.memory_mb, and overload what the section of that name holds, "" without it.
 	memoryMB int
 	overload string
+	// grace is the time from SIGTERM to SIGKILL.
+	grace    time.Duration
 	binary   string
 	settings string
 	log      string
@@ -40,6 +43,8 @@
 	process     *process
 	incarnation int
 	isShutDown  bool
+	// stops are the times of each first SIGTERM to a process.
+	stops []time.Time
 }
 
 // process is one incarnation of a host.
@@ -49,6 +54,7 @@
 	// was sent; the host's mu guards it.
 	exited chan struct{}
 	ending bool
+	began  time.Time
 }
 
 // settingsFor returns a host's settings; all hosts use the same ports.
@@ -61,7 +67,7 @@
   "stop": {"grace": "%[6]s"},
   "move": {"share": %[11]g, "slack": %[12]d, "roll_back": "%[13]s"},
   "quota": {"window": "%[8]s", "over": %[9]g, "slack": %[10]d},
-%[15]s}`, h.id, h.zone, h.ip, h.store.address(), seeds, grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime, h.memoryMB, h.overloadSection())
+%[15]s}`, h.id, h.zone, h.ip, h.store.address(), seeds, h.grace, h.cores, quotaWindow, quotaOver, quotaSlack, exposeShare, exposeSlack, rollBackTime, h.memoryMB, h.overloadSection())
 }
 
 // overloadSection returns the section of the settings, which earlier builds do not know.
@@ -96,7 +102,7 @@
 		}
 		select {
 		case <-old.exited:
-		case <-time.After(grace + exitSlack):
+		case <-time.After(h.grace + exitSlack):
 			return fmt.Errorf("process %d was signalled to end and has not exited: %s", old.cmd.Process.Pid, old.state())
 		}
 	}
@@ -127,7 +133,7 @@
 	}
 	h.incarnation++
 	h.note("start %d, process %d", h.incarnation, cmd.Process.Pid)
-	p := &process{cmd: cmd, exited: make(chan struct{})}
+	p := &process{cmd: cmd, exited: make(chan struct{}), began: time.Now()}
 	h.process = p
 	go h.reap(p)
 	return nil, nil
@@ -176,6 +182,16 @@
 	return sent
 }
 
+// runsSince returns when the process began, or now if none runs.
+func (h *host) runsSince() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		return time.Now()
+	}
+	return h.process.began
+}
+
 // send sends a signal to the process, if it runs. It returns the process and whether the
 // signal was sent.
 func (h *host) send(s syscall.Signal) (*process, bool) {
@@ -187,6 +203,9 @@
 	}
 	err := p.cmd.Process.Signal(s)
 	h.note("%v to process %d: %v", s, p.cmd.Process.Pid, err)
+	if s == syscall.SIGTERM && !p.ending {
+		h.stops = append(h.stops, time.Now())
+	}
 	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	return p, err == nil
 }
@@ -213,7 +232,7 @@
 // exit.
 func (h *host) kill() {
 	if p, _ := h.send(syscall.SIGKILL); p != nil {
-		h.wait(p, grace)
+		h.wait(p, h.grace)
 	}
 }
 
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/briarlink/briarlink/test/standin/caller"
+	"github.com/briarlink/briarlink/test/standin/engine"
 )
 
 // kind is a kind of request, with the properties of its route.
@@ -44,7 +45,7 @@
 
 const (
 	callerCount = 10
-	// deadline is the deadline of callers and of every route.
+	// deadline is the deadline of callers and of every route, unless a seed has another one.
 	deadline = 3 * time.Second
 	// deadlineSlack is how long after the deadline a host may take to end its answer.
 	deadlineSlack = 700 * time.Millisecond
@@ -60,7 +61,9 @@
 	kind *kind
 	key  string
 	body string
-	// host is set only for callers that always use the same host.
+	// size is the minimum size of the answer to a plain request.
+	size int
+	// host is set only for callers that always use the same host, and with silences for all.
 	host        *host
 	incarnation int
 	// poison marks a request that crashes each server that runs it.
@@ -84,7 +87,12 @@
 		}
 		s := &request{kind: kinds[rng.IntN(len(kinds))], key: fx.pickKey(rng)}
 		if n%2 == 0 {
-			s.host = fx.hosts[n/2*max(1, 2*fx.size.hosts/callerCount)%fx.size.hosts]
+			s.host = fx.hosts[n/2*max(1, 2*fx.size.hosts/fx.callers())%fx.size.hosts]
+		} else if fx.silences {
+			s.host = fx.named(c, rng)
+		}
+		if fx.silences && !s.kind.stream() {
+			s.size = rng.IntN(largeParts) * engine.PartSize
 		}
 		fx.send(context.WithoutCancel(ctx), c, s, rng)
 		select {
@@ -128,7 +136,7 @@
 
 func (fx *fixture) send(ctx context.Context, c *caller.Caller, s *request, rng *rand.Rand) {
 	s.id = uuid.NewString()
-	r := caller.Request{ID: s.id, Method: s.kind.method, Path: fmt.Sprintf("/%s/%d", s.kind.name, rng.IntN(9)), Deadline: deadline}
+	r := caller.Request{ID: s.id, Method: s.kind.method, Path: fmt.Sprintf("/%s/%d", s.kind.name, rng.IntN(9)), Deadline: fx.deadline()}
 	switch {
 	case s.poison && fx.poisonOptions.CrashBlock == "":
 		r.Path, r.Body = "/"+s.kind.name+"/poison", s.body
@@ -138,6 +146,9 @@
 		s.body = strings.Repeat("x", rng.IntN(3000))
 		r.Body = s.body
 	}
+	if s.size > 0 {
+		r.Path += fmt.Sprint("?bytes=", s.size)
+	}
 	if s.kind.stream() {
 		r.Model, r.Tokens, r.Prefix = model, "900,32", fmt.Sprintf("a%d:800,own%s:100", rng.IntN(6), s.id[:8])
 		if s.poison && fx.poisonOptions.CrashBlock != "" {
@@ -145,7 +156,7 @@
 		}
 	}
 	c.Key = s.key
-	ctx, cancel := context.WithTimeout(ctx, deadline+deadlineSlack)
+	ctx, cancel := context.WithTimeout(ctx, fx.deadline()+deadlineSlack)
 	defer cancel()
 	s.from = time.Now()
 	if s.host != nil {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -49,7 +49,7 @@
 	served   int
 	// canary describes how the canary release of the seed ended; "" if it has none.
 	canary string
-	// figures are those behind the checks of an overload seed, of cuts from all servers and of retries.
+	// figures are those behind the checks of an overload seed, of cuts from all servers, of silences and of retries.
 	figures    string
 	violations []string
 	err        error
@@ -166,7 +166,7 @@
 	fx.waitReady()
 	loadCtx, stopLoad := context.WithCancel(context.Background())
 	var callerGroup sync.WaitGroup
-	for n := range callerCount {
+	for n := range fx.callers() {
 		rng := rand.New(rand.NewPCG(seed, uint64(n+1)))
 		callerGroup.Go(func() { fx.generateLoad(loadCtx, n, rng) })
 	}
@@ -179,7 +179,7 @@
 	})
 	fx.waitReady()
 	fx.checkRecovery(fx.hosts)
-	if seed >= mixedSeeds {
+	if seed >= mixedSeeds && !fx.silences {
 		fx.checkFailover()
 	}
 	stopLoad()
@@ -214,8 +214,8 @@
 	for _, h := range hosts {
 		wg.Go(func() {
 			for _, k := range kinds {
-				if !fx.serves(h, k, began.Add(settleTimeout)) {
-					fx.observed.fail("%s serves no %s %v after the last fault", h.id, k.name, settleTimeout)
+				if !fx.serves(h, k, began.Add(fx.settleTime())) {
+					fx.observed.fail("%s serves no %s %v after the last fault", h.id, k.name, fx.settleTime())
 				}
 			}
 		})
@@ -248,7 +248,7 @@
 func (fx *fixture) result(seed uint64) result {
 	fx.observed.mu.Lock()
 	defer fx.observed.mu.Unlock()
-	r := result{seed: seed, requests: len(fx.observed.requests), violations: fx.observed.violations, figures: fx.cuts.figures + fx.retryFigures}
+	r := result{seed: seed, requests: len(fx.observed.requests), violations: fx.observed.violations, figures: fx.cuts.figures + fx.silenceFigures + fx.retryFigures}
 	if c := fx.canary; c != nil {
 		r.canary = fmt.Sprintf("; move, bad %v: %q after %v", c.bad, c.state, c.ended.Sub(c.ordered).Round(settlePollInterval))
 	}
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -24,6 +24,8 @@
 	keyCount int
 	// isolation has the isolated organisations of each configuration.
 	isolation []isolationChange
+	// edit changes a configuration before it is written; it may be nil.
+	edit func(version int64, config object)
 }
 
 // mainKeys maps the API keys that are always in force to their organisations.
@@ -118,14 +120,18 @@
 	for _, k := range kinds {
 		routes = append(routes, k.route())
 	}
-	data, err := json.Marshal(object{
+	config := object{
 		"Version": o.version, "Routes": routes, "Tenants": organisations,
 		"Services": []object{
 			{"Name": "writer", "MaxConns": 200, "Engine": object{"Slots": 8, "KvCapacity": 100000, "KvTokenBytes": 163840, "LinkMbps": 500000, "MaxInflight": 12}},
 			{"Name": "jobs", "MaxConns": 200},
 		},
 		"Limits": object{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
+	}
+	if o.edit != nil {
+		o.edit(o.version, config)
+	}
+	data, err := json.Marshal(config)
 	if err != nil {
 		panic(err)
 	}
--- a/test/soak/poison.go
+++ b/test/soak/poison.go
@@ -52,7 +52,9 @@
 	return engine.Options{CrashBlock: poisonBlock, CrashPoint: point, UntilClose: untilClose}
 }
 
-func hasPoison(seed uint64) bool { return seed%fleetSeeds >= poisonSeeds && !hasServerCuts(seed) }
+func hasPoison(seed uint64) bool {
+	return seed%fleetSeeds >= poisonSeeds && !hasServerCuts(seed) && !hasSilences(seed)
+}
 
 // generatePoison repeats the poison request, or sends others with the poison block, each time to a
 // random host.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -51,6 +51,9 @@
 	if hasOverload(seed) {
 		return planOverload(seed).size()
 	}
+	if hasSilences(seed) {
+		return silenceSize(seed)
+	}
 	s := plainSize(seed)
 	if hasCanary(seed) {
 		s.spares = s.jobs
@@ -84,6 +87,8 @@
 	crashed atomic.Bool
 	// idle is set while no server runs at the address.
 	idle atomic.Bool
+	// silence holds until when the server is silent.
+	silence silence
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -128,6 +133,9 @@
 	retryFigures string
 	// copies holds recent copies of the store, the newest last.
 	copies storeCopies
+	// silences is set if servers fall silent at times, and silenceFigures says how answers ended then.
+	silences       bool
+	silenceFigures string
 	// delayLeaving makes the store show that a server leaves only some time after hosts
 	// can see it in the server's answers.
 	delayLeaving bool
@@ -160,14 +168,19 @@
 		return nil, err
 	}
 	fx := &fixture{
-		size: sizeOf(seed), dir: dir, cutsServers: hasServerCuts(seed), poisonOptions: poisonOptions(seed), store: store.New(), observed: newObservations(), notices: newNotices(), faults: &disturbances{},
+		size: sizeOf(seed), dir: dir, cutsServers: hasServerCuts(seed), silences: hasSilences(seed), poisonOptions: poisonOptions(seed), store: store.New(), observed: newObservations(), notices: newNotices(), faults: &disturbances{},
 		ip: func(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i) },
 	}
 	if hasOverload(seed) {
 		fx.overload = planOverload(seed)
 		fx.cutsServers = fx.overload.cut != ""
 	}
+	fx.observed.streamEvents = fx.streamEvents()
 	fx.operator = newOperator(fx.store)
+	if fx.silences {
+		fx.operator.edit = editDuringSilences
+		fx.operator.grant()
+	}
 	fx.backend = listener.Addr().String()
 	fx.http = &http.Server{Handler: fx.store.Handler()}
 	go fx.http.Serve(listener)
@@ -220,7 +233,7 @@
 	if i < fx.size.large {
 		cores = largeCores
 	}
-	h := &host{id: id, cores: cores, ip: fx.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, log: filepath.Join(fx.dir, id+".log")}
+	h := &host{id: id, cores: cores, ip: fx.ip(10 + i), zone: fmt.Sprintf("zone-%d", i%2), binary: binary, store: front, grace: fx.grace(), log: filepath.Join(fx.dir, id+".log")}
 	h.memoryMB, h.overload = fx.overload.settings()
 	h.settings = filepath.Join(fx.dir, id+".hujson")
 	if err := os.WriteFile(h.settings, []byte(settingsFor(h, seeds)), 0o644); err != nil {
@@ -275,7 +288,10 @@
 // startWithID starts a server with weights version 1. The caller holds s.mu. Plain
 // servers don't report when they started.
 func (fx *fixture) startWithID(s *server, id string) {
-	o := engine.Options{ID: id, Service: s.service, Address: s.front.address(), Zone: "zone-0", Slots: 8, Events: streamEvents, Pace: 40 * time.Millisecond, LoadTime: 250 * time.Millisecond}
+	o := engine.Options{ID: id, Service: s.service, Address: s.front.address(), Zone: "zone-0", Slots: 8, Events: fx.streamEvents(), Pace: fx.pace(), LoadTime: 250 * time.Millisecond}
+	if fx.silences {
+		o.Slots, o.RejectsFull, o.PartPause = silenceSlots, true, partPause
+	}
 	if s.slots > 0 {
 		o.Slots, o.Work = s.slots, plainWork
 	}
@@ -310,7 +326,7 @@
 			s.mu.Lock()
 			e, draining := s.engine, s.draining
 			s.mu.Unlock()
-			if s.crashed.Load() {
+			if s.crashed.Load() || s.silence.lasts() {
 				continue
 			}
 			// Writes to the stand-in store succeed in every mode.
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -40,6 +40,8 @@
 	Pace   time.Duration
 	// Work is how long a plain service works on each request.
 	Work time.Duration
+	// PartPause is the pause after each part of a large answer.
+	PartPause time.Duration
 	// RejectsFull makes the server reject requests beyond its slots.
 	RejectsFull bool
 	// LoadTime is the time that it takes to load new weights.
@@ -126,6 +128,8 @@
 	brittle brittleness
 	// silentUntil is until when the server reads requests and answers none.
 	silentUntil time.Time
+	// pausedUntil is until when the server does nothing.
+	pausedUntil time.Time
 }
 
 // Call is a request or a control call that arrived.
@@ -191,6 +195,28 @@
 	time.Sleep(left)
 }
 
+// Pause makes the server do nothing for the duration, as a stopped process: it begins no request and
+// continues none. Overlapping pauses last until the end of the last one.
+func (e *Engine) Pause(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until := time.Now().Add(d); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+}
+
+func (e *Engine) awaitEndOfPause() {
+	for {
+		e.mu.Lock()
+		left := time.Until(e.pausedUntil)
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
 // TurnAway makes the server reject requests for the duration, with a backoff until its end.
 func (e *Engine) TurnAway(d time.Duration) {
 	e.mu.Lock()
@@ -260,6 +286,7 @@
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", e.serve)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.awaitEndOfPause()
 		e.mu.Lock()
 		leaving, limit, brittle := e.leaving, e.limit, e.brittle.stated
 		if limit != "" || len(e.calls) > 0 {
@@ -418,6 +445,7 @@
 // serveBuffered answers a request to a plain service. The query parameter "bytes" is the answer's minimum size.
 func (e *Engine) serveBuffered(w http.ResponseWriter, r *http.Request, fault Fault, body []byte) {
 	time.Sleep(e.Work)
+	e.awaitEndOfPause()
 	answer := fmt.Sprintf("answer of %s to %d bytes", e.ID, len(body))
 	size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 	size = max(size, len(answer))
@@ -430,12 +458,17 @@
 	}
 	_, err := io.WriteString(w, answer)
 	for left := size - len(answer); left > 0 && err == nil; left -= len(padding) {
+		time.Sleep(e.PartPause)
+		e.awaitEndOfPause()
 		_, err = w.Write(padding[:min(left, len(padding))])
 	}
 }
 
+// PartSize is the size of the parts in which large answers are written.
+const PartSize = 16 << 10
+
 // padding is what large answers are filled with.
-var padding = bytes.Repeat([]byte{'.'}, 16<<10)
+var padding = bytes.Repeat([]byte{'.'}, PartSize)
 
 // EventText returns the text of the n-th event of a stream, where n starts at 1.
 func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
@@ -485,6 +518,7 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	flush := http.NewResponseController(w)
 	for n := last + 1; n <= e.Events; n++ {
+		e.awaitEndOfPause()
 		text := EventText(n)
 		if fault == Cut && n > e.Events/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
