A stream that goes on is not taken over because its replica owes another answer

Cause: the check for a hang looks at the replica, which owes an answer to some other request; a stream that it goes on with was sent to a second replica each second, at the price of a retry. Class: silence towards one request is taken for silence towards all. Change: once events came, the stream's own pause must be as long as the hang's limit. A dead replica's streams have paused by then. TestStreamThatGoesOnIsNotTakenOver fails without it: sent 3 times, 2 retries charged.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -53,6 +53,8 @@
 	skips        behaviour = "skips an event"
 	// streamsSlowly streams with slowPause between events.
 	streamsSlowly behaviour = "streams slowly"
+	// streamsSteadily streams with steadyPause between events.
+	streamsSteadily behaviour = "streams steadily"
 	// endsWithinEvent streams without length or chunks, and ends within an event.
 	endsWithinEvent behaviour = "ends within an event"
 	// stalls streams with stallPause before one event, stallsForGood sends none after it, and stallsAndCuts
@@ -76,6 +78,7 @@
 const (
 	testEvents   = 6
 	slowPause    = 700 * time.Millisecond
+	steadyPause  = 400 * time.Millisecond
 	stallPause   = 1600 * time.Millisecond
 	testService  = "s"
 	testReplicas = 4
@@ -176,7 +179,7 @@
 		_, _ = io.Copy(io.Discard, r)
 	case endsWithinEvent:
 		write(head(200) + seal + "Content-Type: text/event-stream\r\n\r\n" + eventText(1) + eventText(2)[:5])
-	case streams, cutsStream, skips, streamsSlowly, stalls, stallsForGood, stallsAndCuts, streamsLate:
+	case streams, cutsStream, skips, streamsSlowly, streamsSteadily, stalls, stallsForGood, stallsAndCuts, streamsLate:
 		if b == streamsLate {
 			time.Sleep(stallPause)
 		}
@@ -195,6 +198,9 @@
 		if b == streamsSlowly && n > 1 {
 			time.Sleep(slowPause)
 		}
+		if b == streamsSteadily && n > 1 {
+			time.Sleep(steadyPause)
+		}
 		if n == testEvents/2+1 && (b == stalls || b == stallsAndCuts) {
 			time.Sleep(stallPause)
 		}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -106,6 +106,17 @@
 // mayResume reports whether what the caller has got so far can be continued by another replica.
 func (t *takeover) mayResume() bool { return !t.streaming || t.x.req.Route.Resumable }
 
+// attemptAfter tries another replica, unless this one has sent an event within the given time: a replica that owes
+// answers to other requests may go on with its streams.
+func (t *takeover) attemptAfter(silence time.Duration) {
+	t.mu.Lock()
+	goesOn := t.streaming && clock.Since(t.waitingSince) < silence
+	t.mu.Unlock()
+	if !goesOn {
+		t.attempt()
+	}
+}
+
 // attempt tries another replica beside the silent one.
 func (t *takeover) attempt() {
 	t.mu.Lock()
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/replica"
 	"github.com/briarlink/briarlink/internal/retry"
 )
 
@@ -279,3 +280,24 @@
 		checkReleased(t, d)
 	})
 }
+
+// TestStreamThatGoesOnIsNotTakenOver guards against retries that are spent on streams whose replica goes on with them,
+// because it owes an answer to another request.
+func TestStreamThatGoesOnIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{plan: []behaviour{streamsSteadily}, ranAt: map[string]bool{}}
+		d, table := newDispatcher(f)
+		time.AfterFunc(steadyPause/2, func() {
+			for _, r := range table.Snapshot(testService, "", 0, time.Now()) {
+				if r.Requests > 0 {
+					table.Begin(r.ID, replica.Work{Expected: time.Millisecond}, time.Now())
+				}
+			}
+		})
+		out := &recorder{}
+		report, err := d.Run(t.Context(), testRequest(config.Streaming, true, 3), out)
+		if err != nil || out.body != wholeStream() || report.Sends != 1 || report.RetriesCharged != 0 {
+			t.Errorf("ended with %v: %q, sent %d times, %d retries charged", err, out.body, report.Sends, report.RetriesCharged)
+		}
+	})
+}
