Another replica has begun when its first event is whole, not its first byte

A silent replica was ended for the head or the first byte of another one, which may break off within it; TestSilenceAloneEndsNoAnswer left such replicas out. Now a stream has begun with its first event, in order (or 4 KB of it), and an answer of up to 4 KB with its whole body; longer ones with their head, as before. What breaks off after that is a loss of that replica. Also from there, in the same hand-over: a replica that rejects late counted as one that may run the request while another hung beside it, so that no third one was tried (now: `rejected`); the wait for the next event and the mark that events came were two steps between which a check might fall; a stream that waits for this host's memory counted as silent. TestPauseOfAllReplicasChargesNoRetries failed once with -race: requests that began at the same moment had all chosen one replica, and trying others was right; they begin 1 ms apart now.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -193,8 +194,15 @@
 	if err == nil {
 		begun = x.awaitBeginning(resp)
 	}
-	goesOn := x.takeover.received(err != nil || begun != nil || resp.Answer.NotRun)
+	notRun := err == nil && resp.Answer.NotRun
+	if notRun {
+		x.rejected.Add(1)
+	}
+	goesOn := x.takeover.received(err != nil || begun != nil || notRun)
 	x.unsettled--
+	if notRun {
+		x.rejected.Add(-1)
+	}
 	if err != nil {
 		result, err := x.sendFailed(err)
 		return nil, result, err
@@ -212,7 +220,11 @@
 	}
 	if begun != nil {
 		resp.Finish(false)
-		result, err := x.streamLost(begun)
+		if isEventStream(resp) {
+			result, err := x.streamLost(begun)
+			return nil, result, err
+		}
+		result, err := x.lost(begun, "the answer was cut")
 		return nil, result, err
 	}
 	if !goesOn {
@@ -223,20 +235,50 @@
 	return resp, 0, nil
 }
 
-// awaitBeginning waits for the first bytes of a stream: a replica may send the head while the request still waits for
-// memory. It returns an error if the stream breaks before them; one that ends without any event is complete.
+// awaitBeginning waits for the first event of a stream, as a replica may send the head while the request still waits for
+// memory, and for the body of a short answer. It returns an error if they break off; a stream that ends without any event
+// is complete.
 func (x *exchange) awaitBeginning(resp *upstream.Response) error {
 	x.heardAt = clock.Now()
 	x.choice.Flight.RecordNotice(resp.Answer, x.heardAt)
-	if resp.Answer.NotRun || !isEventStream(resp) {
+	switch {
+	case resp.Answer.NotRun:
 		return nil
+	case isEventStream(resp):
+		if err := AwaitEvent(resp); err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+	case resp.Length() > 0 && resp.Length() <= beginningSize:
+		body := bufio.NewReaderSize(resp.Body, beginningSize)
+		resp.Body = body
+		if _, err := body.Peek(int(resp.Length())); err != nil {
+			return err
+		}
 	}
-	body := bufio.NewReader(resp.Body)
+	x.heardAt = clock.Now()
+	return nil
+}
+
+// beginningSize is the size in bytes up to which the beginning of an answer is awaited.
+const beginningSize = 4 << 10
+
+// AwaitEvent waits until the first event of a stream has arrived, or as much of it as fits into a buffer, and keeps it for
+// the reader of the body. The error is io.EOF if the stream ends without any event.
+func AwaitEvent(resp *upstream.Response) error {
+	body := bufio.NewReaderSize(resp.Body, beginningSize)
 	resp.Body = body
-	if _, err := body.Peek(1); err != nil && !errors.Is(err, io.EOF) {
-		return err
+	for n := 1; n <= beginningSize; n = body.Buffered() + 1 {
+		_, err := body.Peek(n)
+		arrived, _ := body.Peek(body.Buffered())
+		switch {
+		case bytes.Contains(arrived, []byte("\n\n")), bytes.Contains(arrived, []byte("\r\n\r\n")):
+			return nil
+		case errors.Is(err, io.EOF) && len(arrived) > 0:
+			return errEventTruncated
+		case err != nil:
+			return err
+		}
 	}
-	x.heardAt = clock.Now()
 	return nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/looplab/fsm"
@@ -230,8 +231,9 @@
 	// IsCutOff reports whether this host reaches no replica of a service although other hosts do. It
 	// must be set before the first request.
 	IsCutOff func(service string) bool
-	// PassOn passes a request on to a host that reaches its service, and returns the answer once it has begun. It must be
-	// set before the first request; nil if there are no other hosts.
+	// PassOn passes a request on to a host that reaches its service, and returns the answer once it has begun. An error
+	// of kind NoBackend means that it certainly did not run. It must be set before the first request; nil if there
+	// are no other hosts.
 	PassOn func(ctx context.Context, req *Request, progress Progress) (*PassedOn, error)
 	// Off holds the disabled mechanisms. It must be set before the first request.
 	Off mechanism.Off
@@ -277,6 +279,8 @@
 	// and may have run are counted in unsettled.
 	active    []string
 	unsettled int
+	// rejected counts those of them that were rejected without having run, while others beside them are under way.
+	rejected atomic.Int32
 	// arrived counts the attempts that may have reached a replica.
 	arrived int
 	// charged counts the arrivals beyond the first that were charged to the retry budget, here or at the host
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -39,6 +39,7 @@
 	unreachable  behaviour = "unreachable"
 	timesOut     behaviour = "does not answer a connection attempt"
 	refuses      behaviour = "refuses"
+	refusesLate  behaviour = "refuses late"
 	misdirects   behaviour = "misdirects"
 	otherWeights behaviour = "holds other weights"
 	cutsBefore   behaviour = "reads and cuts"
@@ -91,8 +92,9 @@
 	// plan holds the behaviours of the coming connections, in order.
 	plan []behaviour
 	// runs counts how often the request ran; ranAt holds the addresses of the replicas.
-	runs  int
-	ranAt map[string]bool
+	runs     int
+	arrivals int
+	ranAt    map[string]bool
 }
 
 func (f *fleet) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -137,6 +139,9 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	f.mu.Lock()
+	f.arrivals++
+	f.mu.Unlock()
 	id := req.Header.Get(wire.Attempt)
 	head := func(status int) string {
 		return fmt.Sprintf("HTTP/1.1 %d X\r\n"+wire.Attempt+": %s\r\n", status, id)
@@ -145,7 +150,10 @@
 	length := "Content-Length: " + strconv.Itoa(len(wholeBody)) + "\r\n\r\n"
 	write := func(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
 	switch b {
-	case refuses:
+	case refuses, refusesLate:
+		if b == refusesLate {
+			time.Sleep(stallPause)
+		}
 		write(head(503) + wire.NotRun + ": 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		return
 	case misdirects:
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// firstEvent returns the first event of data, or all of it.
+func firstEvent(data []byte) []byte {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(data, []byte(end)); i >= 0 {
+			data = data[:i+len(end)]
+		}
+	}
+	return data
+}
+
 // eventNumber returns the value of an event's id field, 0 without a valid one.
 func eventNumber(data []byte) int64 {
 	for _, line := range bytes.Split(data, []byte("\n")) {
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -52,6 +52,7 @@
 		// The server has answered: what follows is this host's delay.
 		x.choice.Flight.AnswerStarted(clock.Now())
 		x.hangWatch.stop()
+		x.takeover.suspend()
 	})
 }
 
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -74,13 +74,24 @@
 	t.waiting, t.waitingSince = true, clock.Now()
 }
 
+// suspend ends the wait for the time until the next one: the replica has sent something, which waits for this host's
+// memory.
+func (t *takeover) suspend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting = false
+	t.timer.Stop()
+	if t.trying {
+		t.cancel(nil)
+	}
+}
+
 // awaitEvent begins to wait for the next event of a stream. The time that the caller takes for an event is no pause of
 // the replica.
 func (t *takeover) awaitEvent() {
-	t.await()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.streaming = true
+	t.waiting, t.waitingSince, t.streaming = true, clock.Now(), true
 	if t.mayResume() && t.x.req.Route.PauseTarget > 0 {
 		t.timer.Reset(t.limit)
 	}
@@ -175,7 +186,7 @@
 // mayTry reports whether the request may be sent to one more replica.
 func (t *takeover) mayTry() bool {
 	r, route := t.x.run, t.x.req.Route
-	return route.Repeatable() && t.mayResume() && r.report.Sends < maxSends && r.report.Ran+r.unsettled < route.Attempts
+	return route.Repeatable() && t.mayResume() && r.report.Sends < maxSends && r.report.Ran+r.unsettled-int(r.rejected.Load()) < route.Attempts
 }
 
 // try sends the request to another replica, or from a host that is cut off to another host, and returns the answer
@@ -209,7 +220,7 @@
 // without any event.
 func (x *exchange) checkBegun(resp *upstream.Response) (replica.Result, error) {
 	if isEventStream(resp) {
-		if _, err := resp.Body.(*bufio.Reader).Peek(1); err != nil {
+		if err := x.checkFirstEvent(resp); err != nil {
 			resp.Finish(false)
 			return x.lost(err, "the stream was cut")
 		}
@@ -225,6 +236,20 @@
 	return replica.Failed, errkind.New(errkind.BackendError, fmt.Sprintf("the replica answered %d", resp.Status))
 }
 
+// checkFirstEvent returns an error if a stream has no event, or its first one does not follow the last that the caller
+// received.
+func (x *exchange) checkFirstEvent(resp *upstream.Response) error {
+	body := resp.Body.(*bufio.Reader)
+	if _, err := body.Peek(1); err != nil {
+		return err
+	}
+	arrived, err := body.Peek(body.Buffered())
+	if err != nil {
+		return err
+	}
+	return event{number: eventNumber(firstEvent(arrived))}.checkOrder(x.lastEvent)
+}
+
 // reserveAnother picks a replica other than those that the request is at, and charges the retry budget, or returns nil
 // if either is not to be had.
 func (r *run) reserveAnother(ctx context.Context) *schedule.Choice {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -173,17 +173,19 @@
 		// within is the time until the answer is complete.
 		within time.Duration
 	}{
-		"all others reject it":              {plan: []behaviour{answersLate, refuses, refuses, refuses, refuses}, within: stallPause},
-		"the only retry left is rejected":   {plan: []behaviour{answersLate, refuses}, budget: once, within: stallPause},
-		"none can be reached":               {plan: []behaviour{answersLate, unreachable, unreachable, unreachable, unreachable}, within: stallPause},
-		"another one hangs":                 {plan: []behaviour{answersLate, hangs}, within: stallPause},
-		"another one breaks off":            {plan: []behaviour{answersLate, cutsBefore}, within: stallPause},
-		"another one fails":                 {plan: []behaviour{answersLate, fails}, within: stallPause},
-		"another one answers":               {plan: []behaviour{hangs, answers}, within: minHangTimeout},
-		"the second of the others answers":  {plan: []behaviour{hangs, refuses, answers}, within: minHangTimeout + lookAgainInterval},
-		"two hang one after the other":      {plan: []behaviour{hangs, hangs, answers}, attempts: 3, within: 2 * minHangTimeout},
-		"both answer at the same time":      {plan: []behaviour{answersLate, answersLate}, within: stallPause},
-		"the first breaks, another answers": {plan: []behaviour{cutsLate, answersLate}, within: minHangTimeout + stallPause},
+		"all others reject it":                {plan: []behaviour{answersLate, refuses, refuses, refuses, refuses}, within: stallPause},
+		"the only retry left is rejected":     {plan: []behaviour{answersLate, refuses}, budget: once, within: stallPause},
+		"none can be reached":                 {plan: []behaviour{answersLate, unreachable, unreachable, unreachable, unreachable}, within: stallPause},
+		"another one hangs":                   {plan: []behaviour{answersLate, hangs}, within: stallPause},
+		"another one breaks off":              {plan: []behaviour{answersLate, cutsBefore}, within: stallPause},
+		"another one fails":                   {plan: []behaviour{answersLate, fails}, within: stallPause},
+		"another one cuts its answer":         {plan: []behaviour{answersLate, cutsBody}, within: stallPause},
+		"rejected late beside one that hangs": {plan: []behaviour{refusesLate, hangs, answers}, within: stallPause + minHangTimeout},
+		"another one answers":                 {plan: []behaviour{hangs, answers}, within: minHangTimeout},
+		"the second of the others answers":    {plan: []behaviour{hangs, refuses, answers}, within: minHangTimeout + lookAgainInterval},
+		"two hang one after the other":        {plan: []behaviour{hangs, hangs, answers}, attempts: 3, within: 2 * minHangTimeout},
+		"both answer at the same time":        {plan: []behaviour{answersLate, answersLate}, within: stallPause},
+		"the first breaks, another answers":   {plan: []behaviour{cutsLate, answersLate}, within: minHangTimeout + stallPause},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -212,10 +214,10 @@
 	}
 }
 
-// TestSilenceAloneEndsNoAnswer guards against answers that end because their replica is silent, whatever the other
-// replicas do meanwhile.
+// TestSilenceAloneEndsNoAnswer guards against answers that end because their replica is silent, whatever other
+// replicas do that send no whole event or answer.
 func TestSilenceAloneEndsNoAnswer(t *testing.T) {
-	others := []behaviour{refuses, refuses, unreachable, timesOut, misdirects, hangs, cutsBefore, fails, unsealed, answersLate, streamsLate}
+	others := []behaviour{refuses, refuses, refusesLate, unreachable, timesOut, misdirects, hangs, cutsBefore, cutsBody, fails, unsealed, foreign, answersLate, streamsLate}
 	rapid.Check(t, func(rt *rapid.T) {
 		silent := rapid.SampledFrom([]behaviour{answersLate, streamsLate, stalls}).Draw(rt, "silent")
 		plan := append([]behaviour{silent}, rapid.SliceOfN(rapid.SampledFrom(others), 6, 6).Draw(rt, "others")...)
@@ -263,6 +265,8 @@
 		var charged atomic.Int64
 		var wg sync.WaitGroup
 		for range requests {
+			// Those that begin at the same moment may all choose the same replica.
+			time.Sleep(time.Millisecond)
 			wg.Go(func() {
 				out := &recorder{}
 				report, err := d.Run(t.Context(), testRequest(config.Idempotent, false, 2), out)
