What another host ran of a passed-on request counts

A host that is cut off and has a silent replica passed the request on; if the other host's replica failed, or that host answered 502 or 504, it took that for "not run": it passed the request on each 0.25 s, uncharged and uncounted (15 times in 5 s, 15 runs there), and if the silent replica then rejected it, the caller got 503 "not run". And a request that ran here, lost its replica and went on at a host that rejects it ended with that host's 503. Change: each pass-on is a send; unless it certainly did not run it is a run and an arrival. A rejection by another host is forwarded only if nothing ran before; the next host is tried, and then the caller is told of the loss. A retry that the budget refused is not passed on uncharged.

--- a/internal/dispatch/passon.go
+++ b/internal/dispatch/passon.go
@@ -43,12 +43,16 @@
 	if _, refused := r.d.crashes.Check(r.fingerprint, now); refused {
 		return nil, false
 	}
-	answer, err := r.d.PassOn(ctx, r.req, Progress{r.report.Ran + r.unsettled, r.lastEvent, r.chargeBeside(now)})
+	charged := r.chargeBeside(now)
+	r.report.Sends++
+	answer, err := r.d.PassOn(ctx, r.req, Progress{r.report.Ran + r.unsettled, r.lastEvent, charged})
+	if errkind.Is(err, errkind.NoBackend) {
+		// It certainly did not run.
+		return nil, true
+	}
+	r.report.Ran++
+	r.arrived++
 	if err != nil {
-		if kind := errkind.From(err).Kind; kind != errkind.NoBackend && kind != errkind.BackendRefused {
-			r.report.Ran++
-			r.arrived++
-		}
 		return nil, true
 	}
 	return &anotherHost{r, answer, cancel}, true
@@ -62,8 +66,6 @@
 func (a *anotherHost) forward() (successor, error) {
 	defer a.cancel(nil)
 	r := a.run
-	r.report.Ran++
-	r.arrived++
 	r.report.Status, r.report.PassedOnTo = a.answer.Status, a.answer.Host
 	if r.report.First == 0 {
 		r.report.First = clock.Since(r.began)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -54,7 +54,7 @@
 	if ex.answered && (!ex.route.Resumable || r.LastEvent == 0) || !ex.route.Repeatable() {
 		return false
 	}
-	return r.Ran > 0 && r.Ran < ex.route.Attempts && r.RetriesCharged >= r.Ran
+	return r.Ran > 0 && r.Ran < ex.route.Attempts && r.RetriesCharged >= r.Ran && !r.RetryRefused
 }
 
 // unreached reports whether a request certainly did not run because no connection to a replica can be
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/dispatch"
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/forward"
 	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/engine"
@@ -171,3 +172,55 @@
 		}
 	}
 }
+
+// TestPassedOnRequestKeepsToItsAttempts guards against a request that a host which is cut off from its silent replica passes
+// on again and again to one whose replicas fail.
+func TestPassedOnRequestKeepsToItsAttempts(t *testing.T) {
+	here, there := newFixture(t), newFixture(t)
+	here.engine.Next(engine.Lose)
+	for range 40 {
+		there.engine.Next(engine.Fail)
+	}
+	for _, f := range []*fixture{here, there} {
+		route := f.view.Config.Routes[0]
+		route.Attempts, route.Kind, route.LatencyTarget = 2, config.Idempotent, 200*time.Millisecond
+	}
+	here.cutOff(there.address())
+	here.deps.IsCutOff = func(string) bool { return false }
+	began := time.Now()
+	dispatcher := here.deps.Dispatcher
+	dispatcher.IsCutOff = func(string) bool { return time.Since(began) > 300*time.Millisecond }
+	dispatcher.PassOn = func(ctx context.Context, req *dispatch.Request, progress dispatch.Progress) (*dispatch.PassedOn, error) {
+		return here.deps.Forwarder.Begin(ctx, &forward.Request{Request: req, Config: 1, Ran: progress.Ran, LastEvent: progress.LastEvent, AllowRetry: func() bool { return true }}, progress.Charged)
+	}
+	here.post(t, "/notes/", testKey, "")
+	if n := here.engine.Ran("r-1") + there.engine.Ran("r-1"); n > 2 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestRejectionAfterARunIsNotForwarded guards against callers that are told "not run" by the host to which a request was
+// passed on after a replica here ran it.
+func TestRejectionAfterARunIsNotForwarded(t *testing.T) {
+	for name, refuse := range map[string]*errkind.Error{"stopping": errkind.New(errkind.Stopping, "stopping"), "not ready": errkind.New(errkind.NotReady, "x")} {
+		here, there := newFixture(t), newFixture(t)
+		for _, f := range []*fixture{here, there} {
+			route := f.view.Config.Routes[0]
+			route.Attempts, route.Kind = 2, config.Idempotent
+			f.view.Config.Services["s"].Engine, f.engine.Model = nil, ""
+		}
+		here.cutOff(there.address())
+		here.deps.IsCutOff = func(string) bool { return false }
+		here.deps.Dispatcher.IsCutOff = func(string) bool { return here.engine.Ran("r-1") > 0 }
+		there.deps.CheckAccepting = func() error { return refuse }
+		here.engine.Next(engine.Cut)
+		resp, body, _ := here.post(t, "/notes/", testKey, "")
+		if resp == nil {
+			t.Errorf("%s: no answer", name)
+			continue
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			t.Errorf("%s: 503 although it ran: %s", name, body)
+		}
+	}
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -79,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := awaitSuccess(resp); err != nil {
+		if err := awaitBeginning(resp); err != nil {
 			resp.Finish(false)
 			return nil, err
 		}
@@ -91,18 +90,18 @@
 	return nil, errNoHost()
 }
 
-// awaitSuccess waits for the first bytes of a stream. It returns an error if the answer is no success of a replica.
-func awaitSuccess(resp *upstream.Response) error {
-	if !isSuccess(resp) || !resp.Answer.Sealed {
-		return errkind.New(errkind.BackendRefused, fmt.Sprintf("the host that the request was passed on to answered %d", resp.Status))
+// awaitBeginning waits for the first event of a stream. It returns an error if the answer is no replica's, or a failure.
+func awaitBeginning(resp *upstream.Response) error {
+	if !resp.Answer.Sealed || resp.Status >= http.StatusInternalServerError {
+		return errkind.New(errkind.BackendLost, fmt.Sprintf("the host that the request was passed on to answered %d", resp.Status))
 	}
 	if !isEventStream(resp) {
 		return nil
 	}
-	body := bufio.NewReader(resp.Body)
-	resp.Body = body
-	_, err := body.Peek(1)
-	return errors.Wrap(err, "await the first event")
+	if err := dispatch.AwaitEvent(resp); err != nil {
+		return errkind.Wrap(errkind.BackendLost, err, "the stream ended before its first event")
+	}
+	return nil
 }
 
 // copyOrGoOn writes an answer that has begun, and goes on at another host if the one that runs it has ended.
@@ -130,14 +129,14 @@
 
 // send passes the request on to one host and returns the answer, of which the head was read.
 func (t *transfer) send(ctx context.Context, host Host) (*upstream.Response, error) {
-	lostBefore := t.started || t.ran > t.req.Ran
+	ranBefore := t.started || t.ran > 0
 	resp, err := t.f.Pool.Send(ctx, host.CallerAddress, t.f.encode(t.req, t.ran, t.lastEvent, t.chargeThere))
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
 		switch {
 		case ctx.Err() == nil:
 			return nil, errNotRun
-		case errors.Is(ctx.Err(), context.DeadlineExceeded) && !lostBefore:
+		case errors.Is(ctx.Err(), context.DeadlineExceeded) && !ranBefore:
 			return nil, errkind.Wrap(errkind.Overloaded, err, "the deadline passed before the request was passed on to another host")
 		}
 	}
@@ -146,8 +145,8 @@
 		t.ran++
 		return nil, lost(ctx, err, "the host that the request was passed on to was lost")
 	}
-	if platform.Unreached(resp.Header) || lostBefore && !resp.Answer.Sealed {
-		// A rejection would state that the request did not run.
+	if platform.Unreached(resp.Header) || ranBefore && isRejection(resp) {
+		// The rejection states that the request did not run.
 		resp.Discard()
 		return nil, errNotRun
 	}
@@ -175,8 +174,8 @@
 }
 
 // mayRepeat reports whether another host may be sent the request after err, and charges this host's retry budget if
-// that allows it. A host that
-// still accepts connections has ended the answer itself, as its own attempts or retries are used up.
+// that allows it. A host that still accepts connections has ended the answer itself, as its own attempts or retries
+// are used up.
 func (t *transfer) mayRepeat(ctx context.Context, host Host, err error) bool {
 	route := t.req.Route
 	if !errkind.Is(err, errkind.BackendLost) || t.committed || !route.Repeatable() || t.ran >= route.Attempts {
@@ -245,6 +244,11 @@
 	return nil
 }
 
+// isRejection reports whether an answer is the other host's own and states that the request did not run.
+func isRejection(resp *upstream.Response) bool {
+	return !resp.Answer.Sealed && resp.Status >= http.StatusBadRequest && (resp.Status < http.StatusInternalServerError || resp.Status == http.StatusServiceUnavailable)
+}
+
 func isSuccess(resp *upstream.Response) bool {
 	return resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 }
