--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -15,8 +15,8 @@
 	"github.com/briarlink/briarlink/internal/peer"
 )
 
-// minHeaderTimeout is the shortest time that a caller is given to send a request's headers.
-const minHeaderTimeout = 10 * time.Second
+// headerTimeout is the maximum time for a caller to send a request's headers.
+const headerTimeout = 10 * time.Second
 
 // Listeners are the open sockets of one host, from Listen to the end of Run. Those absent from
 // the settings are nil.
@@ -106,9 +106,9 @@
 		listener net.Listener
 		handler  http.Handler
 	}{
-		{"callers", n.withTimeouts(limitConnections(l.callers, n.memory)), n.entry.Handler()},
+		{"callers", limitConnections(l.callers, n.memory), n.entry.Handler()},
 		{"ready", l.ready, n.entry.ReadyHandler()},
-		{"directory", n.withTimeouts(l.directory), n.entry.DirectoryHandler()},
+		{"directory", l.directory, n.entry.DirectoryHandler()},
 		{"operators", l.operators, operators},
 		{"metrics", l.metrics, mux},
 	} {
@@ -125,9 +125,8 @@
 		http: &http.Server{
 			Handler:           handler,
 			MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
-			ReadHeaderTimeout: minHeaderTimeout,
+			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
-			ConnState:         markIdle,
 			ErrorLog:          nil,
 		},
 		log: n.log,
