Takeover: names for its steps

tryAnother and beginAnother in place of attempt and try, which read like the attempt that they stand beside. No decision changes; the package's tests pass with -race.

--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -37,7 +37,7 @@
 	limit := max(minHangTimeout, time.Duration(hangTimeoutTargets*float64(route.LatencyTarget)))
 	x.hangWatch = startHangWatch(func() {
 		if x.choice.Flight.UnresponsiveFor(clock.Now()) > limit || x.choice.Flight.PresumedLost() {
-			x.takeover.attemptAfter(limit)
+			x.takeover.tryAnotherAfter(limit)
 		}
 	})
 }
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -16,7 +16,8 @@
 	"github.com/briarlink/briarlink/internal/upstream"
 )
 
-// lookAgainInterval is the pause after which another replica is looked for if none could be used.
+// lookAgainInterval is the pause after which another replica is looked for if none could be used, or if one did not begin
+// to answer and no event has been forwarded yet.
 const lookAgainInterval = 250 * time.Millisecond
 
 // successor is an answer that has begun in the place of a silent one.
@@ -62,7 +63,7 @@
 	t := &takeover{x: x, limit: max(2*minHangTimeout, stallPauseTargets*x.req.Route.PauseTarget)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(time.Hour, t.attempt)
+	t.timer = time.AfterFunc(time.Hour, t.tryAnother)
 	t.timer.Stop()
 	return t
 }
@@ -117,19 +118,19 @@
 // mayResume reports whether what the caller has got so far can be continued by another replica.
 func (t *takeover) mayResume() bool { return !t.streaming || t.x.req.Route.Resumable }
 
-// attemptAfter tries another replica, unless this one has sent an event within the given time: a replica that owes
+// tryAnotherAfter tries another replica, unless this one has sent an event within the given time: a replica that owes
 // answers to other requests may go on with its streams.
-func (t *takeover) attemptAfter(silence time.Duration) {
+func (t *takeover) tryAnotherAfter(silence time.Duration) {
 	t.mu.Lock()
 	goesOn := t.streaming && clock.Since(t.waitingSince) < silence
 	t.mu.Unlock()
 	if !goesOn {
-		t.attempt()
+		t.tryAnother()
 	}
 }
 
-// attempt tries another replica beside the silent one.
-func (t *takeover) attempt() {
+// tryAnother tries another replica beside the silent one.
+func (t *takeover) tryAnother() {
 	t.mu.Lock()
 	if !t.waiting || t.trying || t.taken || clock.Now().Before(t.nextTry) || !t.mayTry() {
 		t.mu.Unlock()
@@ -142,7 +143,7 @@
 	t.done.Add(1)
 	t.mu.Unlock()
 	defer t.done.Done()
-	next, sent := t.try(ctx, cancel, silence)
+	next, sent := t.beginAnother(ctx, cancel, silence)
 	if next == nil {
 		cancel(nil)
 	}
@@ -189,9 +190,9 @@
 	return route.Repeatable() && t.mayResume() && r.report.Sends < maxSends && r.report.Ran+r.unsettled-int(r.rejected.Load()) < route.Attempts
 }
 
-// try sends the request to another replica, or from a host that is cut off to another host, and returns the answer
+// beginAnother sends the request to another replica, or from a host that is cut off to another host, and returns the answer
 // once it has begun. It returns nil if none may or does take the request; sent is false if it was sent to none.
-func (t *takeover) try(ctx context.Context, cancel context.CancelCauseFunc, silence time.Duration) (next successor, sent bool) {
+func (t *takeover) beginAnother(ctx context.Context, cancel context.CancelCauseFunc, silence time.Duration) (next successor, sent bool) {
 	r := t.x.run
 	if r.d.IsCutOff(r.req.Service.Name) {
 		return r.tryAnotherHost(ctx, cancel)
