replica tests: hosts are played one after the other, without a timer for each paused answer

Cause: the race detector has 255 slots for goroutines at a time; the new test has 400 hosts with a goroutine each step, and some thousand answers, a timer and a goroutine each, at the moment at which a pause ends. No product code is involved. Change: steps of a host take no time of their own, and answers of paused servers wait in a list until the next step. Checks, sizes and bounds are the same, and the verdict no longer depends on the order of goroutines.

--- a/internal/replica/contact_test.go
+++ b/internal/replica/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,19 +27,44 @@
 	slow map[string]bool
 	// paused servers answer nothing until then.
 	paused      map[string]time.Time
+	pending     []pendingAnswer
 	othersReach bool
 }
 
 func (l *link) reaches(id string) bool { return !l.cut && !l.down[id] }
 
-// play sends a request to each of the given servers and runs the probes that are due, as a host does
-// every 100 ms. Connections that fail time out after 400 ms.
+// pendingAnswer is what a paused server does at the first step from a time on. Thousands of timers at the same moment, one
+// goroutine each, are more than the race detector bears.
+type pendingAnswer struct {
+	at time.Time
+	do func()
+}
+
+func (l *link) later(wait time.Duration, do func()) {
+	l.pending = append(l.pending, pendingAnswer{time.Now().Add(wait), do})
+}
+
+// play plays a step and the 100 ms until the next one.
 func (l *link) play(t *Table, targets []string) {
+	l.step(t, targets)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// step sends a request to each of the given servers and runs the probes that are due, as a host does
+// every 100 ms. Connections that fail time out after 400 ms.
+func (l *link) step(t *Table, targets []string) {
 	const connectTimeout, requestTimeout, pausedDeadline = 400 * time.Millisecond, 2 * time.Second, time.Second
 	answered := func(f *Flight) {
 		f.AnswerStarted(time.Now())
 		f.End(Answered, time.Now())
 	}
+	l.pending = slices.DeleteFunc(l.pending, func(p pendingAnswer) bool {
+		due := !time.Now().Before(p.at)
+		if due {
+			p.do()
+		}
+		return due
+	})
 	for _, id := range targets {
 		f := t.Begin(id, Work{Expected: 30 * time.Millisecond}, time.Now())
 		if f == nil {
@@ -51,10 +77,10 @@
 		if l.reaches(id) {
 			switch wait := time.Until(l.paused[id]); {
 			case wait > pausedDeadline:
-				time.AfterFunc(pausedDeadline, func() { f.End(Cancelled, time.Now()) })
+				l.later(pausedDeadline, func() { f.End(Cancelled, time.Now()) })
 				continue
 			case wait > 0:
-				time.AfterFunc(wait, func() { answered(f) })
+				l.later(wait, func() { answered(f) })
 				continue
 			}
 			answered(f)
@@ -72,8 +98,10 @@
 			time.AfterFunc(connectTimeout, func() { t.RecordContactProbe(p.ID, false, began, time.Now()) })
 		case !p.Ask:
 			t.RecordContactProbe(p.ID, true, began, time.Now())
+		case !l.swallows && time.Until(l.paused[p.ID]) > 0:
+			l.later(time.Until(l.paused[p.ID]), func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
 		case !l.swallows:
-			time.AfterFunc(max(l.answerTime, time.Until(l.paused[p.ID])), func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
+			time.AfterFunc(l.answerTime, func() { t.RecordContactAnswer(p.ID, began, time.Now()) })
 		}
 	}
 	for service := range t.SilentServices(time.Now()) {
@@ -85,7 +113,6 @@
 	for id := range due {
 		t.Reached(id, l.reaches(id), time.Now())
 	}
-	time.Sleep(100 * time.Millisecond)
 }
 
 // TestContactIsLostOnlyWhenNoServerIsReached guards against a host that takes itself for cut off
--- a/internal/replica/coverage_test.go
+++ b/internal/replica/coverage_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +33,6 @@
 // tick plays a tenth of a second with a number of requests at each host. A host that reaches few servers sends them
 // none, as others run its requests.
 func (h *comparedHosts) tick(requests int) {
-	var wg sync.WaitGroup
 	for i, t := range h.tables {
 		var targets []string
 		n := requests
@@ -46,9 +44,9 @@
 				targets = append(targets, h.id(h.random.IntN(h.servers)))
 			}
 		}
-		wg.Go(func() { h.links[i].play(t, targets) })
+		h.links[i].step(t, targets)
 	}
-	wg.Wait()
+	time.Sleep(100 * time.Millisecond)
 	best := Coverage{}
 	for _, t := range h.tables {
 		if c := t.Contacts()[0].Coverage; c.Reached > best.Reached {
