--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Developer commands. `make run` and `make test` are the two that matter.
-export GOFLAGS := -mod=readonly
+# Keeps the flags of `go env`, such as compiler flags that a machine needs.
+export GOFLAGS := $(filter-out -mod=%,$(shell go env GOFLAGS)) -mod=readonly
 BIN := bin
 PROTO := $(wildcard api/briarlink/v1/*.proto)
 GEN := $(BIN)/gen
