Log what the head of each attempt's answer states

A request's line said of an attempt that it was refused, failed or answered, and not why that was believed: whether the answer bore a seal or the mark "not run", named the request, came on a connection that had carried another one, after late answers to others, and when it was sent. A server's own failure had no attempts in its line at all.

explain lists these for failures and rejections, logs report counts rejections that name no request on a reused connection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -45,6 +45,8 @@
 	resumeAfter int64
 	// ran is set if the replica may have run the request.
 	ran bool
+	// head describes the answer that arrived, nil without one.
+	head *AnswerHead
 	// takeover has another replica answer if this one is silent; successor is the answer that has begun there, nil without one.
 	takeover  *takeover
 	successor successor
@@ -151,7 +153,10 @@
 
 // recordAttempt adds the attempt to the report, which becomes the request's log line.
 func (x *exchange) recordAttempt(result replica.Result, err error) {
-	a := Attempt{Replica: x.choice.ID, Result: result.String(), Ms: clock.Since(x.began).Milliseconds(), Beside: x.beside, AfterMs: x.after.Milliseconds()}
+	a := Attempt{
+		Replica: x.choice.ID, Result: result.String(), AtMs: x.began.Sub(x.run.began).Milliseconds(), Ms: clock.Since(x.began).Milliseconds(), Answer: x.head,
+		Beside: x.beside, AfterMs: x.after.Milliseconds(),
+	}
 	if err != nil {
 		a.Reason = err.Error()
 		a.EndedBy, a.SilentMs = x.endedBy(), x.silence(clock.Now()).Milliseconds()
@@ -192,6 +197,7 @@
 	resp, err := x.d.pool.Send(x.ctx, x.choice.Address, x.upstreamRequest())
 	var begun error
 	if err == nil {
+		x.head = describeHead(resp, x.req.ID)
 		begun = x.awaitBeginning(resp)
 	}
 	notRun := err == nil && resp.Answer.NotRun
@@ -235,6 +241,11 @@
 	return resp, 0, nil
 }
 
+func describeHead(resp *upstream.Response, id string) *AnswerHead {
+	a := resp.Answer
+	return &AnswerHead{Status: resp.Status, NotRun: a.NotRun, Sealed: a.Sealed, Named: a.ID == id, Reused: resp.Reused, Skipped: resp.Skipped}
+}
+
 // awaitBeginning waits for the first event of a stream, as a replica may send the head while the request still waits for
 // memory, and for the body of a short answer. It returns an error if they break off; a stream that ends without any event
 // is complete.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -186,7 +186,11 @@
 	Replica string
 	Result  string
 	Reason  string
-	Ms      int64
+	// AtMs is when the request was sent to the replica, counted from its arrival at the dispatcher.
+	AtMs int64
+	Ms   int64
+	// Answer is the head of the answer that decided the attempt, nil without one.
+	Answer *AnswerHead `json:",omitempty"`
 	// EndedBy says who ended it before a complete answer, and SilentMs for how long its replica had sent nothing then.
 	EndedBy  EndedBy `json:",omitempty"`
 	SilentMs int64   `json:",omitempty"`
@@ -195,6 +199,20 @@
 	AfterMs int64  `json:",omitempty"`
 }
 
+// AnswerHead is what the head of a replica's answer states, so that it can be compared with the replica's own log.
+type AnswerHead struct {
+	Status int
+	// NotRun is set if it states that the replica did not run the request, Sealed if it bears the replica's seal, and
+	// Named if it has the ID of the request.
+	NotRun bool `json:",omitempty"`
+	Sealed bool `json:",omitempty"`
+	Named  bool `json:",omitempty"`
+	// Reused is set if its connection had carried another request before, and Skipped is the number of late answers to
+	// other requests that came before it.
+	Reused  bool `json:",omitempty"`
+	Skipped int  `json:",omitempty"`
+}
+
 // EndedBy says who ended an attempt, or the connection of a caller, before a complete answer.
 type EndedBy string
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -138,7 +138,7 @@
 		fields["source"], fields["sink"], fields["salt"] = ex.report.Source, ex.report.Sink, ex.report.Salt
 		fields["first_ms"], fields["expected_ms"] = ex.report.First.Milliseconds(), ex.report.Expected.Milliseconds()
 	}
-	if len(ex.report.Attempts) > 1 || err != nil {
+	if len(ex.report.Attempts) > 1 || err != nil || ex.report.Status >= http.StatusBadRequest {
 		fields["tries"] = ex.report.Attempts
 		if ex.report.Digest != 0 {
 			fields["digest"] = ex.report.Digest.String()
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -24,6 +24,9 @@
 	if silences := describeSilences(r); silences != "" {
 		text += "; " + silences
 	}
+	if answers := describeAnswers(r); answers != "" {
+		text += "; " + answers
+	}
 	if evidence := lossEvidence(r, lines); evidence != "" {
 		text += "; " + evidence
 	}
@@ -59,6 +62,40 @@
 	return "tried beside a silent replica: " + strings.Join(tried, ", ")
 }
 
+// describeAnswers says what the failures and rejections of replicas state, so that their own logs can be laid beside.
+func describeAnswers(r *logline.Request) string {
+	var answers []string
+	for _, a := range r.Tries {
+		if h := a.Answer; h != nil && h.Status >= http.StatusBadRequest {
+			answers = append(answers, fmt.Sprintf("%s sent %d (%s) %d ms after the request came", a.Replica, h.Status, headMarks(h), a.AtMs+a.Ms))
+		}
+	}
+	if len(answers) == 0 {
+		return ""
+	}
+	return "answers of replicas: " + strings.Join(answers, ", ")
+}
+
+func headMarks(h *logline.AnswerHead) string {
+	marks := []string{"states nothing about a run"}
+	if h.NotRun {
+		marks[0] = "states that it did not run"
+	}
+	if h.Sealed {
+		marks = append(marks, "sealed")
+	}
+	if !h.Named {
+		marks = append(marks, "names no request")
+	}
+	if h.Reused {
+		marks = append(marks, "on a connection that had carried another request")
+	}
+	if h.Skipped > 0 {
+		marks = append(marks, fmt.Sprintf("after %d answers to others", h.Skipped))
+	}
+	return strings.Join(marks, ", ")
+}
+
 // describeHostLoad says that hosts were short of CPU time around the time of the request, so that
 // directories named others.
 func describeHostLoad(lines []logline.Line) string {
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -38,13 +38,26 @@
 	Result  string
 	Reason  string
 	Ms      int64
-	// EndedBy, SilentMs, Beside and AfterMs are those of dispatch.Attempt.
+	// AtMs, Answer, EndedBy, SilentMs, Beside and AfterMs are those of dispatch.Attempt.
+	AtMs     int64
+	Answer   *AnswerHead
 	EndedBy  string
 	SilentMs int64
 	Beside   string
 	AfterMs  int64
 }
 
+// AnswerHead is the head of a replica's answer, as in dispatch.AnswerHead.
+type AnswerHead struct {
+	Status                        int
+	NotRun, Sealed, Named, Reused bool
+	Skipped                       int
+}
+
+// MayBeAnothers reports whether an answer that states that its request did not run may have been meant for another one:
+// it does not name the request, and came on a connection that had carried another.
+func (h *AnswerHead) MayBeAnothers() bool { return h != nil && h.NotRun && h.Reused && !h.Named }
+
 // Request is the decoded line that ends a request.
 type Request struct {
 	ID           string   `json:"request"`
--- a/internal/logreport/logreport.go
+++ b/internal/logreport/logreport.go
@@ -62,6 +62,9 @@
 	// Retries counts the retries that the hosts' retry budgets allowed, RetriesRefused the requests with one
 	// that they refused.
 	Retries, RetriesRefused int
+	// Unnamed counts the attempts that replicas rejected without naming the request, on a connection that had carried
+	// another one: such a rejection may have been meant for that.
+	Unnamed int
 
 	firsts, expected distribution
 }
@@ -146,6 +149,11 @@
 	if r.RetryRefused {
 		i.RetriesRefused++
 	}
+	for _, a := range r.Tries {
+		if a.Answer.MayBeAnothers() {
+			i.Unnamed++
+		}
+	}
 	if r.EndedBy != "" {
 		i.Ended[r.EndedBy]++
 	}
@@ -211,7 +219,14 @@
 		fmt.Fprintf(w, "%d\t", c)
 	}
 	fmt.Fprintf(w, "%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%s\n", i.Retries, i.RetriesRefused, i.HitRate(),
-		i.firsts.percentile(50), i.firsts.percentile(90), i.expected.percentile(50), i.expected.percentile(90), formatCauses("", i.Causes)+formatCauses("ended by ", i.Ended))
+		i.firsts.percentile(50), i.firsts.percentile(90), i.expected.percentile(50), i.expected.percentile(90), formatCauses("", i.Causes)+formatCauses("ended by ", i.Ended)+formatUnnamed(i.Unnamed))
+}
+
+func formatUnnamed(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("rejections that name no request %d", n)
 }
 
 // formatCauses lists causes with their counts, the most frequent first.
--- a/internal/logreport/logreport_test.go
+++ b/internal/logreport/logreport_test.go
@@ -66,6 +66,26 @@
 	}
 }
 
+// TestUnnamedRejectionsAreCounted guards against a rejection that may have been meant for another request and that no
+// report shows: it names none, and came on a connection that had carried another one.
+func TestUnnamedRejectionsAreCounted(t *testing.T) {
+	report, err := New(2 * time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := func(answer string) string {
+		return `1.0 edge-1 {"msg":"request","request":"r-1","outcome":"overloaded","tries":[{"Replica":"i-1","Result":"refused","Answer":` + answer + `}],"time":"2026-06-01T10:00:00Z"}` + "\n"
+	}
+	text := line(`{"Status":503,"NotRun":true,"Reused":true}`) + line(`{"Status":503,"NotRun":true}`) + line(`{"Status":503,"NotRun":true,"Named":true,"Reused":true}`)
+	if err := logline.Each(strings.NewReader(text), report.Add); err != nil {
+		t.Fatal(err)
+	}
+	var table bytes.Buffer
+	if err := Table(&table, report.Intervals()); err != nil || !strings.Contains(table.String(), "rejections that name no request 1") {
+		t.Errorf("%v\n%s", err, table.String())
+	}
+}
+
 // TestDrawings compares the table and the SVG drawing with golden files.
 func TestDrawings(t *testing.T) {
 	var table, drawing bytes.Buffer
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -90,6 +90,10 @@
 	Header http.Header
 	Answer platform.ReplicaAnswer
 	Body   io.Reader
+	// Reused is set if the connection had carried another request before, and Skipped is the number of late answers to
+	// other requests that were skipped before this one.
+	Reused  bool
+	Skipped int
 
 	conn  *conn
 	pool  *Pool
@@ -108,6 +112,8 @@
 	heads   headLimit
 	// writeDone receives the result of writing the current request once it has ended.
 	writeDone chan error
+	// exchanges counts the requests that were sent on the connection.
+	exchanges int
 	idleSince time.Time
 	// idleFor is how long the connection was idle before its current request.
 	idleFor time.Duration
@@ -131,8 +137,9 @@
 		return fail(false, ctx.Err())
 	}
 	counter := &countingWriter{w: c.Conn}
+	c.exchanges++
 	c.write(counter, req)
-	raw, err := c.readAnswer(req)
+	raw, skipped, err := c.readAnswer(req)
 	if err != nil {
 		// The request may still be being written: the count of bytes sent is final only after
 		// the writer has ended.
@@ -145,10 +152,14 @@
 		Header: raw.Header,
 		Answer: platform.DecodeAnswer(raw.StatusCode, raw.Header),
 		Body:   raw.Body,
-		conn:   c,
-		close:  raw.Close,
-		stop:   stop,
-		raw:    raw,
+
+		Reused:  c.exchanges > 1,
+		Skipped: skipped,
+
+		conn:  c,
+		close: raw.Close,
+		stop:  stop,
+		raw:   raw,
 	}
 	return resp, nil
 }
@@ -214,29 +225,30 @@
 	return b.Bytes(), req.Body[inline:]
 }
 
-// readAnswer reads the head of the request's answer. It skips informational (1xx) answers and
-// late answers to earlier requests, which carry another request ID.
-func (c *conn) readAnswer(req *Request) (*http.Response, error) {
+// readAnswer reads the head of the request's answer, and returns how many late answers to earlier requests it skipped:
+// they carry another request ID. Informational (1xx) answers are skipped too.
+func (c *conn) readAnswer(req *Request) (raw *http.Response, skipped int, err error) {
 	httpReq := &http.Request{Method: req.Method}
 	c.heads.begin(maxHeadBytes)
 	defer c.heads.end()
 	for range maxStrayAnswers + 1 {
 		raw, err := http.ReadResponse(c.reader, httpReq)
 		if err != nil {
-			return nil, errors.Wrap(err, "read an answer's head")
+			return nil, skipped, errors.Wrap(err, "read an answer's head")
 		}
 		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
 			continue
 		}
 		id := platform.DecodeAnswer(raw.StatusCode, raw.Header).ID
 		if id == "" || id == req.ID {
-			return raw, nil
+			return raw, skipped, nil
 		}
 		if !c.discard(raw.Body) || raw.Close {
-			return nil, errors.New("the connection carried an answer to another request")
+			return nil, skipped, errors.New("the connection carried an answer to another request")
 		}
+		skipped++
 	}
-	return nil, errors.New("the connection carried answers to other requests")
+	return nil, skipped, errors.New("the connection carried answers to other requests")
 }
 
 // discard reads a body to its end, and reports whether that came in time.
