A server's own 503, 429, 408 or 421 is no promise that nothing ran

The answer bears the server's seal and no mark "not run", and was forwarded as it came; to callers these four statuses promise that nothing ran. A sealed 421 even counted as proof.

Now the caller of such a request gets 502, which promises nothing, without the seal, and the server's status goes to the log. Requests that may run again keep status, body and seal. The same where another host passes it on, which may be of the build before. A sealed 421 without the mark is the server's own answer.

Ruled out by tests: that 500 and 504 are touched; that the server's health is seen otherwise than before (a 4xx is an answer, a 503 a failure).

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -85,6 +85,21 @@
 	return replica.Answered, nil
 }
 
+// withholdPromise ends an attempt whose replica ran the request and answered with a status that would tell the caller
+// that it did not.
+func (x *exchange) withholdPromise(resp *upstream.Response) (replica.Result, error) {
+	resp.Discard()
+	now := clock.Now()
+	x.choice.Flight.AnswerStarted(now)
+	x.report.First, x.report.Status = now.Sub(x.run.began), resp.Status
+	err := errkind.New(errkind.BackendError, fmt.Sprintf("the replica answered %d and does not state that it did not run the request", resp.Status))
+	if resp.Status >= http.StatusInternalServerError {
+		return replica.Failed, err
+	}
+	x.recordServed(now)
+	return replica.Answered, err
+}
+
 // forwardLarge forwards an answer of which the beginning was read, and the rest as it arrives. One that breaks
 // off is aborted, and cannot be retried.
 func (x *exchange) forwardLarge(resp *upstream.Response, beginning []byte) (replica.Result, error) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -311,6 +311,9 @@
 }
 
 func (x *exchange) forward(resp *upstream.Response) (replica.Result, error) {
+	if !x.req.Route.Repeatable() && errkind.PromisesNotRun(resp.Status) {
+		return x.withholdPromise(resp)
+	}
 	if isEventStream(resp) {
 		return x.forwardStream(resp)
 	}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -132,6 +132,16 @@
 	return Internal, false
 }
 
+// PromisesNotRun reports whether callers take a status as a promise that their request has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Refusal reports whether the answer rejects a request that has not run and may be retried.
 func (a Answer) Refusal() bool { return a.Run == NotRun && a.RetryAfter > 0 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -27,6 +27,8 @@
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: the wait is expected to be 431 ms, and 400 ms are left to more urgent requests","ms":2,"sends":0,"ran":0,"config":7,"retry_after_ms":431,"state":"failed","time":"2026-06-01T10:00:10Z"}`,
 	"rejected-by-name": `
 10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"overloaded","error":"overloaded: no server has room for the request","shortage":"servers","ms":9,"sends":2,"ran":0,"replica":"i-2","config":7,"retry_after_ms":431,"state":"failed","tries":[{"Replica":"i-1","Result":"refused","AtMs":0,"Ms":3,"Answer":{"Status":503,"NotRun":true,"Named":true,"Reused":true,"Skipped":1}},{"Replica":"i-2","Result":"refused","AtMs":4,"Ms":5,"Answer":{"Status":503,"NotRun":true}}],"time":"2026-06-01T10:00:10Z"}`,
+	"failure-that-would-promise": `
+10.1 edge-1 {"level":"warning","msg":"request","request":"r-1","outcome":"backend_error","error":"backend_error: the replica answered 503 and does not state that it did not run the request","ms":62,"first_ms":61,"sends":1,"ran":1,"replica":"i-2","status":503,"config":7,"state":"failed","tries":[{"Replica":"i-2","Result":"failed","AtMs":1,"Ms":60,"Answer":{"Status":503,"Sealed":true,"Named":true}}],"time":"2026-06-01T10:00:10Z"}`,
 	"above-share": `
 9.9 edge-1 {"level":"warning","msg":"service short of capacity","service":"jobs","capacity":176,"offered":195,"time":"2026-06-01T10:00:09.9Z"}
 10.0 edge-1 {"level":"warning","msg":"service short of capacity","service":"jobs","capacity":176,"offered":195,"time":"2026-06-01T10:00:10Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -128,6 +128,9 @@
 	}
 	switch kind {
 	case errkind.BackendError:
+		if r.Error != "" {
+			return fmt.Sprintf("the caller got %d after %.0f ms: %s", kind.Answer().Status, r.Ms, r.Error)
+		}
 		return fmt.Sprintf("the caller got replica %s's own %d, passed on as it is", r.Replica, r.Status)
 	case errkind.Unauthenticated, errkind.NotFound:
 		return fmt.Sprintf("the caller was denied by configuration %d, of which a newer version could have been missed for %.0f ms (%s)", r.Config, r.ConfigAgeMs, r.Error)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -128,6 +129,10 @@
 		resp.Finish(false)
 		return errkind.New(errkind.BackendLost, "the host that the request was passed on to answered without a replica's seal")
 	}
+	if resp.Answer.Sealed && errkind.PromisesNotRun(resp.Status) && !t.req.Route.Repeatable() {
+		resp.Discard()
+		return errkind.New(errkind.BackendError, fmt.Sprintf("a replica of the host that the request was passed on to answered %d and does not state that it did not run the request", resp.Status))
+	}
 	if isEventStream(resp) && t.req.Route.Resumable {
 		return t.copyEvents(ctx, resp)
 	}
