A rejection that names no request is believed only on a connection of its own

Cause: an answer without an ID counted as the answer to the request that waits, and "not run" was taken from it before anything asked whose it is. A second copy of a rejection that comes once the connection is used again rejects a request that the server goes on to run.

A rejection proves that a request did not run if it names the request or no other request was sent on its connection. Where servers reject without naming, requests that must not run twice get new connections from the first such rejection on until a minute after the last; without that most rejections would become 502. Requests that may run again go on believing them, and cost no connections.

It does not grow with the number of hosts.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -200,7 +200,10 @@
 		x.head = describeHead(resp, x.req.ID)
 		begun = x.awaitBeginning(resp)
 	}
-	notRun := err == nil && resp.Answer.NotRun
+	if err == nil && resp.Answer.NotRun && resp.Answer.ID == "" {
+		x.d.unnamed.record(x.req.Service.Name, clock.Now())
+	}
+	notRun := err == nil && x.provesNotRun(resp)
 	if notRun {
 		x.rejected.Add(1)
 	}
@@ -214,7 +217,7 @@
 		return nil, result, err
 	}
 	x.arrived++
-	if resp.Answer.NotRun {
+	if notRun {
 		result, err := x.handleNotRun(resp)
 		return nil, result, err
 	}
@@ -253,7 +256,7 @@
 	x.heardAt = clock.Now()
 	x.choice.Flight.RecordNotice(resp.Answer, x.heardAt)
 	switch {
-	case resp.Answer.NotRun:
+	case x.provesNotRun(resp):
 		return nil
 	case isEventStream(resp):
 		if err := AwaitEvent(resp); err != nil && !errors.Is(err, io.EOF) {
@@ -304,6 +307,13 @@
 	return nil
 }
 
+// provesNotRun reports whether the answer shows that the replica did not run the request. One that names no request may be
+// a late rejection of an earlier request on its connection. A request that may run again is retried after it all the
+// same.
+func (x *exchange) provesNotRun(resp *upstream.Response) bool {
+	return resp.Answer.NotRun && (resp.Own || x.req.Route.Repeatable())
+}
+
 // recordRun records that the replica may have run the request.
 func (x *exchange) recordRun() {
 	x.ran = true
@@ -371,6 +381,7 @@
 	return &upstream.Request{
 		ID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: platform.EncodeRequest(req.Header, out), Body: req.Body, MaxIdle: maxIdle,
+		NewConnection: !req.Route.Repeatable() && x.d.unnamed.rejects(req.Service.Name, clock.Now()),
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -244,6 +244,8 @@
 	// AcquirePermit acquires a permit for a request to a server that limits its requests. It must
 	// be set before the first request.
 	AcquirePermit func(ctx context.Context, id string) bool
+	// unnamed has the services whose servers reject requests without naming them.
+	unnamed unnamedRejections
 	// rooms counts the requests that wait for room at brittle replicas.
 	rooms roomQueue
 	// IsCutOff reports whether this host reaches no replica of a service although other hosts do. It
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -247,6 +247,41 @@
 	})
 }
 
+// TestOnlyUnnamedRejectionsCostConnections guards against new connections for requests whose servers name what they reject,
+// and against requests that were rejected without a name, on a connection of their own, and are told that they may have
+// run.
+func TestOnlyUnnamedRejectionsCostConnections(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		for _, kind := range []config.Kind{config.NonIdempotent, config.Idempotent} {
+			synctest.Test(t, func(t *testing.T) {
+				const requests = 10
+				var list []reply
+				for range requests {
+					list = append(list, reply{status: http.StatusServiceUnavailable, named: named})
+				}
+				s, d := newTalkers(1, list...)
+				for i := range requests {
+					if o := send(d, fmt.Sprintf("r-%d", i), kind); o.status != http.StatusServiceUnavailable {
+						t.Errorf("named %t, kind %d: rejected and answered %d, %+v", named, kind, o.status, o.report)
+					}
+				}
+				want := 1
+				if kind == config.NonIdempotent && !named {
+					want = requests
+				}
+				if s.dials != want {
+					t.Errorf("named %t, kind %d: %d connections, want %d", named, kind, s.dials, want)
+				}
+				time.Sleep(unnamedRejectionTTL)
+				if send(d, "later", kind); !named && s.dials > want+1 {
+					t.Errorf("kind %d: %d connections after a minute, want %d at most", kind, s.dials, want+1)
+				}
+				d.pool.Close()
+			})
+		}
+	}
+}
+
 // TestPromisesHoldWhateverServersSend guards against a request that must not run twice and is told that it did not run
 // though it did, or that runs twice; and against the opposite: one that servers certainly rejected is told
 // that it may have run. Servers send any answers, again, late, to others, without a name.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,6 +47,9 @@
 	// MaxIdle is the maximum time that a reused connection may have been idle. 0 sets no limit
 	// beyond the pool's.
 	MaxIdle time.Duration
+	// NewConnection makes the request the first on its connection, so that no answer to another one can be taken for its
+	// own.
+	NewConnection bool
 }
 
 // Error is the error of a failed exchange.
@@ -94,6 +97,9 @@
 	// other requests that were skipped before this one.
 	Reused  bool
 	Skipped int
+	// Own is set if the answer is certainly one to this request: it names it, or no other request was sent on the
+	// connection.
+	Own bool
 
 	conn  *conn
 	pool  *Pool
@@ -161,6 +167,7 @@
 		stop:  stop,
 		raw:   raw,
 	}
+	resp.Own = !resp.Reused || resp.Answer.ID == req.ID
 	return resp, nil
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,7 +96,10 @@
 // Send sends a request to the backend server at an IP:port and returns once the head of the
 // answer has been read. Errors are of type *Error. The connection is closed when ctx ends.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	c := p.take(address, req.MaxIdle)
+	var c *conn
+	if !req.NewConnection {
+		c = p.take(address, req.MaxIdle)
+	}
 	if c == nil {
 		dialed, err := p.dial(ctx, address)
 		if err != nil {
