A request that is sent to a server again gets a new connection

What callers saw: nothing yet. A test of the dispatcher shows it: a request that a server rejected and that is sent to the same server again, once that is expected to have room, takes a second copy of its first rejection for the answer, as both have its ID; it is answered 503 and runs.

Cause: an ID tells requests apart, not two sends of one. On a new connection nothing of the first send can arrive.

Price: a connection for each second send to one server, which happens after a wait for room (fair_share), five sends a request at most; no other request has one more.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -216,7 +216,7 @@
 		result, err := x.sendFailed(err)
 		return nil, result, err
 	}
-	x.arrived++
+	x.recordArrival()
 	if notRun {
 		result, err := x.handleNotRun(resp)
 		return nil, result, err
@@ -314,6 +314,12 @@
 	return resp.Answer.NotRun && (resp.Own || x.req.Route.Repeatable())
 }
 
+// recordArrival records that the request may have reached the replica.
+func (x *exchange) recordArrival() {
+	x.arrived++
+	x.sentTo[x.choice.ID] = true
+}
+
 // recordRun records that the replica may have run the request.
 func (x *exchange) recordRun() {
 	x.ran = true
@@ -338,7 +344,7 @@
 	var failed *upstream.Error
 	sent := errors.As(err, &failed) && failed.Sent
 	if sent {
-		x.arrived++
+		x.recordArrival()
 		x.recordRun()
 	}
 	switch {
@@ -381,8 +387,17 @@
 	return &upstream.Request{
 		ID: req.ID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: platform.EncodeRequest(req.Header, out), Body: req.Body, MaxIdle: maxIdle,
-		NewConnection: !req.Route.Repeatable() && x.d.unnamed.rejects(req.Service.Name, clock.Now()),
+		NewConnection: x.needsNewConnection(),
+	}
+}
+
+// needsNewConnection reports whether a rejection on a used connection would prove nothing: one that names the request may
+// be a second copy of its first, if it is sent to the replica again, and others may not name it.
+func (x *exchange) needsNewConnection() bool {
+	if x.sentTo[x.choice.ID] {
+		return true
 	}
+	return !x.req.Route.Repeatable() && x.d.unnamed.rejects(x.req.Service.Name, clock.Now())
 }
 
 const (
