A passed-on request is not rejected by an answer to another one

A host that passes a request on took an answer without an ID for that of the other host, and the mark "reached no replica" from any answer, also one that a server sealed after a run. Our own hosts name every rejection and send no answer twice, so that it takes a fault beside; the test has one.

Such an answer is now an answer that was lost (502), a marked one that a server sealed is the server's. TestPassedOnRequestIsNotRejectedByAnother failed before for both.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -145,7 +145,14 @@
 		t.ran++
 		return nil, lost(ctx, err, "the host that the request was passed on to was lost")
 	}
-	if platform.Unreached(resp.Header) || ranBefore && isRejection(resp) {
+	if !resp.Answer.Sealed && !resp.Own && errkind.PromisesNotRun(resp.Status) {
+		// It may be a late answer to another request on the connection.
+		resp.Finish(false)
+		t.arrived(host)
+		t.ran++
+		return nil, errkind.New(errkind.BackendLost, fmt.Sprintf("the host that the request was passed on to answered %d without the request's ID", resp.Status))
+	}
+	if isUnreached(resp) || ranBefore && isRejection(resp) {
 		// The rejection states that the request did not run.
 		resp.Discard()
 		return nil, errNotRun
@@ -244,6 +251,11 @@
 	return nil
 }
 
+// isUnreached reports whether an answer is the other host's own and states that it reached no replica.
+func isUnreached(resp *upstream.Response) bool {
+	return !resp.Answer.Sealed && platform.Unreached(resp.Header)
+}
+
 // isRejection reports whether an answer is the other host's own and states that the request did not run.
 func isRejection(resp *upstream.Response) bool {
 	return !resp.Answer.Sealed && resp.Status >= http.StatusBadRequest && (resp.Status < http.StatusInternalServerError || resp.Status == http.StatusServiceUnavailable)
