--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -42,6 +42,10 @@
 	Work time.Duration
 	// PartPause is the pause after each part of a large answer.
 	PartPause time.Duration
+	// OwnStatusEvery is how many requests run for one that is answered with one of OwnStatuses, 0 if none is.
+	OwnStatusEvery int
+	// OnOwnStatus is called for each of these; it may be nil.
+	OnOwnStatus func(id string, status int)
 	// RejectsFull makes the server reject requests beyond its slots.
 	RejectsFull bool
 	// LoadTime is the time that it takes to load new weights.
@@ -85,6 +89,10 @@
 // PoisonBody is the prefix of the body of a request that crashes each server that runs it.
 const PoisonBody = "crash the server:"
 
+// OwnStatuses are statuses by which callers know that a request did not run. A server that has OwnStatusEvery set
+// answers some requests with them that ran.
+var OwnStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
 // Fault is a fault that the server injects into a request.
 type Fault string
 
@@ -112,10 +120,11 @@
 	// orderSeq counts the accepted load commands.
 	orderSeq int64
 	faults   []Fault
-	// runs counts the runs of each request by its ID.
-	runs   map[string]int
-	cached map[string]bool
-	events [][]any
+	// started counts the runs of all requests, and runs those of each by its ID.
+	started int
+	runs    map[string]int
+	cached  map[string]bool
+	events  [][]any
 	// With leaving set, every answer has a leave notice. Until rejectUntil requests are
 	// rejected, and their senders are asked to back off until then.
 	leaving     bool
@@ -405,6 +414,13 @@
 	if fault != Unsealed {
 		w.Header().Set(wire.Seal, "seal-of-"+e.ID)
 	}
+	if status := e.ownStatus(); status > 0 {
+		if e.OnOwnStatus != nil {
+			e.OnOwnStatus(id, status)
+		}
+		w.WriteHeader(status)
+		return
+	}
 	if fault == Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -416,6 +432,20 @@
 	e.serveStream(w, r, fault)
 }
 
+// ownStatus returns the status with which the server answers the current run itself, 0 if it answers as usual.
+func (e *Engine) ownStatus() int {
+	if e.OwnStatusEvery == 0 {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.started++
+	if e.started%e.OwnStatusEvery > 0 {
+		return 0
+	}
+	return OwnStatuses[e.started/e.OwnStatusEvery%len(OwnStatuses)]
+}
+
 func (e *Engine) isLoading() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
