Read the servers that a request reached before another attempt may write them

From the beginning of its wait on, an attempt does not own the run: one beside it does. Seen by reading; the race detector did not report it in dispatch's tests.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -193,8 +193,9 @@
 func (x *exchange) open() (*upstream.Response, replica.Result, error) {
 	x.report.Sends++
 	x.unsettled++
+	req := x.upstreamRequest()
 	x.takeover.await()
-	resp, err := x.d.pool.Send(x.ctx, x.choice.Address, x.upstreamRequest())
+	resp, err := x.d.pool.Send(x.ctx, x.choice.Address, req)
 	var begun error
 	if err == nil {
 		x.head = describeHead(resp, x.req.ID)
