--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -37,6 +37,8 @@
 	runs bool
 	// named is set if the answer has the request's ID.
 	named bool
+	// wait is the time until the answer; the server begins at once.
+	wait time.Duration
 	// late are extra answers that come before the next one on the connection.
 	late []extra
 }
@@ -107,6 +109,7 @@
 			s.rejected[id]++
 		}
 		s.mu.Unlock()
+		time.Sleep(answer.wait)
 		text := answer.text(id)
 		if _, err := io.WriteString(c, late+text); err != nil {
 			return
@@ -162,18 +165,24 @@
 type delivered struct {
 	status  int
 	promise bool
-	report  Report
+	// late is set if the request's time was over.
+	late   bool
+	report Report
 }
 
 // send runs a request, and returns what its caller gets.
 func send(d *Dispatcher, id string, kind config.Kind) delivered {
+	return sendFor(d, id, kind, time.Second)
+}
+
+func sendFor(d *Dispatcher, id string, kind config.Kind, timeout time.Duration) delivered {
 	req := testRequest(kind, false, 2)
-	req.ID, req.Body = id, []byte(id)
+	req.ID, req.Body, req.Deadline = id, []byte(id), time.Now().Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
 	out := &recorder{}
 	report, err := d.Run(ctx, req, out)
-	o := delivered{status: out.status, report: report}
+	o := delivered{status: out.status, late: ctx.Err() != nil, report: report}
 	if err != nil {
 		o.status = errkind.From(err).Kind.Answer().Status
 	}
@@ -282,9 +291,13 @@
 	}
 }
 
+// shortTime is the time of some requests, which some answers take as well.
+const shortTime = 50 * time.Millisecond
+
 // TestPromisesHoldWhateverServersSend guards against a request that must not run twice and is told that it did not run
 // though it did, or that runs twice; and against the opposite: one that servers certainly rejected is told
-// that it may have run. Servers send any answers, again, late, to others, without a name.
+// that it may have run. Servers send any answers, again, late, to others, without a name, before and after the request's
+// time is over.
 func TestPromisesHoldWhateverServersSend(t *testing.T) {
 	replies := rapid.Custom(func(rt *rapid.T) reply {
 		a := reply{runs: rapid.Bool().Draw(rt, "runs"), named: rapid.IntRange(0, 3).Draw(rt, "named") > 0}
@@ -292,6 +305,7 @@
 		if !a.runs {
 			a.status = rapid.SampledFrom(promises).Draw(rt, "rejection")
 		}
+		a.wait = rapid.SampledFrom([]time.Duration{0, 0, 0, shortTime - time.Millisecond, shortTime, 3 * shortTime}).Draw(rt, "wait")
 		a.late = rapid.SliceOfN(rapid.SampledFrom([]extra{again, unnamedRejection, othersRejection}), 0, 2).Draw(rt, "late")
 		return a
 	})
@@ -299,6 +313,7 @@
 		list := rapid.SliceOfN(replies, 1, 12).Draw(rt, "replies")
 		servers := rapid.IntRange(1, 3).Draw(rt, "servers")
 		shared := rapid.Bool().Draw(rt, "shared")
+		short := rapid.SliceOfN(rapid.Bool(), 8, 8).Draw(rt, "short")
 		kinds := rapid.SliceOfN(rapid.SampledFrom([]config.Kind{config.NonIdempotent, config.NonIdempotent, config.Idempotent}), 2, 8).Draw(rt, "kinds")
 		var wrong []string
 		synctest.Test(t, func(*testing.T) {
@@ -309,16 +324,21 @@
 			outcomes := map[string]delivered{}
 			for i, kind := range kinds {
 				id := fmt.Sprintf("r-%d", i)
-				o := send(d, id, kind)
+				timeout := time.Second
+				if short[i] {
+					timeout = shortTime
+				}
+				o := sendFor(d, id, kind, timeout)
 				if kind == config.NonIdempotent {
 					outcomes[id] = o
 				}
 			}
 			d.pool.Close()
+			time.Sleep(time.Second)
 			synctest.Wait()
 			for id, o := range outcomes {
 				runs, certain := s.runs[id], s.arrived[id] == s.rejected[id]
-				if runs > 1 || runs > 0 && o.promise || certain && runs == 0 && !o.promise {
+				if runs > 1 || runs > 0 && o.promise || certain && runs == 0 && !o.promise && !o.late {
 					wrong = append(wrong, fmt.Sprintf("%s arrived %d times, was certainly rejected %d times, ran %d times and was answered %d: %+v", id, s.arrived[id], s.rejected[id], runs, o.status, o.report))
 				}
 			}
