--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -255,15 +255,20 @@
 
 // newDispatcher returns a dispatcher and its table of the fleet's replicas.
 func newDispatcher(f *fleet) (*Dispatcher, *replica.Table) {
+	return newDispatcherOf(testReplicas, f.dial)
+}
+
+// newDispatcherOf returns a dispatcher and its table of a number of replicas, which are dialled at their IDs.
+func newDispatcherOf(replicas int, dial func(ctx context.Context, address string) (net.Conn, error)) (*Dispatcher, *replica.Table) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	table := replica.NewTable(log, func(string, string) {})
-	for i := range testReplicas {
+	for i := range replicas {
 		id := fmt.Sprintf("i-%d", i)
 		table.Register(platform.Registration{ID: id, Service: testService, Address: id, Slots: 8}, int64(i))
 	}
 	pool := upstream.NewPool()
-	pool.Dial = f.dial
+	pool.Dial = dial
 	s := schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true)
 	return New(s, table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now()), quarantine.NewTable(log, time.Now())), table
 }
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -7,26 +7,18 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/fairshare"
-	"github.com/briarlink/briarlink/internal/prefix"
-	"github.com/briarlink/briarlink/internal/quarantine"
-	"github.com/briarlink/briarlink/internal/replica"
-	"github.com/briarlink/briarlink/internal/retry"
-	"github.com/briarlink/briarlink/internal/route"
-	"github.com/briarlink/briarlink/internal/schedule"
-	"github.com/briarlink/briarlink/internal/upstream"
-	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
@@ -149,16 +141,8 @@
 // newTalkers returns a dispatcher with a number of such servers.
 func newTalkers(servers int, replies ...reply) (*talkers, *Dispatcher) {
 	s := &talkers{replies: replies, runs: map[string]int{}, arrived: map[string]int{}, rejected: map[string]int{}}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	table := replica.NewTable(log, func(string, string) {})
-	for i := range servers {
-		id := fmt.Sprintf("i-%d", i)
-		table.Register(platform.Registration{ID: id, Service: testService, Address: id, Slots: 8}, int64(i))
-	}
-	pool := upstream.NewPool()
-	pool.Dial = s.dial
-	return s, New(schedule.New(table, prefix.NewIndex(), route.DefaultPolicy(), "z", true), table, pool, retry.NewBudget(1, time.Second, 100, 1, time.Now()), quarantine.NewTable(log, time.Now()))
+	d, _ := newDispatcherOf(servers, s.dial)
+	return s, d
 }
 
 // delivered is the status that the caller of a request gets.
@@ -186,10 +170,7 @@
 	if err != nil {
 		o.status = errkind.From(err).Kind.Answer().Status
 	}
-	switch o.status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		o.promise = true
-	}
+	o.promise = slices.Contains(promises, o.status)
 	return o
 }
 
