An unnamed answer after an answer to another request is not certain either

Seen in reading the diff: a new connection whose server first sends an answer to another request carries more than one server's answers should. A rejection without an ID after it proves nothing.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -97,8 +97,7 @@
 	// other requests that were skipped before this one.
 	Reused  bool
 	Skipped int
-	// Own is set if the answer is certainly one to this request: it names it, or no other request was sent on the
-	// connection.
+	// Own is set if the answer is certainly one to this request: it names it, or the connection carried nothing else.
 	Own bool
 
 	conn  *conn
@@ -167,7 +166,7 @@
 		stop:  stop,
 		raw:   raw,
 	}
-	resp.Own = !resp.Reused || resp.Answer.ID == req.ID
+	resp.Own = resp.Answer.ID == req.ID || !resp.Reused && skipped == 0
 	return resp, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -202,6 +202,49 @@
 	}
 }
 
+// TestAnswersThatMayBeAnothersAreNotOwn guards against an answer without an ID that is taken for certain although its
+// connection carried another request, or an answer to one.
+func TestAnswersThatMayBeAnothersAreNotOwn(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 X\r\n" + wire.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name    string
+		answers []string
+		fresh   bool
+		want    bool
+	}{
+		{"the first on its connection", []string{unnamed}, false, true},
+		{"after another request", []string{answer("1", "x"), unnamed}, false, false},
+		{"after another request, on a new connection", []string{unnamed, unnamed}, true, true},
+		{"after another request, with its ID", []string{answer("1", "x"), answer("2", "x")}, false, true},
+		{"after an answer to another request", []string{answer("other", "x") + unnamed}, false, false},
+	} {
+		address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			for _, text := range c.answers {
+				if _, _, err := readRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, text)
+			}
+		})
+		p := newTestPool(time.Minute)
+		own := false
+		for i := range c.answers {
+			req := request(itoa(i + 1)[1:], "")
+			req.NewConnection = c.fresh
+			resp, err := p.Send(context.Background(), address, req)
+			if err != nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+			own = resp.Own
+			resp.Discard()
+		}
+		if own != c.want {
+			t.Errorf("%s: own %t, want %t", c.name, own, c.want)
+		}
+		p.Close()
+	}
+}
+
 // TestLateAnswersToOthersAreSkipped: a late answer to an earlier request carries that request's ID
 // and is skipped.
 func TestLateAnswersToOthersAreSkipped(t *testing.T) {
