soak tests: wait for the stub's exit before its directory is removed

Cause: the grace time became a field of the soak's host, and the stub of these two tests has none. With 0, the cleanup's kill does not wait for the exit, and the line "process is gone" of the host's log is written into the directory while it is removed.

Change: the stub has the soak's grace time. The tests' checks are as they were.

Ruled out: the stub's children (they write nothing), a second start (both tests fail alike).

--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -18,7 +18,7 @@
 	if err := os.WriteFile(binary, []byte(script), 0o755); err != nil {
 		t.Fatal(err)
 	}
-	h := &host{id: "entry-0", binary: binary, log: filepath.Join(dir, "log")}
+	h := &host{id: "entry-0", binary: binary, log: filepath.Join(dir, "log"), grace: grace}
 	t.Cleanup(h.shutDown)
 	if err := h.start(); err != nil {
 		t.Fatal(err)
