A request is kept off connections on which its ID was rejected before

What callers saw: a request that must not run twice is answered 503, which promises that it did not run, though it runs. A server that rejects a request and sends a second copy of the rejection may have it taken for the answer to the next request with that ID on the connection.

Cause: the second send was known by the server's ID, in the run of the request. Another server at the same address, or a caller that sends the rejected request again under its ID, used the kept connection.

Change: the connection knows which IDs were rejected on it, and the pool gives it to none of them again, whoever sends the request. It remembers 256 rejections at the most (2 KiB) and is closed then. Other kept connections may be used for a second send, which had to be a new one before.

Price: TestRejectionsAreRememberedWithinBounds counts 3 connections for 768 rejections; none more where nothing is sent again.

Ruled out: counting sends by address in the run, which a caller's second try escapes; an ID for each send, as the ID is the caller's and servers echo it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -316,10 +316,7 @@
 }
 
 // recordArrival records that the request may have reached the replica.
-func (x *exchange) recordArrival() {
-	x.arrived++
-	x.sentTo[x.choice.ID] = true
-}
+func (x *exchange) recordArrival() { x.arrived++ }
 
 // recordRun records that the replica may have run the request.
 func (x *exchange) recordRun() {
@@ -392,12 +389,8 @@
 	}
 }
 
-// needsNewConnection reports whether a rejection on a used connection would prove nothing: one that names the request may
-// be a second copy of its first, if it is sent to the replica again, and others may not name it.
+// needsNewConnection reports whether a rejection on a used connection would prove nothing, as it may not name its request.
 func (x *exchange) needsNewConnection() bool {
-	if x.sentTo[x.choice.ID] {
-		return true
-	}
 	return !x.req.Route.Repeatable() && x.d.unnamed.rejects(x.req.Service.Name, clock.Now())
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -295,8 +295,6 @@
 	servers   int
 	// noneFree is set if the last choice failed as servers were left out that rejected other requests.
 	noneFree bool
-	// sentTo has the replicas that the request may have reached.
-	sentTo map[string]bool
 	// active has the replicas that the request is at. Attempts of which it is not known yet whether they reached a replica
 	// and may have run are counted in unsettled.
 	active    []string
@@ -332,7 +330,7 @@
 // written, and the kind of the error states whether the request may have run. Run returns as
 // soon as ctx ends.
 func (d *Dispatcher) Run(ctx context.Context, req *Request, out Answer) (Report, error) {
-	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}, rejecting: map[string]bool{}, sentTo: map[string]bool{}}
+	r := &run{d: d, req: req, out: out, machine: newMachine(), began: clock.Now(), exclude: map[string]bool{}, rejecting: map[string]bool{}}
 	r.report.Digest = req.digest()
 	r.fingerprint = quarantine.Fingerprint{
 		Request: r.report.Digest, Blocks: req.blockDigests(d.scheduler.SharingScope(req.Organisation)), Prompt: req.Service.Engine != nil,
--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -19,6 +19,7 @@
 	"github.com/briarlink/briarlink/internal/config"
 	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/internal/fairshare"
+	"github.com/briarlink/briarlink/platform"
 	"github.com/briarlink/briarlink/test/standin/wire"
 )
 
@@ -237,6 +238,42 @@
 	})
 }
 
+// TestFirstRejectionIsNotTakenForThatOfASuccessor guards against a request that is sent again to a server that took over
+// the address of the one that rejected it, on the same connection, and takes a second copy of its first rejection for the
+// answer.
+func TestFirstRejectionIsNotTakenForThatOfASuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &talkers{replies: []reply{{status: http.StatusServiceUnavailable, named: true, late: []extra{again}}}, runs: map[string]int{}, arrived: map[string]int{}, rejected: map[string]int{}}
+		d, table := newDispatcherOf(2, s.dial)
+		for i := range 2 {
+			table.Register(platform.Registration{ID: fmt.Sprintf("i-%d", i), Service: testService, Address: "shared", Slots: 8}, int64(2+i))
+		}
+		o := send(d, "r", config.NonIdempotent)
+		if s.arrived["r"] < 2 {
+			t.Fatalf("arrived %d times, %+v", s.arrived["r"], o.report)
+		}
+		if s.runs["r"] > 1 || s.runs["r"] > 0 && o.promise {
+			t.Errorf("ran %d times and was answered %d, %+v", s.runs["r"], o.status, o.report)
+		}
+		d.pool.Close()
+	})
+}
+
+// TestRejectionIsNotTakenForThatOfARepeatedID guards against a caller that sends a rejected request again under its ID: a
+// second copy of the first rejection is taken for the answer to the second request, which runs.
+func TestRejectionIsNotTakenForThatOfARepeatedID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d := newTalkers(1, reply{status: http.StatusServiceUnavailable, named: true, late: []extra{again}})
+		if o := send(d, "r", config.NonIdempotent); !o.promise {
+			t.Errorf("rejected and answered %d, %+v", o.status, o.report)
+		}
+		if o := send(d, "r", config.NonIdempotent); s.runs["r"] != 1 || o.promise {
+			t.Errorf("ran %d times and was answered %d, %+v", s.runs["r"], o.status, o.report)
+		}
+		d.pool.Close()
+	})
+}
+
 // TestOnlyUnnamedRejectionsCostConnections guards against new connections for requests whose servers name what they reject,
 // and against requests that were rejected without a name, on a connection of their own, and are told that they may have
 // run.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,11 +11,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/zeebo/xxh3"
 
+	"github.com/briarlink/briarlink/internal/errkind"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -31,6 +34,8 @@
 	// can be reused. A server may send one without end.
 	maxDiscardedBytes = 1 << 20
 	discardTime       = 250 * time.Millisecond
+	// maxRejected limits the rejections on a connection, whose request IDs it has to know.
+	maxRejected = 256
 	// maxHeadBytes limits the heads that are read for one request, informational and late ones included.
 	maxHeadBytes = 64 << 10
 )
@@ -119,6 +124,9 @@
 	writeDone chan error
 	// exchanges counts the requests that were sent on the connection.
 	exchanges int
+	// rejected has the hashes of the IDs of requests that were rejected on the connection. A late copy of such an answer
+	// can't be told from the answer to another request with that ID.
+	rejected  []uint64
 	idleSince time.Time
 	// idleFor is how long the connection was idle before its current request.
 	idleFor time.Duration
@@ -167,9 +175,17 @@
 		raw:   raw,
 	}
 	resp.Own = resp.Answer.ID == req.ID || !resp.Reused && skipped == 0
+	if resp.Answer.NotRun || errkind.PromisesNotRun(resp.Status) {
+		c.rejected = append(c.rejected, xxh3.HashString(req.ID))
+	}
 	return resp, nil
 }
 
+// hasRejected reports whether a request with the ID was rejected on the connection.
+func (c *conn) hasRejected(id string) bool {
+	return len(c.rejected) > 0 && slices.Contains(c.rejected, xxh3.HashString(id))
+}
+
 // abort closes a connection whose exchange was given up, and discards what was not delivered yet. The system
 // would go on sending it, and the server might run the request seconds after another one did.
 func (c *conn) abort() {
@@ -288,7 +304,7 @@
 		r.conn.abort()
 		return
 	}
-	if r.close || r.UntilClose() {
+	if r.close || r.UntilClose() || len(r.conn.rejected) >= maxRejected {
 		r.conn.Conn.Close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -98,7 +98,7 @@
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
 	var c *conn
 	if !req.NewConnection {
-		c = p.take(address, req.MaxIdle)
+		c = p.take(address, req)
 	}
 	if c == nil {
 		dialed, err := p.dial(ctx, address)
@@ -219,17 +219,17 @@
 	return c, nil
 }
 
-// take returns the most recently used idle connection that may be reused, or nil. It closes
-// those that may not.
-func (p *Pool) take(address string, maxIdle time.Duration) *conn {
+// take returns the most recently used idle connection that may be reused for a request, or nil. It closes those that may
+// not be reused at all.
+func (p *Pool) take(address string, req *Request) *conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, req.ID)
 		if c == nil {
 			return nil
 		}
 		limit := c.maxIdle
-		if maxIdle > 0 {
-			limit = min(limit, maxIdle)
+		if req.MaxIdle > 0 {
+			limit = min(limit, req.MaxIdle)
 		}
 		now := clock.Now()
 		c.idleFor = now.Sub(c.idleSince)
@@ -240,17 +240,18 @@
 	}
 }
 
-// pop removes and returns the most recently used idle connection, or nil.
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection on which no request with the ID was rejected, or nil.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !c.hasRejected(id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // put keeps an idle connection, unless there are too many. timeout is the server's idle timeout,
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -245,6 +246,35 @@
 	}
 }
 
+// TestRejectionsAreRememberedWithinBounds guards against state that grows with the requests that a server rejects on one
+// connection, and against a new connection for each of them.
+func TestRejectionsAreRememberedWithinBounds(t *testing.T) {
+	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\n"+wire.NotRun+": 1\r\n"+wire.Attempt+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newTestPool(time.Minute)
+	defer p.Close()
+	for i := range 3 * maxRejected {
+		resp, err := p.Send(context.Background(), address, request(fmt.Sprint(i), ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := len(resp.conn.rejected); n > maxRejected {
+			t.Errorf("a connection knows of %d rejections", n)
+		}
+		resp.Discard()
+	}
+	if p.Opened() != 3 {
+		t.Errorf("%d rejections took %d connections, want 3", 3*maxRejected, p.Opened())
+	}
+}
+
 // TestLateAnswersToOthersAreSkipped: a late answer to an earlier request carries that request's ID
 // and is skipped.
 func TestLateAnswersToOthersAreSkipped(t *testing.T) {
@@ -324,7 +354,7 @@
 	if rest := <-got; rest > size {
 		t.Errorf("the server read %d bytes of a body of %d", rest, size)
 	}
-	if c := p.take(address, 0); c != nil {
+	if c := p.take(address, &Request{}); c != nil {
 		t.Error("the connection was kept")
 	}
 }
@@ -366,15 +396,15 @@
 			c.idleSince = time.Now().Add(-age)
 		}
 		put(1500*time.Millisecond, 2*time.Second)
-		if p.take("a", 0) == nil {
+		if p.take("a", &Request{}) == nil {
 			t.Error("a connection within its idle limit was not reused")
 		}
 		put(1700*time.Millisecond, 2*time.Second)
-		if p.take("a", 0) != nil {
+		if p.take("a", &Request{}) != nil {
 			t.Error("a connection was reused too close to the idle timeout")
 		}
 		put(1500*time.Millisecond, 5*time.Second)
-		if p.take("a", time.Second) != nil {
+		if p.take("a", &Request{MaxIdle: time.Second}) != nil {
 			t.Error("a connection idle for longer than MaxIdle was reused")
 		}
 	})
