--- a/internal/dispatch/promise_test.go
+++ b/internal/dispatch/promise_test.go
@@ -227,38 +227,36 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, d := newTalkers(1, reply{status: http.StatusServiceUnavailable, named: true, late: []extra{again, again}})
 		d.Shares = fairshare.NewTable(1)
-		o := send(d, "r", config.NonIdempotent)
-		if s.arrived["r"] < 2 {
-			t.Fatalf("arrived %d times, %+v", s.arrived["r"], o.report)
-		}
-		if s.runs["r"] > 1 || s.runs["r"] > 0 && o.promise {
-			t.Errorf("ran %d times and was answered %d, %+v", s.runs["r"], o.status, o.report)
-		}
-		d.pool.Close()
+		checkSentAgain(t, s, d)
 	})
 }
 
-// TestFirstRejectionIsNotTakenForThatOfASuccessor guards against a request that is sent again to a server that took over
-// the address of the one that rejected it, on the same connection, and takes a second copy of its first rejection for the
-// answer.
+// TestFirstRejectionIsNotTakenForThatOfASuccessor guards against the same where the request is sent again to a server that
+// took over the address of the one that rejected it.
 func TestFirstRejectionIsNotTakenForThatOfASuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &talkers{replies: []reply{{status: http.StatusServiceUnavailable, named: true, late: []extra{again}}}, runs: map[string]int{}, arrived: map[string]int{}, rejected: map[string]int{}}
-		d, table := newDispatcherOf(2, s.dial)
+		s, d := newTalkers(2, reply{status: http.StatusServiceUnavailable, named: true, late: []extra{again}})
 		for i := range 2 {
-			table.Register(platform.Registration{ID: fmt.Sprintf("i-%d", i), Service: testService, Address: "shared", Slots: 8}, int64(2+i))
-		}
-		o := send(d, "r", config.NonIdempotent)
-		if s.arrived["r"] < 2 {
-			t.Fatalf("arrived %d times, %+v", s.arrived["r"], o.report)
-		}
-		if s.runs["r"] > 1 || s.runs["r"] > 0 && o.promise {
-			t.Errorf("ran %d times and was answered %d, %+v", s.runs["r"], o.status, o.report)
+			d.replicas.Register(platform.Registration{ID: fmt.Sprintf("i-%d", i), Service: testService, Address: "shared", Slots: 8}, int64(2+i))
 		}
-		d.pool.Close()
+		checkSentAgain(t, s, d)
 	})
 }
 
+// checkSentAgain sends a request that is rejected at first, and checks that it runs once at most and that no promise is
+// broken.
+func checkSentAgain(t *testing.T, s *talkers, d *Dispatcher) {
+	t.Helper()
+	o := send(d, "r", config.NonIdempotent)
+	if s.arrived["r"] < 2 {
+		t.Fatalf("arrived %d times, %+v", s.arrived["r"], o.report)
+	}
+	if s.runs["r"] > 1 || s.runs["r"] > 0 && o.promise {
+		t.Errorf("ran %d times and was answered %d, %+v", s.runs["r"], o.status, o.report)
+	}
+	d.pool.Close()
+}
+
 // TestRejectionIsNotTakenForThatOfARepeatedID guards against a caller that sends a rejected request again under its ID: a
 // second copy of the first rejection is taken for the answer to the second request, which runs.
 func TestRejectionIsNotTakenForThatOfARepeatedID(t *testing.T) {
