soak: one condition for seeds with the faults that kinds have in common

Change: four kinds of faults asked the same four questions of a seed, each in its own words. The seeds that have them are the same.

Ruled out: poison and server cuts, whose conditions differ.

--- a/test/soak/moves.go
+++ b/test/soak/moves.go
@@ -33,7 +33,7 @@
 )
 
 func hasCanary(seed uint64) bool {
-	return seed%fleetSeeds >= canarySeeds && !hasServerCuts(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+	return seed%fleetSeeds >= canarySeeds && hasSharedFaults(seed)
 }
 
 func isBadCanary(seed uint64) bool { return seed%2 == 1 }
--- a/test/soak/notices.go
+++ b/test/soak/notices.go
@@ -25,7 +25,7 @@
 )
 
 func hasNotices(seed uint64) bool {
-	return seed%fleetSeeds >= noticeSeeds && !hasServerCuts(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+	return seed%fleetSeeds >= noticeSeeds && hasSharedFaults(seed)
 }
 
 // withNotices adds servers that reject requests and ask hosts to back off.
--- a/test/soak/requestlimits.go
+++ b/test/soak/requestlimits.go
@@ -25,7 +25,7 @@
 )
 
 func hasRequestLimits(seed uint64) bool {
-	return seed%fleetSeeds >= requestLimitSeeds && !hasServerCuts(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+	return seed%fleetSeeds >= requestLimitSeeds && hasSharedFaults(seed)
 }
 
 // withRequestLimits adds servers that state request limits.
--- a/test/soak/restorations.go
+++ b/test/soak/restorations.go
@@ -26,7 +26,7 @@
 )
 
 func hasRestorations(seed uint64) bool {
-	return seed%fleetSeeds >= restorationSeeds && !hasServerCuts(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+	return seed%fleetSeeds >= restorationSeeds && hasSharedFaults(seed)
 }
 
 // withRestorations adds restorations of the store.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -47,6 +47,12 @@
 	largeCores, smallCores = 4, 1
 )
 
+// hasSharedFaults reports whether a seed has the faults that seeds from a number on have in common, unlike those of a kind
+// of its own.
+func hasSharedFaults(seed uint64) bool {
+	return !hasServerCuts(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+}
+
 func sizeOf(seed uint64) size {
 	if hasOverload(seed) {
 		return planOverload(seed).size()
