--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -87,7 +87,8 @@
 	case live > member.MaxSmallFleet && n.limiter.CountReachable(v.Relays, now) == 0:
 		hosts = max(hosts, isolatedDivisor*live)
 	default:
-		// Leaving hosts are no longer routing hosts but still admit requests.
+		// Leaving hosts are no longer routing hosts but still admit requests; so does each standby host whose relays do
+		// not know the levels.
 		hosts = max(hosts, live)
 	}
 	n.limiter.SetHosts(hosts, reachable, !v.SelfRouting, now)
