entry tests: requests in turn have IDs of their own

Cause: the test sent two requests with the ID r-1, of which the first is rejected by name. Since the second goes over another connection, where the first answer, a rejection that names it, is its own. So the case that the test is about, an unnamed rejection on a used connection, no longer came up.

Change: the second request has the ID r-2 and comes over the same connection. What is asked of its answer is unchanged.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -117,13 +117,19 @@
 
 // post sends a request and returns the answer. complete is false if the answer was cut off.
 func (f *fixture) post(t *testing.T, path, key, body string) (resp *http.Response, text string, complete bool) {
+	t.Helper()
+	return f.postAs(t, "r-1", path, key, body)
+}
+
+// postAs sends a request with an ID of its own.
+func (f *fixture) postAs(t *testing.T, id, path, key, body string) (resp *http.Response, text string, complete bool) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.URL+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = testHost
-	for name, value := range map[string]string{wire.Attempt: "r-1", wire.Key: key, wire.Model: "m", wire.Tokens: "100,8", wire.Prefix: "a:80,b:20", wire.Organisation: "somebody else", wire.Salt: "theirs"} {
+	for name, value := range map[string]string{wire.Attempt: id, wire.Key: key, wire.Model: "m", wire.Tokens: "100,8", wire.Prefix: "a:80,b:20", wire.Organisation: "somebody else", wire.Salt: "theirs"} {
 		req.Header.Set(name, value)
 	}
 	resp, err = http.DefaultTransport.RoundTrip(req)
--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -50,8 +51,8 @@
 		here := newFixture(t)
 		here.cutOff(answerInTurn(t, answers))
 		var resp *http.Response
-		for range answers {
-			resp, _, _ = here.post(t, "/notes/", testKey, "")
+		for i := range answers {
+			resp, _, _ = here.postAs(t, fmt.Sprintf("r-%d", i+1), "/notes/", testKey, "")
 		}
 		if resp == nil || resp.StatusCode != http.StatusBadGateway {
 			t.Errorf("%s: %+v", name, resp)
