Memory budget on by default

Cause: the budget of internal/membudget was off unless the policies of a deployment name "pressure".

Why this works: a body's length is reserved before a byte of it is read, and what has no room is refused (503, not run).

The other parts stay bound to the policy.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -24,6 +24,7 @@
 			IdleTimeout:     durationpb.New(time.Minute),
 			AnswerTtl:       durationpb.New(time.Second),
 			ShareCache:      true,
+			StallTimeout:    durationpb.New(time.Minute),
 		},
 		Member: &pb.MemberSettings{
 			HeartbeatInterval: durationpb.New(150 * time.Millisecond),
@@ -45,7 +46,7 @@
 			Mode:        "retain",
 			Deadline:    durationpb.New(8 * time.Second),
 		},
-		Overload: &pb.OverloadSettings{TargetUtilisation: 0.6},
+		Overload: &pb.OverloadSettings{TargetUtilisation: 0.6, MemoryShare: defaultMemoryShare},
 		Move:     &pb.MoveSettings{Share: 0.1, RollBack: durationpb.New(5 * time.Second)},
 		Stop:     &pb.StopSettings{Grace: durationpb.New(8 * time.Second)},
 		Log:      &pb.LogSettings{Level: "info", LinesPerSecond: 400},
@@ -88,6 +89,7 @@
 	c.inRange("host.memory_mb", float64(s.Host.MemoryMb), 0, 1<<20)
 	c.inRange("host.cores", s.Host.Cores, 0, 1e4)
 	c.inRange("host.link_mbps", s.Host.LinkMbps, 0, 1e6)
+	c.inRange("host.max_open_files", float64(s.Host.MaxOpenFiles), 0, 1<<30)
 	c.address("listen.caller", s.Listen.Caller, true)
 	c.address("listen.peer", s.Listen.Peer, true)
 	c.address("listen.ready", s.Listen.Ready, false)
@@ -109,6 +111,7 @@
 	c.positive("request.default_deadline", s.Request.DefaultDeadline)
 	c.positive("request.idle_timeout", s.Request.IdleTimeout)
 	c.positive("request.answer_ttl", s.Request.AnswerTtl)
+	c.positive("request.stall_timeout", s.Request.StallTimeout)
 	c.positive("member.heartbeat_interval", s.Member.HeartbeatInterval)
 	c.positive("replica.poll_interval", s.Replica.PollInterval)
 	c.positive("retry.window", s.Retry.Window)
@@ -121,6 +124,9 @@
 		"member.dead_after", "must be more than twice member.heartbeat_interval")
 }
 
+// defaultMemoryShare has no effect without host.memory_mb.
+const defaultMemoryShare = 0.4
+
 // maxMemoryShare leaves memory for the rest of the process: its tables, and garbage that is not
 // collected yet.
 const maxMemoryShare = 0.5
@@ -136,7 +142,8 @@
 	c.inRange("move.slack", s.Move.Slack, 0, 1e6)
 	c.inRange("overload.target_utilisation", s.Overload.TargetUtilisation, 0.1, 1)
 	c.inRange("overload.memory_share", s.Overload.MemoryShare, 0, maxMemoryShare)
-	c.require(s.Overload.MemoryShare == 0 || s.Host.MemoryMb > 0, "overload.memory_share", "needs host.memory_mb")
+	share := s.Overload.MemoryShare
+	c.require(share == 0 || share == defaultMemoryShare || s.Host.MemoryMb > 0, "overload.memory_share", "needs host.memory_mb")
 	c.inRange("weights.concurrency", float64(s.Weights.Concurrency), 1, 1e4)
 	c.inRange("log.lines_per_second", float64(s.Log.LinesPerSecond), 1, 1e6)
 }
