Heads and connections of callers count towards the budget

Cause: net/http keeps a head's text, and a map entry with two strings for each of its lines, from its first byte until the request has ended: 483 KB of resident memory for 30 KB of short fields, 78 KB for one field. The budget counted a connection by its socket buffer and 16 KB. Nothing counted connections, and nothing ended those that wait.

Under pressure, also of connections, Choose ends heads and silent connections first, then bodies, then answers. Idle connections are ended last, and for other connections only: they use much less than they reserve.

Why this works: whatever a connection holds before a request exists is reserved before it is kept; a read whose reservation fails ends as one that times out, upon which net/http closes the connection without a request (503 is written first, which is true: nothing was read of a request).

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -1,6 +1,6 @@
-// Package membudget limits the memory that callers' requests and answers use on this host. Each
+// Package membudget limits the memory and the connections that callers use on this host. Each
 // request and each connection reserves bytes before it uses them and returns them once. Under
-// memory pressure the slowest callers are ended.
+// pressure the slowest callers are ended.
 //
 // It has no network and no clock of its own. The lock of a Hold and that of its Budget are never
 // held together.
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,12 +26,14 @@
 	Answer
 	// Socket is a caller's connection: its socket buffer and what the server keeps for it.
 	Socket
+	// Head is the head of a request, as it is received and as it is kept until the request has ended.
+	Head
 	// Kinds is the number of kinds.
 	Kinds
 )
 
 // String returns the name of the kind in metrics and logs.
-func (k Kind) String() string { return [...]string{"body", "answer", "socket"}[k] }
+func (k Kind) String() string { return [...]string{"body", "answer", "socket", "head"}[k] }
 
 // Step is the number of bytes by which a reservation of unknown size grows. A reservation of at
 // most one step is a small one.
@@ -52,6 +55,8 @@
 	minSocketShare = 0.3125
 	// maxWantedShare limits the bytes that are made free at once for those that lack room.
 	maxWantedShare = 0.25
+	// connectionShare is the share of the connections beyond which slow callers are ended, so that others find room.
+	connectionShare = 0.875
 )
 
 // ErrNoRoom means that a reservation can never be granted, as it exceeds the budget.
@@ -60,11 +65,15 @@
 // Budget is a host's budget of bytes. A nil Budget sets no limits. It is safe for concurrent use.
 type Budget struct {
 	limit int64
+	// maxConnections is the maximum number of open connections, 0 for any number.
+	maxConnections int
 
-	mu    sync.Mutex
-	held  [Kinds]int64
-	total int64
-	holds map[*Hold]bool
+	mu sync.Mutex
+	// connections are open, and lackingConnections were refused since the last Reclaim.
+	connections, lackingConnections int
+	held                            [Kinds]int64
+	total                           int64
+	holds                           map[*Hold]bool
 	// waiters wait for room in order of arrival; lacking is the largest shortage of what was refused
 	// since the last Reclaim.
 	waiters []*waiter
@@ -95,6 +104,26 @@
 // Limit returns the size of the budget.
 func (b *Budget) Limit() int64 { return b.limit }
 
+// LimitConnections sets the maximum number of open connections. It is called before the budget is used.
+func (b *Budget) LimitConnections(n int) { b.maxConnections = n }
+
+// Connections returns the number of open connections.
+func (b *Budget) Connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.connections
+}
+
+// excessConnections returns how many connections must be closed to make room for others. b.mu is held.
+func (b *Budget) excessConnections() int64 {
+	excess := b.lackingConnections
+	b.lackingConnections = 0
+	if b.maxConnections > 0 {
+		excess = max(excess, b.connections-int(connectionShare*float64(b.maxConnections)))
+	}
+	return int64(excess)
+}
+
 // Held returns the bytes in use by kind.
 func (b *Budget) Held() [Kinds]int64 {
 	b.mu.Lock()
@@ -215,12 +244,12 @@
 		return
 	}
 	b.mu.Lock()
-	excess := b.excess()
+	excess, excessConnections := b.excess(), b.excessConnections()
 	holds := make([]*Hold, 0, len(b.holds))
 	bytes := make([]int64, 0, len(b.holds))
 	for h := range b.holds {
 		holds = append(holds, h)
-		bytes = append(bytes, h.held[Body]+h.held[Answer]+h.held[Socket])
+		bytes = append(bytes, h.held[Body]+h.held[Answer]+h.held[Socket]+h.held[Head])
 	}
 	b.mu.Unlock()
 	var entries []Entry
@@ -232,11 +261,34 @@
 			moving = append(moving, h)
 		}
 	}
-	for _, i := range Choose(entries, excess) {
-		if moving[i].endTransfer(entries[i].Kind) {
-			b.countEnded(entries[i].Kind)
+	// An idle connection uses much less than it has reserved, so it is ended for another connection only.
+	for _, i := range Choose(withoutIdle(entries), excess) {
+		b.end(moving[i], entries[i].Kind)
+	}
+	for i := range entries {
+		entries[i].Bytes = 1
+	}
+	for _, i := range Choose(entries, excessConnections) {
+		b.end(moving[i], entries[i].Kind)
+	}
+}
+
+// withoutIdle returns the entries in the same places, without the progress of idle connections: none of these is slow.
+func withoutIdle(entries []Entry) []Entry {
+	out := slices.Clone(entries)
+	for i := range out {
+		if out[i].Kind == Socket {
+			out[i].Measured = 0
 		}
 	}
+	return out
+}
+
+// end ends a transfer that is still in progress, and counts it.
+func (b *Budget) end(h *Hold, kind Kind) {
+	if h.endTransfer(kind) {
+		b.countEnded(kind)
+	}
 }
 
 func (b *Budget) countEnded(kind Kind) {
--- a/internal/membudget/hold.go
+++ b/internal/membudget/hold.go
@@ -12,9 +12,10 @@
 	b   *Budget
 	end func(Kind)
 
-	// held and released are protected by the budget's lock.
-	held     [Kinds]int64
-	released bool
+	// held, connected and released are protected by the budget's lock.
+	held      [Kinds]int64
+	connected bool
+	released  bool
 
 	mu sync.Mutex
 	// moving is set while a transfer of a kind waits for the caller.
@@ -42,6 +43,25 @@
 	return false
 }
 
+// ReserveConnection reserves the bytes of a connection and its place among all connections, and reports whether there
+// was room for both.
+func (h *Hold) ReserveConnection(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	full := h.b.maxConnections > 0 && h.b.connections >= h.b.maxConnections
+	if full || !h.b.tryReserve(h, Socket, bytes) {
+		h.b.counts.Refused[Socket]++
+		h.b.lackingConnections++
+		return false
+	}
+	h.connected = true
+	h.b.connections++
+	return true
+}
+
 // Await reserves bytes once there is room. It fails when ctx ends, and with ErrNoRoom if the bytes
 // exceed the budget. It calls beforeWait if there is no room at once.
 func (h *Hold) Await(ctx context.Context, kind Kind, bytes int64, beforeWait func()) error {
@@ -75,6 +95,9 @@
 	}
 	h.released = true
 	delete(h.b.holds, h)
+	if h.connected {
+		h.b.connections--
+	}
 	for kind, bytes := range h.held {
 		h.b.add(h, Kind(kind), -bytes)
 	}
@@ -106,6 +129,23 @@
 	h.meter.moved += int64(bytes)
 }
 
+// Continue counts bytes of a transfer, which is of a kind from now on, and reports whether it was not ended before.
+func (h *Hold) Continue(kind Kind, bytes int, now time.Time) bool {
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return false
+	}
+	if h.kind != kind {
+		h.kind, h.meter = kind, meter{startedAt: now}
+	}
+	h.meter.moved += int64(bytes)
+	return true
+}
+
 // Pause ends the part of a transfer that waits for the caller, at a time. After it returns, the
 // transfer is not ended until the next Start.
 func (h *Hold) Pause(now time.Time) {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/admin"
+	"github.com/briarlink/briarlink/internal/inbound"
 	"github.com/briarlink/briarlink/internal/peer"
 )
 
@@ -101,36 +102,46 @@
 	operators := http.NewServeMux()
 	operators.Handle(admin.New(n.status).Handler())
 	var servers []*server
+	start := func(name string, l net.Listener, h *http.Server) {
+		servers = append(servers, n.serveHTTP(wg, name, l, h))
+	}
+	if l.callers != nil {
+		start("callers", inbound.LimitCallers(l.callers, n.memory, socketBuffer(n.memory)), n.callerServer(n.entry.Handler()))
+	}
+	if l.directory != nil {
+		directory := n.callerServer(n.entry.DirectoryHandler())
+		start("directory", inbound.LimitCallers(l.directory, n.memory, socketBuffer(n.memory)), directory)
+	}
 	for _, item := range []struct {
 		name     string
 		listener net.Listener
 		handler  http.Handler
 	}{
-		{"callers", limitConnections(l.callers, n.memory), n.entry.Handler()},
 		{"ready", l.ready, n.entry.ReadyHandler()},
-		{"directory", l.directory, n.entry.DirectoryHandler()},
 		{"operators", l.operators, operators},
 		{"metrics", l.metrics, mux},
 	} {
 		if item.listener != nil {
-			servers = append(servers, n.serveHTTP(wg, item.name, item.listener, item.handler))
+			start(item.name, item.listener, n.callerServer(item.handler))
 		}
 	}
 	wg.Go(func() { n.logServeEnd("peers", peer.Serve(ctx, l.peers, &peerService{n: n})) })
 	return servers
 }
 
-func (n *Node) serveHTTP(wg *sync.WaitGroup, name string, listener net.Listener, handler http.Handler) *server {
-	s := &server{
-		http: &http.Server{
-			Handler:           handler,
-			MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
-			ErrorLog:          nil,
-		},
-		log: n.log,
+// callerServer returns the server of a listener for callers.
+func (n *Node) callerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
+		ConnState:         inbound.ConnState,
 	}
+}
+
+func (n *Node) serveHTTP(wg *sync.WaitGroup, name string, listener net.Listener, h *http.Server) *server {
+	s := &server{http: h, log: n.log}
 	wg.Go(func() { n.logServeEnd(name, s.http.Serve(listener)) })
 	return s
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	workedAt time.Time
 	// directoryPlans caches the plans of directories for the last view.
 	directoryPlans atomic.Pointer[directoryPlans]
-	// memory is the budget for callers' requests and answers, nil if it is off. memoryCounts are the counts
+	// memory is the budget for callers' requests, answers and connections. memoryCounts are the counts
 	// at the last sweep; only the sweep loop uses them.
 	memory           *membudget.Budget
 	memoryCounts     membudget.Counts
@@ -249,9 +249,9 @@
 		firstReadDelay:     chooseFirstReadDelay(s.Member),
 	}
 	n.memory = newMemoryBudget(s)
-	if n.memory != nil {
-		n.pool = upstream.NewPoolWithBuffers(socketBuffer(n.memory))
-		n.forwardPool = upstream.NewPoolWithBuffers(socketBuffer(n.memory))
+	if buffer := socketBuffer(n.memory); buffer > 0 {
+		n.pool = upstream.NewPoolWithBuffers(buffer)
+		n.forwardPool = upstream.NewPoolWithBuffers(buffer)
 	}
 	n.store.OnEra = n.storeRestored
 	n.members = member.NewTable(n.self(), s.Member.DeadAfter.AsDuration())
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -40,6 +40,8 @@
 	Resumed tally.Counter
 	// Open is the number of open requests.
 	Open tally.Gauge
+	// CallerConnections is the number of open connections of callers.
+	CallerConnections tally.Gauge
 	// ConfigVersion is the version of the configuration in force on this host; StoreAge
 	// is the time since the store last answered, in seconds.
 	ConfigVersion tally.Gauge
@@ -110,6 +112,7 @@
 		Repeats:           scope.Counter("repeats"),
 		Resumed:           scope.Counter("resumed_streams"),
 		Open:              scope.Gauge("open_requests"),
+		CallerConnections: scope.Gauge("caller_connections"),
 		ConfigVersion:     scope.Gauge("config_version"),
 		StoreAge:          scope.Gauge("store_age_seconds"),
 		StoreEra:          scope.Gauge("store_era"),
