Bodies, answers and refused requests end, whatever their caller withholds

What callers saw: 700 clients that withhold the last byte of bodies of 60 KB, or the rest of the body of a request that was refused, take all connections of a host, and an ordinary request is not answered within a minute (test/hostile on, three kinds).

Cause: a body had no deadline; only memory pressure ended it. net/http receives up to 256 KB of the rest of a body before it writes the answer, and again before it closes the connection, without a deadline. A write had none either.

Change: a body has until the request's deadline (408, not run). The rest of a body that was not read is received for 0.5 s. A write has request.stall_timeout (60 s), set again while the answer makes progress, outside the time in which memory pressure may abort it.

Why this works: these are the deadlines of net/http's own connection, which each of its reads and writes keeps. A request refused and sent whole keeps its connection (TestRefusedRequestsKeepTheirConnection), and no request waits longer than it could be answered.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -47,12 +47,15 @@
 	charged int64
 	// memory is what the request has reserved of this host's memory; nil without a budget.
 	memory *membudget.Hold
+	// deadlineSet is when the deadline for writing was last set.
+	deadlineSet time.Time
 	// answered is true once writing of an answer to the caller has begun.
 	answered bool
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	ex := &exchange{s: s, w: w, r: r, arrived: clock.Now(), view: s.View()}
+	// The server sets a deadline for writing once it has read the head.
+	ex := &exchange{s: s, w: w, r: r, arrived: clock.Now(), view: s.View(), deadlineSet: time.Now()}
 	ex.memory = s.Memory.Open(ex.endTransfer)
 	defer ex.memory.Release()
 	err := ex.explainEnd(ex.handle())
@@ -69,6 +72,8 @@
 		platform.SetUnreached(w.Header())
 	}
 	platform.SetRequestID(w.Header(), ex.caller.ID)
+	ex.limitDiscard()
+	ex.extendWriteDeadline()
 	writeError(w, err)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -64,6 +64,8 @@
 	// caller sets no timeout.
 	MaxBodyBytes    int64
 	DefaultDeadline time.Duration
+	// StallTimeout is the time after which a caller that takes no byte of its answer is disconnected.
+	StallTimeout time.Duration
 }
 
 // Server answers callers. It is safe for concurrent use.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -52,7 +52,7 @@
 	DeadlineExceeded
 	// CallerGone means the caller closed its connection.
 	CallerGone
-	// BodyTooSlow means the body arrived too slowly while this host was short of memory.
+	// BodyTooSlow means the body did not arrive before the deadline, or too slowly while this host was short of memory.
 	BodyTooSlow
 	count
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -402,6 +402,7 @@
 		Log:             n.log,
 		MaxBodyBytes:    s.Request.MaxBodyBytes,
 		DefaultDeadline: s.Request.DefaultDeadline.AsDuration(),
+		StallTimeout:    s.Request.StallTimeout.AsDuration(),
 	})
 }
 
