Prefix blocks of a request count towards the budget

Cause: the blocks are decoded before the body is read, and kept with their hashes until the request has ended: 260 KB for 30 KB of text, of which the head's reservation covers 120 KB.

Change: a request reserves 96 bytes for each block once it has more than 64, or is refused (503, not run).

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -79,6 +79,22 @@
 	}
 }
 
+const (
+	// bytesPerBlock is what a prefix block of a request uses beside its text in the head.
+	bytesPerBlock = 96
+	// usualBlocks is the number of blocks up to which a request reserves no memory for them.
+	usualBlocks = 64
+)
+
+// roomForBlocks reserves memory for the request's prefix blocks, or refuses the request.
+func (ex *exchange) roomForBlocks() error {
+	blocks := len(ex.caller.Blocks)
+	if blocks <= usualBlocks || ex.memory.Reserve(membudget.Head, int64(blocks)*bytesPerBlock) {
+		return nil
+	}
+	return noRoom(fmt.Sprintf("%d prefix blocks", blocks))
+}
+
 // noRoom returns the error of a request without room.
 func noRoom(what string) error {
 	return errkind.New(errkind.Overloaded, "this host has no memory for "+what).After(minMemoryRetryAfter + rand.N(memoryRetrySpread))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -89,6 +89,9 @@
 	if err := ex.s.CheckAccepting(); err != nil {
 		return err
 	}
+	if err := ex.roomForBlocks(); err != nil {
+		return err
+	}
 	if err := ex.resolve(); err != nil {
 		return err
 	}
