Listeners that are not for callers limit what connections hold

What operators and other hosts saw: on 300 heads short of their end at readiness or metrics make a host of 96 MB use 169 to 171 MB, 60 half messages at the port of other hosts 232 MB; 700 silent connections there keep other hosts' calls out, and 700 with a withheld body at readiness or the directory keep everybody out.

Cause: these listeners had the limits of the system only. A message between hosts may have 4 MB, and an operator's any size.

Change: readiness, operators and metrics have 32 connections each, other hosts 0.125 of the descriptors; beyond, the least recently used connection is closed. Heads and bodies of 4 KB and 10 s for a request; 8 KB for a message of another host; 10 s for a write to one. A directory query has 10 s.

Why this works: one that is in use is the most recently used, so silent ones cannot keep it out. Hosts reconnect and repeat their calls.

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -110,6 +110,7 @@
 	}
 	if l.directory != nil {
 		directory := n.callerServer(n.entry.DirectoryHandler())
+		directory.ReadTimeout = otherTimeout
 		start("directory", inbound.LimitCallers(l.directory, n.memory, socketBuffer(n.memory)), directory)
 	}
 	for _, item := range []struct {
@@ -122,24 +123,46 @@
 		{"metrics", l.metrics, mux},
 	} {
 		if item.listener != nil {
-			start(item.name, item.listener, n.callerServer(item.handler))
+			start(item.name, inbound.LimitOthers(item.listener, maxOtherConnections, otherTimeout), n.otherServer(item.handler))
 		}
 	}
-	wg.Go(func() { n.logServeEnd("peers", peer.Serve(ctx, l.peers, &peerService{n: n})) })
+	hosts := inbound.LimitOthers(l.peers, peerConnections(n.settings.Host), otherTimeout)
+	wg.Go(func() { n.logServeEnd("peers", peer.Serve(ctx, hosts, &peerService{n: n})) })
 	return servers
 }
 
+const (
+	// maxOtherConnections is the maximum number of connections to each listener that is neither for callers
+	// nor for other hosts.
+	maxOtherConnections = 32
+	// maxOtherHeaderBytes and otherTimeout limit the requests to these.
+	maxOtherHeaderBytes = 4 << 10
+	otherTimeout        = 10 * time.Second
+)
+
 // callerServer returns the server of a listener for callers.
 func (n *Node) callerServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    int(n.settings.Request.MaxHeaderBytes),
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      n.settings.Request.StallTimeout.AsDuration(),
 		IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
 		ConnState:         inbound.ConnState,
 	}
 }
 
+// otherServer returns the server of a listener that is not for callers.
+func (n *Node) otherServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(h, maxOtherHeaderBytes),
+		MaxHeaderBytes:    maxOtherHeaderBytes,
+		ReadHeaderTimeout: otherTimeout,
+		ReadTimeout:       otherTimeout,
+		IdleTimeout:       n.settings.Request.IdleTimeout.AsDuration(),
+	}
+}
+
 func (n *Node) serveHTTP(wg *sync.WaitGroup, name string, listener net.Listener, h *http.Server) *server {
 	s := &server{http: h, log: n.log}
 	wg.Go(func() { n.logServeEnd(name, s.http.Serve(listener)) })
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -46,6 +46,8 @@
 	// callerShare is the part of the others that callers' connections may have. Each of their requests may need
 	// a connection to a backend server too.
 	callerShare = 0.4
+	// peerShare is the part for connections of other hosts.
+	peerShare = 0.125
 	// minConnections is the least number of connections of a kind.
 	minConnections = 16
 )
@@ -53,6 +55,9 @@
 // callerConnections returns the maximum number of callers' connections, including those to the directory.
 func callerConnections(h *pb.HostSettings) int { return connections(h, callerShare) }
 
+// peerConnections returns the maximum number of connections that other hosts may open.
+func peerConnections(h *pb.HostSettings) int { return connections(h, peerShare) }
+
 // connections returns the number of connections that have a share of the descriptors.
 func connections(h *pb.HostSettings, share float64) int {
 	files := h.MaxOpenFiles
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,8 +10,10 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	pb "github.com/briarlink/briarlink/api/briarlink/v1"
 	"github.com/briarlink/briarlink/internal/netdial"
@@ -19,13 +21,19 @@
 
 const dialTimeout = time.Second
 
+// maxRequestBytes is the maximum size of a request of another host. All of its fields are names and numbers.
+const maxRequestBytes = 8 << 10
+
 // Serve serves peers on listener until ctx ends.
 func Serve(ctx context.Context, listener net.Listener, service pb.DRPCPeerServiceServer) error {
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPeerService(mux, service); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, listener), "serve peers")
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxRequestBytes}},
+	})
+	return errors.Wrap(server.Serve(ctx, listener), "serve peers")
 }
 
 // Client calls other entry hosts over one connection to each, opened on first use. It is
