Directory queries for unknown zones share a plan

Cause: plans are kept by zone until the view of the fleet changes, which it may not do for long, and callers state the zone.

Change: zones without a host share the plan of "".

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -68,10 +68,16 @@
 type directoryPlans struct {
 	view  *member.View
 	fleet directory.Fleet
-	// byZone maps zones to plans.
+	// byZone maps zones to plans. Callers may state any zone; all those without a host have the plan of "".
 	byZone sync.Map
 }
 
+// hasZone reports whether a host of an availability zone may be named.
+func (p *directoryPlans) hasZone(zone string) bool {
+	inZone := func(h directory.Host) bool { return h.Zone == zone }
+	return slices.ContainsFunc(p.fleet.Serving, inZone) || slices.ContainsFunc(p.fleet.Standby, inZone)
+}
+
 func (n *Node) directoryPlan(zone string, now time.Time) *directory.Plan {
 	v := n.members.View(now)
 	plans := n.directoryPlans.Load()
@@ -82,6 +88,9 @@
 	if known, ok := plans.byZone.Load(zone); ok {
 		return known.(*directory.Plan)
 	}
+	if zone != "" && !plans.hasZone(zone) {
+		return n.directoryPlan("", now)
+	}
 	target := 0.0
 	// Standby hosts have no slots of brittle servers, and would refuse most of their requests.
 	if n.directoryByLoad() && !n.replicas.HasBrittle() {
