--- a/test/soak/overload.go
+++ b/test/soak/overload.go
@@ -85,11 +85,16 @@
 	cut cutMode
 }
 
-func hasOverload(seed uint64) bool { return seed >= overloadSeeds && seed <= lastOverloadSeed }
+func hasOverload(seed uint64) bool {
+	return seed >= overloadSeeds && seed <= lastOverloadSeed || seed >= hostileSeeds && seed <= lastHostileSeed
+}
 
 // planOverload returns the plan of a seed. Every third seed of a kind has a fault, and every second one a
 // larger fleet, unless the load is so much for each host that this machine has no room for it.
 func planOverload(seed uint64) overloadPlan {
+	if seed >= hostileSeeds {
+		return planHostile(seed)
+	}
 	rng := rand.New(rand.NewPCG(seed, overloadSeeds))
 	n := (seed - overloadSeeds) / uint64(len(overloadKinds))
 	p := overloadPlan{kind: overloadKinds[seed%uint64(len(overloadKinds))], hosts: 3, slots: []int{4, 4, 4, 4}, rate: 15}
@@ -126,7 +131,9 @@
 }
 
 // holdsMemory reports whether the load makes hosts hold memory.
-func (p overloadPlan) holdsMemory() bool { return p.kind == slowReaders || p.kind == heldUploads }
+func (p overloadPlan) holdsMemory() bool {
+	return p.kind == slowReaders || p.kind == heldUploads || p.kind == hostile
+}
 
 // size has one server more than plain ones; it is of filesService.
 func (p overloadPlan) size() size {
@@ -147,6 +154,8 @@
 	switch {
 	case p.kind == "":
 		return 0, ""
+	case p.kind == hostile:
+		return hostMemoryMB, on
 	case p.holdsMemory():
 		return hostMemoryMB, on + `, "memory_share": 0.4`
 	}
--- a/test/soak/overloadcheck.go
+++ b/test/soak/overloadcheck.go
@@ -150,6 +150,8 @@
 		return fx.checkStorm(l)
 	case uneven:
 		return fx.checkUneven(l)
+	case hostile:
+		return fx.checkHostile(l)
 	default:
 		return fx.checkBesideSlow(l)
 	}
@@ -207,9 +209,13 @@
 func (fx *fixture) checkBesideSlow(l *overloadLoad) string {
 	others := l.countServed(0, organisations-1)
 	fx.checkServed("the other callers", others, minBesideSlow)
-	figures := others.String()
+	return others.String() + fx.checkMemory(l)
+}
+
+// checkMemory checks that the hosts' processes stayed within their memory, and returns the peaks.
+func (fx *fixture) checkMemory(l *overloadLoad) (figures string) {
 	if l.slow.Err() != nil {
-		figures += fmt.Sprintf("; slow callers ended at %d MB", maxResidentMB)
+		figures = fmt.Sprintf("; slow callers ended at %d MB", maxResidentMB)
 	}
 	figures += "; peak MB"
 	for _, h := range fx.hosts {
--- a/test/soak/overloadload.go
+++ b/test/soak/overloadload.go
@@ -149,18 +149,22 @@
 
 // slowCallers runs the slow callers of a seed from pressedAt until the end, or until slow ends.
 func (l *overloadLoad) slowCallers() {
-	count := map[overloadKind]int{slowReaders: readersPerHost, heldUploads: uploadsPerHost}[l.fx.overload.kind]
+	count := map[overloadKind]int{slowReaders: readersPerHost, heldUploads: uploadsPerHost, hostile: hostilePerHost}[l.fx.overload.kind]
 	time.Sleep(time.Until(l.pressedAt))
 	ctx, cancel := context.WithDeadline(l.slow, l.end)
 	defer cancel()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for n := range count {
-		for _, h := range l.fx.hosts {
+		for i, h := range l.fx.hosts {
 			group.Go(func() {
 				wait(ctx, rampTime*time.Duration(n)/time.Duration(count))
 				for try := 0; try < slowTries && ctx.Err() == nil; try++ {
-					l.slowCall(ctx, h.caller(), organisationKey(n%organisations))
+					if l.fx.overload.kind == hostile {
+						l.hostileCall(ctx, h, (n*len(l.fx.hosts)+i)*slowTries+try)
+					} else {
+						l.slowCall(ctx, h.caller(), organisationKey(n%organisations))
+					}
 					wait(ctx, slowReturn)
 				}
 			})
