Small prefix blocks take no more entries than a server has cache blocks

Cause: the index drops the least recently used blocks by their tokens, which callers state.

Change: it also drops them beyond one block for each 16 tokens of the server's capacity, the size of a cache block.

Why this works: an engine stores whole cache blocks, so no server holds more blocks than that. The decisions for blocks of 16 tokens or more are as they were.

--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -52,7 +52,7 @@
 const cacheBlockTokens = 16
 
 // Index records, for each holder (a replica or a KV cache store), the prefix blocks that it is
-// assumed to hold. Beyond a holder's capacity the least recently used blocks are dropped. Index is
+// assumed to hold. Beyond a holder's capacity, in tokens or in cache blocks, the least recently used blocks are dropped. Index is
 // safe for concurrent use; mu is its only lock.
 type Index struct {
 	mu      sync.RWMutex
@@ -117,11 +117,17 @@
 		h.blocks[block] = h.lru.PushBack(&cachedBlock{block: block, tokens: tokens, stored: tokens, ready: ready})
 		h.tokens += tokens
 	}
-	for h.tokens > h.capacity && h.lru.Len() > 1 {
+	for h.full() && h.lru.Len() > 1 {
 		h.remove(h.lru.Front())
 	}
 }
 
+// full reports whether there are more blocks than the holder can have. Callers choose the sizes of blocks: very small ones, or
+// ones of no tokens, must not take more entries than the holder has cache blocks.
+func (h *holder) full() bool {
+	return h.tokens > h.capacity || h.lru.Len() > h.capacity/cacheBlockTokens
+}
+
 func (h *holder) remove(e *list.Element) {
 	v := e.Value.(*cachedBlock)
 	h.lru.Remove(e)
--- a/internal/prefix/index_test.go
+++ b/internal/prefix/index_test.go
@@ -1,6 +1,7 @@
 package prefix
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -148,3 +149,22 @@
 		x.Stored("holder", Hash(i%50_000), cacheBlockTokens, 1<<30, now)
 	}
 }
+
+// TestSmallBlocksTakeNoMoreThanTheCapacity guards against an index that grows without end, or far beyond what servers hold,
+// because callers name blocks of few or no tokens.
+func TestSmallBlocksTakeNoMoreThanTheCapacity(t *testing.T) {
+	const capacity = 16_000
+	for tokens := range 3 {
+		x := NewIndex()
+		for n := range 50 {
+			var blocks []platform.Block
+			for i := range 1000 {
+				blocks = append(blocks, platform.Block{ID: fmt.Sprint(n, "-", i), Tokens: tokens})
+			}
+			x.Add("i", NewPrompt("", blocks), capacity, time.Time{})
+		}
+		if n := len(x.holders["i"].blocks); n > capacity/cacheBlockTokens {
+			t.Errorf("%d blocks of %d tokens at a server of %d tokens", n, tokens, capacity)
+		}
+	}
+}
