Review: the cases read once more as the one who plays them

Consumers honour Retry-After and don't retry after 413 and 431, replicas stop at their deadline. Case 9: only time in which both engines work counts.

--- a/review/rig/block.go
+++ b/review/rig/block.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -19,7 +18,7 @@
 		together = 40
 		later    = 60
 	)
-	words := []string{"--service", "writer", "--model", "m", "--slots", "8", "--events", "20", "--pace", "30ms", "--work", "4s"}
+	words := []string{"--service", "writer", "--model", "m", "--slots", "4", "--events", "20", "--pace", "30ms", "--work", "4s"}
 	type running struct {
 		p           *process
 		id, address string
@@ -37,7 +36,7 @@
 		"Routes": []any{
 			map[string]any{"Name": "stories", "Host": consumerFor, "PathPrefix": "/stories/", "RouteType": "streaming", "TimeoutMs": 20000, "SloMs": 5000, "Priority": 0, "Service": "writer", "Attempts": 2, "Sticky": true, "CanResume": true, "GapAimMs": 300},
 		},
-		"Services": []any{map[string]any{"Name": "writer", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{"Slots": 8, "KvCapacity": 400000, "KvTokenBytes": 163840, "LinkMbps": 550000, "MaxInflight": 12}}},
+		"Services": []any{map[string]any{"Name": "writer", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{"Slots": 4, "KvCapacity": 800000, "KvTokenBytes": 163840, "LinkMbps": 550000, "MaxInflight": 12}}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants":  []any{map[string]any{"Name": "museum", "ApiKeys": []string{apiKey}, "Priority": 1}},
 	})
@@ -52,22 +51,17 @@
 	var wg sync.WaitGroup
 	ask := func(n int, instructions, own string) {
 		wg.Go(func() {
-			deadline := time.Now().Add(20 * time.Second)
-			for try := range 2 {
-				a := w.send(context.Background(), w.hosts[(n+try)%len(w.hosts)], request{
-					method: http.MethodPost, path: "/stories/" + own, body: "story " + own, deadline: time.Until(deadline),
-					header: http.Header{"X-Briarlink-Model": {"m"}, "X-Briarlink-Token-Count": {"8100,20"}, "X-Briarlink-Prefix-Hash": {instructions + ":100," + own + ":8000"}},
-				})
+			answers := w.ask(n, request{
+				method: http.MethodPost, path: "/stories/" + own, body: "story " + own, deadline: 20 * time.Second,
+				header: http.Header{"X-Briarlink-Model": {"m"}, "X-Briarlink-Token-Count": {"198400,20"}, "X-Briarlink-Prefix-Hash": {instructions + ":100," + own + ":198300"}},
+			})
+			for _, a := range answers {
 				mu.Lock()
 				total++
 				if a.denied() {
 					denied++
 				}
 				mu.Unlock()
-				if a.err == nil && (a.status < 300 || a.status == 400 || a.status == 401 || a.status == 404) {
-					return
-				}
-				time.Sleep(200 * time.Millisecond)
 			}
 		})
 	}
--- a/review/rig/popular.go
+++ b/review/rig/popular.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -53,22 +52,15 @@
 	var total, denied int
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	// ask sends a request like a consumer with one retry: after a failure at once, after a promise when it says.
 	ask := func(n int, path string) {
 		wg.Go(func() {
-			deadline := time.Now().Add(10 * time.Second)
-			for try := range 2 {
-				a := w.send(context.Background(), w.hosts[(n+try)%len(w.hosts)], request{method: http.MethodGet, path: path, deadline: time.Until(deadline)})
+			for _, a := range w.ask(n, request{method: http.MethodGet, path: path, deadline: 10 * time.Second}) {
 				mu.Lock()
 				total++
 				if a.denied() {
 					denied++
 				}
 				mu.Unlock()
-				if a.err == nil && (a.status < 300 || a.status == 400 || a.status == 401 || a.status == 404) {
-					return
-				}
-				time.Sleep(200 * time.Millisecond)
 			}
 		})
 	}
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -29,7 +29,7 @@
 	events int
 	pace   time.Duration
 	// stallAfter is the number of the event after which a request that begins at its first event is
-	// preempted, for stall; 0 for none.
+	// preempted, 0 for none: it waits for stall and is then read in again, for work.
 	stallAfter int
 	stall      time.Duration
 
@@ -152,6 +152,11 @@
 		return
 	}
 	defer func() { <-r.free }()
+	if ms, err := strconv.Atoi(req.Header.Get(wire.Deadline)); err == nil {
+		ctx, cancel := context.WithTimeout(req.Context(), time.Duration(ms)*time.Millisecond)
+		defer cancel()
+		req = req.WithContext(ctx)
+	}
 	r.say("runs %s %s %s from %s", id, req.Method, req.RequestURI, req.Header.Get("Last-Event-Id"))
 	w.Header().Set(wire.Seal, "seal-"+r.id)
 	if r.model != "" {
@@ -159,7 +164,7 @@
 		return
 	}
 	if !pause(req.Context(), r.work) {
-		r.say("stops %s: its channel was closed", id)
+		r.say("stops %s: its channel was closed or its deadline passed", id)
 		return
 	}
 	answer := fmt.Sprintf("%s answers %s to %d bytes", r.id, req.RequestURI, len(body))
@@ -172,7 +177,7 @@
 func (r *replica) serveStream(w http.ResponseWriter, req *http.Request, id string) {
 	from, _ := strconv.Atoi(strings.TrimSpace(req.Header.Get("Last-Event-Id")))
 	if !pause(req.Context(), r.work) {
-		r.say("stops %s: its channel was closed", id)
+		r.say("stops %s: its channel was closed or its deadline passed", id)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -183,12 +188,16 @@
 		_ = control.Flush()
 		r.say("event %s %d", id, n)
 		rest := r.pace
+		open := true
 		if from == 0 && n == r.stallAfter {
 			r.say("preempts %s for %d ms", id, r.stall.Milliseconds())
-			rest = r.stall
+			if open = pause(req.Context(), r.stall); open {
+				r.say("reads %s in again", id)
+			}
+			rest = r.work
 		}
-		if n < r.events && !pause(req.Context(), rest) {
-			r.say("stops %s: its channel was closed", id)
+		if !open || n < r.events && !pause(req.Context(), rest) {
+			r.say("stops %s: its channel was closed or its deadline passed", id)
 			return
 		}
 	}
--- a/review/rig/resume.go
+++ b/review/rig/resume.go
@@ -16,11 +16,12 @@
 		streams   = 12
 		allowedMs = 400
 	)
-	words := []string{"--service", "writer", "--model", "m", "--slots", "16", "--events", "40", "--pace", "50ms", "--work", "1s"}
+	// 29,760 tokens are read in 600 ms, and six prompts don't fit the memory of an engine.
+	words := []string{"--service", "writer", "--model", "m", "--slots", "16", "--events", "40", "--pace", "50ms", "--work", "600ms"}
 	if trouble {
-		words = append(words, "--stall-after", "8", "--stall", "3s")
+		words = append(words, "--stall-after", "8", "--stall", "1400ms")
 	}
-	for range 3 {
+	for range 2 {
 		if _, _, _, err := w.startReplica("", words...); err != nil {
 			return false, err
 		}
@@ -30,7 +31,7 @@
 		"Routes": []any{
 			map[string]any{"Name": "stories", "Host": consumerFor, "PathPrefix": "/stories/", "RouteType": "streaming", "TimeoutMs": 15000, "SloMs": 2000, "Priority": 0, "Service": "writer", "Attempts": 2, "Sticky": true, "CanResume": true, "GapAimMs": 300},
 		},
-		"Services": []any{map[string]any{"Name": "writer", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{"Slots": 16, "KvCapacity": 100000, "KvTokenBytes": 163840, "LinkMbps": 550000, "MaxInflight": 12}}},
+		"Services": []any{map[string]any{"Name": "writer", "HealthPath": "/healthz", "MaxConns": 370, "Engine": map[string]any{"Slots": 16, "KvCapacity": 165614, "KvTokenBytes": 163840, "LinkMbps": 550000, "MaxInflight": 12}}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants":  []any{map[string]any{"Name": "museum", "ApiKeys": []string{apiKey}, "Priority": 1}},
 	})
@@ -40,16 +41,17 @@
 	if err := w.startHosts(2); err != nil {
 		return false, err
 	}
-	time.Sleep(3500 * time.Millisecond)
+	// In its first window a host has no slack for retries.
+	time.Sleep(14 * time.Second)
 	done := make(chan *answer)
 	for n := range streams {
 		go func() {
 			done <- w.send(context.Background(), w.hosts[n%len(w.hosts)], request{
 				method: http.MethodPost, path: fmt.Sprintf("/stories/%d", n), body: fmt.Sprintf("story %d", n), deadline: 15 * time.Second,
-				header: http.Header{"X-Briarlink-Model": {"m"}, "X-Briarlink-Token-Count": {"500,40"}, "X-Briarlink-Prefix-Hash": {fmt.Sprintf("%08x:500", n+1)}},
+				header: http.Header{"X-Briarlink-Model": {"m"}, "X-Briarlink-Token-Count": {"29760,40"}, "X-Briarlink-Prefix-Hash": {fmt.Sprintf("%08x:29760", n+1)}},
 			})
 		}()
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(150 * time.Millisecond)
 	}
 	complete := 0
 	for range streams {
@@ -66,39 +68,53 @@
 	return len(twice) > 0, nil
 }
 
-// workedOnAt returns the requests that a replica was still working on the given time after another one began to run them.
+// run is what a replica did for a request, in milliseconds: it works from begin to end, but for the time between preempted and
+// readAgain.
+type run struct {
+	replica                          string
+	begin, end, preempted, readAgain int64
+}
+
+func (r *run) worksAt(at int64) bool {
+	waits := r.preempted > 0 && at >= r.preempted && (r.readAgain == 0 || at < r.readAgain)
+	return at >= r.begin && (r.end == 0 || at < r.end) && !waits
+}
+
+// workedOnAt returns the requests that two replicas were working on the given time after the second had begun.
 func (w *world) workedOnAt(afterMs int64) []string {
-	type span struct {
-		replica    string
-		begin, end int64
-	}
-	spans := map[string][]*span{}
+	runs := map[string][]*run{}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, line := range w.said {
+		// A line has the time, the replica, what it does, and the request's ID.
 		f := strings.Fields(line)
 		if len(f) < 4 {
 			continue
 		}
 		at, _ := strconv.ParseInt(f[0], 10, 64)
 		id := strings.TrimSuffix(f[3], ":")
-		switch f[2] {
-		case "runs":
-			spans[id] = append(spans[id], &span{f[1], at, 0})
-		case "ends", "stops":
-			for _, s := range spans[id] {
-				if s.replica == f[1] {
-					s.end = at
-				}
+		if f[2] == "runs" {
+			runs[id] = append(runs[id], &run{replica: f[1], begin: at})
+			continue
+		}
+		for _, r := range runs[id] {
+			switch {
+			case r.replica != f[1]:
+			case f[2] == "ends" || f[2] == "stops":
+				r.end = at
+			case f[2] == "preempts":
+				r.preempted = at
+			case f[2] == "reads":
+				r.readAgain = at
 			}
 		}
 	}
 	var out []string
-	for id, runs := range spans {
-		for i, later := range runs {
-			for _, before := range runs[:i] {
-				if before.end == 0 || before.end > later.begin+afterMs {
-					out = append(out, fmt.Sprintf("request %s began at %s, and %s worked on it for %d ms more", id, later.replica, before.replica, before.end-later.begin))
+	for id, all := range runs {
+		for i, later := range all {
+			for _, before := range all[:i] {
+				if at := later.begin + afterMs; before.worksAt(at) && later.worksAt(at) {
+					out = append(out, fmt.Sprintf("request %s began at %s, and %s still worked on it %d ms later, until %d ms", id, later.replica, before.replica, afterMs, before.end-later.begin))
 				}
 			}
 		}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -312,6 +313,35 @@
 	return denied > allowed
 }
 
+// ask sends a request like a consumer with one retry, each attempt at another host, and returns all answers. It retries
+// after a failure at once, after a promise when Retry-After says, up to a third of the time left, and never after an answer
+// that forbids it.
+func (w *world) ask(n int, r request) []*answer {
+	const attempts = 2
+	deadline := time.Now().Add(r.deadline)
+	var out []*answer
+	for try := range attempts {
+		r.deadline = time.Until(deadline)
+		a := w.send(context.Background(), w.hosts[(n+try)%len(w.hosts)], r)
+		out = append(out, a)
+		if a.final() || try == attempts-1 {
+			break
+		}
+		seconds, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		time.Sleep(min(time.Duration(seconds*float64(time.Second)), time.Until(deadline)/3))
+	}
+	return out
+}
+
+// final reports whether a consumer does not retry after the answer.
+func (a *answer) final() bool {
+	switch a.status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		return true
+	}
+	return a.err == nil && a.status >= 200 && a.status < 300
+}
+
 // request is one request of a consumer.
 type request struct {
 	method, path, body string
