An answer without a length is whole only if its connection was not reset

What callers saw: a server answers a long upload at once with 200 and no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer. The same with HTTP/1.0, 404 or 500, without any byte of the body, with 3 and 17 MB, with a stream, and with an answer that another host passes on.

Cause: the system reports the error of a socket once, to whoever asks first. A body that ends with its connection was whole at any end.

Change: such a body asks at its end how the write of the request ended.

Ruled out: a limit of time for the write's result, as a server that ended cleanly may never read the rest; the state of the socket (TCP_INFO), which is the same after a reset and after an end that a reset followed.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -174,6 +174,9 @@
 		stop:  stop,
 		raw:   raw,
 	}
+	if resp.UntilClose() {
+		resp.Body = &untilCloseBody{Reader: raw.Body, conn: c}
+	}
 	resp.Own = resp.Answer.ID == req.ID || !resp.Reused && skipped == 0
 	if resp.Answer.NotRun || errkind.PromisesNotRun(resp.Status) {
 		c.rejected = append(c.rejected, xxh3.HashString(req.ID))
