An answer with an invalid status is a broken answer

What callers saw: a server in trouble answers with status 000 (or 099, +20, -00). The caller's connection is closed without any answer: "request handler panicked: invalid WriteHeader code". Statuses from 600 to 999 are passed on as they are. On other systems a status of 000 reached clients as an answer.

Cause: http.ReadResponse takes any three characters that strconv.Atoi takes and that are not negative. HTTP allows 100 to 599 (RFC 9110, 15).

An invalid one is an error like that of a head that can't be parsed: 502 to the caller of a request that must not run twice, a retry for others.

What a panic left behind was not looked for, as no answer leads to one now.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/briarlink/briarlink/internal/errkind"
+	"github.com/briarlink/briarlink/internal/respcheck"
 	"github.com/briarlink/briarlink/platform"
 )
 
@@ -258,6 +259,9 @@
 	defer c.heads.end()
 	for range maxStrayAnswers + 1 {
 		raw, err := http.ReadResponse(c.reader, httpReq)
+		if err == nil {
+			err = respcheck.Head(raw)
+		}
 		if err != nil {
 			return nil, skipped, errors.Wrap(err, "read an answer's head")
 		}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-// FuzzAnswers: whatever a server sends, the exchange ends, an answer with another request's ID is
+// FuzzAnswers: whatever a server sends, the exchange ends, an answer with another request's ID or an invalid head is
 // not accepted, and a connection is kept only after a complete answer with nothing behind it.
 func FuzzAnswers(f *testing.F) {
 	f.Add([]byte(answer("r", "body")))
@@ -17,6 +17,8 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + answer("r", "")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
+	f.Add([]byte("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi"))
+	f.Add([]byte("HTTP/1.1 999 X\r\n\r\nhi"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		client, server := net.Pipe()
 		go func() {
@@ -34,6 +36,9 @@
 		if resp.Answer.ID != "" && resp.Answer.ID != "r" {
 			t.Errorf("accepted the answer to %q", resp.Answer.ID)
 		}
+		if resp.Status < 100 || resp.Status > 599 {
+			t.Errorf("accepted the status %d", resp.Status)
+		}
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Finish(err == nil)
 		if err != nil && len(p.idle["a"]) > 0 {
