An answer with an invalid field name is a broken answer

What callers saw: an answer in whose head the name of a field holds a blank reaches the caller. "Content-Length : 16" with 20 bytes sent came as 20 bytes, "Transfer-Encoding : chunked" with the framing of the chunks as its body; other such lines were left out.

Cause: net/textproto keeps a name with blanks as it stands, so that the field is not found under its own name: the body then has another end than the server declared. Names with other invalid bytes were refused before.

Change: names are checked where the status is, by httpguts.ValidHeaderFieldName, and an invalid one is an error like that of a head that can't be parsed. RFC 9112 (5.1) has proxies remove a blank before the colon; a server that writes one is in trouble, and its caller gets a clear failure.

Refused before: a tab, CR, NUL, 0x01, DEL, a byte above 127, an empty name, a NUL in a value, two lengths.

The mirror, TestUnusualFieldsArriveWhole, held before and holds: names of all characters that a token may have, values with a tab, with a byte above 127, with blanks around them or empty.

--- a/internal/entry/brokenhead_test.go
+++ b/internal/entry/brokenhead_test.go
@@ -30,3 +30,43 @@
 		t.Run(line, func(t *testing.T) { checkWhole(t, rawAnswer{withStatus(line) + body, true, stay}, status, "hi", "") })
 	}
 }
+
+// TestAnswersWithInvalidFieldNamesReachNoCaller guards against a head with a name that is none: the line was passed on or left
+// out, and a length or chunks that were declared by it were not kept to.
+func TestAnswersWithInvalidFieldNamesReachNoCaller(t *testing.T) {
+	const chunks = "10\r\n0123456789abcdef\r\n0\r\n\r\n"
+	for name, rest := range map[string]string{
+		"a blank before the colon of a length": "Content-Length : 16\r\n\r\n0123456789abcdef0123",
+		"a blank before the colon of chunks":   "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"a blank before the colon":             "X-Filler : 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a blank in the name":                  "X Filler: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a tab":                                "X-Filler\t: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a carriage return":                    "X\rFiller: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a null byte":                          "X-Filler\x00: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a control byte":                       "X-\x01Filler: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a deleted byte":                       "X-Filler\x7f: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a byte above 127":                     "X-F\xfcller: 1\r\nContent-Length: 2\r\n\r\nhi",
+		"no name":                              ": 1\r\nContent-Length: 2\r\n\r\nhi",
+		"a null byte in a value":               "X-Filler: a\x00b\r\nContent-Length: 2\r\n\r\nhi",
+		"two lengths":                          "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, rawAnswer{answerHead + rest, true, endAndStay}, false) })
+	}
+	t.Run("in an informational head", func(t *testing.T) {
+		checkBroken(t, rawAnswer{"HTTP/1.1 103 X\r\nX Filler: 1\r\n\r\n" + answerHead + "Content-Length: 2\r\n\r\nhi", true, stay}, false)
+	})
+}
+
+// TestUnusualFieldsArriveWhole guards against answers that are refused for a field that is unusual, and valid.
+func TestUnusualFieldsArriveWhole(t *testing.T) {
+	const body = "Content-Length: 2\r\n\r\nhi"
+	for line, field := range map[string]string{
+		"x!#$%&'*+-.^_`|~9Z: 1": "x!#$%&'*+-.^_`|~9Z: 1",
+		"X-Filler: a\tb":        "X-Filler: a\tb", "X-Filler: a\xfcb": "X-Filler: a\xfcb", "X-Filler: \t 1 \t": "X-Filler: 1",
+		"X-Filler:": "", "X-Filler:1": "X-Filler: 1",
+	} {
+		t.Run(line, func(t *testing.T) {
+			checkWhole(t, rawAnswer{answerHead + line + "\r\n" + body, true, stay}, 200, "hi", field)
+		})
+	}
+}
--- a/internal/respcheck/respcheck.go
+++ b/internal/respcheck/respcheck.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The status codes that HTTP allows.
@@ -18,5 +19,10 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Errorf("invalid status code %d", resp.StatusCode)
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("invalid field name %q", name)
+		}
+	}
 	return nil
 }
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -5,9 +5,13 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 )
 
+// tokenBytes are the bytes that the name of a field may have.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
 // FuzzAnswers: whatever a server sends, the exchange ends, an answer with another request's ID or an invalid head is
 // not accepted, and a connection is kept only after a complete answer with nothing behind it.
 func FuzzAnswers(f *testing.F) {
@@ -19,6 +23,8 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"))
 	f.Add([]byte("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi"))
 	f.Add([]byte("HTTP/1.1 999 X\r\n\r\nhi"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhigher"))
+	f.Add([]byte("HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" + answer("r", "body")))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		client, server := net.Pipe()
 		go func() {
@@ -39,6 +45,11 @@
 		if resp.Status < 100 || resp.Status > 599 {
 			t.Errorf("accepted the status %d", resp.Status)
 		}
+		for name := range resp.Header {
+			if strings.Trim(name, tokenBytes) != "" {
+				t.Errorf("accepted the field name %q", name)
+			}
+		}
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Finish(err == nil)
 		if err != nil && len(p.idle["a"]) > 0 {
