Invalid heads are no answers of the store and of engines either

What was seen: an append to the log of a lease that is answered with status 000 or 999 counts as rejected, "which therefore has no effect"; an order to load weights counts as refused, though either may have been carried out. An answer that states its era in "Store-Era : 4" counts as one of era 0, and one of an engine as one without the fields that it states.

Cause: the clients of net/http in platform/ parse heads with the same code as upstream did.

Change: their transport checks heads as upstream does. An answer with an invalid one is an error of the call, after which an append is unconfirmed and an order lost, as after no answer.

Bodies without a length: the store's JSON and records, and an engine's reports, events and lists show by themselves that they were cut, and of an order only the status counts, so nothing changes for them.

--- a/internal/respcheck/respcheck.go
+++ b/internal/respcheck/respcheck.go
@@ -26,3 +26,19 @@
 	}
 	return nil
 }
+
+// Transport is an http.RoundTripper whose answers have valid heads. An answer with an invalid one is an error.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := Head(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
