An answer of another major version of HTTP is a broken answer

What callers saw: "HTTP/9.9 200 OK", also HTTP/2.0 and HTTP/0.9, is passed on as an answer of HTTP/1.1.

Cause: http.ReadResponse takes any version that it can parse. The major version says how a message is to be read (RFC 9110, 2.5); only that of 1 is.

Change: the check of heads takes no other major version.

Evidence: TestAnswersOfOtherProtocolsReachNoCaller failed before for these three, on all four paths; HTTP/1, HTTP/1.x, http/1.1 and ICY were refused before. The mirror, with HTTP/1.0 and HTTP/1.9, holds.

--- a/internal/entry/brokenhead_test.go
+++ b/internal/entry/brokenhead_test.go
@@ -24,13 +24,23 @@
 	const body = "Content-Length: 2\r\n\r\nhi"
 	for line, status := range map[string]int{
 		"HTTP/1.1 299 Unassigned": 299, "HTTP/1.1 499 Unassigned": 499, "HTTP/1.1 599 Unassigned": 599,
-		"HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 404 \t\xfc": 404,
+		"HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.0 200 OK": 200, "HTTP/1.9 200 OK": 200, "HTTP/1.1 404 \t\xfc": 404,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Unassigned\r\n\r\nHTTP/1.1 200 OK": 200,
 	} {
 		t.Run(line, func(t *testing.T) { checkWhole(t, rawAnswer{withStatus(line) + body, true, stay}, status, "hi", "") })
 	}
 }
 
+// TestAnswersOfOtherProtocolsReachNoCaller guards against an answer that was passed on although its version says that it is
+// not to be read as HTTP/1.
+func TestAnswersOfOtherProtocolsReachNoCaller(t *testing.T) {
+	for _, version := range []string{"HTTP/9.9", "HTTP/2.0", "HTTP/0.9", "HTTP/1", "HTTP/1.x", "http/1.1", "ICY"} {
+		t.Run(version, func(t *testing.T) {
+			checkBroken(t, rawAnswer{withStatus(version+" 200 OK") + "Content-Length: 2\r\n\r\nhi", true, stay}, false)
+		})
+	}
+}
+
 // TestAnswersWithInvalidFieldNamesReachNoCaller guards against a head with a name that is none: the line was passed on or left
 // out, and a length or chunks that were declared by it were not kept to.
 func TestAnswersWithInvalidFieldNamesReachNoCaller(t *testing.T) {
--- a/internal/respcheck/respcheck.go
+++ b/internal/respcheck/respcheck.go
@@ -16,6 +16,9 @@
 
 // Head returns an error if the head of an answer is invalid.
 func Head(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return errors.Errorf("invalid protocol version %q", resp.Proto)
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Errorf("invalid status code %d", resp.StatusCode)
 	}
