An answer whose connection broke is no loss of contact

What callers saw: while servers turn long uploads away (the head and a part of an answer, then a reset), hosts count as cut off from the service and answer ordinary requests with 503, "this host reaches no replica".

Cause: an exchange whose connection broke before the body was whole counts as a server that was not reached, whether or not its answer had begun; with all servers of a service, contact is lost.

Change: a flight knows that the head of the server's own answer has arrived. If its connection breaks then, contact is doubted, so that the server is probed, and not lost. Crash detection, the count of breaks one after the other and the price of failures are as before: a server that only cuts its answers is avoided as before.

Evidence: TestBrokenAnswersAreNoLossOfContact failed before where heads had arrived, and holds without them: contact is lost as before.

Ruled out: a condition on the write of the request being cut. An upload of a few megabytes fits into the buffers of the sockets and is written before the reset.

--- a/internal/replica/breaking_test.go
+++ b/internal/replica/breaking_test.go
@@ -155,3 +155,23 @@
 		t.Errorf("%d requests refused, sent %v", w.refused, w.sent)
 	}
 }
+
+// TestBrokenAnswersAreNoLossOfContact guards against a host that counts as cut off from a service, and refuses requests,
+// because all its servers turned uploads away: they answered before the connections broke.
+func TestBrokenAnswersAreNoLossOfContact(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		table, now := newTestTable("a", "b", "c"), time.Now()
+		for n := range 30 {
+			f := table.Begin([]string{"a", "b", "c"}[n%3], Work{}, now)
+			now = now.Add(time.Millisecond)
+			if answered {
+				f.RecordNotice(platform.ReplicaAnswer{Sealed: true}, now)
+			}
+			f.ConnectionBroken(now)
+			f.End(Lost, now)
+		}
+		if lost := table.LostContact(testService); lost == answered {
+			t.Errorf("heads of answers arrived %t: contact lost %t", answered, lost)
+		}
+	}
+}
--- a/internal/replica/flight.go
+++ b/internal/replica/flight.go
@@ -41,6 +41,8 @@
 	ended        bool
 	// broken is set if the connection broke before the complete answer.
 	broken bool
+	// headReceived is set once the head of the server's answer has arrived: this host reached the server.
+	headReceived bool
 	// ratio is the measured time to the start of the answer divided by the expected one, or
 	// 0.
 	ratio float64
@@ -182,7 +184,7 @@
 	case ConnectTimeout:
 		f.table.recordNotReached(f.entry, false, f.start, now)
 	case Lost, Cancelled:
-		if f.broken && !f.answerStarted {
+		if f.broken && !f.answerStarted && !f.headReceived {
 			// The connection was open until it broke.
 			f.table.recordNotReached(f.entry, false, now, now)
 		} else if unresponsive {
--- a/internal/replica/notice.go
+++ b/internal/replica/notice.go
@@ -18,6 +18,7 @@
 func (f *Flight) RecordNotice(a platform.ReplicaAnswer, now time.Time) {
 	f.table.mu.Lock()
 	defer f.table.mu.Unlock()
+	f.headReceived = f.headReceived || a.Sealed
 	f.table.applyNotice(f.entry, a, f.start, now)
 }
 
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -72,6 +73,11 @@
 	// UntilClose makes the server write answers with neither a length nor chunks, which end with
 	// their connection.
 	UntilClose bool
+	// TurnAwayOver makes a plain server answer a request with a longer body, in bytes, before it has read it: with a
+	// part of an answer that has neither a length nor chunks, and a reset. 0 sets no limit.
+	TurnAwayOver int64
+	// OnTurnedAwayEarly is called for each of these; it may be nil.
+	OnTurnedAwayEarly func(id string)
 }
 
 // CrashPoint is how far a server writes an answer before it crashes.
@@ -358,11 +364,15 @@
 	if !e.checkExpected(w, r) {
 		return
 	}
+	id := r.Header.Get(wire.Attempt)
+	if e.TurnAwayOver > 0 && r.ContentLength > e.TurnAwayOver {
+		e.turnAway(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	id := r.Header.Get(wire.Attempt)
 	w.Header().Set(wire.Attempt, id)
 	if backoff := e.recordArrival(); backoff > 0 {
 		if e.OnTurnedAway != nil {
@@ -432,6 +442,25 @@
 	e.serveStream(w, r, fault)
 }
 
+// turnAway answers a request whose body has not been read with a part of an answer and a reset.
+func (e *Engine) turnAway(w http.ResponseWriter, r *http.Request, id string) {
+	e.recordRun(r, id)
+	if e.OnTurnedAwayEarly != nil {
+		e.OnTurnedAwayEarly(id)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\n\r\nanswer of", wire.Attempt, id, wire.Seal, e.ID)
+	time.Sleep(turnAwayPause)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
+
+// turnAwayPause is the time from the part of an answer to the reset.
+const turnAwayPause = time.Millisecond
+
 // ownStatus returns the status with which the server answers the current run itself, 0 if it answers as usual.
 func (e *Engine) ownStatus() int {
 	if e.OwnStatusEvery == 0 {
