Answers that break off are reset for callers of HTTP/1.0

What callers saw: a stream that breaks off after three of six events ends like a complete one for a caller that speaks HTTP/1.0, as many proxies do by default.

Cause: to such a caller an answer without a length ends with its connection. net/http ends an aborted one with a clean close.

Change: the connection is reset, by the deadline in the past that ends transfers under memory pressure too. Callers of HTTP/1.1 see the missing last chunk or the missing rest of the length as before, and their connections end as before.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -123,6 +123,11 @@
 			if recovered != http.ErrAbortHandler {
 				s.Log.WithField("panic", recovered).Error("request handler panicked")
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				// Has the connection reset: an answer without a length is complete to a caller of HTTP/1.0 when it ends. An
+				// error means that it is closed.
+				_ = http.NewResponseController(w).SetWriteDeadline(past)
+			}
 			// Aborts the connection, because the answer may be incomplete.
 			panic(http.ErrAbortHandler)
 		}()
