Soak: plain servers that answer long uploads early

No proxy stands before these servers, as the soak's proxies may be told of a reset on the side that they do not read.

--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -143,7 +143,7 @@
 	case s.poison:
 		r.Body = s.body
 	case s.kind.method == http.MethodPost:
-		s.body = strings.Repeat("x", rng.IntN(3000))
+		s.body = strings.Repeat("x", fx.uploadSize(s.kind, rng))
 		r.Body = s.body
 	}
 	if s.size > 0 {
--- a/test/soak/servercuts.go
+++ b/test/soak/servercuts.go
@@ -37,7 +37,7 @@
 const cutOffName = "cut off from the servers"
 
 func hasServerCuts(seed uint64) bool {
-	return seed%fleetSeeds >= serverCutSeeds && !hasOverload(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed)
+	return seed%fleetSeeds >= serverCutSeeds && !hasOverload(seed) && !hasRejections(seed) && !hasSilences(seed) && !hasPromises(seed) && !hasEarlyAnswers(seed)
 }
 
 // cutMode is what a cut does to the open connections between a host and the servers. New ones are reset
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -322,6 +322,9 @@
 	if fx.promises && s.service == "jobs" {
 		fx.promiseFaults.options(&o)
 	}
+	if hasEarlyAnswers(fx.seed) && s.service == "jobs" {
+		fx.setEarlyAnswers(&o, s.listenAddress)
+	}
 	if s.service == filesService {
 		// Without the proxy, whose buffers would take a good part of each answer.
 		o.Address = s.listenAddress
--- a/test/standin/engine/engine.go
+++ b/test/standin/engine/engine.go
@@ -76,7 +76,9 @@
 	// TurnAwayOver makes a plain server answer a request with a longer body, in bytes, before it has read it: with a
 	// part of an answer that has neither a length nor chunks, and a reset. 0 sets no limit.
 	TurnAwayOver int64
-	// OnTurnedAwayEarly is called for each of these; it may be nil.
+	// AnswersEarly makes it answer every second of these whole, without a length, and end the connection.
+	AnswersEarly bool
+	// OnTurnedAwayEarly is called for each of those that it turns away; it may be nil.
 	OnTurnedAwayEarly func(id string)
 }
 
@@ -126,6 +128,8 @@
 	// orderSeq counts the accepted load commands.
 	orderSeq int64
 	faults   []Fault
+	// early counts the requests that were answered before their bodies were read.
+	early int
 	// started counts the runs of all requests, and runs those of each by its ID.
 	started int
 	runs    map[string]int
@@ -366,7 +370,7 @@
 	}
 	id := r.Header.Get(wire.Attempt)
 	if e.TurnAwayOver > 0 && r.ContentLength > e.TurnAwayOver {
-		e.turnAway(w, r, id)
+		e.answerEarly(w, r, id)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -442,24 +446,48 @@
 	e.serveStream(w, r, fault)
 }
 
-// turnAway answers a request whose body has not been read with a part of an answer and a reset.
-func (e *Engine) turnAway(w http.ResponseWriter, r *http.Request, id string) {
+// answerEarly answers a request whose body has not been read, whole or with a part and a reset.
+func (e *Engine) answerEarly(w http.ResponseWriter, r *http.Request, id string) {
 	e.recordRun(r, id)
-	if e.OnTurnedAwayEarly != nil {
+	e.mu.Lock()
+	e.early++
+	whole := e.AnswersEarly && e.early%2 == 0
+	e.mu.Unlock()
+	if !whole && e.OnTurnedAwayEarly != nil {
 		e.OnTurnedAwayEarly(id)
 	}
-	conn, _, err := http.NewResponseController(w).Hijack()
+	raw, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
-	defer conn.Close()
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\n\r\nanswer of", wire.Attempt, id, wire.Seal, e.ID)
+	defer raw.Close()
+	conn := raw.(*net.TCPConn)
+	answer := e.plainAnswer(r.ContentLength)
+	if !whole {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\n\r\n%s", wire.Attempt, id, wire.Seal, e.ID, answer)
+	if whole {
+		_ = conn.CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(earlyReadTime))
+		_, _ = io.Copy(io.Discard, conn)
+		return
+	}
 	time.Sleep(turnAwayPause)
-	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.SetLinger(0)
 }
 
-// turnAwayPause is the time from the part of an answer to the reset.
-const turnAwayPause = time.Millisecond
+const (
+	// turnAwayPause is the time from the part of an answer to the reset.
+	turnAwayPause = time.Millisecond
+	// earlyReadTime is how long the rest of a request is read after its answer.
+	earlyReadTime = 100 * time.Millisecond
+)
+
+// plainAnswer returns the answer of a plain service to a body of a size.
+func (e *Engine) plainAnswer(size int64) string {
+	return fmt.Sprintf("answer of %s to %d bytes", e.ID, size)
+}
 
 // ownStatus returns the status with which the server answers the current run itself, 0 if it answers as usual.
 func (e *Engine) ownStatus() int {
@@ -505,7 +533,7 @@
 func (e *Engine) serveBuffered(w http.ResponseWriter, r *http.Request, fault Fault, body []byte) {
 	time.Sleep(e.Work)
 	e.awaitEndOfPause()
-	answer := fmt.Sprintf("answer of %s to %d bytes", e.ID, len(body))
+	answer := e.plainAnswer(int64(len(body)))
 	size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 	size = max(size, len(answer))
 	if !e.UntilClose {
