A chunked answer of HTTP/1.0 is a broken answer

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reaches the caller as complete with the framing of its chunks as its body (27 bytes for 16), or with as much of it as a length says.

Cause: http.ReadResponse drops the transfer encoding of an answer of HTTP/1.0 and reads until the connection ends. RFC 9112 (6.1) has such a message treated as one with faulty framing.

Change: before a head of HTTP/1.0 is parsed it is looked at in the reader's buffer. One that states a transfer encoding is an error like that of a head that can't be parsed.

--- a/internal/entry/brokenhead_test.go
+++ b/internal/entry/brokenhead_test.go
@@ -1,6 +1,9 @@
 package entry
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // TestAnswersWithInvalidStatusesReachNoCaller guards against a status that is none, which was passed on, or ended the
 // caller's connection without any answer.
@@ -41,6 +44,22 @@
 	}
 }
 
+// TestChunkedAnswersOfHTTP10ReachNoCaller guards against a body with the framing of its chunks: HTTP/1.0 has none, and the
+// field that states them was dropped.
+func TestChunkedAnswersOfHTTP10ReachNoCaller(t *testing.T) {
+	const chunks = "10\r\n0123456789abcdef\r\n0\r\n\r\n"
+	for name, fields := range map[string]string{
+		"no length":       "Transfer-Encoding: chunked\r\n",
+		"a length":        "transfer-encoding: chunked\r\nContent-Length: 16\r\n",
+		"many fields":     strings.Repeat("X-Filler: 1\r\n", 100) + "Transfer-Encoding: chunked\r\n",
+		"lines by return": "X-Filler: 1\nTransfer-Encoding: chunked\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkBroken(t, rawAnswer{withStatus("HTTP/1.0 200 OK") + fields + "\r\n" + chunks, true, endAndStay}, false)
+		})
+	}
+}
+
 // TestAnswersWithInvalidFieldNamesReachNoCaller guards against a head with a name that is none: the line was passed on or left
 // out, and a length or chunks that were declared by it were not kept to.
 func TestAnswersWithInvalidFieldNamesReachNoCaller(t *testing.T) {
@@ -73,7 +92,7 @@
 	for line, field := range map[string]string{
 		"x!#$%&'*+-.^_`|~9Z: 1": "x!#$%&'*+-.^_`|~9Z: 1",
 		"X-Filler: a\tb":        "X-Filler: a\tb", "X-Filler: a\xfcb": "X-Filler: a\xfcb", "X-Filler: \t 1 \t": "X-Filler: 1",
-		"X-Filler:": "", "X-Filler:1": "X-Filler: 1",
+		"X-Filler:": "", "X-Filler:1": "X-Filler: 1", "X-Filler: Transfer-Encoding: chunked": "X-Filler: Transfer-Encoding: chunked",
 	} {
 		t.Run(line, func(t *testing.T) {
 			checkWhole(t, rawAnswer{answerHead + line + "\r\n" + body, true, stay}, 200, "hi", field)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -258,10 +258,7 @@
 	c.heads.begin(maxHeadBytes)
 	defer c.heads.end()
 	for range maxStrayAnswers + 1 {
-		raw, err := http.ReadResponse(c.reader, httpReq)
-		if err == nil {
-			err = respcheck.Head(raw)
-		}
+		raw, err := c.readHead(httpReq)
 		if err != nil {
 			return nil, skipped, errors.Wrap(err, "read an answer's head")
 		}
@@ -280,6 +277,45 @@
 	return nil, skipped, errors.New("the connection carried answers to other requests")
 }
 
+// readHead reads the head of an answer. An invalid one is an error.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	if err := c.checkOldHead(); err != nil {
+		return nil, err
+	}
+	raw, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	return raw, respcheck.Head(raw)
+}
+
+// oldVersion is the beginning of an answer of HTTP/1.0, which has no chunks.
+const oldVersion = "HTTP/1.0"
+
+var errOldChunks = errors.New("an answer of HTTP/1.0 with a transfer encoding")
+
+// checkOldHead returns an error if the head that follows is one of HTTP/1.0 with a transfer encoding, which
+// http.ReadResponse drops: the body would include the framing of its chunks. Only what fits into the buffer is looked at.
+func (c *conn) checkOldHead() error {
+	version, err := c.reader.Peek(len(oldVersion))
+	if err != nil || string(version) != oldVersion {
+		return err
+	}
+	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(buffered, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+		if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+			return errOldChunks
+		}
+		if whole || len(buffered) == readBufferSize {
+			return nil
+		}
+		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
+			return err
+		}
+	}
+}
+
 // discard reads a body to its end, and reports whether that came in time.
 func (c *conn) discard(body io.Reader) bool {
 	c.heads.end()
